--- /dev/null
+++ b/cmake/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/packages/base/log.h
@@ -0,0 +1,69 @@
+// Log lines to standard error: time, level, prefix of the part, a short sentence, key=value fields.
+//
+//   logInfo(LogPart::Lease, "lease granted", {{"session", "42"}});
+#pragma once
+
+#include "base/names.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kumquat {
+
+enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
+
+inline constexpr NameTable<LogLevel, 4> logLevelNames{{{{LogLevel::Debug, "debug"},
+                                                        {LogLevel::Info, "info"},
+                                                        {LogLevel::Warning, "warning"},
+                                                        {LogLevel::Error, "error"}}}};
+
+// Parts of the system, each with a fixed prefix.
+enum class LogPart : std::uint8_t {
+    Main,
+    Settings,
+    Rules,
+    Log,
+    Lease,
+    Slots,
+    Request,
+    Upstream,
+    Mesh,
+    Admin,
+    Placement,
+};
+
+inline constexpr NameTable<LogPart, 11> logPartNames{{{{LogPart::Main, "main"},
+                                                       {LogPart::Settings, "settings"},
+                                                       {LogPart::Rules, "rules"},
+                                                       {LogPart::Log, "log"},
+                                                       {LogPart::Lease, "lease"},
+                                                       {LogPart::Slots, "slots"},
+                                                       {LogPart::Request, "request"},
+                                                       {LogPart::Upstream, "upstream"},
+                                                       {LogPart::Mesh, "mesh"},
+                                                       {LogPart::Admin, "admin"},
+                                                       {LogPart::Placement, "placement"}}}};
+
+struct LogField
+{
+    std::string_view key;
+    std::string value; // quoted in the output if it has spaces
+};
+
+using LogFields = std::vector<LogField>;
+
+// Configures the library: standard error only, no files, lines below the level are dropped.
+// Call once before the first line.
+void setUpLogging(LogLevel level);
+
+void logDebug(LogPart part, std::string_view sentence, const LogFields &fields = {});
+void logInfo(LogPart part, std::string_view sentence, const LogFields &fields = {});
+void logWarning(LogPart part, std::string_view sentence, const LogFields &fields = {});
+void logError(LogPart part, std::string_view sentence, const LogFields &fields = {});
+
+// Formats one line without time and level: "lease: lease granted session=42".
+std::string formatLogLine(LogPart part, std::string_view sentence, const LogFields &fields);
+
+} // namespace kumquat
