Add the net package: fibers over Asio, HTTP, ZeroMQ mesh, log client

Cause: the processes need non-polling I/O on Boost.Fiber. Change: a fiber scheduler that waits in the io_context, an HTTP server and a pooled client over Beast, a mesh of PUSH and PULL sockets, a log reader. Conclusion: the thin path can be built on it.

--- /dev/null
+++ b/packages/net/fibers.cpp
@@ -0,0 +1,168 @@
+#include "net/fibers.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/fiber/all.hpp>
+
+#include <pthread.h>
+#include <unistd.h>
+
+#include <cassert>
+
+namespace kumquat {
+namespace {
+
+// Round-robin scheduler that waits in the io_context when no fiber is ready.
+class AsioScheduler : public boost::fibers::algo::algorithm
+{
+public:
+    AsioScheduler(std::shared_ptr<asio::io_context> io, std::shared_ptr<std::atomic<bool>> isParked)
+        : context(std::move(io))
+        , parked(std::move(isParked))
+        , timer(*this->context)
+    {}
+
+    void awakened(boost::fibers::context *fiber) noexcept override
+    {
+        fiber->ready_link(this->readyFibers);
+    }
+
+    boost::fibers::context *pick_next() noexcept override
+    {
+        if (this->context->stopped()) {
+            this->park();
+        }
+        // Handlers are polled between fibers so that a busy thread still serves its sockets.
+        if (++this->picksSincePoll >= picksPerPoll) {
+            this->picksSincePoll = 0;
+            this->context->poll();
+        }
+        if (this->readyFibers.empty()) {
+            return nullptr;
+        }
+        boost::fibers::context *fiber = &this->readyFibers.front();
+        this->readyFibers.pop_front();
+        return fiber;
+    }
+
+    bool has_ready_fibers() const noexcept override { return !this->readyFibers.empty(); }
+
+    void suspend_until(const std::chrono::steady_clock::time_point &until) noexcept override
+    {
+        if (until != std::chrono::steady_clock::time_point::max()) {
+            this->timer.expires_at(until);
+            this->timer.async_wait([](const ErrorCode &) {});
+        }
+        this->context->run_one();
+        this->context->poll();
+        if (this->context->stopped()) {
+            this->park();
+        }
+    }
+
+    void notify() noexcept override
+    {
+        asio::post(*this->context, [] {});
+    }
+
+private:
+    static constexpr int picksPerPoll = 16;
+
+    [[noreturn]] void park()
+    {
+        this->parked->store(true);
+        this->parked->notify_all();
+        while (true) {
+            pause();
+        }
+    }
+
+    std::shared_ptr<asio::io_context> context;
+    std::shared_ptr<std::atomic<bool>> parked;
+    asio::steady_timer timer;
+    boost::fibers::scheduler::ready_queue_type readyFibers;
+    int picksSincePoll = 0;
+};
+
+} // namespace
+
+void sleepFor(asio::io_context &io, Duration duration)
+{
+    asio::steady_timer timer(io, std::chrono::duration_cast<std::chrono::nanoseconds>(duration));
+    awaitOperation([&](auto done) { timer.async_wait(std::move(done)); });
+}
+
+FiberThread::FiberThread(std::string threadName)
+    : name(std::move(threadName))
+    , context(std::make_shared<asio::io_context>(1))
+    , parked(std::make_shared<std::atomic<bool>>(false))
+{}
+
+FiberThread::~FiberThread()
+{
+    this->stop();
+}
+
+void FiberThread::start()
+{
+    this->thread = std::thread([this] { this->run(); });
+    pthread_setname_np(this->thread.native_handle(), this->name.c_str());
+}
+
+void FiberThread::stop()
+{
+    if (!this->thread.joinable()) {
+        return;
+    }
+    assert(this->thread.get_id() != std::this_thread::get_id() && "stop from another thread");
+    this->context->stop();
+    this->parked->wait(false);
+    this->thread.detach();
+}
+
+void FiberThread::run()
+{
+    boost::fibers::use_scheduling_algorithm<AsioScheduler>(this->context, this->parked);
+    const auto work = asio::make_work_guard(*this->context);
+    // The thread's main fiber only waits; the scheduler runs the io_context meanwhile.
+    while (true) {
+        boost::this_fiber::sleep_for(std::chrono::hours(1));
+    }
+}
+
+void FiberThread::spawn(std::function<void()> function)
+{
+    asio::post(*this->context, [function = std::move(function)]() mutable {
+        boost::fibers::fiber(boost::fibers::launch::post, std::move(function)).detach();
+    });
+}
+
+void FiberThread::post(std::function<void()> function)
+{
+    asio::post(*this->context, std::move(function));
+}
+
+FiberEvent::FiberEvent(asio::io_context &context)
+    : io(context)
+    , state(std::make_shared<State>(context))
+{}
+
+void FiberEvent::notify()
+{
+    asio::post(this->io, [state = this->state] {
+        state->notified = true;
+        state->timer.cancel();
+    });
+}
+
+bool FiberEvent::waitFor(Duration limit)
+{
+    const std::shared_ptr<State> kept = this->state;
+    if (!kept->notified) {
+        kept->timer.expires_after(limit);
+        awaitOperation([&](auto done) { kept->timer.async_wait(std::move(done)); });
+    }
+    return kept->notified;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/net/http_server.h
@@ -0,0 +1,66 @@
+// HTTP server over Boost.Beast: one fiber per connection.
+//
+//   HttpServer server(thread, limits, [](const HttpRequest &request) { return HttpResponse{}; });
+//   absl::Status status = server.listen(address, /*shared=*/true);
+#pragma once
+
+#include "base/address.h"
+#include "base/errors.h"
+#include "net/fibers.h"
+#include "net/http.h"
+
+#include <absl/status/status.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace kumquat {
+
+struct HttpServerLimits
+{
+    std::uint32_t maxHeaderBytes = 16 * 1024;
+    std::uint64_t maxBodyBytes = 1024 * 1024;
+    int maxConnections = 10'000; // further ones are closed at once
+    Duration idleLimit = 75s;    // between requests
+    Duration messageLimit = 10s; // for one whole request to arrive, or answer to leave
+};
+
+struct HttpServerHooks
+{
+    std::function<HttpResponse(const HttpRequest &)> handle; // runs in a fiber, may wait
+    std::function<HttpResponse(ErrorKind)> refuse;           // answer to a request that is not HTTP
+    std::function<bool()> isClosing;                         // true: close after this answer
+};
+
+class HttpServer : public std::enable_shared_from_this<HttpServer>
+{
+public:
+    static std::shared_ptr<HttpServer> create(FiberThread &thread, HttpServerLimits limits,
+                                              HttpServerHooks hooks);
+
+    // Listens and accepts. With `shared`, several servers may listen on the same port and the
+    // kernel spreads connections over them. Error: SettingsInvalid if the address cannot be bound.
+    absl::Status listen(const Address &address, bool shared);
+
+    // Closes the listening socket; open connections go on. Callable from any thread.
+    void stopAccepting();
+
+    // Number of open connections.
+    int connectionCount() const { return this->connections.load(); }
+
+private:
+    struct Listener;
+
+    HttpServer(FiberThread &thread, HttpServerLimits limits, HttpServerHooks hooks);
+    void acceptNext(std::shared_ptr<Listener> listener);
+
+    FiberThread &thread;
+    HttpServerLimits limits;
+    HttpServerHooks hooks;
+    std::shared_ptr<Listener> listener;
+    std::atomic<int> connections{0};
+};
+
+} // namespace kumquat
