Add the headers of the traffic package

Cause: the process is written against these interfaces in parallel. No implementation yet; the package is not in the build.

--- /dev/null
+++ b/packages/traffic/breaker.h
@@ -0,0 +1,57 @@
+// A circuit breaker, kept only for the measurement in bench_limits; the process does not use it.
+#pragma once
+
+#include "base/names.h"
+#include "base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+namespace kumquat {
+
+enum class BreakerState : std::uint8_t { Closed, Open, HalfOpen };
+
+inline constexpr NameTable<BreakerState, 3> breakerStateNames{
+        {{{BreakerState::Closed, "closed"},
+          {BreakerState::Open, "open"},
+          {BreakerState::HalfOpen, "half-open"}}}};
+
+struct BreakerSettings
+{
+    std::size_t window = 200;   // last outcomes that are judged
+    std::size_t failures = 160; // failures among them that open the breaker
+    Duration openTime = 1s;     // then half-open
+    std::size_t probes = 10;    // attempts while half-open
+    std::size_t successes = 3;  // of these close the breaker
+};
+
+class Breaker
+{
+public:
+    explicit Breaker(BreakerSettings settings = {});
+
+    // Returns whether an attempt may start; counts it as a probe while half-open.
+    bool allow(Time now);
+
+    // Notes the outcome of an attempt that allow let through.
+    void note(bool success, Time now);
+
+    BreakerState state() const { return this->current; }
+
+private:
+    void open(Time now);
+    void close();
+    void noteProbe(bool success, Time now);
+
+    BreakerSettings settings;
+    BreakerState current = BreakerState::Closed;
+    std::deque<bool> outcomes; // true: failure
+    std::size_t failureCount = 0;
+    Time openedAt{};
+    std::size_t probesStarted = 0;
+    std::size_t probesEnded = 0;
+    std::size_t probesGood = 0;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/traffic/crash_guard.h
@@ -0,0 +1,89 @@
+// Refuses requests that crashed upstreams (design page, section 4.5).
+//
+//   guard.blame(runningFingerprints, crashId, now);
+//   if (std::optional<CrashReport> report = guard.takeReport(now)) { ... append CrashSuspect ... }
+//   guard.isQuarantined(fingerprint, now); // answer request-quarantined
+#pragma once
+
+#include "base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace kumquat {
+
+using Fingerprint = std::uint64_t;
+
+// Content of one CrashSuspect record.
+struct CrashReport
+{
+    std::uint64_t crashId = 0;
+    std::vector<Fingerprint> fingerprints;
+};
+
+struct CrashGuardSettings
+{
+    std::uint32_t crashes = 2;         // different crashes after which a fingerprint is refused
+    Duration quarantine = 10min;       // counted from the last crash
+    Duration memory = 24h;             // how long a crash counts
+    Duration reportEvery = 1s;         // at most one record in this time
+    std::size_t fingerprints = 65'536; // then the one with the oldest crash is forgotten
+    std::size_t reports = 64; // crashes that wait to be reported; then the oldest is dropped
+};
+
+// Counts crashes from the own upstream and from the log. Not thread-safe.
+class CrashGuard
+{
+public:
+    explicit CrashGuard(CrashGuardSettings settings = {});
+
+    // Blames one crash of the own upstream on the requests it was running. Counts at once, without
+    // waiting for the log. `crashId` is random and unique for each crash.
+    void blame(const std::vector<Fingerprint> &running, std::uint64_t crashId, Time now);
+
+    // Counts a CrashSuspect record; one that repeats a known crash changes nothing.
+    void applyRecord(const std::vector<Fingerprint> &fingerprints, std::uint64_t crashId, Time now);
+
+    // Takes counts from a checkpoint. Lower counts than the known ones are ignored.
+    void importCount(Fingerprint fingerprint, std::uint32_t crashes, std::uint64_t lastCrashId,
+                     Time now);
+
+    bool isQuarantined(Fingerprint fingerprint, Time now) const;
+
+    // Returns the next record to append, at most one in reportEvery.
+    std::optional<CrashReport> takeReport(Time now);
+
+    // Returns when takeReport has something, or nothing.
+    std::optional<Time> nextReport() const;
+
+    std::size_t size() const { return this->blamed.size(); }
+
+private:
+    struct Blamed
+    {
+        std::vector<std::uint64_t> crashIds; // different ones, at most settings.crashes
+        std::uint32_t imported = 0;          // crashes before the first of crashIds
+        Time last{};
+    };
+
+    struct Expiry
+    {
+        Time due{};
+        Fingerprint fingerprint = 0;
+    };
+
+    void count(Fingerprint fingerprint, std::uint64_t crashId, Time now);
+    void forget(Time now);
+
+    CrashGuardSettings settings;
+    std::unordered_map<Fingerprint, Blamed> blamed;
+    std::deque<Expiry> expiries; // ascending by due
+    std::deque<CrashReport> reports;
+    std::optional<Time> lastReport;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/traffic/limiter.h
@@ -0,0 +1,157 @@
+// Limits what one upstream endpoint runs at a time and what waits for it (design page,
+// section 4.4).
+//
+//   Admission admission = limiter.admit(request, deadline, now);
+//   if (admission.action == AdmitAction::Refuse) { ... answer admission.error ... }
+//   if (admission.action == AdmitAction::Dispatch) { ... send it, then: }
+//   limiter.finish(request, CallEnd::Answered, now);
+//   LimiterOutput out = limiter.takeOutput(); // dispatch out.dispatch, answer out.dropped
+#pragma once
+
+#include "base/errors.h"
+#include "base/names.h"
+#include "base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace kumquat {
+
+using RequestNumber = std::uint64_t; // chosen by the user of the limiter, unique while in use
+
+enum class AdmitAction : std::uint8_t { Dispatch, Wait, Refuse };
+
+struct Admission
+{
+    AdmitAction action = AdmitAction::Dispatch;
+    ErrorKind error = ErrorKind::None; // Overloaded or DeadlineExceeded if refused
+    Duration retryAfter{};             // if refused: when the queue is expected to have room
+};
+
+// How a dispatched request ended, as seen by the process that dispatched it.
+enum class CallEnd : std::uint8_t {
+    Answered,  // a whole answer that is no refusal
+    Refused,   // 503 with Retry-After
+    TimedOut,  // no whole answer by the deadline
+    Lost,      // the connection broke or could not be made
+    Cancelled, // by the caller or by the end of the lease; says nothing about the endpoint
+};
+
+inline constexpr NameTable<CallEnd, 5> callEndNames{{{{CallEnd::Answered, "answered"},
+                                                      {CallEnd::Refused, "refused"},
+                                                      {CallEnd::TimedOut, "timed-out"},
+                                                      {CallEnd::Lost, "lost"},
+                                                      {CallEnd::Cancelled, "cancelled"}}}};
+
+// A waiting request that is not dispatched.
+struct DroppedRequest
+{
+    RequestNumber request = 0;
+    ErrorKind error = ErrorKind::Overloaded; // Overloaded or DeadlineExceeded
+    Duration retryAfter{};
+};
+
+struct LimiterOutput
+{
+    std::vector<RequestNumber> dispatch; // in order of arrival; call finish for each
+    std::vector<DroppedRequest> dropped; // no finish
+};
+
+struct LimiterSettings
+{
+    std::size_t queue = 256;         // most requests that wait
+    double coldLimit = 2;            // first limit of a cold upstream
+    Duration coldRamp = 3s;          // time in which the cold limit grows to the announced slots
+    double decrease = 0.8;           // factor on overload, at most once a round trip
+    double increase = 1;             // added to the limit for each full window of good answers
+    double tolerance = 2;            // latency over the usual one that counts as overload
+    Duration firstServiceTime = 5ms; // assumed before the first answer
+};
+
+// Not thread-safe. No two upstreams share one.
+class EndpointLimiter
+{
+public:
+    // Takes what the upstream announced. `cold`: it has just started.
+    EndpointLimiter(std::uint32_t slots, std::uint32_t connections, bool cold, Time now,
+                    LimiterSettings settings = {});
+
+    // Notes a repeated announcement. Never raises the limit by itself, but bounds it.
+    void announce(std::uint32_t slots, std::uint32_t connections, Time now);
+
+    // Starts the cold ramp again, after the upstream restarted.
+    void startCold(Time now);
+
+    // Decides about a new request. After Wait the request appears in a later output.
+    Admission admit(RequestNumber request, Time deadline, Time now);
+
+    // Ends a dispatched request and lets waiting ones follow.
+    void finish(RequestNumber request, CallEnd end, Time now);
+
+    // Removes a waiting request whose caller has gone. Returns false if it is not waiting.
+    bool cancelWaiting(RequestNumber request, Time now);
+
+    // Drops waiting requests that cannot meet their deadline. Call at nextDue.
+    void advance(Time now);
+    std::optional<Time> nextDue() const;
+
+    // Returns and clears the output. Call after finish, cancelWaiting and advance.
+    LimiterOutput takeOutput();
+
+    std::size_t inFlight() const { return this->running.size(); }
+    std::size_t waiting() const { return this->queue.size(); }
+    double limit() const { return this->currentLimit; }
+
+    // Returns in flight over limit, 0 to 1, for LoadReply.
+    double utilisation() const;
+
+    // Returns the expected time of one request at the endpoint.
+    Duration serviceTime() const;
+
+private:
+    struct Running
+    {
+        Time started{};
+        Time deadline{};
+        std::uint64_t round = 0; // limit changes so far when it was dispatched
+        bool atLimit = false;    // the limit was fully used when it was dispatched
+    };
+
+    struct Waiting
+    {
+        RequestNumber request = 0;
+        Time deadline{};
+    };
+
+    double effectiveLimit(Time now) const;
+    bool hasRoom(Time now) const;
+    Duration expectedWait(std::size_t ahead, Time now) const;
+    Duration expectedService(Time now) const;
+    bool canMeet(Time deadline, std::size_t ahead, Time now) const;
+    void dispatch(RequestNumber request, Time deadline, Time now);
+    void dispatchWaiting(Time now);
+    void dropHopeless(Time now);
+    void learnLatency(Duration latency);
+    void raise(const Running &call);
+    void lower(const Running &call);
+
+    LimiterSettings settings;
+    std::uint32_t slots;
+    std::uint32_t connections;
+    double currentLimit;
+    std::optional<Time> coldSince;
+    std::uint64_t rounds = 0; // decreases so far
+    double usualLatency = 0;  // ns, slow mean; 0: not known
+    double recentLatency = 0; // ns, fast mean
+    double latencySpread = 0; // ns, fast mean of the distance to recentLatency
+    Time lastEnd{};           // of the last answer or refusal
+    std::unordered_map<RequestNumber, Running> running;
+    std::deque<Waiting> queue; // in order of arrival
+    LimiterOutput output;
+};
+
+} // namespace kumquat
