--- a/packages/rules/rules.h
+++ b/packages/rules/rules.h
@@ -23,7 +23,7 @@
 namespace kumquat {
 
 inline constexpr std::size_t maxRuleLineBytes = 1'024;
-inline constexpr std::size_t maxRulesFileBytes = 256 * 1'024;
+inline constexpr std::size_t maxRulesFileBytes = 262'144;
 inline constexpr std::chrono::milliseconds minRuleTimeout{1};
 inline constexpr std::chrono::milliseconds maxRuleTimeout{900};
 inline constexpr int maxKeySegment = 64;
