Add the caller stand-in and the comparison with the ledgers

Cause: outcomes reported to callers must be checked against what upstreams really ran.

Change: caller_standin sends mixed traffic at a fixed rate over several entry addresses, repeats writes of unknown outcome under the same id, reads keys that failed until they are served again, and compares the answers with the ledgers: requests run twice, reported as not run but run, reported as done but missing, keys run at two upstreams at a time, wrong answers, gaps, latency, imbalance.

--- /dev/null
+++ b/packages/standins/verdict.h
@@ -0,0 +1,64 @@
+// Compares what callers were told with what upstreams ran.
+//
+//   Verdict verdict = judge(attempts, runs);
+//   if (!verdict.keepsPromises()) { std::cout << verdict.toText(); }
+#pragma once
+
+#include "base/time.h"
+#include "standins/ledger.h"
+#include "standins/load.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+// Load of the upstreams of one service.
+struct ServiceShare
+{
+    std::map<std::string, std::uint64_t> runs; // by upstream
+    double imbalance = 0;                      // peak over mean
+};
+
+struct Verdict
+{
+    // Requests by the outcome of their first attempt; probes and repeats are not counted.
+    std::uint64_t sent = 0;
+    std::uint64_t done = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t repeats = 0;
+    std::uint64_t probes = 0;
+    std::map<std::string, std::uint64_t> errors; // attempts by error kind, all attempts
+    std::uint64_t runs = 0;
+
+    // Broken promises; each must be 0.
+    std::uint64_t runTwice = 0;        // non-idempotent requests with more than one run
+    std::uint64_t notRunButRan = 0;    // attempts reported as not run that a ledger has
+    std::uint64_t doneButMissing = 0;  // requests reported as done that no ledger has
+    std::uint64_t overlaps = 0;        // runs of a key that overlap one at another upstream
+    std::uint64_t wrongAnswers = 0;    // answers of another request, cut short or without outcome
+    std::vector<std::string> examples; // of broken promises, for a person
+
+    Duration longestGap{}; // longest time from a failed attempt to the key's next answer
+    std::string longestGapKey;
+    std::uint64_t keysNotServedAgain = 0; // keys whose last attempt failed
+    Duration p50{};                       // of done first attempts, from the due time
+    Duration p99{};
+    std::map<std::string, ServiceShare> services;
+    std::uint64_t keys = 0;      // keys that ran
+    std::uint64_t movedKeys = 0; // keys that ran at more than one upstream
+
+    bool keepsPromises() const;
+    std::string toText() const;
+    std::string toJson() const;
+};
+
+// With `failedAt`, gaps count from this time and only later attempts are considered for them.
+Verdict judge(const std::vector<Attempt> &attempts, const std::vector<Run> &runs,
+              std::optional<Time> failedAt = std::nullopt);
+
+} // namespace kumquat
