--- /dev/null
+++ b/packages/system/cluster.cpp
@@ -0,0 +1,321 @@
+// Sections: hosts, rules, waiting, requests, records.
+#include "system/cluster.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <filesystem>
+#include <map>
+#include <thread>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+constexpr const char *usualRules =
+        "# Rules of the process tests.\n"
+        "route GET  /testlog/  service=testlog  key=segment:2 idempotent=yes timeout=800ms"
+        "  # asked by Awa Ndiaye\n"
+        "route POST /testlog/  service=testlog  key=header:Detector-Id idempotent=no timeout=900ms"
+        "  # asked by Awa Ndiaye\n"
+        "route GET  /certdesk/ service=certdesk key=segment:2 idempotent=yes timeout=800ms"
+        "  # asked by Ousmane Fall\n"
+        "route POST /certdesk/ service=certdesk key=header:Detector-Id idempotent=no timeout=900ms"
+        "  # asked by Ousmane Fall\n";
+
+constexpr Duration pollInterval = 100ms;
+constexpr Duration ctlLimit = 15s;
+constexpr int keysToTry = 10;
+constexpr std::size_t shownLogBytes = 4'000;
+
+std::string binary(const std::string &name)
+{
+    return std::string(KUMQUAT_BIN_DIR) + "/" + name;
+}
+
+Address makeAddress()
+{
+    return {"127.0.0.1", findFreePort()};
+}
+
+std::string keyOf(int number)
+{
+    return absl::StrCat("D-", number);
+}
+
+} // namespace
+
+// --- hosts
+
+Cluster::Cluster(std::string name)
+    : path(std::string(KUMQUAT_BIN_DIR) + "/../system/" + std::move(name))
+    , log(makeAddress())
+{
+    std::filesystem::remove_all(this->path);
+    std::filesystem::create_directories(this->path);
+    this->logProcess = Child::start({binary("log_standin"), "--listen", this->log.toString()},
+                                    this->path + "/log.log")
+                               .value();
+    writeFile(this->rulesPath(), usualRules);
+}
+
+Host &Cluster::startHost(const std::string &name, const std::string &dataCentre,
+                         const std::string &service, std::vector<std::string> upstreamOptions)
+{
+    auto host = std::make_unique<Host>();
+    host->name = name;
+    host->dataCentre = dataCentre;
+    host->service = service;
+    host->callers = makeAddress();
+    host->admin = makeAddress();
+    host->mesh = makeAddress();
+    host->upstreamOptions = std::move(upstreamOptions);
+    Host &result = *host;
+    this->allHosts.push_back(std::move(host));
+    this->startProcess(result);
+    this->startUpstream(result);
+    return result;
+}
+
+void Cluster::startUsualHosts(const std::vector<std::string> &upstreamOptions)
+{
+    std::vector<std::string> checking = upstreamOptions;
+    checking.emplace_back("--check-grants");
+    this->startHost("t1", "dakar-1", "testlog", upstreamOptions);
+    this->startHost("t2", "dakar-2", "testlog", upstreamOptions);
+    this->startHost("t3", "dakar-3", "testlog", checking);
+    this->startHost("t4", "dakar-1", "testlog", upstreamOptions);
+    this->startHost("c1", "dakar-2", "certdesk", upstreamOptions);
+    this->startHost("c2", "dakar-3", "certdesk", upstreamOptions);
+}
+
+void Cluster::startProcess(Host &host)
+{
+    const nlohmann::json settings{{"node", host.name},
+                                  {"region", "dakar"},
+                                  {"dataCentre", host.dataCentre},
+                                  {"listen",
+                                   {{"callers", host.callers.toString()},
+                                    {"admin", host.admin.toString()},
+                                    {"mesh", host.mesh.toString()}}},
+                                  {"log", {this->log.toString()}}};
+    const std::string file = absl::StrCat(this->path, "/", host.name, ".json");
+    writeFile(file, settings.dump(2));
+    host.process = Child::start({binary("kumquatstage"), "--config", file},
+                                absl::StrCat(this->path, "/", host.name, ".log"))
+                           .value();
+}
+
+void Cluster::startUpstream(Host &host)
+{
+    host.upstreamPort = findFreePort();
+    host.upstreamName = absl::StrCat(host.name, "-", ++host.upstreamStarts);
+    this->ledgers.push_back(absl::StrCat(this->path, "/", host.upstreamName, ".ledger"));
+    std::vector<std::string> command{binary("upstream_standin"),
+                                     "--admin",
+                                     host.admin.toString(),
+                                     "--port",
+                                     std::to_string(host.upstreamPort),
+                                     "--name",
+                                     host.upstreamName,
+                                     "--service",
+                                     host.service,
+                                     "--ledger",
+                                     this->ledgers.back()};
+    command.insert(command.end(), host.upstreamOptions.begin(), host.upstreamOptions.end());
+    host.upstream = Child::start(command, absl::StrCat(this->path, "/", host.name, ".upstream.log"))
+                            .value();
+}
+
+Host &Cluster::host(const std::string &name)
+{
+    const auto found = std::find_if(this->allHosts.begin(), this->allHosts.end(),
+                                    [&](const auto &entry) { return entry->name == name; });
+    assert(found != this->allHosts.end() && "start the host first");
+    return **found;
+}
+
+// --- rules
+
+std::unique_ptr<Child> Cluster::startCtl(const std::vector<std::string> &arguments)
+{
+    std::vector<std::string> command{binary("kumquatctl")};
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    command.emplace_back("--log");
+    command.push_back(this->log.toString());
+    return Child::start(command, absl::StrCat(this->path, "/ctl", ++this->nextCtl, ".log")).value();
+}
+
+int Cluster::runCtl(const std::vector<std::string> &arguments, std::string *output)
+{
+    const auto child = this->startCtl(arguments);
+    const auto status = child->waitForExit(ctlLimit);
+    if (output != nullptr) {
+        *output = child->output();
+    }
+    return status.value_or(-1);
+}
+
+int Cluster::publishRules()
+{
+    return this->runCtl({"publish", this->rulesPath()});
+}
+
+// --- waiting
+
+bool Cluster::isServed(const std::string &service, int keys)
+{
+    for (const auto &host : this->allHosts) {
+        for (int key = 0; key < keys; ++key) {
+            if (this->read(*host, service, keyOf(key)).outcome != Outcome::Done) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+bool Cluster::waitUntilServed(Duration longest)
+{
+    const Time giveUp = readBootTime() + longest;
+    std::map<std::string, bool> services;
+    for (const auto &host : this->allHosts) {
+        services[host->service] = true;
+    }
+    for (const auto &[service, isUsed] : services) {
+        while (!this->isServed(service, keysToTry)) {
+            if (readBootTime() >= giveUp) {
+                return false;
+            }
+            std::this_thread::sleep_for(pollInterval);
+        }
+    }
+    return true;
+}
+
+bool Cluster::waitUntilSpread(const std::string &service, std::size_t count, Duration longest)
+{
+    const Time giveUp = readBootTime() + longest;
+    while (readBootTime() < giveUp) {
+        const Time since = readBootTime();
+        for (int key = 0; key < keysToTry * keysToTry; ++key) {
+            this->read(*this->allHosts.front(), service, keyOf(key));
+        }
+        std::map<std::string, int> upstreams;
+        for (const Run &run : this->collectRuns()) {
+            if (run.service == service && run.start >= since) {
+                ++upstreams[run.upstream];
+            }
+        }
+        if (upstreams.size() >= count) {
+            return true;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return false;
+}
+
+Host &Cluster::findOwner(const std::string &service, const std::string &key)
+{
+    std::map<Time, std::string> upstreams;
+    for (const Run &run : this->collectRuns()) {
+        if (run.service == service && run.key == key) {
+            upstreams[run.start] = run.upstream;
+        }
+    }
+    assert(!upstreams.empty() && "send a request for the key first");
+    const std::string name = upstreams.rbegin()->second;
+    return this->host(name.substr(0, name.rfind('-')));
+}
+
+Host &Cluster::findBusiest(const std::string &service, Time since)
+{
+    std::map<std::string, int> counts;
+    for (const Run &run : this->collectRuns()) {
+        if (run.service == service && run.start >= since) {
+            ++counts[run.upstream];
+        }
+    }
+    assert(!counts.empty() && "send requests for the service first");
+    const auto busiest =
+            std::max_element(counts.begin(), counts.end(),
+                             [](const auto &a, const auto &b) { return a.second < b.second; });
+    return this->host(busiest->first.substr(0, busiest->first.rfind('-')));
+}
+
+// --- requests
+
+LoadOptions Cluster::makeLoad(Duration duration, const Host *excluded) const
+{
+    LoadOptions options;
+    options.services = {"testlog", "certdesk"};
+    options.duration = duration;
+    options.keys = 100;
+    for (const auto &host : this->allHosts) {
+        if (host.get() != excluded) {
+            options.entries.push_back(host->callers);
+        }
+    }
+    return options;
+}
+
+HttpExchange Cluster::send(const Address &address, const HttpRequest &request, Duration timeout)
+{
+    HttpClient client(address);
+    return client.send(request, timeout);
+}
+
+Attempt Cluster::read(const Host &host, const std::string &service, const std::string &key)
+{
+    Attempt attempt;
+    attempt.service = service;
+    attempt.key = key;
+    attempt.token = absl::StrCat("read-", ++this->nextToken);
+    attempt.due = readBootTime();
+    readOutcome(send(host.callers, makeRead(attempt)), attempt);
+    attempt.finished = readBootTime();
+    return attempt;
+}
+
+void Cluster::controlLog(const std::string &target)
+{
+    const HttpExchange exchange = send(this->log, {"POST", "/control/" + target, {}, {}, {}});
+    assert(exchange.answer.status == 200 && "start the log stand-in");
+    static_cast<void>(exchange);
+}
+
+void Cluster::controlUpstream(const Host &host, const std::string &target)
+{
+    const Address address{"127.0.0.1", host.upstreamPort};
+    const HttpExchange exchange = send(address, {"POST", "/control/" + target, {}, {}, {}});
+    assert(exchange.answer.status == 200 && "start the upstream");
+    static_cast<void>(exchange);
+}
+
+// --- records
+
+std::vector<Run> Cluster::collectRuns() const
+{
+    std::string text;
+    for (const std::string &ledger : this->ledgers) {
+        const std::string lines = readFile(ledger);
+        text += lines.substr(0, lines.rfind('\n') + 1);
+    }
+    return parseRuns(text).value();
+}
+
+std::string Cluster::describeLogs() const
+{
+    std::string text;
+    for (const auto &host : this->allHosts) {
+        const std::string lines = readFile(absl::StrCat(this->path, "/", host->name, ".log"));
+        const std::size_t start = lines.size() - std::min(lines.size(), shownLogBytes);
+        absl::StrAppend(&text, "--- ", host->name, "\n", lines.substr(start), "\n");
+    }
+    return text;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/system/cluster.h
@@ -0,0 +1,116 @@
+// Starts the real programs on loopback ports: a log stand-in and hosts, each with a kumquatstage
+// and an upstream stand-in.
+//
+//   Cluster cluster("takeover");
+//   cluster.startUsualHosts();
+//   cluster.publishRules();
+//   REQUIRE(cluster.waitUntilServed(10s));
+//   Host &owner = cluster.findOwner("testlog", "D-0");
+#pragma once
+
+#include "base/address.h"
+#include "base/time.h"
+#include "standins/http.h"
+#include "standins/ledger.h"
+#include "standins/load.h"
+#include "system/child.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+// One host: a process and its upstream.
+struct Host
+{
+    std::string name;
+    std::string dataCentre;
+    std::string service;
+    Address callers;
+    Address admin;
+    Address mesh;
+    std::vector<std::string> upstreamOptions; // further options of upstream_standin
+    std::uint16_t upstreamPort = 0;
+    std::string upstreamName; // in the ledger, new for each start
+    int upstreamStarts = 0;
+    std::unique_ptr<Child> process;
+    std::unique_ptr<Child> upstream;
+};
+
+class Cluster
+{
+public:
+    // Starts the log stand-in. Files are below build/system/<name>.
+    explicit Cluster(std::string name);
+
+    // Adds a host and starts its processes.
+    Host &startHost(const std::string &name, const std::string &dataCentre,
+                    const std::string &service, std::vector<std::string> upstreamOptions = {});
+
+    // Starts 6 hosts in 3 data centres: testlog on 4 (one checks grants), certdesk on 2.
+    void startUsualHosts(const std::vector<std::string> &upstreamOptions = {});
+
+    void startProcess(Host &host);
+    void startUpstream(Host &host);
+
+    // Publishes the usual rules with kumquatctl; returns its exit status.
+    int publishRules();
+
+    // Runs kumquatctl to its end and returns its exit status; `output` gets what it printed.
+    int runCtl(const std::vector<std::string> &arguments, std::string *output = nullptr);
+
+    // Starts kumquatctl and returns at once.
+    std::unique_ptr<Child> startCtl(const std::vector<std::string> &arguments);
+
+    // Waits until every host answers reads of several keys of each service.
+    bool waitUntilServed(Duration longest);
+
+    // Waits until every service's keys run at `count` upstreams or more.
+    bool waitUntilSpread(const std::string &service, std::size_t count, Duration longest);
+
+    // Returns the host whose upstream ran the last request for the key.
+    Host &findOwner(const std::string &service, const std::string &key);
+
+    // Returns the host that ran most requests of the service since `since`.
+    Host &findBusiest(const std::string &service, Time since);
+
+    // Returns load options with all hosts but one as entries.
+    LoadOptions makeLoad(Duration duration, const Host *excluded = nullptr) const;
+
+    // Sends one request to a host.
+    static HttpExchange send(const Address &address, const HttpRequest &request,
+                             Duration timeout = 3s);
+
+    // Reads a key through a host; the attempt states the outcome.
+    Attempt read(const Host &host, const std::string &service, const std::string &key);
+
+    // Calls an endpoint of the log stand-in.
+    void controlLog(const std::string &target);
+    static void controlUpstream(const Host &host, const std::string &target);
+
+    // Returns the runs of all upstreams, also of those that were killed.
+    std::vector<Run> collectRuns() const;
+
+    // Prints the last lines of every process, for a failed test.
+    std::string describeLogs() const;
+
+    std::string directory() const { return this->path; }
+    std::string rulesPath() const { return this->path + "/rules"; }
+    Address logAddress() const { return this->log; }
+    std::vector<std::unique_ptr<Host>> &hosts() { return this->allHosts; }
+    Host &host(const std::string &name);
+
+private:
+    bool isServed(const std::string &service, int keys);
+
+    std::string path;
+    Address log;
+    std::unique_ptr<Child> logProcess;
+    std::vector<std::unique_ptr<Host>> allHosts;
+    std::vector<std::string> ledgers;
+    std::uint64_t nextToken = 0;
+    int nextCtl = 0;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/system/tests/test_system.cpp
@@ -0,0 +1,200 @@
+// Losses, pauses, outages and drains under load, with the real programs. The ledgers of the
+// upstreams are the record of what ran; the bounds are the targets of docs/design.md.
+#include "standins/verdict.h"
+#include "system/cluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+#include <thread>
+
+using namespace kumquat;
+
+namespace {
+
+constexpr Duration startLimit = 12s;
+constexpr Duration recoveryTarget = 2s; // a key is served again within 2 s of a loss
+constexpr Duration drainTarget = 3s;    // a leaving upstream receives no new work after 3 s
+constexpr Duration drainLimit = 20s;
+
+// Load that runs while the test injects a fault.
+class BackgroundLoad
+{
+public:
+    explicit BackgroundLoad(const LoadOptions &options)
+        : generator(options)
+        , attempts(std::async(std::launch::async, [this] { return this->generator.run(); }))
+    {}
+
+    std::vector<Attempt> finish() { return this->attempts.get(); }
+
+private:
+    LoadGenerator generator;
+    std::future<std::vector<Attempt>> attempts;
+};
+
+void startServing(Cluster &cluster, const std::vector<std::string> &upstreamOptions = {})
+{
+    cluster.startUsualHosts(upstreamOptions);
+    REQUIRE(cluster.publishRules() == 0);
+    INFO(cluster.describeLogs());
+    REQUIRE(cluster.waitUntilServed(startLimit));
+}
+
+// Returns the testlog host that runs most of a short load.
+Host &findBusyOwner(Cluster &cluster)
+{
+    const Time since = readBootTime();
+    LoadGenerator(cluster.makeLoad(1s)).run();
+    return cluster.findBusiest("testlog", since);
+}
+
+int countRunsAfter(const Cluster &cluster, const std::string &upstream, Time time)
+{
+    int count = 0;
+    for (const Run &run : cluster.collectRuns()) {
+        count += run.upstream == upstream && run.start > time ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("requests reach their owner through every process")
+{
+    Cluster cluster("path");
+    startServing(cluster);
+    const std::vector<Attempt> attempts = LoadGenerator(cluster.makeLoad(4s)).run();
+    const Verdict verdict = judge(attempts, cluster.collectRuns());
+    INFO(verdict.toText());
+    REQUIRE(verdict.keepsPromises());
+    REQUIRE(verdict.sent == 800);
+    REQUIRE(verdict.done == verdict.sent);
+}
+
+// Guards against lost keys, and against second runs of requests that the lost owner had started.
+TEST_CASE("the keys of a killed owner are served again within 2 s")
+{
+    Cluster cluster("kill");
+    startServing(cluster);
+    Host &owner = findBusyOwner(cluster);
+    BackgroundLoad load(cluster.makeLoad(8s));
+    std::this_thread::sleep_for(2s);
+    const Time killedAt = readBootTime();
+    owner.process->kill();
+    const std::vector<Attempt> attempts = load.finish();
+    const Verdict verdict = judge(attempts, cluster.collectRuns(), killedAt);
+    INFO(owner.name << " was killed\n" << verdict.toText());
+    REQUIRE(verdict.keepsPromises());
+    REQUIRE(verdict.keysNotServedAgain == 0);
+    REQUIRE(verdict.longestGap <= recoveryTarget);
+}
+
+// Guards against an owner that acts on an expired lease when it resumes.
+TEST_CASE("an owner that is paused past its lease causes no run after it resumes")
+{
+    Cluster cluster("pause");
+    startServing(cluster, {"--service-ms", "20"});
+    Host &owner = findBusyOwner(cluster);
+    BackgroundLoad load(cluster.makeLoad(9s, &owner));
+    std::this_thread::sleep_for(2s);
+    const Time pausedAt = readBootTime();
+    owner.process->signal(SIGSTOP);
+    std::this_thread::sleep_for(4s);
+    owner.process->signal(SIGCONT);
+    const std::vector<Attempt> attempts = load.finish();
+    const Verdict verdict = judge(attempts, cluster.collectRuns(), pausedAt);
+    INFO(owner.name << " was paused\n" << verdict.toText());
+    REQUIRE(verdict.keepsPromises());
+    REQUIRE(verdict.keysNotServedAgain == 0);
+    REQUIRE(verdict.longestGap <= recoveryTarget);
+    REQUIRE(owner.process->isRunning());
+    REQUIRE(cluster.read(owner, "testlog", "D-1").outcome == Outcome::Done);
+}
+
+TEST_CASE("owners go on serving while the log service is down")
+{
+    Cluster cluster("outage");
+    startServing(cluster);
+    BackgroundLoad load(cluster.makeLoad(8s));
+    std::this_thread::sleep_for(1s);
+    cluster.controlLog("outage?mode=hang");
+    std::this_thread::sleep_for(3s);
+    cluster.controlLog("outage?mode=refuse");
+    std::this_thread::sleep_for(2500ms);
+    cluster.controlLog("outage?mode=none");
+    const std::vector<Attempt> attempts = load.finish();
+    const Verdict verdict = judge(attempts, cluster.collectRuns());
+    INFO(verdict.toText());
+    REQUIRE(verdict.keepsPromises());
+    REQUIRE(verdict.done == verdict.sent);
+}
+
+// Guards against a repeated record that takes effect twice.
+TEST_CASE("a process joins although replies to its appends are lost")
+{
+    Cluster cluster("lost-reply");
+    startServing(cluster);
+    BackgroundLoad load(cluster.makeLoad(6s));
+    std::this_thread::sleep_for(500ms);
+    cluster.controlLog("lose-replies?count=2");
+    Host &added = cluster.startHost("t5", "dakar-2", "testlog");
+    const std::vector<Attempt> attempts = load.finish();
+    const Verdict verdict = judge(attempts, cluster.collectRuns());
+    INFO(verdict.toText());
+    REQUIRE(verdict.keepsPromises());
+    REQUIRE(verdict.unknown == 0);
+    REQUIRE(added.process->isRunning());
+    REQUIRE(cluster.read(added, "testlog", "D-1").outcome == Outcome::Done);
+}
+
+// Guards against a planned stop that loses or interrupts requests.
+TEST_CASE("SIGTERM drains a process without interrupting a request")
+{
+    Cluster cluster("drain");
+    startServing(cluster);
+    Host &owner = findBusyOwner(cluster);
+    cluster.read(owner, "testlog", "D-1");
+    Host &slowHost = cluster.findOwner("testlog", "D-1");
+    BackgroundLoad load(cluster.makeLoad(7s, &owner));
+    std::this_thread::sleep_for(1500ms);
+    Cluster::controlUpstream(slowHost, "set?service_ms=300");
+    auto slow =
+            std::async(std::launch::async, [&] { return cluster.read(owner, "testlog", "D-1"); });
+    std::this_thread::sleep_for(100ms);
+    const Time stoppedAt = readBootTime();
+    owner.process->signal(SIGTERM);
+    REQUIRE(slow.get().outcome == Outcome::Done);
+    Cluster::controlUpstream(slowHost, "set?service_ms=2");
+    const auto status = owner.process->waitForExit(drainLimit);
+    const std::vector<Attempt> attempts = load.finish();
+    const Verdict verdict = judge(attempts, cluster.collectRuns(), stoppedAt);
+    INFO(owner.name << " was stopped\n" << verdict.toText() << owner.process->output());
+    REQUIRE(status == 0);
+    REQUIRE(verdict.keepsPromises());
+    REQUIRE(verdict.unknown == 0);
+    REQUIRE(verdict.keysNotServedAgain == 0);
+    REQUIRE(verdict.longestGap <= recoveryTarget);
+    REQUIRE(countRunsAfter(cluster, owner.upstreamName, stoppedAt + drainTarget) == 0);
+}
+
+TEST_CASE("an upstream that announces its drain receives no new work after 3 s")
+{
+    Cluster cluster("upstream-drain");
+    startServing(cluster);
+    Host &owner = findBusyOwner(cluster);
+    BackgroundLoad load(cluster.makeLoad(7s, &owner));
+    std::this_thread::sleep_for(1s);
+    const Time drainedAt = readBootTime();
+    Cluster::controlUpstream(owner, "set?draining=1");
+    const std::vector<Attempt> attempts = load.finish();
+    const auto status = owner.process->waitForExit(drainLimit);
+    const Verdict verdict = judge(attempts, cluster.collectRuns(), drainedAt);
+    INFO(owner.name << " drained\n" << verdict.toText() << owner.process->output());
+    REQUIRE(verdict.keepsPromises());
+    REQUIRE(verdict.unknown == 0);
+    REQUIRE(verdict.keysNotServedAgain == 0);
+    REQUIRE(countRunsAfter(cluster, owner.upstreamName, drainedAt + drainTarget) == 0);
+    REQUIRE(status == 0);
+}
