placement: add the policy

Change: request rates per slot, a space-saving sketch for hot keys, rounds of load queries, and the choice of slots, targets, bindings and gifts to new sessions. setUtilisation is a new input; ownSample takes the time. Conclusion: the process can link against it; behaviour is not measured yet.

--- /dev/null
+++ b/packages/placement/choice.cpp
@@ -0,0 +1,302 @@
+// Decisions at the end of a round of load queries. Inputs and rounds are in policy.cpp.
+#include "placement/policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace kumquat {
+
+namespace {
+
+constexpr std::uint32_t longestBackoff = 3; // doublings of the ask period
+constexpr Duration pendingLimit = 10s;      // a decision that is not in the log by then has failed
+
+// Costs in shares of the mean load, compared with the share of load that a move takes away.
+constexpr double handoverCost = 0.01;    // requests wait while the slots are handed over
+constexpr double coldCost = 0.2;         // a cold upstream answers slowly
+constexpr double otherRegionCost = 0.02; // requests then cross a slow, billed link
+
+constexpr double fullUtilisation = 0.95; // a session above this receives nothing
+constexpr double coldestShare = 0.2;     // share of the mean that a brand-new session may take
+
+// A session with less than this share of the average slots, and of the mean load, is new. An owner
+// of one hot key has few slots as well, but not little load.
+constexpr double newSessionShare = 0.5;
+constexpr double newSessionDonors = 4;   // expected owners that give to it at once
+constexpr Duration newSessionStep = 10s; // time between two choices of donors
+constexpr double newSessionGift = 0.08;  // share of the mean that one donor gives
+constexpr double leastDonorRatio = 0.97; // an owner below this ratio to the mean gives nothing
+
+// A key is bound if it makes up half of its slot and a tenth of an owner's fair share. It has
+// cooled at a quarter of that, so that a key near the limit is not bound again and again.
+constexpr double bindSlotShare = 0.5;
+constexpr double bindMeanShare = 0.1;
+constexpr double cooledMeanShare = 0.025;
+constexpr Duration cooledTime = 2min;
+
+} // namespace
+
+void PlacementPolicy::balance(Time now, Decisions &decisions)
+{
+    if (!this->logAvailable || this->mean <= 0) {
+        return;
+    }
+    this->releaseCooledKeys(now, decisions);
+    const double load = this->rates.load(now);
+    if (!this->isOverloaded(load)) {
+        this->fruitless = 0;
+        this->giveToNewSession(now, load, decisions);
+        return;
+    }
+    if (this->bindHotKey(now, decisions) || this->moveAway(now, load, decisions)) {
+        this->fruitless = 0;
+        return;
+    }
+    this->fruitless = std::min(this->fruitless + 1, longestBackoff);
+}
+
+// --- hot keys ---
+
+bool PlacementPolicy::bindHotKey(Time now, Decisions &decisions)
+{
+    for (const KeyRate &key : this->hotKeys) {
+        const Slot hashed = slotOf(key.keyHash);
+        const OwnSlot *own = this->rates.find(hashed);
+        const bool isHot = key.rate >= bindMeanShare * this->mean
+                           && key.rate >= bindSlotShare * this->rates.rateOf(hashed);
+        const bool isBound = std::any_of(
+                this->bindings.begin(), this->bindings.end(),
+                [&key](const BindingView &view) { return view.keyHash == key.keyHash; });
+        if (own == nullptr || own->pendingUntil > now || !isHot || isBound) {
+            continue;
+        }
+        const bool isPending = this->lastBind && this->lastBind->keyHash == key.keyHash
+                               && now < this->lastBindAt + pendingLimit;
+        const auto dedicated = this->findFreeDedicatedSlot(key.keyHash);
+        if (isPending || !dedicated) {
+            continue;
+        }
+        this->lastBind = BindKey{PlacementReason::HotKey, key.keyHash, *dedicated, key.rate};
+        this->lastBindAt = now;
+        decisions.emplace_back(*this->lastBind);
+        return true;
+    }
+    return false;
+}
+
+std::optional<Slot> PlacementPolicy::findFreeDedicatedSlot(std::uint64_t keyHash) const
+{
+    // Owners start their search at different slots, because only the first Bind of a slot counts.
+    const auto first = static_cast<Slot>(hashPair(keyHash, this->session) % dedicatedSlotCount);
+    for (Slot step = 0; step < dedicatedSlotCount; ++step) {
+        const Slot slot = hashedSlotCount + (first + step) % dedicatedSlotCount;
+        const bool isUsed =
+                std::any_of(this->bindings.begin(), this->bindings.end(),
+                            [slot](const BindingView &view) { return view.dedicatedSlot == slot; });
+        if (!isUsed) {
+            return slot;
+        }
+    }
+    return std::nullopt;
+}
+
+void PlacementPolicy::releaseCooledKeys(Time now, Decisions &decisions)
+{
+    for (const BindingView &view : this->bindings) {
+        const OwnSlot *own = this->rates.find(view.dedicatedSlot);
+        if (view.owner != this->session || own == nullptr) {
+            continue;
+        }
+        const double rate = this->rates.rateOf(view.dedicatedSlot);
+        if (rate >= cooledMeanShare * this->mean) {
+            this->coolSince.erase(view.dedicatedSlot);
+            continue;
+        }
+        const Time since = this->coolSince.try_emplace(view.dedicatedSlot, now).first->second;
+        if (now - since < cooledTime || own->pendingUntil > now) {
+            continue;
+        }
+        if (view.hashedOwner == this->session) {
+            this->rates.setPending({view.dedicatedSlot}, now + pendingLimit);
+            decisions.emplace_back(UnbindKey{PlacementReason::KeyCooled, view.dedicatedSlot});
+            continue;
+        }
+        this->returnCooledKey(view, now, decisions);
+    }
+}
+
+void PlacementPolicy::returnCooledKey(const BindingView &view, Time now, Decisions &decisions)
+{
+    const auto found = this->heard.find(view.hashedOwner);
+    const SessionView *target = this->findSession(view.hashedOwner);
+    const OwnSlot *own = this->rates.find(view.dedicatedSlot);
+    const bool isFresh = found != this->heard.end() && found->second.at >= this->roundAt;
+    if (!isFresh || target == nullptr || own->restsUntil > now
+        || this->moves.size() >= this->settings.movesPerMinute) {
+        return;
+    }
+    const double rate = this->rates.rateOf(view.dedicatedSlot);
+    const double load = this->rates.load(now);
+    if (this->expectedLoad(found->second, *target) + rate > load - rate) {
+        return;
+    }
+    this->rates.setPending({view.dedicatedSlot}, now + pendingLimit);
+    this->moves.push_back(now);
+    decisions.emplace_back(
+            MoveSlots{PlacementReason::KeyCooled, view.hashedOwner, {view.dedicatedSlot}, rate});
+}
+
+// --- moves ---
+
+bool PlacementPolicy::moveAway(Time now, double load, Decisions &decisions)
+{
+    const auto target = this->findTarget(now, load, load - this->exitRatio() * this->mean);
+    return target && this->move(PlacementReason::Overload, *target, now, decisions);
+}
+
+std::optional<PlacementPolicy::Target> PlacementPolicy::findTarget(Time now, double load,
+                                                                   double want) const
+{
+    const double share = this->shareOfRoom(want);
+    const double weight = this->settings.weightUnavailable;
+    std::optional<Target> best;
+    for (const auto &[id, entry] : this->heard) {
+        const SessionView *view = this->findSession(id);
+        if (view == nullptr || entry.at < this->roundAt
+            || entry.sample.utilisation > fullUtilisation) {
+            continue;
+        }
+        Target target;
+        target.session = id;
+        target.load = this->expectedLoad(entry, *view);
+        // Half of the difference at most: the target must not end above this session.
+        target.amount =
+                std::min({want, this->roomOf(entry, *view, now) * share, (load - target.load) / 2});
+        target.worth =
+                (1 - weight) * target.amount / this->mean - weight * this->costOf(*view, now);
+        if (target.worth > 0 && (!best || target.worth > best->worth)) {
+            best = target;
+        }
+    }
+    return best;
+}
+
+// Returns the requests/s that a session may still receive.
+double PlacementPolicy::roomOf(const Heard &entry, const SessionView &view, Time now) const
+{
+    // Between exit and enter ratio, so that the target does not become overloaded itself.
+    const double limit = (this->exitRatio() + this->enterRatio(this->mean)) / 2 * this->mean;
+    return limit * this->warmth(view, now) - this->expectedLoad(entry, view);
+}
+
+// Returns the part of a target's room that this owner may fill. Other overloaded owners see the
+// same target; if each takes room in proportion to its excess, they do not overload it together.
+double PlacementPolicy::shareOfRoom(double excess) const
+{
+    double others = 0;
+    for (const auto &[id, entry] : this->heard) {
+        if (entry.at >= this->roundAt && this->isOverloaded(entry.sample.load)) {
+            others += entry.sample.load - this->exitRatio() * this->mean;
+        }
+    }
+    return excess <= 0 ? 0 : excess / (excess + others);
+}
+
+// Returns a session's load with the slots it gained since its sample.
+double PlacementPolicy::expectedLoad(const Heard &entry, const SessionView &view) const
+{
+    const double gained = view.slots > entry.slots ? view.slots - entry.slots : 0;
+    return entry.sample.load + gained * this->mean / this->averageSlots();
+}
+
+double PlacementPolicy::costOf(const SessionView &view, Time now) const
+{
+    const double distance = view.region == this->region ? 0 : otherRegionCost;
+    return handoverCost + coldCost * (1 - this->warmth(view, now)) + distance;
+}
+
+// Returns the share of the mean load that a session may take, 1 when it is warm.
+double PlacementPolicy::warmth(const SessionView &view, Time now) const
+{
+    const Duration age = now - view.seenSince;
+    if (age >= this->settings.coldStart) {
+        return 1;
+    }
+    const double part = std::chrono::duration<double>(age) / this->settings.coldStart;
+    return coldestShare + (1 - coldestShare) * std::max(part, 0.0);
+}
+
+// Moves the fewest slots that add up to the target's amount, heaviest first.
+bool PlacementPolicy::move(PlacementReason reason, const Target &target, Time now,
+                           Decisions &decisions)
+{
+    if (this->moves.size() >= this->settings.movesPerMinute) {
+        return false;
+    }
+    MoveSlots chosen;
+    chosen.reason = reason;
+    chosen.target = target.session;
+    for (const SlotRate &entry : this->rates.movable(now)) {
+        if (chosen.slots.size() >= this->settings.slotsPerMove) {
+            break;
+        }
+        if (chosen.load + entry.rate <= target.amount) {
+            chosen.slots.push_back(entry.slot);
+            chosen.load += entry.rate;
+        }
+    }
+    if (chosen.slots.empty()) {
+        return false;
+    }
+    std::sort(chosen.slots.begin(), chosen.slots.end());
+    this->rates.setPending(chosen.slots, now + pendingLimit);
+    this->moves.push_back(now);
+    this->heard.erase(target.session); // its sample lacks these slots
+    decisions.emplace_back(std::move(chosen));
+    return true;
+}
+
+// --- new sessions ---
+
+// Returns a new session that this owner should give slots to in this step. All owners see the new
+// session in the log at once; the hash lets only a few of them act.
+std::optional<std::uint64_t> PlacementPolicy::findNewSession(Time now) const
+{
+    const auto others = static_cast<double>(std::max<std::size_t>(this->sessions.size(), 2) - 1);
+    const auto step = static_cast<std::uint64_t>(now / newSessionStep);
+    for (const SessionView &view : this->sessions) {
+        if (view.session == this->session || view.slots >= newSessionShare * this->averageSlots()) {
+            continue;
+        }
+        const std::uint64_t draw = hashPair(hashPair(view.session, this->session), step);
+        const double position = static_cast<double>(draw >> 11) * 0x1p-53;
+        if (position * others < newSessionDonors) {
+            return view.session;
+        }
+    }
+    return std::nullopt;
+}
+
+bool PlacementPolicy::giveToNewSession(Time now, double load, Decisions &decisions)
+{
+    const auto id = this->findNewSession(now);
+    if (!id || load < leastDonorRatio * this->mean) {
+        return false;
+    }
+    const auto found = this->heard.find(*id);
+    const SessionView *view = this->findSession(*id);
+    if (found == this->heard.end() || found->second.at < this->roundAt || view == nullptr
+        || found->second.sample.load >= newSessionShare * this->mean) {
+        return false;
+    }
+    Target target;
+    target.session = *id;
+    target.load = this->expectedLoad(found->second, *view);
+    target.amount = std::min({newSessionGift * this->mean,
+                              this->roomOf(found->second, *view, now) / newSessionDonors,
+                              (load - target.load) / 2});
+    return this->move(PlacementReason::NewSession, target, now, decisions);
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/placement/meter.cpp
@@ -0,0 +1,61 @@
+#include "placement/meter.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace kumquat {
+
+namespace {
+
+// Follows every key above 1/64 of an owner's requests, which is well below the share that makes a
+// key worth binding.
+constexpr std::size_t sketchCapacity = 64;
+
+} // namespace
+
+HotKeySketch::HotKeySketch(std::size_t keyLimit)
+    : capacity(keyLimit)
+{
+    assert(keyLimit > 0 && "a sketch needs room for at least one key");
+    this->entries.reserve(keyLimit);
+}
+
+void HotKeySketch::add(std::uint64_t keyHash, std::uint64_t requests)
+{
+    const auto found =
+            std::find_if(this->entries.begin(), this->entries.end(),
+                         [keyHash](const HotKey &key) { return key.keyHash == keyHash; });
+    if (found != this->entries.end()) {
+        found->count += requests;
+        return;
+    }
+    if (this->entries.size() < this->capacity) {
+        this->entries.push_back({keyHash, requests, 0});
+        return;
+    }
+    // The new key replaces the rarest one and inherits its count as possible error.
+    const auto rarest = std::min_element(
+            this->entries.begin(), this->entries.end(),
+            [](const HotKey &left, const HotKey &right) { return left.count < right.count; });
+    *rarest = {keyHash, rarest->count + requests, rarest->count};
+}
+
+LoadMeter::LoadMeter()
+    : perSlot(slotCount, 0)
+    , sketch(sketchCapacity)
+{}
+
+void LoadMeter::count(Slot slot, std::uint64_t keyHash, std::uint32_t requests)
+{
+    assert(slot < slotCount && "pass the slot from slotOf or a dedicated slot");
+    this->perSlot[slot] += requests;
+    this->sketch.add(keyHash, requests);
+}
+
+void LoadMeter::clear()
+{
+    std::fill(this->perSlot.begin(), this->perSlot.end(), 0);
+    this->sketch.clear();
+}
+
+} // namespace kumquat
--- a/packages/placement/meter.h
+++ b/packages/placement/meter.h
@@ -24,7 +24,7 @@
 class HotKeySketch
 {
 public:
-    explicit HotKeySketch(std::size_t capacity);
+    explicit HotKeySketch(std::size_t keyLimit);
 
     // Adds requests of a key. Cost: one pass over the capacity.
     void add(std::uint64_t keyHash, std::uint64_t requests);
--- /dev/null
+++ b/packages/placement/policy.cpp
@@ -0,0 +1,310 @@
+// Inputs, rounds of load queries and the estimate of the mean. The choices are in choice.cpp.
+#include "placement/policy.h"
+
+#include "base/errors.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace kumquat {
+
+namespace {
+
+constexpr Duration replyWait = 1s;         // a round ends without the missing replies after this
+constexpr Duration sampleLife = 15s;       // a sample counts for the mean for this long
+constexpr Duration hotKeyPeriod = 5s;      // length of one pass of the hot key sketch
+constexpr std::size_t hotKeyCapacity = 64; // keys the sketch follows
+
+// Weight of the own samples against the means that others estimate. Lower is steadier, higher
+// follows a change of the whole service faster.
+constexpr double leastSampleWeight = 0.3;
+
+// A change of the own load by this share is a reason to ask again.
+constexpr double changeShare = 0.05;
+
+absl::Status checkRange(bool good, const char *rule)
+{
+    return good ? absl::OkStatus() : makeError(ErrorKind::SettingsInvalid, rule);
+}
+
+bool isUsable(const LoadSample &sample)
+{
+    return std::isfinite(sample.load) && sample.load >= 0 && std::isfinite(sample.mean)
+           && sample.mean >= 0;
+}
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+absl::StatusOr<PlacementPolicy> PlacementPolicy::create(const PlacementSettings &settings,
+                                                        std::uint64_t session, std::string region)
+{
+    const absl::Status checks[] = {
+            checkRange(settings.weightUnavailable >= 0 && settings.weightUnavailable <= 1,
+                       "weightUnavailable must be 0 to 1"),
+            checkRange(settings.askPeriod >= 1s, "askPeriod must be at least 1 s"),
+            checkRange(settings.refreshPeriod >= settings.askPeriod,
+                       "refreshPeriod must be at least askPeriod"),
+            checkRange(settings.askCount >= 1 && settings.askCount <= 32,
+                       "askCount must be 1 to 32"),
+            checkRange(settings.slotsPerMove >= 1, "slotsPerMove must be at least 1"),
+            checkRange(settings.hysteresis >= 0s, "hysteresis must not be negative"),
+            checkRange(settings.coldStart >= 0s, "coldStart must not be negative"),
+            checkRange(settings.rateWindow >= 1s, "rateWindow must be at least 1 s"),
+    };
+    for (const absl::Status &status : checks) {
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    return PlacementPolicy(settings, session, std::move(region));
+}
+
+PlacementPolicy::PlacementPolicy(const PlacementSettings &chosen, std::uint64_t ownSession,
+                                 std::string ownRegion)
+    : settings(chosen)
+    , session(ownSession)
+    , region(std::move(ownRegion))
+    , rates(chosen.rateWindow)
+    , sketch(hotKeyCapacity)
+{}
+
+// --- inputs ---
+
+void PlacementPolicy::setSessions(std::vector<SessionView> views)
+{
+    this->sessions = std::move(views);
+    std::sort(this->sessions.begin(), this->sessions.end(),
+              [](const SessionView &left, const SessionView &right) {
+                  return left.session < right.session;
+              });
+}
+
+void PlacementPolicy::setBindings(std::vector<BindingView> views)
+{
+    this->bindings = std::move(views);
+}
+
+void PlacementPolicy::gainSlot(Slot slot, SlotGain how, Time now)
+{
+    const Time restsUntil = how == SlotGain::Moved ? now + this->settings.hysteresis : now;
+    this->rates.gain(slot, now, restsUntil);
+    if (this->lastBind && this->lastBind->dedicatedSlot == slot) {
+        // Without this the key's requests count twice until the old slot's rate has decayed.
+        this->rates.shift(slotOf(this->lastBind->keyHash), slot, this->lastBind->load);
+        this->lastBind.reset();
+    }
+}
+
+void PlacementPolicy::loseSlot(Slot slot)
+{
+    this->rates.lose(slot);
+    this->coolSince.erase(slot);
+}
+
+void PlacementPolicy::takeCounts(LoadMeter &meter, Time now)
+{
+    this->rates.add(meter.requests(), now);
+    for (const HotKey &key : meter.hotKeys().keys()) {
+        this->sketch.add(key.keyHash, key.count - key.error);
+    }
+    meter.clear();
+    const Duration period = now - this->sketchSince;
+    if (period < hotKeyPeriod) {
+        return;
+    }
+    this->hotKeys.clear();
+    for (const HotKey &key : this->sketch.keys()) {
+        const auto requests = static_cast<double>(key.count - key.error);
+        this->hotKeys.push_back({key.keyHash, requests / toSeconds(period)});
+    }
+    this->sketch.clear();
+    this->sketchSince = now;
+}
+
+void PlacementPolicy::takeSample(const LoadSample &sample, Time now)
+{
+    const bool wasAsked =
+            std::find(this->asked.begin(), this->asked.end(), sample.session) != this->asked.end();
+    const SessionView *view = this->findSession(sample.session);
+    // Samples that nobody asked for would let one sender fill the table.
+    if (!wasAsked || view == nullptr || !isUsable(sample)) {
+        return;
+    }
+    this->heard[sample.session] = {sample, now, view->slots};
+}
+
+LoadSample PlacementPolicy::ownSample(Time now) const
+{
+    return {this->session, this->rates.load(now), this->mean, this->utilisation};
+}
+
+// --- rounds ---
+
+std::vector<PlacementDecision> PlacementPolicy::decide(Time now)
+{
+    Decisions decisions;
+    this->forget(now);
+    if (this->roundOpen && this->isRoundDone(now)) {
+        this->closeRound(now);
+        this->balance(now, decisions);
+    }
+    if (const auto reason = this->findReasonToAsk(now)) {
+        decisions.emplace_back(this->openRound(*reason, now));
+    }
+    return decisions;
+}
+
+void PlacementPolicy::forget(Time now)
+{
+    std::erase_if(this->heard,
+                  [now](const auto &entry) { return now - entry.second.at > sampleLife; });
+    while (!this->moves.empty() && now - this->moves.front() >= 1min) {
+        this->moves.pop_front();
+    }
+}
+
+bool PlacementPolicy::isRoundDone(Time now) const
+{
+    if (now - this->roundAt >= replyWait) {
+        return true;
+    }
+    return std::all_of(this->asked.begin(), this->asked.end(), [this](std::uint64_t id) {
+        const auto found = this->heard.find(id);
+        return found != this->heard.end() && found->second.at >= this->roundAt;
+    });
+}
+
+void PlacementPolicy::closeRound(Time now)
+{
+    this->roundOpen = false;
+    const double load = this->rates.load(now);
+    double loads = load;
+    double means = this->mean;
+    int meanCount = this->mean > 0 ? 1 : 0;
+    for (const auto &[id, entry] : this->heard) {
+        loads += entry.sample.load;
+        if (entry.sample.mean > 0) {
+            means += entry.sample.mean;
+            ++meanCount;
+        }
+    }
+    if (this->heard.empty()) {
+        return;
+    }
+    const auto known = static_cast<double>(this->heard.size());
+    const double sampled = loads / (known + 1);
+    const auto others = static_cast<double>(std::max<std::size_t>(this->sessions.size(), 2) - 1);
+    const double weight = meanCount == 0 ? 1 : std::clamp(known / others, leastSampleWeight, 1.0);
+    const double reported = meanCount == 0 ? 0 : means / meanCount;
+    this->mean = weight * sampled + (1 - weight) * reported;
+}
+
+std::optional<PlacementReason> PlacementPolicy::findReasonToAsk(Time now)
+{
+    if (this->roundOpen || now < this->nextRound || this->rates.slots().empty()
+        || this->sessions.size() < 2) {
+        return std::nullopt;
+    }
+    const double load = this->rates.load(now);
+    const Duration age = now - this->roundAt;
+    if (this->mean <= 0 || this->rounds == 0) {
+        return PlacementReason::MeanUnknown;
+    }
+    const double change = std::abs(load - this->loadAtRound);
+    if (change > (changeShare + this->noiseOf(load)) * std::max(load, this->loadAtRound)) {
+        this->fruitless = 0;
+        return PlacementReason::LoadChanged;
+    }
+    if (this->isOverloaded(load) && age >= this->settings.askPeriod * (1 << this->fruitless)) {
+        return PlacementReason::Overload;
+    }
+    if (this->findNewSession(now)) {
+        return PlacementReason::NewSession;
+    }
+    if (age >= this->settings.refreshPeriod) {
+        return PlacementReason::MeanUnknown;
+    }
+    return std::nullopt;
+}
+
+AskLoad PlacementPolicy::openRound(PlacementReason reason, Time now)
+{
+    ++this->rounds;
+    this->roundOpen = true;
+    this->roundAt = now;
+    this->loadAtRound = this->rates.load(now);
+    const std::uint64_t seed = hashPair(hashPair(this->settings.seed, this->session), this->rounds);
+    // The jitter keeps owners that became overloaded at once from asking at once.
+    const Duration jitter = this->settings.askPeriod / 4 * (seed % 256) / 256;
+    this->nextRound = now + this->settings.askPeriod + jitter;
+
+    std::vector<std::uint64_t> others;
+    others.reserve(this->sessions.size());
+    for (const SessionView &view : this->sessions) {
+        if (view.session != this->session) {
+            others.push_back(view.session);
+        }
+    }
+    const auto count = std::min<std::size_t>(this->settings.askCount, others.size());
+    if (reason == PlacementReason::NewSession) {
+        const auto wanted = std::find(others.begin(), others.end(), *this->findNewSession(now));
+        std::iter_swap(others.begin(), wanted);
+    }
+    for (std::size_t at = reason == PlacementReason::NewSession ? 1 : 0; at < count; ++at) {
+        const std::size_t pick = at + hashPair(seed, at) % (others.size() - at);
+        std::swap(others[at], others[pick]);
+    }
+    others.resize(count);
+    this->asked = others;
+    return {reason, std::move(others)};
+}
+
+// --- thresholds ---
+
+const SessionView *PlacementPolicy::findSession(std::uint64_t id) const
+{
+    const auto at = std::lower_bound(
+            this->sessions.begin(), this->sessions.end(), id,
+            [](const SessionView &view, std::uint64_t value) { return view.session < value; });
+    return at != this->sessions.end() && at->session == id ? &*at : nullptr;
+}
+
+double PlacementPolicy::averageSlots() const
+{
+    return static_cast<double>(hashedSlotCount)
+           / static_cast<double>(std::max<std::size_t>(this->sessions.size(), 1));
+}
+
+// Returns the standard deviation of a measured rate as a share of it. An exponential window
+// averages over twice its time constant.
+double PlacementPolicy::noiseOf(double load) const
+{
+    const double requests = load * 2 * toSeconds(this->settings.rateWindow);
+    return requests < 1 ? 0 : 1 / std::sqrt(requests);
+}
+
+// Returns the ratio to the mean at which an owner starts to move slots.
+double PlacementPolicy::enterRatio(double load) const
+{
+    return 1.06 + 0.06 * this->settings.weightUnavailable + this->noiseOf(load);
+}
+
+// Returns the ratio to the mean at which an owner stops. It is below enterRatio, so that small
+// changes after a move do not start the next one.
+double PlacementPolicy::exitRatio() const
+{
+    return 1.02 + 0.04 * this->settings.weightUnavailable;
+}
+
+bool PlacementPolicy::isOverloaded(double load) const
+{
+    return this->mean > 0 && load > this->enterRatio(load) * this->mean;
+}
+
+} // namespace kumquat
--- a/packages/placement/policy.h
+++ b/packages/placement/policy.h
@@ -7,11 +7,12 @@
 #include "base/names.h"
 #include "base/time.h"
 #include "placement/meter.h"
+#include "placement/rates.h"
 
 #include <absl/status/statusor.h>
 
-#include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -24,10 +25,11 @@
 
 struct PlacementSettings
 {
-    double weightUnavailable = 0.5; // 0 to 1: cost of moves against cost of imbalance
-    Duration askPeriod = 3s;        // least time between two rounds of load queries
-    Duration refreshPeriod = 60s;   // between two rounds while nothing changes
-    std::uint32_t askCount = 5;     // sessions asked a round
+    // 0 to 1: the cost of moves; the rest weighs imbalance. At 1 only new sessions receive slots.
+    double weightUnavailable = 0.5;
+    Duration askPeriod = 3s;      // least time between two rounds of load queries
+    Duration refreshPeriod = 60s; // between two rounds while nothing changes
+    std::uint32_t askCount = 5;   // sessions asked a round
     std::uint32_t movesPerMinute = 12;
     std::uint32_t slotsPerMove = 512;
     Duration hysteresis = 120s; // a slot that came by a move stays at least this long
@@ -138,7 +140,7 @@
 //   // on LoadReply:
 //   policy->takeSample({reply.session(), reply.load(), reply.mean(), reply.utilisation()}, now);
 //   // on LoadQuery:
-//   LoadSample answer = policy->ownSample(utilisation);
+//   LoadSample answer = policy->ownSample(now);
 class PlacementPolicy
 {
 public:
@@ -168,15 +170,103 @@
     // first.
     void setLogAvailable(bool available) { this->logAvailable = available; }
 
+    // Sets the share of the learned concurrency limit in use, 0 to 1; sent with the own sample.
+    void setUtilisation(double share) { this->utilisation = share; }
+
     // Returns what to do now. A move, bind or unbind that does not show up in the log within 10 s
     // is taken as failed.
     std::vector<PlacementDecision> decide(Time now);
 
     // Returns the answer to a LoadQuery.
-    LoadSample ownSample(double utilisation) const;
+    LoadSample ownSample(Time now) const;
+
+    // Returns the estimate of the mean load of the service in requests/s, 0 if unknown.
+    double meanLoad() const { return this->mean; }
 
 private:
-    PlacementPolicy() = default;
+    using Decisions = std::vector<PlacementDecision>;
+
+    // Last sample of another session.
+    struct Heard
+    {
+        LoadSample sample;
+        Time at{};
+        std::uint32_t slots = 0; // slots it owned then
+    };
+
+    struct Target
+    {
+        std::uint64_t session = 0;
+        double load = 0;   // requests/s
+        double amount = 0; // requests/s it should receive
+        double worth = 0;  // gain less cost, in shares of the mean
+    };
+
+    struct KeyRate
+    {
+        std::uint64_t keyHash = 0;
+        double rate = 0; // requests/s, a lower bound
+    };
+
+    PlacementPolicy(const PlacementSettings &chosen, std::uint64_t ownSession,
+                    std::string ownRegion);
+
+    // Rounds of load queries (policy.cpp).
+    void forget(Time now);
+    bool isRoundDone(Time now) const;
+    void closeRound(Time now);
+    std::optional<PlacementReason> findReasonToAsk(Time now);
+    AskLoad openRound(PlacementReason reason, Time now);
+    const SessionView *findSession(std::uint64_t session) const;
+    double averageSlots() const;
+    double noiseOf(double load) const;
+    double enterRatio(double load) const;
+    double exitRatio() const;
+    bool isOverloaded(double load) const;
+
+    // Decisions at the end of a round (choice.cpp).
+    void balance(Time now, Decisions &decisions);
+    bool bindHotKey(Time now, Decisions &decisions);
+    void releaseCooledKeys(Time now, Decisions &decisions);
+    void returnCooledKey(const BindingView &view, Time now, Decisions &decisions);
+    bool moveAway(Time now, double load, Decisions &decisions);
+    bool giveToNewSession(Time now, double load, Decisions &decisions);
+    std::optional<Target> findTarget(Time now, double load, double want) const;
+    double roomOf(const Heard &heard, const SessionView &view, Time now) const;
+    double shareOfRoom(double excess) const;
+    double costOf(const SessionView &view, Time now) const;
+    double warmth(const SessionView &view, Time now) const;
+    double expectedLoad(const Heard &heard, const SessionView &view) const;
+    bool move(PlacementReason reason, const Target &target, Time now, Decisions &decisions);
+    std::optional<std::uint64_t> findNewSession(Time now) const;
+    std::optional<Slot> findFreeDedicatedSlot(std::uint64_t keyHash) const;
+
+    PlacementSettings settings;
+    std::uint64_t session = 0;
+    std::string region;
+    bool logAvailable = true;
+    double utilisation = 0;
+    std::vector<SessionView> sessions; // ascending by session
+    std::vector<BindingView> bindings;
+    SlotRates rates;
+
+    HotKeySketch sketch;
+    Time sketchSince{};
+    std::vector<KeyRate> hotKeys;   // of the last full sketch period
+    std::map<Slot, Time> coolSince; // own dedicated slots whose key is no longer hot
+    std::optional<BindKey> lastBind;
+    Time lastBindAt{};
+
+    std::map<std::uint64_t, Heard> heard;
+    std::vector<std::uint64_t> asked; // sessions of the current or last round
+    bool roundOpen = false;
+    Time roundAt{};
+    Time nextRound{};
+    std::uint64_t rounds = 0;
+    std::uint32_t fruitless = 0; // rounds in a row with overload but without a decision
+    double loadAtRound = 0;      // own requests/s
+    double mean = 0;             // requests/s, 0: unknown
+    std::deque<Time> moves;      // decided within the last minute
 };
 
 } // namespace kumquat
--- /dev/null
+++ b/packages/placement/rates.cpp
@@ -0,0 +1,153 @@
+#include "placement/rates.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kumquat {
+
+namespace {
+
+// Every slot counts as a little load, so that slots spread evenly even without any request.
+constexpr double baseRate = 1e-4; // requests/s
+
+// A slot observed for less than this counts as an average slot.
+constexpr double leastSeconds = 1.0;
+
+// Weight of the average in the estimate of one slot, in requests. Of thousands of slots with a few
+// requests each, the highest counts are mostly chance.
+constexpr double priorRequests = 4.0;
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+bool orderBySlot(const OwnSlot &entry, Slot slot)
+{
+    return entry.slot < slot;
+}
+
+} // namespace
+
+void SlotRates::gain(Slot slot, Time now, Time restsUntil)
+{
+    const auto at = std::lower_bound(this->owned.begin(), this->owned.end(), slot, orderBySlot);
+    if (at != this->owned.end() && at->slot == slot) {
+        return;
+    }
+    OwnSlot entry;
+    entry.slot = slot;
+    entry.countedTo = now;
+    entry.restsUntil = restsUntil;
+    this->owned.insert(at, entry);
+}
+
+void SlotRates::lose(Slot slot)
+{
+    const auto at = std::lower_bound(this->owned.begin(), this->owned.end(), slot, orderBySlot);
+    if (at != this->owned.end() && at->slot == slot) {
+        this->owned.erase(at);
+    }
+}
+
+void SlotRates::add(const std::vector<std::uint32_t> &requests, Time now)
+{
+    Duration lastStep = Duration::zero();
+    double decay = 1;
+    for (OwnSlot &entry : this->owned) {
+        const Duration step = std::max(now - entry.countedTo, Duration::zero());
+        if (step != lastStep) {
+            decay = std::exp(-toSeconds(step) / toSeconds(this->window));
+            lastStep = step;
+        }
+        entry.requests = entry.requests * decay + requests[entry.slot];
+        entry.seconds = entry.seconds * decay + toSeconds(step);
+        entry.countedTo += step;
+    }
+}
+
+void SlotRates::shift(Slot from, Slot to, double rate)
+{
+    OwnSlot *giver = this->findOwn(from);
+    OwnSlot *taker = this->findOwn(to);
+    if (giver == nullptr || taker == nullptr || giver->seconds <= 0) {
+        return;
+    }
+    const double requests = std::min(rate * giver->seconds, giver->requests);
+    giver->requests -= requests;
+    taker->requests = requests;
+    taker->seconds = giver->seconds;
+}
+
+void SlotRates::setPending(const std::vector<Slot> &slots, Time until)
+{
+    for (const Slot slot : slots) {
+        if (OwnSlot *entry = this->findOwn(slot)) {
+            entry->pendingUntil = until;
+        }
+    }
+}
+
+double SlotRates::load(Time now) const
+{
+    const double average = this->averageRate();
+    double sum = 0;
+    for (const OwnSlot &entry : this->owned) {
+        if (entry.pendingUntil > now) {
+            continue;
+        }
+        sum += entry.seconds < leastSeconds ? average : entry.requests / entry.seconds + baseRate;
+    }
+    return sum;
+}
+
+double SlotRates::rateOf(Slot slot) const
+{
+    const OwnSlot *entry = this->find(slot);
+    return entry == nullptr || entry->seconds <= 0 ? 0 : entry->requests / entry->seconds;
+}
+
+std::vector<SlotRate> SlotRates::movable(Time now) const
+{
+    const double average = this->averageRate();
+    std::vector<SlotRate> result;
+    for (const OwnSlot &entry : this->owned) {
+        if (entry.pendingUntil > now || entry.restsUntil > now || entry.seconds < leastSeconds) {
+            continue;
+        }
+        const double rate =
+                (entry.requests + priorRequests) / (entry.seconds + priorRequests / average);
+        result.push_back({entry.slot, rate});
+    }
+    std::sort(result.begin(), result.end(), [](const SlotRate &left, const SlotRate &right) {
+        return left.rate != right.rate ? left.rate > right.rate : left.slot < right.slot;
+    });
+    return result;
+}
+
+const OwnSlot *SlotRates::find(Slot slot) const
+{
+    const auto at = std::lower_bound(this->owned.begin(), this->owned.end(), slot, orderBySlot);
+    return at != this->owned.end() && at->slot == slot ? &*at : nullptr;
+}
+
+OwnSlot *SlotRates::findOwn(Slot slot)
+{
+    const auto at = std::lower_bound(this->owned.begin(), this->owned.end(), slot, orderBySlot);
+    return at != this->owned.end() && at->slot == slot ? &*at : nullptr;
+}
+
+double SlotRates::averageRate() const
+{
+    double sum = 0;
+    std::size_t observed = 0;
+    for (const OwnSlot &entry : this->owned) {
+        if (entry.seconds >= leastSeconds) {
+            sum += entry.requests / entry.seconds;
+            ++observed;
+        }
+    }
+    return (observed == 0 ? 0 : sum / static_cast<double>(observed)) + baseRate;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/placement/rates.h
@@ -0,0 +1,78 @@
+// Request rates of the slots that a session owns.
+//
+// Sections: OwnSlot, SlotRates.
+#pragma once
+
+#include "base/hash.h"
+#include "base/time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace kumquat {
+
+// One owned slot. Requests and seconds decay exponentially; their quotient is the rate.
+struct OwnSlot
+{
+    Slot slot = 0;
+    Time countedTo{};    // the counts cover the time up to here
+    Time restsUntil{};   // not moved before this time
+    Time pendingUntil{}; // a decision about the slot is on its way to the log until then
+    double requests = 0; // decayed count
+    double seconds = 0;  // decayed time of observation
+};
+
+// A slot and its estimated rate, for the choice of slots to move.
+struct SlotRate
+{
+    Slot slot = 0;
+    double rate = 0; // requests/s
+};
+
+// Owned slots with their rates, ordered by slot.
+class SlotRates
+{
+public:
+    explicit SlotRates(Duration rateWindow)
+        : window(rateWindow)
+    {}
+
+    // Adds a slot; a slot that is already owned is left as it is.
+    void gain(Slot slot, Time now, Time restsUntil);
+
+    void lose(Slot slot);
+
+    // Adds requests per slot (indexed by slot) that were counted up to `now`.
+    void add(const std::vector<std::uint32_t> &requests, Time now);
+
+    // Gives part of the rate of one owned slot to another: a bound key takes its requests along.
+    void shift(Slot from, Slot to, double rate);
+
+    // Marks slots as decided about until a time; they count as gone.
+    void setPending(const std::vector<Slot> &slots, Time until);
+
+    // Returns requests/s of the slots that are not pending.
+    double load(Time now) const;
+
+    // Returns requests/s of one slot, 0 if it is not owned.
+    double rateOf(Slot slot) const;
+
+    // Returns the slots that may move now, highest rate first. Rates are drawn to the average,
+    // because the highest of many short counts are high by chance.
+    std::vector<SlotRate> movable(Time now) const;
+
+    const std::vector<OwnSlot> &slots() const { return this->owned; }
+
+    const OwnSlot *find(Slot slot) const;
+
+private:
+    OwnSlot *findOwn(Slot slot);
+
+    // Returns the average requests/s of the slots that have been observed long enough.
+    double averageRate() const;
+
+    Duration window;
+    std::vector<OwnSlot> owned; // ascending by slot
+};
+
+} // namespace kumquat
