--- /dev/null
+++ b/packages/ownership/cluster_state.h
@@ -0,0 +1,252 @@
+// State replayed from the log: sessions, slots, bindings, rules, crash fingerprints.
+// Sections: sessions, slots, results, ClusterState.
+#pragma once
+
+#include "base/hash.h"
+
+#include <absl/status/statusor.h>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace kumquat::wire {
+class Checkpoint;
+class ClusterSnapshot;
+class Join;
+class LogRecord;
+class ServiceSnapshot;
+class SessionSnapshot;
+} // namespace kumquat::wire
+
+namespace kumquat {
+
+using Offset = std::uint64_t;    // position of a record in the log
+using SessionId = std::uint64_t; // offset of the accepted Join; 0 is no session
+using Epoch = std::uint64_t;     // offset of the record that assigned a slot
+
+// Session ids, epochs and rules versions use 0 for "none", so a Join or Rules at offset 0 is void.
+
+// ---- sessions ----
+
+inline constexpr std::size_t peerLimit = 3; // peers in one set
+
+struct PeerSet
+{
+    std::uint32_t generation = 0;
+    std::vector<std::string> peers; // node names, in order of rank
+};
+
+// Returns how many of `count` peers are a majority; 0 peers have none, the result is 1.
+constexpr std::size_t majorityOf(std::size_t count)
+{
+    return count / 2 + 1;
+}
+
+struct Session
+{
+    SessionId id = 0;
+    std::string node;
+    std::uint64_t incarnation = 0;
+    std::string meshAddress;   // IP:port
+    std::string callerAddress; // IP:port
+    std::string adminAddress;  // IP:port
+    std::string region;
+    std::string dataCentre;
+    std::string service; // empty: owns nothing
+    bool checksGrants = false;
+    bool ended = false;
+    bool released = false;
+    std::uint32_t generation = 0;  // of the newest peer set
+    std::vector<PeerSet> peerSets; // since the last settled one, oldest first
+    std::uint32_t slots = 0;       // number of slots owned
+    std::uint32_t references = 0;  // entries in predecessor lists and lineages
+};
+
+// ---- slots ----
+
+struct Predecessor
+{
+    SessionId session = 0;
+    Epoch epoch = 0;
+    bool operator==(const Predecessor &) const = default;
+};
+
+// Sessions that lost a slot without a handover, newest last; 0 entries are unused.
+inline constexpr std::size_t lineageLimit = 4;
+using Lineage = std::array<SessionId, lineageLimit>;
+
+struct SlotState
+{
+    SessionId owner = 0; // 0: no owner
+    Epoch epoch = 0;
+    std::vector<Predecessor> predecessors; // not yet known to have stopped
+    Lineage lineage{};
+};
+
+struct Binding
+{
+    std::uint64_t keyHash = 0;
+    Slot slot = 0; // dedicated slot
+};
+
+struct ServiceState
+{
+    std::vector<SlotState> slots;  // slotCount entries
+    std::vector<Binding> bindings; // by key hash
+};
+
+// Where a key is served, as far as the log was read. Pointers live until the next apply().
+struct SlotView
+{
+    Slot slot = 0;
+    const SlotState *state = nullptr;
+    const Session *owner = nullptr; // nullptr: no owner
+};
+
+// The keys that map to one slot.
+struct SlotKeys
+{
+    std::string service;
+    Slot slot = 0;
+    std::optional<std::uint64_t> bound; // a dedicated slot's key hash
+    std::vector<std::uint64_t> except;  // key hashes of a hashed slot that are bound elsewhere
+
+    // Returns whether a key of the service with this hash maps to the slot.
+    bool contains(std::uint64_t keyHash) const;
+};
+
+// ---- results ----
+
+struct SlotChange
+{
+    std::string service;
+    Slot slot = 0;
+    SessionId from = 0; // 0: had no owner
+    SessionId to = 0;   // 0: has no owner
+};
+
+// What a record did.
+struct ApplyResult
+{
+    bool accepted = false;
+    std::string_view reason;       // why the record is void
+    SessionId started = 0;         // by Join
+    std::vector<SessionId> ended;  // by Fence, Leave or a superseding Join
+    SessionId released = 0;        // by Released
+    std::vector<SlotChange> moved; // ascending by service and slot
+    bool rulesChanged = false;
+    bool crashesChanged = false;
+};
+
+struct RulesState
+{
+    std::uint64_t version = 0; // offset of the record; 0 before the first publication
+    std::uint64_t publicationIdHigh = 0;
+    std::uint64_t publicationIdLow = 0;
+    std::string author;
+    std::string text;
+};
+
+struct CrashState
+{
+    std::uint32_t crashes = 0;
+    std::uint64_t lastCrashId = 0;
+};
+
+// ---- ClusterState ----
+
+// Replays records in order of offset. Every process that replayed the same records has the same
+// state.
+//
+//   ClusterState state;
+//   ApplyResult result = state.apply(state.nextOffset(), record);
+//   std::optional<SlotView> view = state.find("testlog", hashKey("testlog", "42"));
+class ClusterState
+{
+public:
+    // Applies the record at nextOffset(); any other offset is a fault of the caller.
+    ApplyResult apply(Offset offset, const wire::LogRecord &record);
+
+    Offset nextOffset() const { return this->next; }
+
+    // Returns where a key hash is served, or nothing for a service that never had a session.
+    std::optional<SlotView> find(std::string_view service, std::uint64_t keyHash) const;
+
+    // Returns the slot, or nullptr for an unknown service or slot.
+    const SlotState *findSlot(std::string_view service, Slot slot) const;
+    const ServiceState *findService(std::string_view service) const;
+
+    // Returns the session, or nullptr. A session without references is dropped after `Released`.
+    const Session *findSession(SessionId session) const;
+
+    // Returns the newest session of a node, ended or not, or nullptr.
+    const Session *findNode(std::string_view node) const;
+
+    // Returns the keys that map to a slot now.
+    SlotKeys keysOf(std::string_view service, Slot slot) const;
+
+    // Returns a dedicated slot of the service that no key is bound to.
+    std::optional<Slot> findFreeDedicatedSlot(std::string_view service) const;
+
+    // Returns sessions that have not ended, ascending by id.
+    std::vector<const Session *> members() const;
+
+    const std::map<SessionId, Session> &allSessions() const { return this->sessions; }
+    const std::map<std::string, ServiceState, std::less<>> &allServices() const
+    {
+        return this->services;
+    }
+    const RulesState &rules() const { return this->currentRules; }
+
+    // Returns how often the fingerprint was blamed, or nullptr.
+    const CrashState *findCrash(std::uint64_t fingerprint) const;
+
+    // Splits the whole state into records of at most 64 KiB each.
+    std::vector<wire::Checkpoint> makeCheckpoint() const;
+
+    // Restores a state from all parts in order. Error: Internal, if the parts do not fit together.
+    static absl::StatusOr<ClusterState> loadCheckpoint(const std::vector<wire::Checkpoint> &parts);
+
+private:
+    void applyJoin(const wire::LogRecord &record, ApplyResult &result);
+    void applyFence(const wire::LogRecord &record, ApplyResult &result);
+    void applyLeave(const wire::LogRecord &record, ApplyResult &result);
+    void applyReleased(const wire::LogRecord &record, ApplyResult &result);
+    void applyMove(const wire::LogRecord &record, ApplyResult &result);
+    void applyBind(const wire::LogRecord &record, ApplyResult &result);
+    void applyUnbind(const wire::LogRecord &record, ApplyResult &result);
+    void applyPeers(const wire::LogRecord &record, ApplyResult &result);
+    void applyPeersSettled(const wire::LogRecord &record, ApplyResult &result);
+    void applyRules(const wire::LogRecord &record, ApplyResult &result);
+    void applyCrashSuspect(const wire::LogRecord &record, ApplyResult &result);
+
+    Session *findLive(SessionId session);
+    void assign(const std::string &service, Slot slot, SessionId to, ApplyResult &result);
+    void addPredecessor(SlotState &slot, Predecessor predecessor);
+    void clearPredecessors(SlotState &slot);
+    void addLineage(SlotState &slot, SessionId session);
+    void endSessions(const std::vector<SessionId> &ended, bool withLineage, ApplyResult &result);
+    void reassign(const std::string &service, ServiceState &state, bool withLineage,
+                  ApplyResult &result);
+    void dropReference(SessionId session);
+    void dropIfUnused(SessionId session);
+    wire::ClusterSnapshot makeSnapshot() const;
+    absl::Status restore(const wire::ClusterSnapshot &snapshot);
+    absl::Status restoreService(const wire::ServiceSnapshot &snapshot);
+    void restoreSession(const wire::SessionSnapshot &snapshot);
+
+    Offset next = 0;
+    std::map<SessionId, Session> sessions;
+    std::map<std::string, SessionId, std::less<>> nodes; // newest session of each node
+    std::map<std::string, ServiceState, std::less<>> services;
+    RulesState currentRules;
+    std::map<std::uint64_t, CrashState> crashes; // by fingerprint
+};
+
+} // namespace kumquat
