--- /dev/null
+++ b/packages/ownership/cluster_state.cpp
@@ -0,0 +1,517 @@
+// Sections: helpers, sessions, slots, peers, rules and crashes, apply.
+#include "ownership/cluster_state.h"
+
+#include "wire/log.pb.h"
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+
+namespace kumquat {
+
+namespace {
+
+// Returns whether a set of peers may belong to the node: few, distinct, without the node itself.
+template <typename Names>
+bool isPeerSet(const Names &names, const std::string &node)
+{
+    const std::set<std::string> distinct(names.begin(), names.end());
+    return static_cast<std::size_t>(names.size()) <= peerLimit
+           && distinct.size() == static_cast<std::size_t>(names.size()) && distinct.count(node) == 0
+           && distinct.count("") == 0;
+}
+
+void refuse(ApplyResult &result, std::string_view reason)
+{
+    result.accepted = false;
+    result.reason = reason;
+}
+
+} // namespace
+
+// ---- helpers ----
+
+Session *ClusterState::findLive(SessionId session)
+{
+    const auto found = this->sessions.find(session);
+    return found == this->sessions.end() || found->second.ended ? nullptr : &found->second;
+}
+
+void ClusterState::addReference(SessionId session)
+{
+    const auto found = this->sessions.find(session);
+    assert(found != this->sessions.end() && "keep a session while slots refer to it");
+    ++found->second.references;
+}
+
+void ClusterState::dropReference(SessionId session)
+{
+    const auto found = this->sessions.find(session);
+    assert(found != this->sessions.end() && "keep a session while slots refer to it");
+    --found->second.references;
+    this->dropIfUnused(session);
+}
+
+// Forgets a session that nothing can ask for again: it is released, no slot refers to it, and its
+// node has a newer session. The node's newest session stays, because a Join must name it.
+void ClusterState::dropIfUnused(SessionId session)
+{
+    const auto found = this->sessions.find(session);
+    if (found == this->sessions.end()) {
+        return;
+    }
+    const Session &entry = found->second;
+    const bool newest = this->nodes.find(entry.node)->second == session;
+    if (entry.released && entry.references == 0 && !newest) {
+        this->sessions.erase(found);
+    }
+}
+
+// Lists are in order of epoch. A session counts once, with its newest epoch: what proves that it
+// stopped serving the newest epoch also proves it for the older ones.
+void ClusterState::addPredecessor(SlotState &slot, Predecessor predecessor)
+{
+    const auto erased = std::erase_if(slot.predecessors, [&predecessor](const Predecessor &known) {
+        return known.session == predecessor.session;
+    });
+    slot.predecessors.push_back(predecessor);
+    if (erased == 0) {
+        this->addReference(predecessor.session);
+    }
+}
+
+// The lineage keeps a removed predecessor that ended: it may have ended before its handover, so a
+// later owner has to ask its peers about request ids.
+void ClusterState::removePredecessor(SlotState &slot, SessionId session)
+{
+    const auto matches = [session](const Predecessor &known) { return known.session == session; };
+    const auto found = std::find_if(slot.predecessors.begin(), slot.predecessors.end(), matches);
+    if (found == slot.predecessors.end()) {
+        return;
+    }
+    slot.predecessors.erase(found);
+    if (this->sessions.at(session).ended) {
+        this->addLineage(slot, session);
+    }
+    this->dropReference(session);
+}
+
+void ClusterState::clearPredecessors(SlotState &slot)
+{
+    while (!slot.predecessors.empty()) {
+        this->removePredecessor(slot, slot.predecessors.front().session);
+    }
+}
+
+void ClusterState::addLineage(SlotState &slot, SessionId session)
+{
+    if (session == 0
+        || std::find(slot.lineage.begin(), slot.lineage.end(), session) != slot.lineage.end()) {
+        return;
+    }
+    this->addReference(session);
+    auto unused = std::find(slot.lineage.begin(), slot.lineage.end(), 0);
+    if (unused == slot.lineage.end()) {
+        const SessionId oldest = slot.lineage.front();
+        std::rotate(slot.lineage.begin(), slot.lineage.begin() + 1, slot.lineage.end());
+        slot.lineage.back() = session;
+        this->dropReference(oldest);
+        return;
+    }
+    *unused = session;
+}
+
+// Makes `to` (0: nobody) the owner; the caller has dealt with the predecessors.
+void ClusterState::assign(const std::string &service, ServiceState &in, Slot slot, SessionId to,
+                          ApplyResult &result)
+{
+    SlotState &state = in.slots[slot];
+    if (result.moved.empty() || result.moved.back().service != service) {
+        result.moved.push_back({service, {}});
+    }
+    result.moved.back().slots.push_back({slot, state.owner, to});
+    if (state.owner != 0) {
+        --this->sessions.at(state.owner).slots;
+    }
+    if (to != 0) {
+        ++this->sessions.at(to).slots;
+    }
+    state.owner = to;
+    state.epoch = this->next;
+}
+
+// ---- sessions ----
+
+void ClusterState::applyJoin(const wire::LogRecord &record, ApplyResult &result)
+{
+    const wire::Join &join = record.join();
+    const Session *newest = this->findNode(join.node());
+    if (this->next == 0) {
+        return refuse(result, "offset 0 names no session");
+    }
+    if (join.node().empty() || !isPeerSet(join.peers(), join.node())) {
+        return refuse(result, "malformed");
+    }
+    if ((newest == nullptr ? 0 : newest->id) != join.supersedes()) {
+        return refuse(result, "the node has another newest session");
+    }
+    Session session;
+    session.id = this->next;
+    session.node = join.node();
+    session.incarnation = join.incarnation();
+    session.meshAddress = join.mesh_address();
+    session.callerAddress = join.caller_address();
+    session.adminAddress = join.admin_address();
+    session.region = join.region();
+    session.dataCentre = join.data_centre();
+    session.service = join.service();
+    session.checksGrants = join.checks_grants();
+    session.peerSets.push_back({0, {join.peers().begin(), join.peers().end()}});
+    result.started = session.id;
+    this->nodes[join.node()] = session.id;
+    this->sessions.emplace(session.id, session);
+    if (!session.service.empty()) {
+        this->services[session.service].slots.resize(this->slotting.count());
+    }
+    // The new session is a candidate for the slots of the superseded one, so that a restart moves
+    // few keys.
+    if (this->findLive(join.supersedes()) != nullptr) {
+        this->endSessions({join.supersedes()}, true, result);
+    }
+    for (Slot slot = 0; slot < this->slotting.count() && !session.service.empty(); ++slot) {
+        ServiceState &state = this->services.find(session.service)->second;
+        if (state.slots[slot].owner == 0) {
+            this->assign(session.service, state, slot, session.id, result);
+        }
+    }
+    this->dropIfUnused(join.supersedes());
+}
+
+void ClusterState::applyFence(const wire::LogRecord &record, ApplyResult &result)
+{
+    std::vector<SessionId> ended;
+    for (const SessionId session : record.fence().sessions()) {
+        if (this->findLive(session) != nullptr
+            && std::find(ended.begin(), ended.end(), session) == ended.end()) {
+            ended.push_back(session);
+        }
+    }
+    if (ended.empty()) {
+        return refuse(result, "the sessions have ended");
+    }
+    this->endSessions(ended, true, result);
+}
+
+// The settled flag of Leave is not used: it names no epochs, so slots that the session gained
+// between computing the flag and the record would lose predecessors that still serve.
+void ClusterState::applyLeave(const wire::LogRecord &record, ApplyResult &result)
+{
+    if (this->findLive(record.leave().session()) == nullptr) {
+        return refuse(result, "the session has ended");
+    }
+    this->endSessions({record.leave().session()}, false, result);
+}
+
+void ClusterState::endSessions(const std::vector<SessionId> &ended, bool withLineage,
+                               ApplyResult &result)
+{
+    std::set<std::string> affected;
+    for (const SessionId id : ended) {
+        Session &session = this->sessions.at(id);
+        session.ended = true;
+        result.ended.push_back(id);
+        if (session.slots > 0) {
+            affected.insert(session.service);
+        }
+    }
+    for (const std::string &service : affected) {
+        this->reassign(service, this->services.find(service)->second, withLineage, result);
+    }
+}
+
+// Gives the slots of ended sessions, in ascending order, to the session of the same region (of any
+// region if there is none) with the fewest slots.
+void ClusterState::reassign(const std::string &service, ServiceState &state, bool withLineage,
+                            ApplyResult &result)
+{
+    std::vector<const Session *> all;
+    std::map<std::string, std::vector<const Session *>> regions;
+    for (const auto &[id, session] : this->sessions) {
+        if (!session.ended && session.service == service) {
+            all.push_back(&session);
+            regions[session.region].push_back(&session);
+        }
+    }
+    for (Slot slot = 0; slot < this->slotting.count(); ++slot) {
+        SlotState &entry = state.slots[slot];
+        const SessionId from = entry.owner;
+        if (from == 0 || !this->sessions.at(from).ended) {
+            continue;
+        }
+        const auto local = regions.find(this->sessions.at(from).region);
+        const auto &candidates = local == regions.end() ? all : local->second;
+        const Session *best = nullptr;
+        for (const Session *candidate : candidates) {
+            if (best == nullptr || candidate->slots < best->slots
+                || (candidate->slots == best->slots
+                    && hashPair(slot, candidate->id) > hashPair(slot, best->id))) {
+                best = candidate;
+            }
+        }
+        this->addPredecessor(entry, {from, entry.epoch});
+        if (withLineage) {
+            this->addLineage(entry, from);
+        }
+        this->assign(service, state, slot, best == nullptr ? 0 : best->id, result);
+    }
+}
+
+void ClusterState::applyReleased(const wire::LogRecord &record, ApplyResult &result)
+{
+    const SessionId id = record.released().session();
+    const auto found = this->sessions.find(id);
+    if (found == this->sessions.end() || !found->second.ended || found->second.released) {
+        return refuse(result, "the session goes on or was released before");
+    }
+    found->second.released = true;
+    result.released = id;
+    const auto service = this->services.find(found->second.service);
+    if (service != this->services.end()) {
+        for (SlotState &slot : service->second.slots) {
+            this->removePredecessor(slot, id);
+        }
+    }
+    this->dropIfUnused(id);
+}
+
+// ---- slots ----
+
+void ClusterState::applyMove(const wire::LogRecord &record, ApplyResult &result)
+{
+    const wire::Move &move = record.move();
+    const Session *from = this->findLive(move.from_session());
+    const Session *to = this->findLive(move.to_session());
+    if (from == nullptr || to == nullptr || from == to || from->service != move.service()
+        || to->service != move.service() || move.service().empty()) {
+        return refuse(result, "no such pair of sessions");
+    }
+    ServiceState &state = this->services.find(move.service())->second;
+    for (const wire::SlotEpoch &moved : move.slots()) {
+        if (moved.slot() >= this->slotting.count()) {
+            continue;
+        }
+        SlotState &slot = state.slots[moved.slot()];
+        if (slot.owner != move.from_session() || slot.epoch != moved.epoch()) {
+            continue;
+        }
+        if (move.settled()) {
+            this->clearPredecessors(slot);
+        }
+        this->addPredecessor(slot, {slot.owner, slot.epoch});
+        this->assign(move.service(), state, moved.slot(), move.to_session(), result);
+    }
+    if (result.moved.empty()) {
+        refuse(result, "no slot has this owner and epoch");
+    }
+}
+
+// The appending owner has proof that every predecessor of the hashed slot stopped, and the epoch
+// shows that none was added, so the dedicated slot starts without predecessors.
+void ClusterState::applyBind(const wire::LogRecord &record, ApplyResult &result)
+{
+    const wire::Bind &bind = record.bind();
+    const Session *owner = this->findLive(bind.session());
+    if (owner == nullptr || owner->service != bind.service() || bind.service().empty()
+        || !this->slotting.isDedicated(bind.dedicated_slot())) {
+        return refuse(result, "no such session or dedicated slot");
+    }
+    ServiceState &state = this->services.find(bind.service())->second;
+    const SlotState &hashed = state.slots[this->slotting.slotOf(bind.key_hash())];
+    if (hashed.owner != bind.session() || hashed.epoch != bind.epoch()) {
+        return refuse(result, "the hashed slot has another owner or epoch");
+    }
+    if (state.isBound(bind.dedicated_slot()) || state.findBinding(bind.key_hash())) {
+        return refuse(result, "the key or the slot is bound");
+    }
+    state.bindings.insert(state.lowerBinding(bind.key_hash()),
+                          {bind.key_hash(), bind.dedicated_slot()});
+    SlotState &dedicated = state.slots[bind.dedicated_slot()];
+    this->clearPredecessors(dedicated);
+    for (const SessionId session : hashed.lineage) {
+        this->addLineage(dedicated, session);
+    }
+    for (const Predecessor &predecessor : hashed.predecessors) {
+        if (this->sessions.at(predecessor.session).ended) {
+            this->addLineage(dedicated, predecessor.session);
+        }
+    }
+    this->assign(bind.service(), state, bind.dedicated_slot(), bind.session(), result);
+}
+
+// The appending owner has proof that every predecessor of the dedicated slot stopped.
+void ClusterState::applyUnbind(const wire::LogRecord &record, ApplyResult &result)
+{
+    const wire::Unbind &unbind = record.unbind();
+    const Session *owner = this->findLive(unbind.session());
+    if (owner == nullptr || owner->service != unbind.service() || unbind.service().empty()
+        || !this->slotting.isDedicated(unbind.dedicated_slot())) {
+        return refuse(result, "no such session or dedicated slot");
+    }
+    ServiceState &state = this->services.find(unbind.service())->second;
+    const SlotState &dedicated = state.slots[unbind.dedicated_slot()];
+    const auto matches = [&unbind](const Binding &binding) {
+        return binding.slot == unbind.dedicated_slot();
+    };
+    const auto binding = std::find_if(state.bindings.begin(), state.bindings.end(), matches);
+    if (binding == state.bindings.end() || dedicated.owner != unbind.session()
+        || dedicated.epoch != unbind.epoch()) {
+        return refuse(result, "the dedicated slot has another owner or epoch or no key");
+    }
+    SlotState &hashed = state.slots[this->slotting.slotOf(binding->keyHash)];
+    if (hashed.owner != unbind.session()) {
+        return refuse(result, "the hashed slot has another owner");
+    }
+    for (const SessionId session : dedicated.lineage) {
+        this->addLineage(hashed, session);
+    }
+    for (const Predecessor &predecessor : dedicated.predecessors) {
+        if (this->sessions.at(predecessor.session).ended) {
+            this->addLineage(hashed, predecessor.session);
+        }
+    }
+    state.bindings.erase(binding);
+}
+
+// ---- peers ----
+
+void ClusterState::applyPeers(const wire::LogRecord &record, ApplyResult &result)
+{
+    const wire::Peers &peers = record.peers();
+    Session *session = this->findLive(peers.session());
+    if (session == nullptr || peers.generation() != session->generation + 1) {
+        return refuse(result, "the session has ended or another generation");
+    }
+    if (!isPeerSet(peers.peers(), session->node)) {
+        return refuse(result, "malformed");
+    }
+    session->generation = peers.generation();
+    session->peerSets.push_back({peers.generation(), {peers.peers().begin(), peers.peers().end()}});
+}
+
+void ClusterState::applyPeersSettled(const wire::LogRecord &record, ApplyResult &result)
+{
+    const wire::PeersSettled &settled = record.peers_settled();
+    Session *session = this->findLive(settled.session());
+    if (session == nullptr || settled.generation() > session->generation
+        || settled.generation() <= session->peerSets.front().generation) {
+        return refuse(result, "the session has ended or settled this generation");
+    }
+    auto &sets = session->peerSets;
+    sets.erase(std::remove_if(sets.begin(), sets.end(),
+                              [&settled](const PeerSet &set) {
+                                  return set.generation < settled.generation();
+                              }),
+               sets.end());
+}
+
+// ---- rules and crashes ----
+
+void ClusterState::applyRules(const wire::LogRecord &record, ApplyResult &result)
+{
+    const wire::Rules &rules = record.rules();
+    if (this->next == 0) {
+        return refuse(result, "offset 0 names no version");
+    }
+    if (rules.base_version() != this->currentRules.version) {
+        return refuse(result, "the base version is outdated");
+    }
+    this->currentRules.version = this->next;
+    this->currentRules.publicationIdHigh = rules.publication_id_high();
+    this->currentRules.publicationIdLow = rules.publication_id_low();
+    this->currentRules.author = rules.author();
+    this->currentRules.text = rules.text();
+    result.rulesChanged = true;
+}
+
+// One crash counts once per fingerprint, however often its record is appended.
+void ClusterState::applyCrashSuspect(const wire::LogRecord &record, ApplyResult &result)
+{
+    for (const std::uint64_t fingerprint : record.crash_suspect().fingerprints()) {
+        CrashState &crash = this->crashes[fingerprint];
+        if (crash.crashes > 0 && crash.lastCrashId == record.crash_suspect().crash_id()) {
+            continue;
+        }
+        ++crash.crashes;
+        crash.lastCrashId = record.crash_suspect().crash_id();
+        crash.order = ++this->crashOrder;
+        result.crashesChanged = true;
+        this->dropOldestCrash();
+    }
+    if (!result.crashesChanged) {
+        refuse(result, "the crash was counted before");
+    }
+}
+
+void ClusterState::dropOldestCrash()
+{
+    if (this->crashes.size() <= crashLimit) {
+        return;
+    }
+    const auto older = [](const auto &left, const auto &right) {
+        return left.second.order < right.second.order;
+    };
+    this->crashes.erase(std::min_element(this->crashes.begin(), this->crashes.end(), older));
+}
+
+// ---- apply ----
+
+ApplyResult ClusterState::apply(Offset offset, const wire::LogRecord &record)
+{
+    assert(offset == this->next && "apply records in order, starting at nextOffset()");
+    ApplyResult result;
+    result.accepted = true;
+    switch (record.body_case()) {
+    case wire::LogRecord::kJoin:
+        this->applyJoin(record, result);
+        break;
+    case wire::LogRecord::kFence:
+        this->applyFence(record, result);
+        break;
+    case wire::LogRecord::kLeave:
+        this->applyLeave(record, result);
+        break;
+    case wire::LogRecord::kReleased:
+        this->applyReleased(record, result);
+        break;
+    case wire::LogRecord::kMove:
+        this->applyMove(record, result);
+        break;
+    case wire::LogRecord::kBind:
+        this->applyBind(record, result);
+        break;
+    case wire::LogRecord::kUnbind:
+        this->applyUnbind(record, result);
+        break;
+    case wire::LogRecord::kPeers:
+        this->applyPeers(record, result);
+        break;
+    case wire::LogRecord::kPeersSettled:
+        this->applyPeersSettled(record, result);
+        break;
+    case wire::LogRecord::kRules:
+        this->applyRules(record, result);
+        break;
+    case wire::LogRecord::kCrashSuspect:
+        this->applyCrashSuspect(record, result);
+        break;
+    case wire::LogRecord::kCheckpoint:
+        break; // the state is the same with and without it
+    case wire::LogRecord::BODY_NOT_SET:
+        refuse(result, "empty or of an unknown kind");
+        break;
+    }
+    this->next = offset + 1;
+    return result;
+}
+
+} // namespace kumquat
--- a/packages/ownership/cluster_state.h
+++ b/packages/ownership/cluster_state.h
@@ -70,6 +70,17 @@
 
 // ---- slots ----
 
+// Number of slots of each service. All processes must agree; tests use fewer.
+struct SlotLayout
+{
+    Slot hashed = hashedSlotCount;
+    Slot dedicated = dedicatedSlotCount;
+
+    Slot count() const { return this->hashed + this->dedicated; }
+    Slot slotOf(std::uint64_t keyHash) const { return static_cast<Slot>(keyHash % this->hashed); }
+    bool isDedicated(Slot slot) const { return slot >= this->hashed && slot < this->count(); }
+};
+
 struct Predecessor
 {
     SessionId session = 0;
@@ -77,7 +88,9 @@
     bool operator==(const Predecessor &) const = default;
 };
 
-// Sessions that lost a slot without a handover, newest last; 0 entries are unused.
+// Sessions that lost a slot without a proven handover, newest last; 0 entries are unused. These
+// are sessions that ended by Fence or a superseding Join, and predecessors that ended before their
+// handover is known to all processes.
 inline constexpr std::size_t lineageLimit = 4;
 using Lineage = std::array<SessionId, lineageLimit>;
 
@@ -97,8 +110,17 @@
 
 struct ServiceState
 {
-    std::vector<SlotState> slots;  // slotCount entries
+    std::vector<SlotState> slots;  // one for each slot of the layout
     std::vector<Binding> bindings; // by key hash
+
+    // Returns the first binding whose key hash is not below `keyHash`.
+    std::vector<Binding>::const_iterator lowerBinding(std::uint64_t keyHash) const;
+
+    // Returns the dedicated slot of a key, or nothing.
+    std::optional<Slot> findBinding(std::uint64_t keyHash) const;
+
+    // Returns whether a key is bound to the dedicated slot.
+    bool isBound(Slot slot) const;
 };
 
 // Where a key is served, as far as the log was read. Pointers live until the next apply().
@@ -113,6 +135,7 @@
 struct SlotKeys
 {
     std::string service;
+    SlotLayout layout;
     Slot slot = 0;
     std::optional<std::uint64_t> bound; // a dedicated slot's key hash
     std::vector<std::uint64_t> except;  // key hashes of a hashed slot that are bound elsewhere
@@ -125,21 +148,27 @@
 
 struct SlotChange
 {
-    std::string service;
     Slot slot = 0;
     SessionId from = 0; // 0: had no owner
     SessionId to = 0;   // 0: has no owner
 };
 
+// Slots of one service, ascending.
+struct ServiceChange
+{
+    std::string service;
+    std::vector<SlotChange> slots;
+};
+
 // What a record did.
 struct ApplyResult
 {
     bool accepted = false;
-    std::string_view reason;       // why the record is void
-    SessionId started = 0;         // by Join
-    std::vector<SessionId> ended;  // by Fence, Leave or a superseding Join
-    SessionId released = 0;        // by Released
-    std::vector<SlotChange> moved; // ascending by service and slot
+    std::string_view reason;          // why the record is void
+    SessionId started = 0;            // by Join
+    std::vector<SessionId> ended;     // by Fence, Leave or a superseding Join
+    SessionId released = 0;           // by Released
+    std::vector<ServiceChange> moved; // services in order of name, each with at least one slot
     bool rulesChanged = false;
     bool crashesChanged = false;
 };
@@ -153,10 +182,13 @@
     std::string text;
 };
 
+inline constexpr std::size_t crashLimit = 4096; // fingerprints kept; the oldest is dropped
+
 struct CrashState
 {
     std::uint32_t crashes = 0;
     std::uint64_t lastCrashId = 0;
+    std::uint64_t order = 0; // grows with each blame, for dropping the oldest
 };
 
 // ---- ClusterState ----
@@ -170,10 +202,15 @@
 class ClusterState
 {
 public:
+    explicit ClusterState(SlotLayout slotLayout = {})
+        : slotting(slotLayout)
+    {}
+
     // Applies the record at nextOffset(); any other offset is a fault of the caller.
     ApplyResult apply(Offset offset, const wire::LogRecord &record);
 
     Offset nextOffset() const { return this->next; }
+    const SlotLayout &layout() const { return this->slotting; }
 
     // Returns where a key hash is served, or nothing for a service that never had a session.
     std::optional<SlotView> find(std::string_view service, std::uint64_t keyHash) const;
@@ -211,7 +248,8 @@
     std::vector<wire::Checkpoint> makeCheckpoint() const;
 
     // Restores a state from all parts in order. Error: Internal, if the parts do not fit together.
-    static absl::StatusOr<ClusterState> loadCheckpoint(const std::vector<wire::Checkpoint> &parts);
+    static absl::StatusOr<ClusterState> loadCheckpoint(const std::vector<wire::Checkpoint> &parts,
+                                                       SlotLayout layout = {});
 
 private:
     void applyJoin(const wire::LogRecord &record, ApplyResult &result);
@@ -227,26 +265,32 @@
     void applyCrashSuspect(const wire::LogRecord &record, ApplyResult &result);
 
     Session *findLive(SessionId session);
-    void assign(const std::string &service, Slot slot, SessionId to, ApplyResult &result);
+    void assign(const std::string &service, ServiceState &state, Slot slot, SessionId to,
+                ApplyResult &result);
     void addPredecessor(SlotState &slot, Predecessor predecessor);
+    void removePredecessor(SlotState &slot, SessionId session);
     void clearPredecessors(SlotState &slot);
     void addLineage(SlotState &slot, SessionId session);
     void endSessions(const std::vector<SessionId> &ended, bool withLineage, ApplyResult &result);
     void reassign(const std::string &service, ServiceState &state, bool withLineage,
                   ApplyResult &result);
+    void addReference(SessionId session);
     void dropReference(SessionId session);
     void dropIfUnused(SessionId session);
+    void dropOldestCrash();
     wire::ClusterSnapshot makeSnapshot() const;
     absl::Status restore(const wire::ClusterSnapshot &snapshot);
     absl::Status restoreService(const wire::ServiceSnapshot &snapshot);
     void restoreSession(const wire::SessionSnapshot &snapshot);
 
+    SlotLayout slotting;
     Offset next = 0;
     std::map<SessionId, Session> sessions;
     std::map<std::string, SessionId, std::less<>> nodes; // newest session of each node
     std::map<std::string, ServiceState, std::less<>> services;
     RulesState currentRules;
     std::map<std::uint64_t, CrashState> crashes; // by fingerprint
+    std::uint64_t crashOrder = 0;
 };
 
 } // namespace kumquat
--- a/packages/ownership/engine.h
+++ b/packages/ownership/engine.h
@@ -85,6 +85,8 @@
 
     // ---- queries ----
 
+    // Count a request as in flight before asking, so that no handover passes between the answer and
+    // the dispatch.
     ServeAnswer mayServe(std::string_view service, std::uint64_t keyHash, Time now) const;
     RouteAnswer route(std::string_view service, std::uint64_t keyHash) const;
 
@@ -98,10 +100,14 @@
     // Returns the own session with its peers; session 0 without one.
     OwnSession ownSession() const;
 
-    // Returns the time at which the end of a session was read, or nothing if it was read before
-    // the start of the process or not at all.
+    // Returns the time at which the end of a session was read, the start of the process for an end
+    // that is only known from a checkpoint, or nothing for a session that goes on.
     std::optional<Time> endReadAt(SessionId session) const;
 
+    // Returns the sessions whose peers must be asked for an unknown request id of the slot: those
+    // that lost it without a handover to this process.
+    std::vector<SessionId> journalSessions(std::string_view service, Slot slot) const;
+
     bool isDraining() const;
     bool isDrained() const;
 
@@ -115,7 +121,7 @@
 
 private:
     class Parts;
-    explicit OwnershipEngine(std::unique_ptr<Parts> parts);
+    explicit OwnershipEngine(std::unique_ptr<Parts> owned);
 
     std::unique_ptr<Parts> parts;
 };
--- /dev/null
+++ b/packages/ownership/engine_context.h
@@ -0,0 +1,158 @@
+// What the parts of the engine share: settings, replayed state, outputs, times.
+// Sections: outbox, context.
+#pragma once
+
+#include "ownership/engine_types.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace kumquat {
+
+inline constexpr Time never = Time::max();
+inline constexpr Time longAgo = -24h * 365; // before any time since the start of a host
+
+// ---- outbox ----
+
+// Identifies what a record is about, so that its repeats can be spaced.
+struct AppendKey
+{
+    int kind = 0;             // wire::LogRecord::BodyCase
+    std::uint64_t first = 0;  // session or service hash
+    std::uint64_t second = 0; // generation, epoch or target
+    bool operator<(const AppendKey &other) const
+    {
+        return std::tie(this->kind, this->first, this->second)
+               < std::tie(other.kind, other.first, other.second);
+    }
+};
+
+// Collects messages and records, and spaces repeated records.
+class Outbox
+{
+public:
+    EngineOutput output;
+
+    // Returns when the record may be appended (again).
+    Time appendDue(const AppendKey &key, Duration repeat) const
+    {
+        const auto found = this->appended.find(key);
+        return found == this->appended.end() ? longAgo : found->second + repeat;
+    }
+
+    // Appends the record unless the same was appended within `repeat`.
+    bool append(const AppendKey &key, wire::LogRecord record, Duration repeat, Time now)
+    {
+        if (now < this->appendDue(key, repeat)) {
+            return false;
+        }
+        this->appended[key] = now;
+        this->output.records.push_back(std::move(record));
+        return true;
+    }
+
+    // Forgets records that were appended long ago.
+    void prune(Time now)
+    {
+        std::erase_if(this->appended,
+                      [now](const auto &entry) { return entry.second + pruneAfter < now; });
+    }
+
+private:
+    static constexpr Duration pruneAfter = 60s;
+
+    std::map<AppendKey, Time> appended;
+};
+
+// ---- context ----
+
+struct EngineContext
+{
+    EngineSettings settings;
+    EngineHooks hooks;
+    ClusterState state;
+    Outbox outbox;
+    Time started{0};
+    Time resumed{0};        // end of the last pause of the process, at first its start
+    bool answering = false; // the log service answers
+    bool caughtUp = false;  // read to an end asked for after the start
+
+    const LeaseTimings &timings() const { return this->settings.timings; }
+    const Guards &guards() const { return this->settings.guards; }
+
+    // Returns how long an owner uses a lease: shortened by the drift bound, so that it ends before
+    // the peer's grant even if this clock is slow.
+    Duration ownerLease() const
+    {
+        const double factor = this->guards().driftMargin ? 1.0 - this->timings().drift : 1.0;
+        return scale(this->timings().lease, factor);
+    }
+
+    // Returns how long a peer's grant lasts: lengthened by the drift bound.
+    Duration peerLease() const
+    {
+        const double factor = this->guards().driftMargin ? 1.0 + this->timings().drift : 1.0;
+        return scale(this->timings().lease, factor);
+    }
+
+    // Returns whether nothing that this node did before its start is still in force.
+    bool hasWaited(Time now) const
+    {
+        return !this->guards().waitAfterRestart || now >= this->started + this->peerLease();
+    }
+
+    // Returns whether this node may grant and release as a peer.
+    bool isPeerReady(Time now) const
+    {
+        return this->hasWaited(now) && (!this->guards().readAfterRestart || this->caughtUp);
+    }
+
+    // Returns the own session that goes on, or nullptr.
+    const Session *ownSession() const
+    {
+        const Session *newest = this->state.findNode(this->settings.node);
+        return newest == nullptr || newest->ended || !this->isOwn(*newest) ? nullptr : newest;
+    }
+
+    // Returns whether this process, not only this node, started the session.
+    bool isOwn(const Session &session) const
+    {
+        return session.node == this->settings.node
+               && session.incarnation == this->settings.incarnation;
+    }
+
+    // Sends a message to a node that has joined at some time; others have no known address.
+    void send(const std::string &node, wire::MeshMessage message)
+    {
+        const Session *newest = this->state.findNode(node);
+        if (newest == nullptr || node == this->settings.node) {
+            return;
+        }
+        message.set_from(this->settings.node);
+        this->outbox.output.messages.push_back({node, newest->meshAddress, std::move(message)});
+    }
+
+    // Appends a record while the log answers; repeats after the usual time.
+    bool append(const AppendKey &key, wire::LogRecord record, Time now)
+    {
+        return this->answering
+               && this->outbox.append(key, std::move(record), this->timings().appendRepeat, now);
+    }
+
+    // Returns when a record that the state still calls for is due; never while the log is down.
+    Time appendDue(const AppendKey &key) const
+    {
+        return this->answering ? this->outbox.appendDue(key, this->timings().appendRepeat) : never;
+    }
+
+private:
+    static Duration scale(Duration duration, double factor)
+    {
+        return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+    }
+};
+
+} // namespace kumquat
--- a/packages/ownership/engine_types.h
+++ b/packages/ownership/engine_types.h
@@ -65,7 +65,8 @@
     std::string region;
     std::string dataCentre;
     LeaseTimings timings;
-    std::size_t handoverBytes = 256 * 1024; // of remembered requests in one Handover
+    SlotLayout layout;                   // the same in all processes
+    std::size_t handoverBytes = 262'144; // of remembered requests in one Handover
     Guards guards;
 };
 
--- /dev/null
+++ b/packages/ownership/log_follower.cpp
@@ -0,0 +1,154 @@
+#include "ownership/log_follower.h"
+
+#include <vector>
+
+namespace kumquat {
+
+namespace {
+
+constexpr std::size_t openCheckpoints = 8; // incomplete checkpoints kept while reading
+constexpr Duration repeatCheckpoint = 10s; // until an unread checkpoint is appended again
+
+} // namespace
+
+Offset LogFollower::nextOffset() const
+{
+    return this->searching ? this->searchNext : this->context.state.nextOffset();
+}
+
+void LogFollower::onFirstKept(Offset kept)
+{
+    this->firstKept = std::max(this->firstKept, kept);
+    if (this->nextOffset() >= kept) {
+        return;
+    }
+    this->searching = true;
+    this->searchedAll = false;
+    this->searchNext = kept;
+    this->context.caughtUp = false;
+}
+
+LogFollower::Step LogFollower::onRecord(Offset offset, const wire::LogRecord &record, Time now)
+{
+    Step step;
+    if (offset != this->nextOffset()) {
+        return step;
+    }
+    if (!this->firstRecordReadAt) {
+        this->firstRecordReadAt = now;
+    }
+    if (this->searching) {
+        ++this->searchNext;
+        step.reloaded = record.has_checkpoint() && this->addPart(record.checkpoint(), now);
+        return step;
+    }
+    step.applied = this->context.state.apply(offset, record);
+    if (record.has_checkpoint()) {
+        this->addPart(record.checkpoint(), now);
+    }
+    return step;
+}
+
+// Returns whether the part completed a checkpoint that replaced the state.
+bool LogFollower::addPart(const wire::Checkpoint &part, Time now)
+{
+    if (part.part() >= part.parts()) {
+        return false;
+    }
+    const PartKey key{part.covers(), part.parts()};
+    auto &collected = this->parts[key];
+    collected.emplace(part.part(), this->searching ? part : wire::Checkpoint());
+    if (collected.size() < part.parts()) {
+        if (this->parts.size() > openCheckpoints) {
+            this->parts.erase(this->parts.begin());
+        }
+        return false;
+    }
+    std::vector<wire::Checkpoint> ordered;
+    for (const auto &[index, one] : collected) {
+        ordered.push_back(one);
+    }
+    this->parts.erase(key);
+    if (!this->searching) {
+        this->covered = std::max(this->covered, part.covers());
+        this->checkpointReadAt = now;
+        return false;
+    }
+    if (part.covers() + 1 < this->firstKept || part.covers() < this->context.state.nextOffset()) {
+        return false; // records after it are lost, or it is older than the state
+    }
+    auto loaded = ClusterState::loadCheckpoint(ordered, this->context.settings.layout);
+    if (!loaded.ok()) {
+        return false;
+    }
+    this->context.state = *std::move(loaded);
+    this->covered = part.covers();
+    this->checkpointReadAt = now;
+    this->searching = false;
+    this->parts.clear();
+    return true;
+}
+
+// The end may have been asked for before some of its records were given; it counts once the state
+// has reached it.
+void LogFollower::onLogEnd(Offset reported, Time askedAt)
+{
+    this->end = std::max(this->end, reported);
+    if (this->searching) {
+        this->searchedAll = this->searchNext >= reported;
+        return;
+    }
+    if (askedAt >= this->context.started && this->context.state.nextOffset() >= reported) {
+        this->context.caughtUp = true;
+    }
+}
+
+// Retention may be counted in time or in records: a checkpoint is due when it is old by either. The
+// log shows no times, so age counts from reading.
+Time LogFollower::checkpointDue() const
+{
+    if (!this->context.caughtUp || !this->context.answering || this->end == 0) {
+        return never;
+    }
+    const Time half = this->context.timings().retention / 2;
+    const Time readAt = this->checkpointReadAt.value_or(
+            this->firstRecordReadAt.value_or(this->context.started));
+    Time due = readAt + half;
+    const bool oldByOffset = this->firstKept > 0
+                             && this->covered < this->firstKept + (this->end - this->firstKept) / 2;
+    if (oldByOffset) {
+        due = std::min(due, std::max(readAt, this->context.started));
+    }
+    // Seconds of the random wait differ between processes and between checkpoints.
+    const auto spread =
+            static_cast<std::uint64_t>(this->context.timings().checkpointSpread.count());
+    const Duration wait(static_cast<Duration::rep>(
+            hashPair(this->context.settings.incarnation, this->covered) % spread));
+    return due + wait;
+}
+
+void LogFollower::step(Time now)
+{
+    if (now < this->nextDue(now)) {
+        return;
+    }
+    for (const wire::Checkpoint &part : this->context.state.makeCheckpoint()) {
+        wire::LogRecord record;
+        *record.mutable_checkpoint() = part;
+        const AppendKey key{record.body_case(), 0, part.part()};
+        this->context.outbox.append(key, record, repeatCheckpoint, now);
+    }
+}
+
+Time LogFollower::nextDue(Time now) const
+{
+    const Time due = this->checkpointDue();
+    if (due == never) {
+        return never;
+    }
+    const AppendKey key{wire::LogRecord::kCheckpoint, 0, 0};
+    const Time repeat = this->context.outbox.appendDue(key, repeatCheckpoint);
+    return std::max({due, repeat, now < due ? due : now});
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/ownership/membership.cpp
@@ -0,0 +1,339 @@
+// Sections: following the state, joining, peers, leaving, requested records.
+#include "ownership/membership.h"
+
+#include "ownership/peer_choice.h"
+
+#include <algorithm>
+#include <set>
+
+namespace kumquat {
+
+namespace {
+
+constexpr Duration peerCheckEvery = 500ms; // between looks for peers to replace
+constexpr Duration peerGrowth = 2s;        // a new peer set is kept at least this long
+
+} // namespace
+
+// ---- following the state ----
+
+void Membership::update(const ApplyResult &result, Time now)
+{
+    const Session *newest = this->context.state.findNode(this->context.settings.node);
+    if (newest == nullptr) {
+        return;
+    }
+    const bool lost = std::find(result.ended.begin(), result.ended.end(), this->lastOwn)
+                      != result.ended.end();
+    if (this->context.isOwn(*newest)) {
+        this->lastOwn = newest->id;
+    } else if (this->lastOwn != 0 && newest->id > this->lastOwn) {
+        this->superseded = true;
+    }
+    // A session that is fenced at once meets a fault that a quick Join would meet again.
+    const Duration delay = this->context.timings().rejoinDelay;
+    if (lost && newest->ended && now < this->lease.sessionReadAt() + delay) {
+        this->joinNotBefore = now + delay;
+    }
+}
+
+// ---- joining ----
+
+void Membership::setUpstream(const std::optional<UpstreamInfo> &info)
+{
+    this->upstream = info;
+}
+
+Time Membership::joinDue() const
+{
+    Time due = this->joinNotBefore;
+    if (!this->upstream) {
+        due = std::max(due, this->context.started + this->context.timings().joinWithoutUpstream);
+    }
+    return due;
+}
+
+// Returns whether the state lacks a session of this process with its present upstream.
+bool Membership::wantsJoin(Time now) const
+{
+    if (this->draining || this->superseded || !this->context.caughtUp || now < this->joinDue()) {
+        return false;
+    }
+    const Session *own = this->context.ownSession();
+    const UpstreamInfo wanted = this->upstream.value_or(UpstreamInfo());
+    return own == nullptr || own->service != wanted.service
+           || own->checksGrants != wanted.checksGrants;
+}
+
+void Membership::join(Time now)
+{
+    if (!this->wantsJoin(now)) {
+        return;
+    }
+    const EngineSettings &settings = this->context.settings;
+    const Session *newest = this->context.state.findNode(settings.node);
+    const UpstreamInfo wanted = this->upstream.value_or(UpstreamInfo());
+    wire::LogRecord record;
+    wire::Join &join = *record.mutable_join();
+    join.set_node(settings.node);
+    join.set_incarnation(settings.incarnation);
+    join.set_supersedes(newest == nullptr ? 0 : newest->id);
+    join.set_mesh_address(settings.meshAddress);
+    join.set_caller_address(settings.callerAddress);
+    join.set_admin_address(settings.adminAddress);
+    join.set_region(settings.region);
+    join.set_data_centre(settings.dataCentre);
+    join.set_service(wanted.service);
+    join.set_checks_grants(wanted.checksGrants);
+    const PeerQuery query{settings.node, settings.region, settings.dataCentre, {}, {}};
+    for (const std::string &peer : choosePeers(this->context.state, query)) {
+        join.add_peers(peer);
+    }
+    const AppendKey key{record.body_case(), join.supersedes(), hashBytes(wanted.service)};
+    if (this->context.append(key, record, now) && !this->joinedAt) {
+        this->joinedAt = now;
+    }
+}
+
+// ---- peers ----
+
+// Replaces peers that do not answer, and fills a set that is smaller or nearer than it could be.
+void Membership::replacePeers(Time now)
+{
+    const Session *own = this->context.ownSession();
+    if (own == nullptr || !this->context.answering || now < this->nextPeerCheck) {
+        return;
+    }
+    this->nextPeerCheck = now + peerCheckEvery;
+    if (now < this->lease.peersReadAt() + peerGrowth) {
+        return;
+    }
+    const std::vector<std::string> &current = own->peerSets.back().peers;
+    PeerQuery query{own->node, own->region, own->dataCentre, {}, {}};
+    std::vector<std::string> silent;
+    for (const std::string &peer : current) {
+        const Time heard = std::max(this->lease.answeredAt(peer), this->context.resumed);
+        if (now >= heard + this->context.timings().peerSilence) {
+            query.avoid.insert(peer);
+            silent.push_back(peer);
+        } else {
+            query.keep.push_back(peer);
+        }
+    }
+    std::vector<std::string> chosen = choosePeers(this->context.state, query);
+    // A silent peer whose session goes on may only be cut off from here. It stays if there is none
+    // better, because a set without peers could never be released.
+    for (const std::string &peer : silent) {
+        const Session *session = this->context.state.findNode(peer);
+        if (chosen.size() < current.size() && session != nullptr && !session->ended) {
+            chosen.push_back(peer);
+        }
+    }
+    const auto isFar = [this, own](const std::string &peer) {
+        const Session *session = this->context.state.findNode(peer);
+        return session != nullptr && session->dataCentre != own->dataCentre;
+    };
+    const std::set<std::string> before(current.begin(), current.end());
+    const std::set<std::string> after(chosen.begin(), chosen.end());
+    const bool dropsSilent = std::any_of(silent.begin(), silent.end(), [&after](const auto &peer) {
+        return after.count(peer) == 0;
+    });
+    const bool spreads = std::count_if(chosen.begin(), chosen.end(), isFar)
+                         > std::count_if(current.begin(), current.end(), isFar);
+    if (before == after || !(dropsSilent || spreads || chosen.size() > current.size())) {
+        return;
+    }
+    wire::LogRecord record;
+    wire::Peers &peers = *record.mutable_peers();
+    peers.set_session(own->id);
+    peers.set_generation(own->generation + 1);
+    for (const std::string &peer : chosen) {
+        peers.add_peers(peer);
+    }
+    this->context.append({record.body_case(), own->id, peers.generation()}, record, now);
+}
+
+// ---- leaving ----
+
+bool Membership::hasStoppedOwn(SessionId id, Time now) const
+{
+    const Session *session = this->context.state.findSession(id);
+    if (session == nullptr || session->node != this->context.settings.node || !session->ended) {
+        return false;
+    }
+    if (!this->context.isOwn(*session)) {
+        return this->context.hasWaited(now);
+    }
+    // Every request was dispatched with an expiry within the session's last lease.
+    return now >= this->lease.finalLeaseEnd(id)
+           || (this->handover.isDone() && !this->context.hooks.hasAnyInFlight(session->service));
+}
+
+// Appends Released for sessions of this node that have stopped.
+void Membership::releaseOwn(Time now)
+{
+    if (!this->context.caughtUp) {
+        return;
+    }
+    for (const auto &[id, session] : this->context.state.allSessions()) {
+        if (session.node != this->context.settings.node || session.released
+            || !this->hasStoppedOwn(id, now)) {
+            continue;
+        }
+        // While draining the new owners need the remembered requests before the session is over.
+        if (this->draining && id == this->lastOwn && !this->handover.isDone()) {
+            continue;
+        }
+        wire::LogRecord record;
+        record.mutable_released()->set_session(id);
+        this->context.append({record.body_case(), id, 0}, record, now);
+    }
+}
+
+void Membership::requestDrain(Time now)
+{
+    if (!this->draining) {
+        this->draining = true;
+        this->drainStart = now;
+    }
+}
+
+bool Membership::refusesRequests(Time now) const
+{
+    return this->draining
+           && (!this->context.answering
+               || now >= this->drainStart + this->context.timings().drainServe);
+}
+
+void Membership::drain(Time now)
+{
+    if (!this->draining || this->drained) {
+        return;
+    }
+    if (now >= this->drainStart + this->context.timings().drainLimit) {
+        this->drained = true;
+        return;
+    }
+    const Session *own = this->context.ownSession();
+    if (own != nullptr) {
+        wire::LogRecord record;
+        record.mutable_leave()->set_session(own->id);
+        this->context.append({record.body_case(), own->id, 0}, record, now);
+        return;
+    }
+    if (this->joinedAt && this->lastOwn == 0) {
+        return; // a Join may still take effect
+    }
+    const Session *last = this->context.state.findSession(this->lastOwn);
+    const bool busy = last != nullptr && this->context.hooks.hasAnyInFlight(last->service);
+    this->drained = !busy && this->handover.isDone()
+                    && (last == nullptr || last->released || this->superseded);
+}
+
+// ---- requested records ----
+
+void Membership::requestMove(const std::vector<Slot> &slots, SessionId target, Time now)
+{
+    const Session *own = this->context.ownSession();
+    const Session *to = this->context.state.findSession(target);
+    if (own == nullptr || own->service.empty() || to == nullptr || to->ended || to == own
+        || to->service != own->service || now >= this->lease.leaseEnd(now)) {
+        return;
+    }
+    // Settled and unsettled slots go in separate records, because the flag covers all slots.
+    for (const bool settled : {true, false}) {
+        wire::LogRecord record;
+        wire::Move &move = *record.mutable_move();
+        move.set_service(own->service);
+        move.set_from_session(own->id);
+        move.set_to_session(target);
+        move.set_settled(settled);
+        std::uint64_t mix = settled ? 1 : 0;
+        for (const Slot slot : slots) {
+            const SlotState *state = this->context.state.findSlot(own->service, slot);
+            if (state != nullptr && state->owner == own->id
+                && this->takeover.isSettled(slot, state->epoch) == settled) {
+                wire::SlotEpoch &moved = *move.add_slots();
+                moved.set_slot(slot);
+                moved.set_epoch(state->epoch);
+                mix = hashPair(mix, hashPair(slot, state->epoch));
+            }
+        }
+        if (move.slots_size() > 0) {
+            this->context.append({record.body_case(), target, mix}, record, now);
+        }
+    }
+}
+
+// Bind and Unbind tell all processes that the slot's predecessors have stopped, so both need a
+// settled slot.
+void Membership::requestBind(std::uint64_t keyHash, Time now)
+{
+    const Session *own = this->context.ownSession();
+    if (own == nullptr || own->service.empty()) {
+        return;
+    }
+    const auto view = this->context.state.find(own->service, keyHash);
+    const auto free = this->context.state.findFreeDedicatedSlot(own->service);
+    if (!view || !free || view->slot >= this->context.settings.layout.hashed
+        || view->state->owner != own->id
+        || !this->takeover.isSettled(view->slot, view->state->epoch)) {
+        return;
+    }
+    wire::LogRecord record;
+    wire::Bind &bind = *record.mutable_bind();
+    bind.set_service(own->service);
+    bind.set_key_hash(keyHash);
+    bind.set_dedicated_slot(*free);
+    bind.set_epoch(view->state->epoch);
+    bind.set_session(own->id);
+    this->context.append({record.body_case(), keyHash, bind.epoch()}, record, now);
+}
+
+void Membership::requestUnbind(std::uint64_t keyHash, Time now)
+{
+    const Session *own = this->context.ownSession();
+    if (own == nullptr || own->service.empty()) {
+        return;
+    }
+    const auto view = this->context.state.find(own->service, keyHash);
+    if (!view || view->slot < this->context.settings.layout.hashed || view->state->owner != own->id
+        || !this->takeover.isSettled(view->slot, view->state->epoch)
+        || this->context.state
+                           .findSlot(own->service, this->context.settings.layout.slotOf(keyHash))
+                           ->owner
+                   != own->id) {
+        return;
+    }
+    wire::LogRecord record;
+    wire::Unbind &unbind = *record.mutable_unbind();
+    unbind.set_service(own->service);
+    unbind.set_dedicated_slot(view->slot);
+    unbind.set_epoch(view->state->epoch);
+    unbind.set_session(own->id);
+    this->context.append({record.body_case(), keyHash, unbind.epoch()}, record, now);
+}
+
+// ---- steps ----
+
+void Membership::step(Time now)
+{
+    this->join(now);
+    this->replacePeers(now);
+    this->releaseOwn(now);
+    this->drain(now);
+}
+
+Time Membership::nextDue(Time now) const
+{
+    Time due = this->nextPeerCheck > now ? this->nextPeerCheck : now + peerCheckEvery;
+    if (this->draining) {
+        return std::min(due, now + this->context.timings().fenceBatch);
+    }
+    if (this->joinDue() > now) {
+        due = std::min(due, this->joinDue());
+    }
+    return due;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/ownership/owner_lease.cpp
@@ -0,0 +1,253 @@
+#include "ownership/owner_lease.h"
+
+#include <set>
+#include <vector>
+
+namespace kumquat {
+
+namespace {
+
+// Rounds whose sending time is kept: at 100 ms apart they cover more than a lease.
+constexpr std::size_t keptRounds = 16;
+
+} // namespace
+
+void OwnerLease::update(Time now)
+{
+    const Session *own = this->context.ownSession();
+    if (this->session != 0 && (own == nullptr || own->id != this->session)) {
+        this->end(now);
+    }
+    if (own == nullptr) {
+        return;
+    }
+    if (this->session == 0) {
+        this->begin(*own, now);
+    }
+    if (own->generation != this->generation) {
+        this->generation = own->generation;
+        this->peersChangedAt = now;
+        this->nextRound = now;
+    }
+    std::set<std::string> current;
+    for (const PeerSet &set : own->peerSets) {
+        for (const std::string &peer : set.peers) {
+            current.insert(peer);
+            this->replaced.erase(peer);
+            if (this->links.count(peer) == 0) {
+                Link link;
+                link.asked = now;
+                link.answered = now;
+                this->links.emplace(peer, link);
+            }
+        }
+    }
+    for (auto link = this->links.begin(); link != this->links.end();) {
+        if (current.count(link->first) != 0) {
+            ++link;
+            continue;
+        }
+        this->replaced[link->first] = now + this->context.timings().keepOldPeers;
+        link = this->links.erase(link);
+    }
+    this->refreshLease();
+}
+
+void OwnerLease::begin(const Session &own, Time now)
+{
+    this->session = own.id;
+    this->beganAt = now;
+    this->peersChangedAt = now;
+    this->generation = own.generation;
+    this->minGeneration = 0;
+    this->sent.clear();
+    this->links.clear();
+    this->replaced.clear();
+    this->nextRound = now;
+}
+
+void OwnerLease::end(Time now)
+{
+    this->finalEnds[this->session] = this->leaseEnd(now);
+    this->session = 0;
+    this->links.clear();
+    this->replaced.clear();
+    this->refreshLease();
+    while (this->finalEnds.size() > 64) { // far more sessions than can end within one lease
+        this->finalEnds.erase(this->finalEnds.begin());
+    }
+}
+
+void OwnerLease::onGrant(const std::string &from, const wire::Grant &grant, Time now)
+{
+    const auto link = this->links.find(from);
+    if (grant.session() != this->session || link == this->links.end()) {
+        return;
+    }
+    link->second.answered = now;
+    link->second.incarnation = grant.incarnation();
+    for (const auto &[sequenceSent, sentAt] : this->sent) {
+        if (sequenceSent != grant.sequence()) {
+            continue;
+        }
+        const Time from0 = this->context.guards().leaseFromSending ? sentAt : now;
+        link->second.grantedFrom = std::max(link->second.grantedFrom, from0);
+    }
+    this->refreshLease();
+}
+
+void OwnerLease::setJournalComplete(const std::string &peer, std::uint64_t incarnation)
+{
+    const auto link = this->links.find(peer);
+    if (link != this->links.end()) {
+        link->second.journalIncarnation = incarnation;
+    }
+}
+
+// The lease counts from the oldest renewal that a majority of one set has granted.
+void OwnerLease::refreshLease()
+{
+    this->unlimited = false;
+    this->until = longAgo;
+    const Session *own = this->context.state.findSession(this->session);
+    if (this->session == 0 || own == nullptr) {
+        return;
+    }
+    for (const PeerSet &set : own->peerSets) {
+        if (set.generation < this->minGeneration) {
+            continue;
+        }
+        if (set.peers.empty()) {
+            this->unlimited = true;
+            continue;
+        }
+        std::vector<Time> granted;
+        for (const std::string &peer : set.peers) {
+            granted.push_back(this->links.at(peer).grantedFrom);
+        }
+        std::sort(granted.rbegin(), granted.rend());
+        const Time from = granted[majorityOf(granted.size()) - 1];
+        this->until = std::max(this->until, from + this->context.ownerLease());
+    }
+}
+
+Time OwnerLease::leaseEnd(Time now) const
+{
+    return this->unlimited ? now + this->context.ownerLease() : this->until;
+}
+
+Time OwnerLease::finalLeaseEnd(SessionId ended) const
+{
+    const auto found = this->finalEnds.find(ended);
+    return found == this->finalEnds.end() ? never : found->second;
+}
+
+Time OwnerLease::answeredAt(const std::string &peer) const
+{
+    const auto link = this->links.find(peer);
+    return link == this->links.end() ? longAgo : link->second.answered;
+}
+
+std::uint64_t OwnerLease::incarnationOf(const std::string &peer) const
+{
+    const auto link = this->links.find(peer);
+    return link == this->links.end() ? 0 : link->second.incarnation;
+}
+
+bool OwnerLease::isJournalComplete(const std::string &peer) const
+{
+    const auto link = this->links.find(peer);
+    return link != this->links.end() && link->second.incarnation != 0
+           && link->second.incarnation == link->second.journalIncarnation;
+}
+
+void OwnerLease::step(Time now)
+{
+    if (this->session == 0) {
+        return;
+    }
+    if (now >= this->nextRound) {
+        this->sendRound(now);
+    }
+    this->settlePeers(now);
+}
+
+void OwnerLease::sendRound(Time now)
+{
+    const bool leased = now < this->leaseEnd(now);
+    const LeaseTimings &timings = this->context.timings();
+    this->nextRound = now + (leased ? timings.renewEvery : timings.firstRenewal);
+    // A session that has lost its lease for long returns to the usual pace: its peers are gone.
+    if (!leased && now > this->peersChangedAt + timings.peerSilence) {
+        this->nextRound = now + timings.renewEvery;
+    }
+    ++this->sequence;
+    this->sent.emplace_back(this->sequence, now);
+    if (this->sent.size() > keptRounds) {
+        this->sent.pop_front();
+    }
+    std::erase_if(this->replaced, [now](const auto &entry) { return entry.second < now; });
+    std::set<std::string> targets;
+    for (const auto &[peer, link] : this->links) {
+        targets.insert(peer);
+    }
+    for (const auto &[peer, last] : this->replaced) {
+        targets.insert(peer);
+    }
+    for (const std::string &peer : targets) {
+        wire::MeshMessage message;
+        wire::Renew &renew = *message.mutable_renew();
+        renew.set_session(this->session);
+        renew.set_sequence(this->sequence);
+        renew.set_log_offset(this->context.state.nextOffset());
+        this->context.send(peer, std::move(message));
+    }
+}
+
+// A set can be used alone when a majority of it grants and holds the complete journal.
+bool OwnerLease::isUsable(const PeerSet &set, Time now) const
+{
+    std::size_t usable = 0;
+    for (const std::string &peer : set.peers) {
+        const Link &link = this->links.at(peer);
+        if (now < link.grantedFrom + this->context.ownerLease() && this->isJournalComplete(peer)) {
+            ++usable;
+        }
+    }
+    return set.peers.empty() || usable >= majorityOf(set.peers.size());
+}
+
+// Older sets stop counting before the record is appended for the first time, because others may
+// read it before this process does.
+void OwnerLease::settlePeers(Time now)
+{
+    const Session *own = this->context.state.findSession(this->session);
+    if (own == nullptr || own->peerSets.size() < 2 || !this->context.answering
+        || (own->generation > this->minGeneration && !this->isUsable(own->peerSets.back(), now))) {
+        return;
+    }
+    wire::LogRecord record;
+    record.mutable_peers_settled()->set_session(this->session);
+    record.mutable_peers_settled()->set_generation(own->generation);
+    const AppendKey key{record.body_case(), this->session, own->generation};
+    if (this->context.append(key, record, now)) {
+        this->minGeneration = own->generation;
+        this->refreshLease();
+    }
+}
+
+Time OwnerLease::nextDue(Time now) const
+{
+    if (this->session == 0) {
+        return never;
+    }
+    const Session *own = this->context.state.findSession(this->session);
+    Time due = this->nextRound;
+    if (own != nullptr && own->peerSets.size() > 1 && this->isUsable(own->peerSets.back(), now)) {
+        const AppendKey key{wire::LogRecord::kPeersSettled, this->session, own->generation};
+        due = std::min(due, this->context.appendDue(key));
+    }
+    return due;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/ownership/takeover.cpp
@@ -0,0 +1,359 @@
+// Sections: following the state, proof, messages, requests.
+#include "ownership/takeover.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+constexpr std::size_t handoverLimit = 65'536; // handovers kept before their record is read
+constexpr Duration sweepEvery = 2s;           // between looks for unreleased predecessors
+
+} // namespace
+
+// ---- following the state ----
+
+void Takeover::update(const ApplyResult &result, Time now)
+{
+    const Session *session = this->context.ownSession();
+    const SessionId current = session == nullptr ? 0 : session->id;
+    if (current != this->own) {
+        this->updateAll(now);
+        return;
+    }
+    for (const ServiceChange &change : result.moved) {
+        for (const SlotChange &slot : change.slots) {
+            this->followSlot(change.service, slot.slot, now);
+        }
+    }
+    if (result.released != 0) {
+        this->proofs.erase(result.released);
+        this->settle(now);
+    }
+    if (!result.moved.empty()) {
+        this->settle(now);
+    }
+}
+
+void Takeover::updateAll(Time now)
+{
+    const Session *session = this->context.ownSession();
+    this->own = session == nullptr ? 0 : session->id;
+    this->service = session == nullptr ? "" : session->service;
+    this->settled.assign(this->context.settings.layout.count(), 0);
+    this->unsettled.clear();
+    for (Slot slot = 0; slot < this->settled.size() && !this->service.empty(); ++slot) {
+        this->followSlot(this->service, slot, now);
+    }
+    this->settle(now);
+}
+
+void Takeover::followSlot(const std::string &changed, Slot slot, Time now)
+{
+    if (this->own == 0 || changed != this->service) {
+        return;
+    }
+    const SlotState *state = this->context.state.findSlot(this->service, slot);
+    this->settled[slot] = 0;
+    this->unsettled.erase(slot);
+    if (state->owner == this->own) {
+        this->unsettled.insert(slot);
+        // Proof is asked for at once, because the record has just been read.
+        for (const Predecessor &predecessor : state->predecessors) {
+            this->proofs[predecessor.session].asked = std::min(
+                    this->proofs[predecessor.session].asked, now - this->context.timings().resend);
+        }
+        return;
+    }
+    const auto first = this->handovers.lower_bound({slot, 0, 0});
+    const auto last = this->handovers.lower_bound({slot + 1, 0, 0});
+    this->handovers.erase(first, last);
+}
+
+// ---- proof ----
+
+bool Takeover::hasStopped(Slot slot, const Predecessor &predecessor, Time now)
+{
+    if (predecessor.session == this->own
+        || this->handovers.count({slot, predecessor.session, predecessor.epoch}) != 0) {
+        return true;
+    }
+    const Session *session = this->context.state.findSession(predecessor.session);
+    if (session == nullptr || session->released) {
+        return true;
+    }
+    Proof &proof = this->proofs[predecessor.session];
+    return proof.complete || this->isProven(*session, proof, now);
+}
+
+// Returns whether the session's own node or a majority of each of its peer sets since the last
+// settled one has released it. A set without peers has no majority.
+bool Takeover::isProven(const Session &session, Proof &proof, Time now)
+{
+    if (!session.ended || proof.checked == this->pass) {
+        return false;
+    }
+    proof.checked = this->pass;
+    const std::string &self = this->context.settings.node;
+    if (session.node == self) {
+        if (this->hasStoppedOwn(session.id, now)) {
+            proof.releasedBy.insert(self);
+        }
+    } else if (this->tryRelease(session.id, now)) {
+        proof.releasedBy.insert(self);
+    }
+    bool enough = true;
+    for (const PeerSet &set : session.peerSets) {
+        if (!this->context.guards().allPeerSets && &set != &session.peerSets.back()) {
+            continue;
+        }
+        const auto released =
+                std::count_if(set.peers.begin(), set.peers.end(), [&proof](const auto &peer) {
+                    return proof.releasedBy.count(peer) != 0;
+                });
+        enough = enough && static_cast<std::size_t>(released) >= majorityOf(set.peers.size());
+    }
+    proof.complete = enough || proof.releasedBy.count(session.node) != 0;
+    proof.completeAt = now;
+    return proof.complete;
+}
+
+bool Takeover::trySettle(Slot slot, Time now)
+{
+    const SlotState &state = *this->context.state.findSlot(this->service, slot);
+    const auto &list = state.predecessors;
+    for (const Predecessor &predecessor : list) {
+        const bool counts = this->context.guards().allPredecessors || &predecessor == &list.back();
+        if (counts && !this->hasStopped(slot, predecessor, now)) {
+            return false;
+        }
+    }
+    this->settled[slot] = state.epoch;
+    return true;
+}
+
+void Takeover::settle(Time now)
+{
+    ++this->pass;
+    std::erase_if(this->unsettled, [this, now](Slot slot) { return this->trySettle(slot, now); });
+}
+
+std::vector<SessionId> Takeover::journalSessions(Slot slot) const
+{
+    std::vector<SessionId> sessions;
+    const SlotState *state = this->context.state.findSlot(this->service, slot);
+    if (state == nullptr) {
+        return sessions;
+    }
+    const auto add = [this, slot, &sessions](SessionId id) {
+        const auto handover = this->handovers.lower_bound({slot, id, 0});
+        const bool handedOver = handover != this->handovers.end() && handover->slot == slot
+                                && handover->session == id;
+        const bool known = std::find(sessions.begin(), sessions.end(), id) != sessions.end();
+        if (id != 0 && id != this->own && !handedOver && !known) {
+            sessions.push_back(id);
+        }
+    };
+    for (const SessionId id : state->lineage) {
+        add(id);
+    }
+    for (const Predecessor &predecessor : state->predecessors) {
+        add(predecessor.session);
+    }
+    return sessions;
+}
+
+// ---- messages ----
+
+void Takeover::onReleaseReply(const std::string &from, const wire::ReleaseReply &reply, Time now)
+{
+    const auto proof = this->proofs.find(reply.session());
+    if (proof == this->proofs.end() || !reply.released()) {
+        return;
+    }
+    proof->second.releasedBy.insert(from);
+    ++this->pass;
+    const Session *session = this->context.state.findSession(reply.session());
+    if (session != nullptr && !proof->second.complete
+        && this->isProven(*session, proof->second, now)) {
+        this->settle(now);
+    }
+}
+
+// A handover may come before this process has read that it owns the slots, so it is kept. Slots
+// beyond the last one number the parts of a transfer that come before the slot itself.
+void Takeover::onHandover(const std::string &from, const wire::Handover &handover, Time now)
+{
+    if (handover.service() != this->service || this->own == 0
+        || this->handovers.size() > handoverLimit) {
+        return;
+    }
+    this->context.hooks.importRemembered(this->service,
+                                         {handover.requests().begin(), handover.requests().end()});
+    wire::MeshMessage message;
+    wire::HandoverAck &ack = *message.mutable_handover_ack();
+    ack.set_service(this->service);
+    ack.set_session(handover.session());
+    for (const wire::OwnedSlot &slot : handover.slots()) {
+        *ack.add_slots() = slot;
+        if (slot.slot() < this->settled.size()) {
+            this->handovers.insert({slot.slot(), handover.session(), slot.epoch()});
+        }
+    }
+    this->context.send(from, std::move(message));
+    this->settle(now);
+}
+
+// ---- requests ----
+
+// Returns the sessions that keep own slots from being settled.
+std::set<SessionId> Takeover::findUnproven(Time now)
+{
+    std::set<SessionId> sessions;
+    for (const Slot slot : this->unsettled) {
+        for (const Predecessor &predecessor :
+             this->context.state.findSlot(this->service, slot)->predecessors) {
+            if (sessions.count(predecessor.session) == 0
+                && !this->hasStopped(slot, predecessor, now)) {
+                sessions.insert(predecessor.session);
+            }
+        }
+    }
+    return sessions;
+}
+
+void Takeover::askReleases(const Session &session, Proof &proof)
+{
+    std::set<std::string> targets{session.node};
+    for (const PeerSet &set : session.peerSets) {
+        targets.insert(set.peers.begin(), set.peers.end());
+    }
+    for (const std::string &target : targets) {
+        if (proof.releasedBy.count(target) == 0) {
+            wire::MeshMessage message;
+            message.mutable_release_request()->set_session(session.id);
+            this->context.send(target, std::move(message));
+        }
+    }
+}
+
+void Takeover::askHandovers(const Session &session, Proof &proof)
+{
+    wire::MeshMessage message;
+    wire::HandoverRequest &request = *message.mutable_handover_request();
+    request.set_service(this->service);
+    request.set_session(session.id);
+    for (const Slot slot : this->unsettled) {
+        for (const Predecessor &predecessor :
+             this->context.state.findSlot(this->service, slot)->predecessors) {
+            const HandoverKey key{slot, predecessor.session, predecessor.epoch};
+            if (predecessor.session == session.id && this->handovers.count(key) == 0) {
+                wire::OwnedSlot &wanted = *request.add_slots();
+                wanted.set_slot(slot);
+                wanted.set_epoch(predecessor.epoch);
+            }
+        }
+    }
+    if (request.slots_size() > 0 && !proof.complete) {
+        this->context.send(session.node, std::move(message));
+    }
+}
+
+// All new owners of an ended session's slots gain the same proof. Their appends are spread, so that
+// the first one spares the others.
+void Takeover::appendReleased(Time now)
+{
+    const auto spread = this->context.timings().releasedSpread.count();
+    for (auto &[id, proof] : this->proofs) {
+        const Session *session = this->context.state.findSession(id);
+        if (!proof.complete || session == nullptr || !session->ended || session->released) {
+            continue;
+        }
+        const Duration wait(static_cast<Duration::rep>(hashPair(this->own, id)
+                                                       % static_cast<std::uint64_t>(spread)));
+        wire::LogRecord record;
+        record.mutable_released()->set_session(id);
+        if (now >= proof.completeAt + wait) {
+            this->context.append({record.body_case(), id, 0}, record, now);
+        }
+    }
+}
+
+// Sessions whose slots were handed over may have died before they appended Released.
+void Takeover::askUnreleased(Time now)
+{
+    this->nextSweep = now + sweepEvery;
+    ++this->pass;
+    std::erase_if(this->handovers, [this](const HandoverKey &key) {
+        const SlotState *slot = this->context.state.findSlot(this->service, key.slot);
+        return slot->owner != this->own;
+    });
+    std::set<SessionId> sessions;
+    for (const SlotState &slot : this->context.state.findService(this->service)->slots) {
+        for (const Predecessor &predecessor : slot.predecessors) {
+            if (slot.owner == this->own) {
+                sessions.insert(predecessor.session);
+            }
+        }
+    }
+    for (const SessionId id : sessions) {
+        const Session *session = this->context.state.findSession(id);
+        Proof &proof = this->proofs[id];
+        if (session->ended && !proof.complete && !this->isProven(*session, proof, now)
+            && now >= proof.asked + this->context.timings().resend) {
+            proof.asked = now;
+            this->askReleases(*session, proof);
+        }
+    }
+    std::erase_if(this->proofs,
+                  [&sessions](const auto &entry) { return sessions.count(entry.first) == 0; });
+}
+
+void Takeover::step(Time now)
+{
+    if (this->own == 0 || this->service.empty()) {
+        return;
+    }
+    if (!this->unsettled.empty()) {
+        this->settle(now);
+        for (const SessionId id : this->findUnproven(now)) {
+            const Session *session = this->context.state.findSession(id);
+            Proof &proof = this->proofs[id];
+            if (now < proof.asked + this->context.timings().resend) {
+                continue;
+            }
+            proof.asked = now;
+            if (session->ended) {
+                this->askReleases(*session, proof);
+            }
+            this->askHandovers(*session, proof);
+        }
+    }
+    if (now >= this->nextSweep) {
+        this->askUnreleased(now);
+    }
+    this->appendReleased(now);
+}
+
+Time Takeover::nextDue(Time now) const
+{
+    if (this->own == 0 || this->service.empty()) {
+        return never;
+    }
+    Time due = this->nextSweep;
+    // Own releases and stopped own sessions become true by time alone, so unsettled slots are
+    // looked at often.
+    if (!this->unsettled.empty()) {
+        due = std::min(due, now + this->context.timings().fenceBatch);
+    }
+    for (const auto &[id, proof] : this->proofs) {
+        const Session *session = this->context.state.findSession(id);
+        if (proof.complete && session != nullptr && session->ended && !session->released) {
+            due = std::min(due, now + this->context.timings().fenceStagger);
+        }
+    }
+    return due;
+}
+
+} // namespace kumquat
