--- /dev/null
+++ b/packages/ownership/tests/harness.cpp
@@ -0,0 +1,502 @@
+// Sections: time and random numbers, processes, faults, mesh, log, calls, findings.
+#include "harness.h"
+
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
+namespace kumquat::test {
+
+namespace {
+
+constexpr Duration meshDelay = 3ms;   // longest usual delay of a message
+constexpr Duration logDelay = 30ms;   // longest usual delay to or from the log
+constexpr Duration holdPoll = 400ms;  // of the log's long poll
+constexpr Duration retryPoll = 100ms; // after a poll that was not answered
+constexpr SlotLayout layout{World::keys, 2};
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+// ---- time and random numbers ----
+
+World::World(Schedule wanted, WorldOptions chosen)
+    : schedule(std::move(wanted))
+    , options(chosen)
+    , state(this->schedule.seed * 2 + 1)
+{
+    this->nodes.resize(static_cast<std::size_t>(this->schedule.nodes));
+    this->servedTimes.resize(keys);
+    for (int node = 0; node < this->schedule.nodes; ++node) {
+        Node &entry = this->nodes[static_cast<std::size_t>(node)];
+        // Rates at the very bounds are the hardest case, so half of the clocks have one.
+        const double spread = this->random() < 0.5 ? (this->random() < 0.5 ? -1.0 : 1.0)
+                                                   : 2.0 * this->random() - 1.0;
+        entry.rate = this->options.drift ? 1.0 + 0.0099 * spread : 1.0;
+        entry.offset = this->randomUpTo(1000s);
+        this->at(this->randomUpTo(50ms), [this, node] { this->start(node); });
+        for (int key = 0; key < keys; ++key) {
+            this->at(this->randomUpTo(this->options.calls),
+                     [this, node, key] { this->call(node, key); });
+        }
+    }
+    for (const Fault &fault : this->schedule.faults) {
+        this->at(fault.at, [this, fault] { this->inject(fault); });
+    }
+}
+
+double World::random()
+{
+    this->state += 0x9e3779b97f4a7c15;
+    return static_cast<double>(hashPair(this->state, 1) >> 11) / 9007199254740992.0; // 2^53
+}
+
+Duration World::randomUpTo(Duration limit)
+{
+    return Duration(
+            static_cast<Duration::rep>(this->random() * static_cast<double>(limit.count())));
+}
+
+Duration World::localTime(int node, Duration real) const
+{
+    const Node &entry = this->nodes.at(static_cast<std::size_t>(node));
+    return entry.offset
+           + Duration(static_cast<Duration::rep>(static_cast<double>(real.count()) * entry.rate));
+}
+
+void World::at(Duration when, std::function<void()> act)
+{
+    this->events.push({std::max(when, this->now), ++this->orders, std::move(act)});
+}
+
+void World::run()
+{
+    while (!this->events.empty() && this->events.top().at <= this->options.length) {
+        const Event event = this->events.top();
+        this->events.pop();
+        this->now = event.at;
+        event.act();
+    }
+}
+
+// ---- processes ----
+
+EngineSettings World::settingsOf(int node, std::uint64_t incarnation, const WorldOptions &options)
+{
+    EngineSettings settings;
+    settings.node = nodeName(node);
+    settings.incarnation = incarnation;
+    settings.meshAddress = "127.0.0.1:" + std::to_string(7000 + node);
+    settings.region = "r1";
+    settings.dataCentre = "d" + std::to_string(node % options.dataCentres);
+    settings.layout = layout;
+    settings.guards = options.guards;
+    return settings;
+}
+
+void World::start(int node)
+{
+    Node &entry = this->nodes[static_cast<std::size_t>(node)];
+    if (entry.engine != nullptr) {
+        return;
+    }
+    ++entry.life;
+    entry.incarnation = hashPair(static_cast<std::uint64_t>(node) + 1, entry.life) | 1;
+    entry.waiting.clear();
+    entry.running.clear();
+    entry.drained = false;
+    entry.pausedUntil = Duration(0);
+    EngineHooks hooks;
+    const auto busy = [this, node](const std::function<bool(int)> &matches) {
+        const Node &self = this->nodes[static_cast<std::size_t>(node)];
+        return std::any_of(self.running.begin(), self.running.end(), [&](const Run &run) {
+            return run.until > this->now && matches(run.key);
+        });
+    };
+    hooks.hasInFlight = [busy](const SlotKeys &slotKeys) {
+        return busy([&slotKeys](int key) { return slotKeys.contains(keyHash(key)); });
+    };
+    hooks.hasAnyInFlight = [busy](const std::string &) { return busy([](int) { return true; }); };
+    hooks.remembered = [](const SlotKeys &) { return std::vector<wire::RememberedRequest>(); };
+    hooks.importRemembered = [](const std::string &, const auto &) {};
+    entry.engine = OwnershipEngine::create(settingsOf(node, entry.incarnation, this->options),
+                                           std::move(hooks))
+                           .value();
+    const Time local = this->localTime(node, this->now);
+    this->record(node, local, [&entry, node](wire::TraceEvent &event) {
+        event.mutable_start()->set_node(nodeName(node));
+        event.mutable_start()->set_incarnation(entry.incarnation);
+    });
+    entry.engine->start(local);
+    this->input(node, [](OwnershipEngine &engine, Time time) {
+        engine.setUpstream(UpstreamInfo{std::string(service), true}, time);
+    });
+    this->poll(node);
+    this->scheduleTick(node);
+}
+
+void World::stop(int node)
+{
+    Node &entry = this->nodes[static_cast<std::size_t>(node)];
+    entry.engine.reset();
+    ++entry.life;
+}
+
+// Gives an input to a process, after its pause if it is paused.
+void World::input(int node, const std::function<void(OwnershipEngine &, Time)> &give)
+{
+    Node &entry = this->nodes[static_cast<std::size_t>(node)];
+    if (entry.engine == nullptr) {
+        return;
+    }
+    if (this->now < entry.pausedUntil) {
+        entry.waiting.push_back([this, node, give] { this->input(node, give); });
+        return;
+    }
+    give(*entry.engine, this->localTime(node, this->now));
+    this->drainOutput(node);
+}
+
+void World::drainOutput(int node)
+{
+    Node &entry = this->nodes[static_cast<std::size_t>(node)];
+    const EngineOutput output = entry.engine->takeOutput();
+    for (const OutgoingMessage &message : output.messages) {
+        this->sendMessage(node, message);
+    }
+    for (const wire::LogRecord &record : output.records) {
+        this->appendRecord(node, record);
+    }
+    // A peer takes the journal of a session over at once.
+    for (const PeerView &peer : entry.engine->ownSession().peers) {
+        if (peer.incarnation != 0 && !peer.journalComplete) {
+            entry.engine->setJournalComplete(peer.node, peer.incarnation,
+                                             this->localTime(node, this->now));
+        }
+    }
+    if (entry.engine->isDrained() && !entry.drained) {
+        entry.drained = true;
+        this->stop(node);
+        this->at(this->now + entry.restartAfter, [this, node] { this->start(node); });
+        return;
+    }
+    this->scheduleTick(node);
+}
+
+void World::scheduleTick(int node)
+{
+    Node &entry = this->nodes[static_cast<std::size_t>(node)];
+    if (entry.engine == nullptr || !entry.engine->nextDue()) {
+        return;
+    }
+    const Duration ahead = *entry.engine->nextDue() - this->localTime(node, this->now);
+    const Duration due = this->now + std::max(ahead, Duration(1ms));
+    if (entry.nextTick > this->now && entry.nextTick <= due) {
+        return;
+    }
+    entry.nextTick = due;
+    const std::uint64_t life = entry.life;
+    this->at(due, [this, node, life, due] {
+        Node &self = this->nodes[static_cast<std::size_t>(node)];
+        if (self.life != life || self.nextTick != due) {
+            return;
+        }
+        self.nextTick = Duration(0);
+        this->input(node, [this, node](OwnershipEngine &engine, Time time) {
+            this->record(node, time, [](wire::TraceEvent &event) { event.mutable_tick(); });
+            engine.onTick(time);
+        });
+    });
+}
+
+// ---- faults ----
+
+void World::inject(const Fault &fault)
+{
+    const Duration until = this->now + fault.duration;
+    const int node = fault.node % this->schedule.nodes;
+    const int other = fault.other % this->schedule.nodes;
+    Node &entry = this->nodes[static_cast<std::size_t>(node)];
+    const auto cut = [this, until](int from, int to) {
+        this->cuts[{from, to}] = std::max(this->cuts[{from, to}], until);
+    };
+    switch (fault.kind) {
+    case FaultKind::Crash:
+        this->stop(node);
+        this->at(until, [this, node] { this->start(node); });
+        break;
+    case FaultKind::Pause:
+        entry.pausedUntil = std::max(entry.pausedUntil, until);
+        this->at(entry.pausedUntil, [this, node] {
+            Node &self = this->nodes[static_cast<std::size_t>(node)];
+            if (this->now < self.pausedUntil) {
+                return;
+            }
+            for (const auto &act : std::exchange(self.waiting, {})) {
+                act();
+            }
+        });
+        break;
+    case FaultKind::CutOneWay:
+        cut(node, other);
+        break;
+    case FaultKind::CutBothWays:
+        cut(node, other);
+        cut(other, node);
+        break;
+    case FaultKind::Isolate:
+        for (int peer = 0; peer < this->schedule.nodes; ++peer) {
+            cut(node, peer);
+            cut(peer, node);
+        }
+        break;
+    case FaultKind::LogOutage:
+        this->logDownUntil = std::max(this->logDownUntil, until);
+        break;
+    case FaultKind::LogCut:
+        entry.logCutUntil = std::max(entry.logCutUntil, until);
+        break;
+    case FaultKind::LogLag:
+        entry.logLagUntil = until;
+        entry.logLag = fault.duration;
+        break;
+    case FaultKind::SlowMessages:
+        this->slows[{node, other}] = until;
+        this->slowBy[{node, other}] = fault.duration;
+        break;
+    case FaultKind::LossyMesh:
+        this->lossyUntil = std::max(this->lossyUntil, until);
+        break;
+    case FaultKind::Move:
+        this->input(node, [this, other](OwnershipEngine &engine, Time time) {
+            const Session *target = engine.cluster().findNode(nodeName(other));
+            const ServiceState *slots = engine.cluster().findService(service);
+            std::vector<Slot> chosen;
+            for (Slot slot = 0; slots != nullptr && slot < slots->slots.size(); ++slot) {
+                const bool own = slots->slots[slot].owner == engine.ownSession().session;
+                if (own && this->random() < 0.6) {
+                    chosen.push_back(slot);
+                }
+            }
+            if (target != nullptr) {
+                engine.requestMove(chosen, target->id, time);
+            }
+        });
+        break;
+    case FaultKind::Drain:
+        entry.restartAfter = fault.duration;
+        this->input(node, [](OwnershipEngine &engine, Time time) { engine.requestDrain(time); });
+        break;
+    case FaultKind::Bind:
+    case FaultKind::Unbind:
+        this->input(node, [this, fault](OwnershipEngine &engine, Time time) {
+            for (int key = 0; key < keys; ++key) {
+                if (this->random() < 0.5 && fault.kind == FaultKind::Bind) {
+                    engine.requestBind(keyHash(key), time);
+                } else if (fault.kind == FaultKind::Unbind) {
+                    engine.requestUnbind(keyHash(key), time);
+                }
+            }
+        });
+        break;
+    }
+}
+
+// ---- mesh ----
+
+void World::sendMessage(int from, const OutgoingMessage &message)
+{
+    const int to = std::stoi(message.node.substr(1));
+    if (this->cuts[{from, to}] > this->now
+        || (this->now < this->lossyUntil && this->random() < 0.5)) {
+        return;
+    }
+    Duration delay = 100us + this->randomUpTo(meshDelay);
+    if (this->slows[{from, to}] > this->now) {
+        delay += this->randomUpTo(this->slowBy[{from, to}]);
+    }
+    this->at(this->now + delay, [this, to, wire = message.message] {
+        this->input(to, [this, to, wire](OwnershipEngine &engine, Time time) {
+            this->record(to, time,
+                         [&wire](wire::TraceEvent &event) { *event.mutable_message() = wire; });
+            engine.onMessage(wire, time);
+        });
+    });
+}
+
+// ---- log ----
+
+void World::storeRecord(const wire::LogRecord &record)
+{
+    this->log.push_back(record);
+}
+
+// An append may be lost, slow, or take effect twice (its reply was lost and it was sent again).
+void World::appendRecord(int node, const wire::LogRecord &record)
+{
+    const bool slow = this->random() < this->options.slowAppends;
+    const Duration delay = this->randomUpTo(slow ? Duration(1500ms) : logDelay);
+    const bool twice = this->random() < this->options.lostReplies;
+    const auto store = [this, node, record] {
+        const Node &self = this->nodes[static_cast<std::size_t>(node)];
+        if (this->now >= this->logDownUntil && this->now >= self.logCutUntil) {
+            this->storeRecord(record);
+        }
+    };
+    this->at(this->now + delay, store);
+    if (twice) {
+        this->at(this->now + delay + this->randomUpTo(800ms), store);
+    }
+}
+
+void World::poll(int node)
+{
+    Node &entry = this->nodes[static_cast<std::size_t>(node)];
+    const Duration delay = this->randomUpTo(logDelay);
+    const std::uint64_t life = entry.life;
+    const Duration asked = this->now;
+    this->at(this->now + delay, [this, node, life, asked] {
+        this->answerPoll(node, life, asked, this->now + holdPoll);
+    });
+}
+
+// Answers when there are records to read or the poll was held long enough.
+void World::answerPoll(int node, std::uint64_t life, Duration asked, Duration deadline)
+{
+    Node &entry = this->nodes[static_cast<std::size_t>(node)];
+    if (entry.life != life || entry.engine == nullptr) {
+        return;
+    }
+    if (this->now < this->logDownUntil || this->now < entry.logCutUntil) {
+        this->input(node,
+                    [](OwnershipEngine &engine, Time time) { engine.onLogAnswering(false, time); });
+        this->at(this->now + retryPoll, [this, node, life] {
+            if (this->nodes[static_cast<std::size_t>(node)].life == life) {
+                this->poll(node);
+            }
+        });
+        return;
+    }
+    const Offset next = entry.engine->nextOffset();
+    const bool fresh = entry.life == life && !entry.engine->hasCaughtUp();
+    if (next >= this->log.size() && this->now < deadline && !fresh) {
+        this->at(this->now + 5ms, [this, node, life, asked, deadline] {
+            this->answerPoll(node, life, asked, deadline);
+        });
+        return;
+    }
+    const std::vector<wire::LogRecord> batch(
+            this->log.begin() + static_cast<std::ptrdiff_t>(std::min(next, this->log.size())),
+            this->log.end());
+    const Offset end = this->log.size();
+    Duration delay = this->randomUpTo(logDelay);
+    if (this->now < entry.logLagUntil) {
+        delay += this->randomUpTo(entry.logLag);
+    }
+    const Time askedLocal = this->localTime(node, asked);
+    this->at(this->now + delay, [this, node, life, batch, next, end, askedLocal] {
+        const auto give = [this, node, batch, next, end, askedLocal](OwnershipEngine &engine,
+                                                                     Time time) {
+            engine.onLogAnswering(true, time);
+            for (std::size_t index = 0; index < batch.size(); ++index) {
+                this->record(node, time, [&](wire::TraceEvent &event) {
+                    event.mutable_record()->set_offset(next + index);
+                    *event.mutable_record()->mutable_record() = batch[index];
+                });
+                engine.onRecord(next + index, batch[index], time);
+            }
+            this->record(node, time, [&](wire::TraceEvent &event) {
+                event.mutable_log_end()->set_end(end);
+                event.mutable_log_end()->set_asked_at_ns(askedLocal.count());
+            });
+            engine.onLogEnd(end, askedLocal, time);
+        };
+        if (this->nodes[static_cast<std::size_t>(node)].life != life) {
+            return;
+        }
+        this->input(node, give);
+        Node &self = this->nodes[static_cast<std::size_t>(node)];
+        const Duration again = std::max(this->now, self.pausedUntil);
+        this->at(again, [this, node, life] {
+            if (this->nodes[static_cast<std::size_t>(node)].life == life) {
+                this->poll(node);
+            }
+        });
+    });
+}
+
+// ---- calls ----
+
+// Each node tries to run a call for the key; the upstream is taken to run it up to the granted
+// expiry unless calls are quick.
+void World::call(int node, int key)
+{
+    this->at(this->now + this->options.calls / 2 + this->randomUpTo(this->options.calls),
+             [this, node, key] { this->call(node, key); });
+    Node &entry = this->nodes[static_cast<std::size_t>(node)];
+    if (entry.engine == nullptr || this->now < entry.pausedUntil) {
+        return;
+    }
+    const Time local = this->localTime(node, this->now);
+    const ServeAnswer answer = entry.engine->mayServe(service, keyHash(key), local);
+    if (answer.error != ErrorKind::None) {
+        return;
+    }
+    Duration lasts = this->options.quick ? Duration(1ms) : this->options.longestCall;
+    if (!this->options.quick && this->random() < 0.5) {
+        lasts = this->randomUpTo(lasts);
+    }
+    // The expiry is in the clock that the process and its upstream share.
+    const Duration granted = std::min(answer.leaseEnd - local, lasts);
+    const Duration real(
+            static_cast<Duration::rep>(static_cast<double>(granted.count()) / entry.rate));
+    const Run run{node, key, this->now, this->now + real};
+    for (auto past = this->allRuns.rbegin(); past != this->allRuns.rend(); ++past) {
+        if (past->key == key && past->node != node && past->until > run.from) {
+            this->found.push_back(
+                    absl::StrFormat("key %d: n%d ran from %.4f to %.4f, n%d from %.4f to %.4f", key,
+                                    past->node, toSeconds(past->from), toSeconds(past->until), node,
+                                    toSeconds(run.from), toSeconds(run.until)));
+            break;
+        }
+        if (past->from + 1s < this->now) {
+            break; // no call lasts longer
+        }
+    }
+    this->allRuns.push_back(run);
+    std::erase_if(entry.running, [this](const Run &past) { return past.until <= this->now; });
+    entry.running.push_back(run);
+    this->servedTimes[static_cast<std::size_t>(key)].push_back(this->now);
+}
+
+// ---- findings ----
+
+Duration World::longestGap(int key, Duration from, Duration until) const
+{
+    Duration longest{0};
+    Duration last = from;
+    for (const Duration served : this->servedTimes.at(static_cast<std::size_t>(key))) {
+        if (served > from && served <= until) {
+            longest = std::max(longest, served - last);
+            last = served;
+        }
+    }
+    return std::max(longest, until - last);
+}
+
+void World::record(int node, Time time, const std::function<void(wire::TraceEvent &)> &fill)
+{
+    if (node != this->options.traceNode) {
+        return;
+    }
+    wire::TraceEvent event;
+    event.set_time_ns(time.count());
+    fill(event);
+    this->recorded.push_back(std::move(event));
+}
+
+} // namespace kumquat::test
--- /dev/null
+++ b/packages/ownership/tests/harness.h
@@ -0,0 +1,185 @@
+// A cluster in virtual time: engines, a log, a mesh and upstreams with injected faults.
+// Sections: schedule, options, findings, world.
+#pragma once
+
+#include "ownership/engine.h"
+#include "wire/trace.pb.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kumquat::test {
+
+// ---- schedule ----
+
+enum class FaultKind : std::uint8_t {
+    Crash,        // the process ends; restarts with an empty memory after `duration`
+    Pause,        // the process stops for `duration`; its messages wait
+    CutOneWay,    // no messages from `node` to `other`
+    CutBothWays,  // no messages between `node` and `other`
+    Isolate,      // no messages between `node` and all others
+    LogOutage,    // the log answers nobody
+    LogCut,       // the log does not answer `node`
+    LogLag,       // reads of `node` take `duration`
+    SlowMessages, // messages from `node` to `other` take up to `duration`
+    LossyMesh,    // one in two messages of all nodes is lost
+    Move,         // `node` moves half of its slots to `other`
+    Drain,        // `node` drains, then restarts after `duration`
+    Bind,         // `node` binds a key
+    Unbind,       // `node` unbinds a key
+};
+
+inline constexpr int faultKinds = 14;
+
+struct Fault
+{
+    FaultKind kind = FaultKind::Crash;
+    int node = 0;
+    int other = 0;
+    Duration at{0};       // since the start of the world
+    Duration duration{0}; // how long it lasts
+};
+
+struct Schedule
+{
+    std::uint64_t seed = 1; // of delays, losses and clocks
+    int nodes = 5;
+    std::vector<Fault> faults;
+};
+
+// ---- options ----
+
+struct WorldOptions
+{
+    Guards guards;
+    Duration length = 8s;         // of the whole run
+    Duration calls = 40ms;        // between the calls that each node tries to run for each key
+    Duration longestCall = 900ms; // deadline of a call
+    bool drift = true;            // clocks run at rates within 1 %
+    bool quick = false;           // calls last 1 ms instead of a random part of the deadline
+    double lostReplies = 0.1;     // share of appends that take effect twice
+    double slowAppends = 0.05;    // share of appends that take up to 1.5 s
+    int traceNode = -1;           // node whose inputs are recorded
+    int dataCentres = 2;
+};
+
+// ---- findings ----
+
+// One request that an upstream ran: from the check to the granted expiry, in real time.
+struct Run
+{
+    int node = 0;
+    int key = 0;
+    Duration from{0};
+    Duration until{0};
+};
+
+// Times at which a key was served, in real time.
+using ServedTimes = std::vector<Duration>;
+
+// ---- world ----
+
+// The world records who ran what and when on its own; it never asks an engine whether that is
+// right.
+class World
+{
+public:
+    World(Schedule schedule, WorldOptions options);
+
+    // Runs to the end of the options' length.
+    void run();
+
+    // Returns the descriptions of runs of one key that overlap on two nodes.
+    const std::vector<std::string> &violations() const { return this->found; }
+
+    const ServedTimes &served(int key) const { return this->servedTimes.at(key); }
+    const std::vector<Run> &runs() const { return this->allRuns; }
+
+    // Returns the longest time between `from` and `until` without a served call of the key.
+    Duration longestGap(int key, Duration from, Duration until) const;
+
+    OwnershipEngine *engine(int node) { return this->nodes.at(node).engine.get(); }
+    const std::vector<wire::TraceEvent> &trace() const { return this->recorded; }
+    Duration localTime(int node, Duration real) const;
+    bool isDrained(int node) const { return this->nodes.at(node).drained; }
+
+    static constexpr int keys = 4;
+    static std::uint64_t keyHash(int key) { return static_cast<std::uint64_t>(key); }
+    static std::string nodeName(int node) { return "n" + std::to_string(node); }
+    static constexpr std::string_view service = "testlog";
+    static EngineSettings settingsOf(int node, std::uint64_t incarnation,
+                                     const WorldOptions &options);
+
+private:
+    struct Node
+    {
+        std::unique_ptr<OwnershipEngine> engine;
+        std::uint64_t incarnation = 0;
+        std::uint64_t life = 0; // grows with each start; stops events of earlier lives
+        double rate = 1.0;      // of the clock
+        Duration offset{0};
+        Duration pausedUntil{0};
+        Duration logCutUntil{0};
+        Duration logLagUntil{0};
+        Duration logLag{0};
+        std::vector<std::function<void()>> waiting; // inputs that came during a pause
+        std::vector<Run> running;
+        bool drained = false;
+        Duration restartAfter{0}; // of a drain
+        Duration nextTick{0};
+    };
+
+    struct Event
+    {
+        Duration at{0};
+        std::uint64_t order = 0;
+        std::function<void()> act;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(other.at, other.order) < std::tie(this->at, this->order);
+        }
+    };
+
+    void at(Duration when, std::function<void()> act);
+    double random();
+    Duration randomUpTo(Duration limit);
+    void start(int node);
+    void stop(int node);
+    void inject(const Fault &fault);
+    void input(int node, const std::function<void(OwnershipEngine &, Time)> &give);
+    void drainOutput(int node);
+    void scheduleTick(int node);
+    void sendMessage(int from, const OutgoingMessage &message);
+    void appendRecord(int node, const wire::LogRecord &record);
+    void storeRecord(const wire::LogRecord &record);
+    void poll(int node);
+    void answerPoll(int node, std::uint64_t life, Duration asked, Duration deadline);
+    void call(int node, int key);
+    void record(int node, Time now, const std::function<void(wire::TraceEvent &)> &fill);
+
+    Schedule schedule;
+    WorldOptions options;
+    std::uint64_t state = 0; // of the random numbers
+    Duration now{0};
+    std::uint64_t orders = 0;
+    std::priority_queue<Event> events;
+    std::vector<Node> nodes;
+    std::vector<wire::LogRecord> log;
+    Duration logDownUntil{0};
+    Duration lossyUntil{0};
+    std::map<std::pair<int, int>, Duration> cuts;  // until when, by sender and receiver
+    std::map<std::pair<int, int>, Duration> slows; // until when
+    std::map<std::pair<int, int>, Duration> slowBy;
+    std::vector<Run> allRuns;
+    std::vector<ServedTimes> servedTimes;
+    std::vector<std::string> found;
+    std::vector<wire::TraceEvent> recorded;
+};
+
+} // namespace kumquat::test
