--- a/packages/traffic/journal.h
+++ b/packages/traffic/journal.h
@@ -6,8 +6,8 @@
 //   WriteTicket ticket = writer.write({{id, keyHash}}, deadline, now);
 //   JournalOutput out = writer.takeOutput(); // send out.messages; dispatch what out.written names
 //
-// How a batch number is built: the upper 32 bits are the low 32 bits of the incarnation of the peer
-// that the write is addressed to, the lower 32 bits count the owner's writes. A peer that restarted
+// How a batch number is built: the upper 24 bits are the low 24 bits of the incarnation of the peer
+// that the write is addressed to; the lower 40 bits count the owner's writes. A peer that restarted
 // drops writes to its earlier incarnation, so a late `complete` cannot make it complete again.
 // In JournalErase, the field key_hash carries the last write count that the erase undoes, so a late
 // erase cannot remove an id that was written again. An id is found without its key hash.
@@ -48,13 +48,15 @@
 
 struct JournalSettings
 {
-    Duration life = requestMemoryLife;   // how long an id is kept
-    Duration batchDelay = 300us;         // longest wait for more ids while a batch is under way
-    Duration resendAfter = 10ms;         // first resend; doubles up to resendMost
-    Duration resendMost = 400ms;         // one renewal round
-    std::size_t batchIds = 512;          // ids a message, about 20 KB
-    std::size_t storeIds = 4'000'000;    // most ids that a peer keeps, over all sessions
-    std::size_t releasedSessions = 4096; // ended sessions that a peer remembers without ids
+    Duration life = requestMemoryLife; // how long an id is kept
+    Duration batchDelay = 300us;       // longest wait for more ids while a batch is under way
+    Duration resendAfter = 10ms;       // first resend; doubles up to resendMost
+    Duration resendMost = 400ms;       // one renewal round
+    Duration giveUpAfter = 1s;         // without an acknowledgement; then a new copy is needed
+    std::size_t batchIds = 512;        // ids a message, about 20 KB
+    std::size_t copyParts = 8;         // messages of a copy under way to one peer
+    std::size_t storeIds = 4'000'000;  // most ids that a peer keeps, over all sessions
+    std::size_t sessions = 4096;       // that a peer knows, with released ones
 };
 
 // Majority of a set of peers; 0 for an empty set.
@@ -63,12 +65,19 @@
     return peers == 0 ? 0 : peers / 2 + 1;
 }
 
+// Returns the batch number of a write to an incarnation of a peer.
+constexpr std::uint64_t batchNumber(std::uint64_t incarnation, std::uint64_t count)
+{
+    return incarnation << 40 | (count & 0xff'ffff'ffff);
+}
+
 wire::RequestId toWire(const RequestId &id);
 RequestId fromWire(const wire::RequestId &id);
 
 // ---- 2 owner ----------------------------------------------------------------------------------
 
 using WriteTicket = std::uint64_t;
+using WriteCount = std::uint64_t; // 40 bits; 3 years at 10,000 writes/s
 
 struct JournalOutput
 {
@@ -102,7 +111,7 @@
     // takeOutput names the ticket as written or, at the deadline, as failed.
     WriteTicket write(const std::vector<JournalId> &ids, Time deadline, Time now);
 
-    // Erases ids whose requests were provably not run.
+    // Erases ids whose requests were provably not run. Fails a write that still waits for them.
     void erase(const std::vector<RequestId> &ids, Time now);
 
     void acknowledge(const std::string &from, const wire::JournalAck &ack, Time now);
@@ -124,27 +133,31 @@
     std::size_t size() const { return this->remembered.size(); }
 
 private:
-    // One JournalWrite, tracked until every peer set in force has it at a majority.
+    // Ids of one flush, tracked until every peer set in force holds them at a majority.
     struct Batch
     {
         std::vector<wire::JournalEntry> entries;
-        std::set<std::string> holders; // peers whose current incarnation has the ids
+        std::set<std::string> holders; // peers whose present incarnation has the ids
+        Time expires{};                // of the ids
     };
 
-    // One write call, waiting for the batches that carry its ids.
+    // One write call.
     struct Waiter
     {
+        std::vector<RequestId> ids;
         Time deadline{};
-        std::uint32_t lastCount = 0; // its ids are in batches up to this count; 0: not sent yet
-        std::uint32_t firstCount = 0;
+        WriteCount first = 0; // its ids are in batches first to last; 0: not sent yet
+        WriteCount last = 0;
     };
 
+    // A peer is Absent until its first Grant, and again when it stops acknowledging.
     enum class PeerState : std::uint8_t { Absent, Copying, Flagging, Complete };
 
-    // A write under way to one peer.
+    // A write that one peer has not acknowledged.
     struct Sent
     {
         wire::JournalWrite write;
+        Time since{};
         Time due{}; // next resend
         Duration backoff{};
     };
@@ -153,9 +166,11 @@
     {
         std::uint64_t incarnation = 0;
         PeerState state = PeerState::Absent;
-        std::uint32_t copyFrom = 0;         // batches up to this count are part of the copy
-        std::uint32_t flagCount = 0;        // count of the write with the flag
-        std::map<std::uint32_t, Sent> sent; // by count
+        WriteCount copyUpTo = 0;  // batches up to this count are part of the copy
+        WriteCount flagCount = 0; // count of the write with the flag
+        std::deque<std::vector<wire::JournalEntry>> copy; // parts that are not sent yet
+        std::set<WriteCount> copySent;                    // parts that are not acknowledged
+        std::map<WriteCount, Sent> sent;
     };
 
     struct Remembered
@@ -164,32 +179,43 @@
         Time expires{};
     };
 
+    struct Expiry
+    {
+        Time due{};
+        RequestId id;
+    };
+
+    void remember(const std::vector<JournalId> &ids, Time now);
     void expire(Time now);
     void flush(Time now);
     void startCopy(const std::string &node, Peer &peer, Time now);
-    void sendFlag(const std::string &node, Peer &peer, Time now);
+    void continueCopy(const std::string &node, Peer &peer, Time now);
     void finishCopy(const std::string &node, Peer &peer);
-    void send(const std::string &node, Peer &peer, std::uint32_t count,
+    void send(const std::string &node, Peer &peer, WriteCount count,
               std::vector<wire::JournalEntry> entries, bool complete, Time now);
-    void settle(Time now);
-    void joinSets();
-    void failAll();
-    std::size_t countHolders(const JournalPeerSet &set, const Batch &batch) const;
+    void resend(const std::string &node, Peer &peer, Time now);
+    void sendErase(const std::vector<RequestId> &ids);
+    void removeUnsent(const std::set<RequestId> &ids);
+    void clearHolder(const std::string &node);
+    void settle();
     bool hasMajority(const JournalPeerSet &set, const Batch &batch) const;
     bool isWritten(const Batch &batch) const;
+    bool isWritten(const Waiter &waiter) const;
+    bool hasPeers() const;
+    void failAll();
 
     std::uint64_t session;
     JournalSettings settings;
     std::vector<JournalPeerSet> sets;
-    std::set<std::uint32_t> joined; // generations whose majority every dispatch needs
+    std::set<std::uint32_t> joined; // generations whose majority each dispatch needs
     std::map<std::string, Peer> peers;
     std::unordered_map<RequestId, Remembered, RequestIdHash> remembered;
-    std::deque<std::pair<Time, RequestId>> expiries;
+    std::deque<Expiry> expiries;           // ascending by due
     std::vector<wire::JournalEntry> queue; // not sent yet
     std::optional<Time> flushDue;
-    std::map<std::uint32_t, Batch> batches; // by count
+    std::map<WriteCount, Batch> batches;
     std::map<WriteTicket, Waiter> waiters;
-    std::uint32_t lastCount = 0;
+    WriteCount lastCount = 0;
     WriteTicket lastTicket = 0;
     bool over = false;
     JournalOutput output;
@@ -227,7 +253,7 @@
 private:
     struct Kept
     {
-        std::uint32_t count = 0; // highest write count that carried the id
+        WriteCount count = 0; // highest write count that carried the id
         Time expires{};
     };
 
@@ -246,7 +272,8 @@
         RequestId id;
     };
 
-    void forgetReleased();
+    Session *findOrAdd(std::uint64_t session, Time now);
+    bool forgetOne();
 
     std::uint64_t incarnation;
     JournalSettings settings;
@@ -295,7 +322,9 @@
 public:
     static constexpr std::size_t lineageLimit = 4; // sessions that a slot's lineage can hold
 
-    explicit JournalLookup(JournalSettings settings = {});
+    // Takes the incarnation of the own process: tickets count from it, so that a reply to an
+    // earlier incarnation cannot be taken for a reply to this one.
+    explicit JournalLookup(std::uint64_t incarnation, JournalSettings settings = {});
 
     // Asks about one id. `lineage`: the sessions whose end was read within the last 200 s (or since
     // the own start). An empty lineage is New at once; a full one or a session without peers is
@@ -329,7 +358,7 @@
 
     JournalSettings settings;
     std::map<LookupTicket, Lookup> lookups;
-    LookupTicket lastTicket = 0;
+    LookupTicket lastTicket;
     LookupOutput output;
 };
 
--- /dev/null
+++ b/packages/traffic/journal_writer.cpp
@@ -0,0 +1,487 @@
+#include "traffic/journal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+wire::JournalEntry makeEntry(const RequestId &id, std::uint64_t keyHash)
+{
+    wire::JournalEntry entry;
+    *entry.mutable_id() = toWire(id);
+    entry.set_key_hash(keyHash);
+    return entry;
+}
+
+bool holdsOne(const std::set<RequestId> &ids, const wire::JournalEntry &entry)
+{
+    return ids.contains(fromWire(entry.id()));
+}
+
+} // namespace
+
+wire::RequestId toWire(const RequestId &id)
+{
+    wire::RequestId message;
+    message.set_high(id.high);
+    message.set_low(id.low);
+    return message;
+}
+
+RequestId fromWire(const wire::RequestId &id)
+{
+    return {.high = id.high(), .low = id.low()};
+}
+
+JournalWriter::JournalWriter(std::uint64_t ownSession, JournalSettings initial)
+    : session(ownSession)
+    , settings(initial)
+{}
+
+void JournalWriter::setPeerSets(std::vector<JournalPeerSet> newSets, Time now)
+{
+    this->sets = std::move(newSets);
+    std::set<std::string> named;
+    std::set<std::uint32_t> generations;
+    for (const JournalPeerSet &set : this->sets) {
+        named.insert(set.peers.begin(), set.peers.end());
+        generations.insert(set.generation);
+    }
+    std::erase_if(this->joined, [&](std::uint32_t old) { return !generations.contains(old); });
+    if (!this->sets.empty()) {
+        this->joined.insert(this->sets.front().generation);
+    }
+    for (auto peer = this->peers.begin(); peer != this->peers.end();) {
+        if (named.contains(peer->first)) {
+            ++peer;
+            continue;
+        }
+        this->clearHolder(peer->first);
+        peer = this->peers.erase(peer);
+    }
+    for (const std::string &node : named) {
+        this->peers.try_emplace(node);
+    }
+    this->flush(now);
+    this->settle();
+}
+
+void JournalWriter::notePeer(const std::string &node, std::uint64_t incarnation, Time now)
+{
+    const auto found = this->peers.find(node);
+    if (found == this->peers.end() || this->over) {
+        return;
+    }
+    Peer &peer = found->second;
+    if (peer.incarnation == incarnation && peer.state != PeerState::Absent) {
+        return;
+    }
+    if (peer.incarnation != incarnation) {
+        this->clearHolder(node);
+        peer.incarnation = incarnation;
+    }
+    this->startCopy(node, peer, now);
+}
+
+WriteTicket JournalWriter::write(const std::vector<JournalId> &ids, Time deadline, Time now)
+{
+    this->expire(now);
+    const WriteTicket ticket = ++this->lastTicket;
+    if (this->over) {
+        this->output.failed.push_back(ticket);
+        return ticket;
+    }
+    this->remember(ids, now);
+    if (ids.empty() || !this->hasPeers()) {
+        this->output.written.push_back(ticket);
+        return ticket;
+    }
+    Waiter waiter{.ids = {}, .deadline = deadline, .first = 0, .last = 0};
+    for (const JournalId &id : ids) {
+        waiter.ids.push_back(id.id);
+        this->queue.push_back(makeEntry(id.id, id.keyHash));
+    }
+    this->waiters.emplace(ticket, std::move(waiter));
+    const bool underWay = std::any_of(this->waiters.begin(), this->waiters.end(),
+                                      [](const auto &other) { return other.second.first != 0; });
+    if (!underWay || this->queue.size() >= this->settings.batchIds) {
+        this->flush(now);
+    } else if (!this->flushDue) {
+        this->flushDue = now + this->settings.batchDelay;
+    }
+    return ticket;
+}
+
+void JournalWriter::erase(const std::vector<RequestId> &ids, Time now)
+{
+    this->expire(now);
+    std::vector<RequestId> known;
+    for (const RequestId &id : ids) {
+        if (this->remembered.erase(id) > 0) {
+            known.push_back(id);
+        }
+    }
+    if (known.empty() || this->over) {
+        return;
+    }
+    const std::set<RequestId> gone(known.begin(), known.end());
+    std::erase_if(this->waiters, [&](const auto &waiter) {
+        const std::vector<RequestId> &waiting = waiter.second.ids;
+        const bool hit = std::any_of(waiting.begin(), waiting.end(),
+                                     [&](const RequestId &id) { return gone.contains(id); });
+        if (hit) {
+            this->output.failed.push_back(waiter.first);
+        }
+        return hit;
+    });
+    this->removeUnsent(gone);
+    this->sendErase(known);
+    this->settle();
+}
+
+void JournalWriter::acknowledge(const std::string &from, const wire::JournalAck &ack, Time now)
+{
+    const auto found = this->peers.find(from);
+    if (ack.session() != this->session || found == this->peers.end()) {
+        return;
+    }
+    if (!ack.accepted()) {
+        this->failAll();
+        return;
+    }
+    Peer &peer = found->second;
+    const WriteCount count = ack.batch() & batchNumber(0, ~WriteCount{0});
+    if (batchNumber(peer.incarnation, count) != ack.batch() || peer.sent.erase(count) == 0) {
+        return;
+    }
+    const auto batch = this->batches.find(count);
+    if (batch != this->batches.end()) {
+        batch->second.holders.insert(from);
+    }
+    if (peer.copySent.erase(count) > 0) {
+        this->continueCopy(from, peer, now);
+    }
+    if (peer.state == PeerState::Flagging && count == peer.flagCount) {
+        this->finishCopy(from, peer);
+    }
+    this->settle();
+}
+
+void JournalWriter::advance(Time now)
+{
+    this->expire(now);
+    if (this->flushDue && *this->flushDue <= now) {
+        this->flush(now);
+    }
+    for (auto &[node, peer] : this->peers) {
+        this->resend(node, peer, now);
+    }
+    std::erase_if(this->waiters, [&](const auto &waiter) {
+        const bool late = waiter.second.deadline <= now;
+        if (late) {
+            this->output.failed.push_back(waiter.first);
+        }
+        return late;
+    });
+}
+
+std::optional<Time> JournalWriter::nextDue() const
+{
+    std::optional<Time> next = this->flushDue;
+    const auto consider = [&next](Time due) { next = next ? std::min(*next, due) : due; };
+    for (const auto &[node, peer] : this->peers) {
+        for (const auto &[count, sent] : peer.sent) {
+            consider(sent.due);
+        }
+    }
+    for (const auto &[ticket, waiter] : this->waiters) {
+        consider(waiter.deadline);
+    }
+    return next;
+}
+
+JournalOutput JournalWriter::takeOutput()
+{
+    return std::exchange(this->output, {});
+}
+
+bool JournalWriter::isComplete(std::uint32_t generation) const
+{
+    if (!this->joined.contains(generation)) {
+        return false;
+    }
+    for (const JournalPeerSet &set : this->sets) {
+        if (set.generation != generation) {
+            continue;
+        }
+        const auto held = [&](const auto &batch) { return this->hasMajority(set, batch.second); };
+        return std::all_of(this->batches.begin(), this->batches.end(), held);
+    }
+    return false;
+}
+
+void JournalWriter::remember(const std::vector<JournalId> &ids, Time now)
+{
+    const Time expires = now + this->settings.life;
+    for (const JournalId &id : ids) {
+        this->remembered[id.id] = {.keyHash = id.keyHash, .expires = expires};
+        this->expiries.push_back({.due = expires, .id = id.id});
+    }
+}
+
+void JournalWriter::expire(Time now)
+{
+    while (!this->expiries.empty() && this->expiries.front().due <= now) {
+        const auto found = this->remembered.find(this->expiries.front().id);
+        // An id that was written again has a later expiry of its own.
+        if (found != this->remembered.end() && found->second.expires <= now) {
+            this->remembered.erase(found);
+        }
+        this->expiries.pop_front();
+    }
+    std::erase_if(this->batches, [now](const auto &batch) { return batch.second.expires <= now; });
+}
+
+// Sends the queue to every peer that has a copy or is getting one.
+void JournalWriter::flush(Time now)
+{
+    this->flushDue.reset();
+    std::vector<wire::JournalEntry> entries = std::exchange(this->queue, {});
+    const WriteCount first = this->lastCount + 1;
+    for (std::size_t from = 0; from < entries.size(); from += this->settings.batchIds) {
+        const std::size_t to = std::min(entries.size(), from + this->settings.batchIds);
+        const WriteCount count = ++this->lastCount;
+        Batch &batch = this->batches[count];
+        batch.expires = now + this->settings.life;
+        batch.entries.assign(entries.begin() + static_cast<std::ptrdiff_t>(from),
+                             entries.begin() + static_cast<std::ptrdiff_t>(to));
+        for (auto &[node, peer] : this->peers) {
+            if (peer.state != PeerState::Absent) {
+                this->send(node, peer, count, batch.entries, false, now);
+            }
+        }
+    }
+    for (auto &[ticket, waiter] : this->waiters) {
+        if (waiter.first == 0) {
+            waiter.first = first;
+            waiter.last = this->lastCount;
+        }
+    }
+}
+
+// Sends every remembered id. The flag goes with the last part, after all others are acknowledged:
+// a peer that lacks a part must not become complete.
+void JournalWriter::startCopy(const std::string &node, Peer &peer, Time now)
+{
+    this->expire(now);
+    peer.state = PeerState::Absent;
+    this->flush(now); // so that the copy covers exactly the batches up to copyUpTo
+    peer.state = PeerState::Copying;
+    peer.copyUpTo = this->lastCount;
+    peer.copy.clear();
+    peer.copySent.clear();
+    peer.sent.clear();
+    std::vector<wire::JournalEntry> part;
+    for (const auto &[id, kept] : this->remembered) {
+        part.push_back(makeEntry(id, kept.keyHash));
+        if (part.size() == this->settings.batchIds) {
+            peer.copy.push_back(std::exchange(part, {}));
+        }
+    }
+    peer.copy.push_back(std::move(part));
+    this->continueCopy(node, peer, now);
+}
+
+void JournalWriter::continueCopy(const std::string &node, Peer &peer, Time now)
+{
+    while (peer.copy.size() > 1 && peer.copySent.size() < this->settings.copyParts) {
+        const WriteCount count = ++this->lastCount;
+        peer.copySent.insert(count);
+        this->send(node, peer, count, std::move(peer.copy.front()), false, now);
+        peer.copy.pop_front();
+    }
+    if (peer.copy.size() == 1 && peer.copySent.empty()) {
+        peer.state = PeerState::Flagging;
+        peer.flagCount = ++this->lastCount;
+        this->send(node, peer, peer.flagCount, std::move(peer.copy.front()), true, now);
+        peer.copy.pop_front();
+    }
+}
+
+void JournalWriter::finishCopy(const std::string &node, Peer &peer)
+{
+    peer.state = PeerState::Complete;
+    for (auto &[count, batch] : this->batches) {
+        if (count <= peer.copyUpTo) {
+            batch.holders.insert(node);
+        }
+    }
+}
+
+void JournalWriter::send(const std::string &node, Peer &peer, WriteCount count,
+                         std::vector<wire::JournalEntry> entries, bool complete, Time now)
+{
+    Sent &sent = peer.sent[count];
+    sent.write.set_session(this->session);
+    sent.write.set_batch(batchNumber(peer.incarnation, count));
+    sent.write.set_complete(complete);
+    for (wire::JournalEntry &entry : entries) {
+        *sent.write.add_entries() = std::move(entry);
+    }
+    sent.since = now;
+    sent.backoff = this->settings.resendAfter;
+    sent.due = now + sent.backoff;
+    JournalMessage message{.to = node, .message = {}};
+    *message.message.mutable_journal_write() = sent.write;
+    this->output.messages.push_back(std::move(message));
+}
+
+// A peer that stops acknowledging is given up until its next Grant, which bounds what is kept for
+// it.
+void JournalWriter::resend(const std::string &node, Peer &peer, Time now)
+{
+    const auto silent = [&](const auto &sent) {
+        return now - sent.second.since >= this->settings.giveUpAfter;
+    };
+    if (std::any_of(peer.sent.begin(), peer.sent.end(), silent)) {
+        peer.state = PeerState::Absent;
+        peer.copy.clear();
+        peer.copySent.clear();
+        peer.sent.clear();
+        return;
+    }
+    for (auto &[count, sent] : peer.sent) {
+        if (sent.due > now) {
+            continue;
+        }
+        sent.backoff = std::min(sent.backoff * 2, this->settings.resendMost);
+        sent.due = now + sent.backoff;
+        JournalMessage message{.to = node, .message = {}};
+        *message.message.mutable_journal_write() = sent.write;
+        this->output.messages.push_back(std::move(message));
+    }
+}
+
+void JournalWriter::sendErase(const std::vector<RequestId> &ids)
+{
+    wire::JournalErase erase;
+    erase.set_session(this->session);
+    for (const RequestId &id : ids) {
+        *erase.add_entries() = makeEntry(id, this->lastCount);
+    }
+    for (const auto &[node, peer] : this->peers) {
+        if (peer.incarnation == 0) {
+            continue;
+        }
+        JournalMessage message{.to = node, .message = {}};
+        *message.message.mutable_journal_erase() = erase;
+        this->output.messages.push_back(std::move(message));
+    }
+}
+
+// Removes ids from everything that is not acknowledged, so that a resend does not bring them back.
+void JournalWriter::removeUnsent(const std::set<RequestId> &ids)
+{
+    const auto gone = [&](const wire::JournalEntry &entry) { return holdsOne(ids, entry); };
+    std::erase_if(this->queue, gone);
+    for (auto &[count, batch] : this->batches) {
+        std::erase_if(batch.entries, gone);
+    }
+    std::erase_if(this->batches, [](const auto &batch) { return batch.second.entries.empty(); });
+    for (auto &[node, peer] : this->peers) {
+        for (std::vector<wire::JournalEntry> &part : peer.copy) {
+            std::erase_if(part, gone);
+        }
+        for (auto &[count, sent] : peer.sent) {
+            auto *entries = sent.write.mutable_entries();
+            entries->erase(std::remove_if(entries->begin(), entries->end(), gone), entries->end());
+        }
+    }
+}
+
+void JournalWriter::clearHolder(const std::string &node)
+{
+    for (auto &[count, batch] : this->batches) {
+        batch.holders.erase(node);
+    }
+}
+
+// Reports writes that every joined set holds and ends the tracking of batches that all sets hold.
+void JournalWriter::settle()
+{
+    for (const JournalPeerSet &set : this->sets) {
+        const auto complete =
+                std::count_if(set.peers.begin(), set.peers.end(), [&](const std::string &node) {
+                    return this->peers.at(node).state == PeerState::Complete;
+                });
+        if (static_cast<std::size_t>(complete) >= majorityOf(set.peers.size())) {
+            this->joined.insert(set.generation);
+        }
+    }
+    std::erase_if(this->waiters, [&](const auto &waiter) {
+        const bool written = this->isWritten(waiter.second);
+        if (written) {
+            this->output.written.push_back(waiter.first);
+        }
+        return written;
+    });
+    std::erase_if(this->batches, [&](const auto &batch) {
+        const auto holds = [&](const JournalPeerSet &set) {
+            return this->hasMajority(set, batch.second);
+        };
+        return std::all_of(this->sets.begin(), this->sets.end(), holds);
+    });
+}
+
+// Only complete peers count: the answer of any other peer to a query proves nothing.
+bool JournalWriter::hasMajority(const JournalPeerSet &set, const Batch &batch) const
+{
+    const auto counts = [&](const std::string &node) {
+        return batch.holders.contains(node) && this->peers.at(node).state == PeerState::Complete;
+    };
+    const auto holders = std::count_if(set.peers.begin(), set.peers.end(), counts);
+    return static_cast<std::size_t>(holders) >= majorityOf(set.peers.size());
+}
+
+bool JournalWriter::isWritten(const Batch &batch) const
+{
+    return std::all_of(this->sets.begin(), this->sets.end(), [&](const JournalPeerSet &set) {
+        return !this->joined.contains(set.generation) || this->hasMajority(set, batch);
+    });
+}
+
+bool JournalWriter::isWritten(const Waiter &waiter) const
+{
+    if (waiter.first == 0) {
+        return false;
+    }
+    const auto last = this->batches.upper_bound(waiter.last);
+    return std::all_of(this->batches.lower_bound(waiter.first), last,
+                       [&](const auto &batch) { return this->isWritten(batch.second); });
+}
+
+bool JournalWriter::hasPeers() const
+{
+    return !this->peers.empty();
+}
+
+void JournalWriter::failAll()
+{
+    this->over = true;
+    for (const auto &[ticket, waiter] : this->waiters) {
+        this->output.failed.push_back(ticket);
+    }
+    this->waiters.clear();
+    this->batches.clear();
+    this->queue.clear();
+    this->flushDue.reset();
+    for (auto &[node, peer] : this->peers) {
+        peer.state = PeerState::Absent;
+        peer.copy.clear();
+        peer.copySent.clear();
+        peer.sent.clear();
+    }
+}
+
+} // namespace kumquat
--- a/packages/traffic/request_id.h
+++ b/packages/traffic/request_id.h
@@ -8,7 +8,6 @@
 
 #include <absl/status/statusor.h>
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -36,7 +35,12 @@
     // Returns the caller's time.
     WallTime time() const { return WallTime(this->high >> 16); }
 
-    auto operator<=>(const RequestId &) const = default;
+    bool operator==(const RequestId &) const = default;
+
+    bool operator<(const RequestId &other) const
+    {
+        return this->high != other.high ? this->high < other.high : this->low < other.low;
+    }
 };
 
 struct RequestIdHash
--- a/packages/traffic/request_memory.h
+++ b/packages/traffic/request_memory.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace kumquat {
@@ -78,8 +79,8 @@
 struct RequestMemorySettings
 {
     Duration life = requestMemoryLife;
-    std::size_t answerBytes = 64 * 1024;             // largest answer that is kept
-    std::size_t totalAnswerBytes = 64 * 1024 * 1024; // then the oldest answers are dropped
+    std::size_t answerBytes = 65'536;          // largest answer that is kept
+    std::size_t totalAnswerBytes = 67'108'864; // then the oldest answers are dropped
     std::size_t ids = 1'000'000; // then begin returns Full; 5,000 requests/s over the life
 };
 
@@ -105,7 +106,7 @@
     // Forgets what is older than the life. begin does this too.
     void expire(Time now);
 
-    // Returns the ids whose key is in one of the slots (sorted ascending or not).
+    // Returns the ids whose key is in one of the slots, in no particular order.
     std::vector<RememberedId> collect(const std::vector<Slot> &slots, const SlotHook &slotOfKey,
                                       Time now) const;
 
@@ -121,8 +122,8 @@
     {
         std::uint64_t keyHash = 0;
         Time expires{};
-        RequestState state = RequestState::InProgress; // InProgress, Done or Unknown
-        bool done = false; // finished with a whole answer, even if it was not kept
+        RequestState state = RequestState::InProgress; // InProgress, Unknown, or Done even if
+                                                       // the answer is not kept
         std::shared_ptr<const StoredAnswer> answer;
     };
 
@@ -138,8 +139,8 @@
 
     RequestMemorySettings settings;
     std::unordered_map<RequestId, Entry, RequestIdHash> entries;
-    std::deque<Expiry> expiries;    // ascending by due
-    std::deque<RequestId> answered; // ids with an answer, oldest first; may hold erased ids
+    std::deque<Expiry> expiries; // ascending by due
+    std::deque<Expiry> answered; // ids with an answer, oldest first
     std::size_t answerBytes = 0;
 };
 
--- /dev/null
+++ b/packages/traffic/tests/journal_model.h
@@ -0,0 +1,119 @@
+// A model of owners, peers and a network around the three roles of the journal, for one slot.
+#pragma once
+
+#include "traffic/journal.h"
+#include "traffic/request_memory.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+// A guard that the model can take out.
+enum class Guard : std::uint8_t {
+    None,
+    MajorityBeforeDispatch, // dispatches without waiting for the peers
+    CompleteFlag,           // incomplete peers answer "not known" too
+    RefusalAfterRelease,    // peers accept writes of released sessions
+    IncarnationInBatch,     // a peer accepts writes to its earlier incarnations
+    CountInErase,           // a late erase removes an id that was written again
+    PredecessorLookup,      // the new owner asks no peers
+};
+
+// One step of a scenario; what a and b mean depends on the operation.
+struct ModelStep
+{
+    std::uint8_t operation = 0;
+    std::uint8_t a = 0;
+    std::uint8_t b = 0;
+};
+
+// Old owners never learn that they are over, so only the journal prevents a second run.
+class JournalModel
+{
+public:
+    explicit JournalModel(Guard removed);
+
+    void apply(const ModelStep &step);
+
+    // Returns whether some id ran more than once, from the model's own list of runs.
+    bool hasDoubleRun() const;
+
+    std::size_t runCount() const { return this->runs.size(); }
+    std::size_t takeoverCount() const { return this->takeovers; }
+    std::size_t runsAfterTakeover() const { return this->lateRuns; }
+
+private:
+    struct PeerNode
+    {
+        std::string name;
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<JournalStore> store;
+        std::set<std::uint64_t> readEnds; // sessions whose end it has read; it grants them nothing
+    };
+
+    struct Owner
+    {
+        std::uint64_t session = 0;
+        std::string name;
+        std::unique_ptr<JournalWriter> writer;
+        std::unique_ptr<JournalLookup> lookup;
+        RequestMemory memory;
+        std::vector<JournalPeerSet> sets;
+        std::vector<LineageSession> lineage;
+        std::vector<std::size_t> awaited; // predecessors that may still hand over
+        std::vector<RememberedId> imported;
+        std::optional<WriteTicket> importing;
+        std::map<LookupTicket, RequestId> lookups;
+        std::map<WriteTicket, RequestId> writes;
+        bool alive = true;
+        bool serving = true; // false after its own move
+        bool ended = false;  // by the log
+    };
+
+    struct Packet
+    {
+        std::string from;
+        std::string to;
+        wire::MeshMessage message;
+    };
+
+    Owner &current() { return *this->owners.back(); }
+    Owner &addOwner(std::uint8_t choice);
+    std::vector<std::string> choosePeers(std::uint8_t choice) const;
+    void sendRequest(Owner &owner, std::uint8_t choice);
+    void collectOutput(Owner &owner, std::uint8_t choice);
+    void dispatch(Owner &owner, const RequestId &id, std::uint8_t choice);
+    void forgetNotRun(Owner &owner, const RequestId &id);
+    void deliver(std::size_t index, bool keep, std::uint8_t choice);
+    void deliverToPeer(PeerNode &peer, const Packet &packet);
+    void deliverToOwner(Owner &owner, const Packet &packet, std::uint8_t choice);
+    void renew(Owner &owner);
+    void restart(PeerNode &peer);
+    void changePeers(std::uint8_t choice);
+    void settlePeers();
+    void takeOver(std::uint8_t choice);
+    void move(std::uint8_t choice);
+    void importFrom(Owner &owner, std::size_t predecessor);
+    void receiveHandover(Owner &owner);
+    void readLog(PeerNode &peer);
+    void lose(std::uint8_t choice);
+    void deliverLate(std::uint8_t choice);
+    void advance(Duration step);
+
+    Guard removed;
+    Time now{1s};
+    std::uint64_t lastIncarnation = 1;
+    std::vector<PeerNode> peers;
+    std::vector<std::unique_ptr<Owner>> owners;
+    std::vector<Packet> network;
+    std::vector<Packet> late;      // duplicates that arrive at some later time
+    std::map<RequestId, int> runs; // by id: times that an upstream ran it
+    std::size_t takeovers = 0;
+    std::size_t lateRuns = 0; // by an owner with a lineage
+};
+
+} // namespace kumquat
