Add the limiter, retry decision, crash guard and their measurement

Cause: an endpoint under overload has to keep working for requests that can still be answered. Change: EndpointLimiter, RetryBudget and decideRetry, CrashGuard, a breaker for comparison, and bench_limits with a model of one endpoint in virtual time.

--- a/packages/traffic/breaker.h
+++ b/packages/traffic/breaker.h
@@ -41,7 +41,6 @@
 
 private:
     void open(Time now);
-    void close();
     void noteProbe(bool success, Time now);
 
     BreakerSettings settings;
--- a/packages/traffic/crash_guard.h
+++ b/packages/traffic/crash_guard.h
@@ -27,7 +27,7 @@
 
 struct CrashGuardSettings
 {
-    std::uint32_t crashes = 2;         // different crashes after which a fingerprint is refused
+    std::size_t crashes = 2;           // different crashes after which a fingerprint is refused
     Duration quarantine = 10min;       // counted from the last crash
     Duration memory = 24h;             // how long a crash counts
     Duration reportEvery = 1s;         // at most one record in this time
@@ -63,11 +63,16 @@
     std::size_t size() const { return this->blamed.size(); }
 
 private:
+    // Crash ids of a fingerprint; a record that is older than these may count twice.
+    static constexpr std::size_t crashIdsKept = 8;
+
     struct Blamed
     {
-        std::vector<std::uint64_t> crashIds; // different ones, at most settings.crashes
-        std::uint32_t imported = 0;          // crashes before the first of crashIds
+        std::vector<std::uint64_t> crashIds; // the latest different ones, oldest first
+        std::size_t imported = 0;            // crashes before the first of crashIds
         Time last{};
+
+        std::size_t crashes() const;
     };
 
     struct Expiry
--- /dev/null
+++ b/packages/traffic/limiter.cpp
@@ -0,0 +1,326 @@
+#include "traffic/limiter.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+constexpr double serviceWeight = 0.05;  // of one answer in the mean service time
+constexpr double spreadFactor = 4;      // mean deviations that cover about 99 % of the answers
+constexpr double usualFall = 0.3;       // weight of a window below the usual latency
+constexpr double usualRise = 0.05;      // weight of a window above it
+constexpr std::size_t leastWindow = 20; // answers that make a mean steady enough to judge
+constexpr double leastLimit = 1;
+
+double toNs(Duration duration)
+{
+    return static_cast<double>(duration.count());
+}
+
+Duration fromNs(double ns)
+{
+    return Duration(static_cast<Duration::rep>(ns));
+}
+
+} // namespace
+
+EndpointLimiter::EndpointLimiter(std::uint32_t announcedSlots, std::uint32_t announcedConnections,
+                                 bool cold, Time now, LimiterSettings initial)
+    : settings(initial)
+    , slots(std::max(1U, announcedSlots))
+    , connections(std::max(1U, announcedConnections))
+    , currentLimit(std::min(this->slots, this->connections))
+{
+    if (cold) {
+        this->startCold(now);
+    }
+}
+
+void EndpointLimiter::announce(std::uint32_t newSlots, std::uint32_t newConnections, Time now)
+{
+    this->slots = std::max(1U, newSlots);
+    this->connections = std::max(1U, newConnections);
+    this->currentLimit = std::min(this->currentLimit, static_cast<double>(this->connections));
+    this->dispatchWaiting(now);
+}
+
+void EndpointLimiter::startCold(Time now)
+{
+    this->coldSince = now;
+    this->currentLimit = std::min<double>(this->slots, this->connections);
+    this->startWindow();
+    ++this->rounds;
+    this->usualLatency = 0;
+}
+
+Admission EndpointLimiter::admit(RequestNumber request, Time deadline, Time now)
+{
+    assert(!this->running.contains(request) && "use a new number for each request");
+    if (deadline <= now) {
+        return {.action = AdmitAction::Refuse, .error = ErrorKind::DeadlineExceeded};
+    }
+    this->dispatchWaiting(now);
+    if (this->queue.empty() && this->hasRoom(now)) {
+        this->dispatch(request, deadline, now);
+        return {.action = AdmitAction::Dispatch};
+    }
+    const bool full = this->queue.size() >= this->settings.queue;
+    if (full || !this->canMeet(deadline, this->queue.size(), now)) {
+        return {.action = AdmitAction::Refuse,
+                .error = ErrorKind::Overloaded,
+                .retryAfter = this->expectedWait(this->queue.size(), now)};
+    }
+    this->queue.push_back({.request = request, .deadline = deadline});
+    return {.action = AdmitAction::Wait};
+}
+
+void EndpointLimiter::finish(RequestNumber request, CallEnd end, Time now)
+{
+    const auto found = this->running.find(request);
+    if (found == this->running.end()) {
+        return;
+    }
+    const Running call = found->second;
+    this->running.erase(found);
+    switch (end) {
+    case CallEnd::Answered:
+        this->lastEnd = now;
+        this->learnLatency(now - call.started);
+        this->judgeAnswer(call, now - call.started);
+        break;
+    case CallEnd::Refused:
+        this->lastEnd = now;
+        this->lower(call, this->settings.decrease);
+        break;
+    case CallEnd::Lost:
+        this->lower(call, this->settings.decrease);
+        break;
+    case CallEnd::TimedOut:
+        this->lower(call, this->settings.timeoutDecrease);
+        break;
+    case CallEnd::Cancelled:
+        break;
+    }
+    this->dispatchWaiting(now);
+}
+
+bool EndpointLimiter::cancelWaiting(RequestNumber request, Time now)
+{
+    const auto found = std::find_if(this->queue.begin(), this->queue.end(),
+                                    [&](const Waiting &entry) { return entry.request == request; });
+    if (found == this->queue.end()) {
+        return false;
+    }
+    this->queue.erase(found);
+    this->dispatchWaiting(now);
+    return true;
+}
+
+void EndpointLimiter::advance(Time now)
+{
+    this->dropHopeless(now);
+    this->dispatchWaiting(now);
+}
+
+std::optional<Time> EndpointLimiter::nextDue() const
+{
+    std::optional<Time> next;
+    for (const Waiting &entry : this->queue) {
+        next = next ? std::min(*next, entry.deadline) : entry.deadline;
+    }
+    if (next) {
+        *next -= std::min(this->serviceTime(), *next);
+    }
+    return next;
+}
+
+LimiterOutput EndpointLimiter::takeOutput()
+{
+    return std::exchange(this->output, {});
+}
+
+double EndpointLimiter::utilisation() const
+{
+    return std::min(1.0, static_cast<double>(this->running.size()) / this->currentLimit);
+}
+
+Duration EndpointLimiter::serviceTime() const
+{
+    if (this->meanLatency == 0) {
+        return this->settings.firstServiceTime;
+    }
+    return fromNs(this->meanLatency + spreadFactor * this->latencySpread);
+}
+
+double EndpointLimiter::effectiveLimit(Time now) const
+{
+    if (!this->coldSince) {
+        return this->currentLimit;
+    }
+    const double share = toNs(now - *this->coldSince) / toNs(this->settings.coldRamp);
+    const double first = std::min(this->settings.coldLimit, static_cast<double>(this->slots));
+    return std::min(this->currentLimit, first + (this->slots - first) * share);
+}
+
+bool EndpointLimiter::hasRoom(Time now) const
+{
+    return static_cast<double>(this->running.size() + 1) <= this->effectiveLimit(now);
+}
+
+// Returns how long a request waits behind `ahead` others.
+Duration EndpointLimiter::expectedWait(std::size_t ahead, Time now) const
+{
+    const double mean =
+            this->meanLatency == 0 ? toNs(this->settings.firstServiceTime) : this->meanLatency;
+    return fromNs(static_cast<double>(ahead + 1) * mean / this->effectiveLimit(now));
+}
+
+// Returns the service time, or the time since the last sign of life if that is longer.
+Duration EndpointLimiter::expectedService(Time now) const
+{
+    if (this->running.empty()) {
+        return this->serviceTime();
+    }
+    const Time lastSign = std::max(this->lastEnd, this->oldestStart());
+    return std::max(this->serviceTime(), now - lastSign);
+}
+
+bool EndpointLimiter::canMeet(Time deadline, std::size_t ahead, Time now) const
+{
+    return now + this->expectedWait(ahead, now) + this->expectedService(now) <= deadline;
+}
+
+Time EndpointLimiter::oldestStart() const
+{
+    Time oldest = Time::max();
+    for (const auto &[request, call] : this->running) {
+        oldest = std::min(oldest, call.started);
+    }
+    return oldest;
+}
+
+void EndpointLimiter::dispatch(RequestNumber request, Time deadline, Time now)
+{
+    const double after = static_cast<double>(this->running.size() + 2);
+    this->running[request] = {.started = now,
+                              .deadline = deadline,
+                              .round = this->rounds,
+                              .atLimit = after > this->effectiveLimit(now)};
+}
+
+void EndpointLimiter::dispatchWaiting(Time now)
+{
+    if (this->coldSince && now - *this->coldSince >= this->settings.coldRamp) {
+        this->coldSince.reset();
+    }
+    while (!this->queue.empty() && this->hasRoom(now)) {
+        const Waiting next = this->queue.front();
+        this->queue.pop_front();
+        if (now + this->serviceTime() > next.deadline) {
+            this->drop(next, now);
+            continue;
+        }
+        this->dispatch(next.request, next.deadline, now);
+        this->output.dispatch.push_back(next.request);
+    }
+}
+
+void EndpointLimiter::dropHopeless(Time now)
+{
+    const Duration service = this->serviceTime();
+    std::erase_if(this->queue, [&](const Waiting &entry) {
+        const bool hopeless = now + service >= entry.deadline;
+        if (hopeless) {
+            this->drop(entry, now);
+        }
+        return hopeless;
+    });
+}
+
+void EndpointLimiter::drop(const Waiting &entry, Time now)
+{
+    const bool late = entry.deadline <= now;
+    this->output.dropped.push_back(
+            {.request = entry.request,
+             .error = late ? ErrorKind::DeadlineExceeded : ErrorKind::Overloaded,
+             .retryAfter = this->expectedWait(this->queue.size(), now)});
+}
+
+void EndpointLimiter::learnLatency(Duration latency)
+{
+    const double sample = toNs(latency);
+    if (this->meanLatency == 0) {
+        this->meanLatency = sample;
+        this->latencySpread = sample / 2;
+        return;
+    }
+    const double distance = std::abs(sample - this->meanLatency);
+    this->meanLatency += serviceWeight * (sample - this->meanLatency);
+    this->latencySpread += serviceWeight * (distance - this->latencySpread);
+}
+
+// Judges a window of answers. Answers to requests from before the last decrease say nothing about
+// the present limit.
+void EndpointLimiter::judgeAnswer(const Running &call, Duration latency)
+{
+    if (call.round != this->rounds) {
+        return;
+    }
+    this->windowSum += toNs(latency);
+    ++this->windowCount;
+    this->windowAtLimit = this->windowAtLimit || call.atLimit;
+    const auto needed = std::max(leastWindow, static_cast<std::size_t>(2 * this->currentLimit));
+    if (this->windowCount < needed) {
+        return;
+    }
+    const double mean = this->windowSum / static_cast<double>(this->windowCount);
+    const bool atLimit = this->windowAtLimit;
+    this->startWindow();
+    if (this->usualLatency == 0) {
+        this->usualLatency = mean;
+    }
+    const double latencyFloor = std::max(leastLimit, this->slots / 2.0);
+    const bool atFloor = this->currentLimit <= latencyFloor;
+    if (mean < this->usualLatency) {
+        this->usualLatency += usualFall * (mean - this->usualLatency);
+    } else if (!atLimit || atFloor) {
+        this->usualLatency += usualRise * (mean - this->usualLatency);
+    }
+    if (!atLimit) {
+        return;
+    }
+    if (mean <= this->settings.tolerance * this->usualLatency) {
+        this->raise();
+    } else if (!atFloor) {
+        this->lower(call, std::max(this->settings.decrease, latencyFloor / this->currentLimit));
+    }
+}
+
+void EndpointLimiter::startWindow()
+{
+    this->windowSum = 0;
+    this->windowCount = 0;
+    this->windowAtLimit = false;
+}
+
+void EndpointLimiter::raise()
+{
+    this->currentLimit = std::min(this->currentLimit + this->settings.increase,
+                                  static_cast<double>(this->connections));
+}
+
+// Lowers the limit once for all requests that were dispatched under it.
+void EndpointLimiter::lower(const Running &call, double factor)
+{
+    if (call.round != this->rounds) {
+        return;
+    }
+    ++this->rounds;
+    this->currentLimit = std::max(leastLimit, this->currentLimit * factor);
+    this->startWindow();
+}
+
+} // namespace kumquat
--- a/packages/traffic/limiter.h
+++ b/packages/traffic/limiter.h
@@ -67,6 +67,7 @@
     double coldLimit = 2;            // first limit of a cold upstream
     Duration coldRamp = 3s;          // time in which the cold limit grows to the announced slots
     double decrease = 0.8;           // factor on overload, at most once a round trip
+    double timeoutDecrease = 0.5;    // factor on a timeout, at most once a round trip
     double increase = 1;             // added to the limit for each full window of good answers
     double tolerance = 2;            // latency over the usual one that counts as overload
     Duration firstServiceTime = 5ms; // assumed before the first answer
@@ -117,7 +118,7 @@
     {
         Time started{};
         Time deadline{};
-        std::uint64_t round = 0; // limit changes so far when it was dispatched
+        std::uint64_t round = 0; // decreases so far when it was dispatched
         bool atLimit = false;    // the limit was fully used when it was dispatched
     };
 
@@ -132,23 +133,30 @@
     Duration expectedWait(std::size_t ahead, Time now) const;
     Duration expectedService(Time now) const;
     bool canMeet(Time deadline, std::size_t ahead, Time now) const;
+    Time oldestStart() const;
     void dispatch(RequestNumber request, Time deadline, Time now);
     void dispatchWaiting(Time now);
     void dropHopeless(Time now);
+    void drop(const Waiting &entry, Time now);
     void learnLatency(Duration latency);
-    void raise(const Running &call);
-    void lower(const Running &call);
+    void judgeAnswer(const Running &call, Duration latency);
+    void startWindow();
+    void raise();
+    void lower(const Running &call, double factor);
 
     LimiterSettings settings;
     std::uint32_t slots;
     std::uint32_t connections;
     double currentLimit;
     std::optional<Time> coldSince;
-    std::uint64_t rounds = 0; // decreases so far
-    double usualLatency = 0;  // ns, slow mean; 0: not known
-    double recentLatency = 0; // ns, fast mean
-    double latencySpread = 0; // ns, fast mean of the distance to recentLatency
-    Time lastEnd{};           // of the last answer or refusal
+    std::uint64_t rounds = 0;    // decreases so far
+    double usualLatency = 0;     // ns, of windows without overload; 0: not known
+    double meanLatency = 0;      // ns, of the latest answers; 0: not known
+    double latencySpread = 0;    // ns, mean distance to meanLatency
+    double windowSum = 0;        // ns, of the answers in the window
+    std::size_t windowCount = 0; // answers in the window
+    bool windowAtLimit = false;  // some were dispatched with the limit fully used
+    Time lastEnd{};              // of the last answer or refusal
     std::unordered_map<RequestNumber, Running> running;
     std::deque<Waiting> queue; // in order of arrival
     LimiterOutput output;
--- /dev/null
+++ b/packages/traffic/limits_plan.h
@@ -0,0 +1,73 @@
+// Constants and scenarios of the limits model.
+#pragma once
+
+#include "base/time.h"
+#include "traffic/limits_model.h"
+
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+
+namespace kumquat {
+
+inline constexpr std::size_t workers = 10;
+inline constexpr double medianServiceSeconds = 0.002;
+inline constexpr double serviceSigma = 0.5; // of the log-normal service time
+inline constexpr std::uint32_t connectionCount = 130;
+inline constexpr Duration start = 5s;        // of the disturbance
+inline constexpr Duration observation = 15s; // after the disturbance
+inline constexpr Duration bucketLength = 250ms;
+inline constexpr double normalFailures = 0.01; // share of failures in a bucket that still is normal
+inline constexpr std::size_t fixedQueue = 256;
+inline constexpr int noneAttempts = 10;
+inline constexpr int callerRetries = 2; // after a not-run answer, within the deadline
+inline constexpr Duration callerBackoff = 20ms;
+inline constexpr Duration processBackoff = 10ms;
+inline constexpr Duration refusalTime = 100us; // of an upstream that sheds or is unreachable
+
+inline double meanServiceSeconds()
+{
+    return medianServiceSeconds * std::exp(serviceSigma * serviceSigma / 2);
+}
+
+inline double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+inline Duration fromSeconds(double seconds)
+{
+    return Duration(static_cast<Duration::rep>(seconds * 1e9));
+}
+
+// Loads and capacities of a scenario; the disturbance begins at `start`.
+struct Plan
+{
+    double load = 0.5;          // share of the capacity outside the disturbance
+    double disturbedLoad = 0.5; // during the disturbance
+    Duration length = 20s;      // of the disturbance
+    double capacity = 1;        // share of the capacity that the endpoint has during it
+    Duration outage{};          // at the start of the disturbance, without connections
+    std::uint32_t slots = workers;
+};
+
+inline Plan planOf(LimitScenario scenario)
+{
+    switch (scenario) {
+    case LimitScenario::HalfLoad:
+        return {};
+    case LimitScenario::TwiceLoad:
+        return {.disturbedLoad = 2};
+    case LimitScenario::Frozen:
+        return {.length = 3s};
+    case LimitScenario::Sheds:
+        return {.load = 0.8, .disturbedLoad = 0.8, .length = 10s, .capacity = 0.5};
+    case LimitScenario::MisleadingHealth:
+        return {.length = 10s, .capacity = 1 / 3.0, .slots = 40};
+    case LimitScenario::ColdStart:
+        return {.load = 0.6, .disturbedLoad = 0.6, .length = 500ms, .outage = 500ms};
+    }
+    return {};
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/traffic/retry.cpp
@@ -0,0 +1,88 @@
+#include "traffic/retry.h"
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+bool isRouteError(ErrorKind kind)
+{
+    return kind == ErrorKind::NotOwner || kind == ErrorKind::NoOwner || kind == ErrorKind::Draining;
+}
+
+// Returns whether another attempt may end better. Overloaded and DeadlineExceeded are decisions of
+// the owner, which has already weighed the deadline.
+bool mayEndBetter(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::NotOwner:
+    case ErrorKind::NoOwner:
+    case ErrorKind::Draining:
+    case ErrorKind::UpstreamUnreachable:
+    case ErrorKind::UpstreamRefused:
+    case ErrorKind::OwnerLost:
+    case ErrorKind::UpstreamLost:
+    case ErrorKind::UpstreamTimeout:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+RetryBudget::RetryBudget(RetryBudgetSettings initial)
+    : settings(initial)
+    , balance(initial.floorPerSecond)
+{}
+
+void RetryBudget::noteFirstAttempt(Time now)
+{
+    this->refill(now);
+    this->balance = std::min(this->settings.most, this->balance + this->settings.share);
+}
+
+bool RetryBudget::take(Time now)
+{
+    this->refill(now);
+    if (this->balance < 1) {
+        return false;
+    }
+    this->balance -= 1;
+    return true;
+}
+
+void RetryBudget::refill(Time now)
+{
+    if (now <= this->refilled) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(now - this->refilled).count();
+    this->refilled = now;
+    // The floor only fills an almost empty account: it is no credit beside the share.
+    const double most = std::max(this->balance, std::max(1.0, this->settings.floorPerSecond));
+    this->balance = std::min(most, this->balance + seconds * this->settings.floorPerSecond);
+}
+
+RetryDecision decideRetry(const RetryQuestion &question, RetryBudget &budget, Time now)
+{
+    const Outcome outcome = errorInfo(question.error).outcome;
+    if (outcome == Outcome::Unknown && !question.idempotent) {
+        return RetryDecision::MayHaveRun;
+    }
+    if (!mayEndBetter(question.error)) {
+        return RetryDecision::Pointless;
+    }
+    if (question.attempts > mostRetries) {
+        return RetryDecision::TooManyAttempts;
+    }
+    if (question.remaining <= question.needed) {
+        return RetryDecision::NoTime;
+    }
+    if (!isRouteError(question.error) && !budget.take(now)) {
+        return RetryDecision::NoBudget;
+    }
+    return RetryDecision::Retry;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/traffic/tests/test_traffic.cpp
@@ -0,0 +1,269 @@
+#include "base/errors.h"
+#include "traffic/breaker.h"
+#include "traffic/crash_guard.h"
+#include "traffic/limiter.h"
+#include "traffic/request_memory.h"
+#include "traffic/retry.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+
+namespace {
+
+RequestId makeId(std::uint64_t number)
+{
+    return {.high = 0x7000 + (number << 16), .low = number};
+}
+
+StoredAnswer makeAnswer(std::size_t bytes)
+{
+    StoredAnswer answer;
+    answer.body.assign(bytes, 'x');
+    return answer;
+}
+
+} // namespace
+
+// Guards against other ids than version 7 UUIDs, whose time would be wrong.
+TEST_CASE("request ids are version 7 UUIDs")
+{
+    const std::string text = "01890a5d-ac96-774b-bcce-b302099a8057";
+    const absl::StatusOr<RequestId> id = RequestId::parse(text);
+    REQUIRE(id.ok());
+    REQUIRE(id->toString() == text);
+    REQUIRE(id->time() == WallTime(0x01890a5dac96));
+    REQUIRE(*RequestId::parse("01890A5D-AC96-774B-BCCE-B302099A8057") == *id);
+    for (const char *bad :
+         {"", "01890a5d-ac96-474b-bcce-b302099a8057", "01890a5d-ac96-774b-0cce-b302099a8057",
+          "01890a5dac96-774b-bcce-b302099a8057-", "01890a5d-ac96-774b-bcce-b302099a805g"}) {
+        REQUIRE(errorKindOf(RequestId::parse(bad).status()) == ErrorKind::MissingRequestId);
+    }
+}
+
+// Guards against an accepted id that outlives the memory.
+TEST_CASE("the age of a request id is bounded both ways")
+{
+    const WallTime now = 1'000'000s;
+    const auto check = [&](WallTime time) {
+        return errorKindOf(checkAge({static_cast<std::uint64_t>(time.count()) << 16, 0}, now));
+    };
+    REQUIRE(check(now - 120s) == ErrorKind::None);
+    REQUIRE(check(now + 60s) == ErrorKind::None);
+    REQUIRE(check(now - 120'001ms) == ErrorKind::RequestIdExpired);
+    REQUIRE(check(now + 60'001ms) == ErrorKind::RequestIdExpired);
+    REQUIRE(requestMemoryLife > requestIdPast + requestIdAhead);
+}
+
+// Guards against a blamed request that shares its fingerprint with another one.
+TEST_CASE("a fingerprint separates the parts of a request")
+{
+    REQUIRE(fingerprintRequest("GET", "/a", "k", "b") == fingerprintRequest("GET", "/a", "k", "b"));
+    REQUIRE(fingerprintRequest("GET", "/a", "k", "b") != fingerprintRequest("GET", "/ak", "", "b"));
+    REQUIRE(fingerprintRequest("GET", "/a", "k", "") != fingerprintRequest("GET", "/a", "", "k"));
+}
+
+// Guards against a second run of an id that the owner has seen.
+TEST_CASE("the request memory answers repeated ids")
+{
+    RequestMemory memory;
+    REQUIRE(memory.begin(makeId(1), 7, 1s).state == RequestState::Fresh);
+    REQUIRE(memory.begin(makeId(1), 7, 2s).state == RequestState::InProgress);
+    memory.finish(makeId(1), makeAnswer(10), 3s);
+    memory.erase(makeId(1)); // too late: it has run
+    const BeginResult done = memory.begin(makeId(1), 7, 4s);
+    REQUIRE(done.state == RequestState::Done);
+    REQUIRE(done.answer->body.size() == 10);
+    memory.begin(makeId(2), 7, 4s);
+    memory.finish(makeId(2), std::nullopt, 5s);
+    REQUIRE(memory.begin(makeId(2), 7, 6s).state == RequestState::Unknown);
+    memory.begin(makeId(3), 7, 6s);
+    memory.erase(makeId(3));
+    REQUIRE(memory.begin(makeId(3), 7, 7s).state == RequestState::Fresh);
+    REQUIRE(memory.begin(makeId(1), 7, 200s).state == RequestState::Done);
+    REQUIRE(memory.begin(makeId(1), 7, 201s).state == RequestState::Fresh);
+    REQUIRE(memory.begin(makeId(3), 7, 206s).state == RequestState::InProgress);
+}
+
+// Guards against unbounded answers, and against ids dropped for lack of space.
+TEST_CASE("the request memory drops the oldest answers but no ids")
+{
+    RequestMemorySettings settings;
+    settings.answerBytes = 1000;
+    settings.totalAnswerBytes = 2500;
+    settings.ids = 4;
+    RequestMemory memory(settings);
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        memory.begin(makeId(number), 0, 1s);
+        memory.finish(makeId(number), makeAnswer(800), 1s);
+    }
+    memory.begin(makeId(4), 0, 1s);
+    memory.finish(makeId(4), makeAnswer(1000), 1s);
+    REQUIRE(memory.storedBytes() <= settings.totalAnswerBytes);
+    REQUIRE(memory.find(makeId(1), 2s).state == RequestState::Unknown);
+    REQUIRE(memory.find(makeId(3), 2s).state == RequestState::Done);
+    REQUIRE(memory.find(makeId(4), 2s).state == RequestState::Unknown);
+    REQUIRE(memory.begin(makeId(5), 0, 2s).state == RequestState::Full);
+    REQUIRE(memory.begin(makeId(5), 0, 201s).state == RequestState::Fresh);
+    REQUIRE(memory.storedBytes() == 0);
+}
+
+// Guards against ids that get lost in a handover.
+TEST_CASE("remembered ids move with their slots")
+{
+    RequestMemory from;
+    from.begin(makeId(1), 10, 1s);
+    from.finish(makeId(1), makeAnswer(1), 1s);
+    from.begin(makeId(2), 20, 1s);
+    from.begin(makeId(3), 30, 1s);
+    const auto slotOfKey = [](std::uint64_t keyHash) { return static_cast<Slot>(keyHash / 10); };
+    const std::vector<RememberedId> moved = from.collect({1, 2}, slotOfKey, 2s);
+    REQUIRE(moved.size() == 2);
+    RequestMemory to;
+    to.import(moved, 2s);
+    REQUIRE(to.begin(makeId(1), 10, 3s).state == RequestState::Unknown);
+    REQUIRE(to.begin(makeId(2), 20, 3s).state == RequestState::Unknown);
+    REQUIRE(to.begin(makeId(3), 30, 3s).state == RequestState::Fresh);
+    REQUIRE(to.collect({1}, slotOfKey, 3s).front().done);
+}
+
+// Guards against a retry of a request that may have run, and against retries without bound.
+TEST_CASE("a retry needs a safe error, attempts, time and budget")
+{
+    RetryBudget budget({.share = 0.1, .floorPerSecond = 1, .most = 5});
+    const auto decide = [&](RetryQuestion question) { return decideRetry(question, budget, 1s); };
+    const RetryQuestion refused{
+            .error = ErrorKind::UpstreamRefused, .remaining = 1s, .needed = 1ms};
+    RetryQuestion question = refused;
+    for (int index = 0; index < errorKindCount; ++index) {
+        question.error = static_cast<ErrorKind>(index);
+        if (errorInfo(question.error).outcome == Outcome::Unknown) {
+            REQUIRE(decide(question) == RetryDecision::MayHaveRun);
+        }
+    }
+    question.error = ErrorKind::Overloaded;
+    REQUIRE(decide(question) == RetryDecision::Pointless);
+    question = refused;
+    question.attempts = 4;
+    REQUIRE(decide(question) == RetryDecision::TooManyAttempts);
+    question = refused;
+    question.remaining = 1ms;
+    REQUIRE(decide(question) == RetryDecision::NoTime);
+    REQUIRE(decide(refused) == RetryDecision::Retry);
+    REQUIRE(decide(refused) == RetryDecision::NoBudget);
+    question.error = ErrorKind::NotOwner;
+    question.remaining = 1s;
+    REQUIRE(decide(question) == RetryDecision::Retry);
+    question.error = ErrorKind::UpstreamLost;
+    question.idempotent = true;
+    REQUIRE(decide(question) == RetryDecision::NoBudget);
+    for (int first = 0; first < 1000; ++first) {
+        budget.noteFirstAttempt(1s);
+    }
+    REQUIRE(budget.credit() == 5);
+    REQUIRE(decide(question) == RetryDecision::Retry);
+}
+
+// Guards against a fatal request that reaches every upstream, and against counting a crash twice.
+TEST_CASE("two different crashes quarantine a fingerprint")
+{
+    CrashGuard guard;
+    guard.blame({1, 2}, 100, 1s);
+    guard.applyRecord({1, 2}, 100, 2s); // the own record comes back from the log
+    REQUIRE_FALSE(guard.isQuarantined(1, 2s));
+    guard.applyRecord({1}, 200, 3s);
+    REQUIRE(guard.isQuarantined(1, 3s));
+    REQUIRE_FALSE(guard.isQuarantined(2, 3s));
+    REQUIRE_FALSE(guard.isQuarantined(1, 3s + 10min));
+    guard.importCount(3, 2, 200, 1s);
+    REQUIRE(guard.isQuarantined(3, 2s));
+}
+
+// Guards against a log flooded by crashes, and against memory that grows with them.
+TEST_CASE("crash reports are limited in rate and number")
+{
+    CrashGuardSettings settings;
+    settings.fingerprints = 2;
+    CrashGuard guard(settings);
+    guard.blame({1}, 100, 1s);
+    guard.blame({2}, 101, 2s);
+    guard.blame({3}, 102, 2s);
+    REQUIRE(guard.size() == 2);
+    REQUIRE(guard.takeReport(2s)->crashId == 100);
+    REQUIRE_FALSE(guard.takeReport(2500ms));
+    REQUIRE(guard.nextReport() == Time(3s));
+    REQUIRE(guard.takeReport(3s)->crashId == 101);
+}
+
+// Guards against a breaker that does not follow the measured settings.
+TEST_CASE("the breaker opens, probes and closes")
+{
+    Breaker breaker;
+    int failures = 0;
+    for (int outcome = 0; failures < 160; ++outcome) {
+        REQUIRE(breaker.allow(1s));
+        const bool success = outcome % 5 == 4;
+        failures += success ? 0 : 1;
+        breaker.note(success, 1s);
+    }
+    REQUIRE(breaker.state() == BreakerState::Open);
+    REQUIRE_FALSE(breaker.allow(1500ms));
+    for (int probe = 0; probe < 3; ++probe) {
+        REQUIRE(breaker.allow(2s));
+        breaker.note(true, 2s);
+    }
+    REQUIRE(breaker.state() == BreakerState::Closed);
+}
+
+// Guards against waiting requests that cannot be answered in time.
+TEST_CASE("the limiter refuses and drops what cannot meet its deadline")
+{
+    EndpointLimiter limiter(2, 10, false, 0s);
+    REQUIRE(limiter.admit(1, 100ms, 0s).action == AdmitAction::Dispatch);
+    REQUIRE(limiter.admit(2, 100ms, 0s).action == AdmitAction::Dispatch);
+    const Admission late = limiter.admit(3, 6ms, 0s);
+    REQUIRE(late.action == AdmitAction::Refuse);
+    REQUIRE(late.error == ErrorKind::Overloaded);
+    REQUIRE(late.retryAfter > 0s);
+    REQUIRE(limiter.admit(4, 0s, 0s).error == ErrorKind::DeadlineExceeded);
+    REQUIRE(limiter.admit(5, 40ms, 0s).action == AdmitAction::Wait);
+    REQUIRE(limiter.admit(6, 100ms, 0s).action == AdmitAction::Wait);
+    limiter.advance(*limiter.nextDue());
+    const LimiterOutput dropped = limiter.takeOutput();
+    REQUIRE(dropped.dropped.size() == 1);
+    REQUIRE(dropped.dropped[0].request == 5);
+    limiter.finish(1, CallEnd::Answered, 41ms);
+    REQUIRE(limiter.takeOutput().dispatch.empty()); // 41 ms of service no longer fit
+}
+
+// Guards against a limit that ignores refusals or exceeds the announced connections.
+TEST_CASE("the limit falls on refusals and rises to the connections at most")
+{
+    EndpointLimiter limiter(4, 6, false, 0s);
+    Time now = 0s;
+    RequestNumber next = 0;
+    const auto runRound = [&](CallEnd end) {
+        std::vector<RequestNumber> round;
+        while (limiter.admit(++next, now + 1s, now).action == AdmitAction::Dispatch) {
+            round.push_back(next);
+        }
+        limiter.cancelWaiting(next, now);
+        now += 2ms;
+        for (const RequestNumber request : round) {
+            limiter.finish(request, end, now);
+        }
+        return round.size();
+    };
+    for (int round = 0; round < 200; ++round) {
+        REQUIRE(runRound(CallEnd::Answered) <= 6);
+    }
+    REQUIRE(limiter.limit() == 6);
+    for (int round = 0; round < 20; ++round) {
+        runRound(CallEnd::Refused);
+    }
+    REQUIRE(limiter.limit() == 1);
+    limiter.announce(4, 6, now);
+    REQUIRE(limiter.limit() == 1); // a health report adds no capacity
+    limiter.startCold(now);
+    REQUIRE(runRound(CallEnd::Answered) == 2);
+}
