--- a/packages/settings/settings.cpp
+++ b/packages/settings/settings.cpp
@@ -10,11 +10,11 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <fstream>
 #include <map>
-#include <sstream>
 #include <utility>
 
 namespace kumquat {
@@ -240,14 +240,17 @@
 absl::StatusOr<Settings> loadSettings(const std::string &path)
 {
     std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file || file.bad()) {
+    std::string text;
+    std::array<char, 65'536> buffer{};
+    while (file.read(buffer.data(), buffer.size()) || file.gcount() > 0) {
+        text.append(buffer.data(), static_cast<std::size_t>(file.gcount()));
+    }
+    if (!file.eof()) { // such as a directory
         const std::string reason = std::strerror(errno);
         return makeError(ErrorKind::SettingsInvalid,
                          toStd(absl::StrCat(path, ": cannot be read: ", reason)));
     }
-    return parseSettings(text.str());
+    return parseSettings(text);
 }
 
 } // namespace kumquat
--- a/packages/settings/tests/test_settings.cpp
+++ b/packages/settings/tests/test_settings.cpp
@@ -108,8 +108,11 @@
     REQUIRE(faultsOf("").starts_with("line 1, column 1: "));
     REQUIRE(faultsOf("{\"a\": 1e999}").find("1e999") != std::string::npos);
     REQUIRE(faultsOf(std::string(100'000, '[')).starts_with("line 1, column 100001: "));
-    const auto missing = loadSettings("no-such-settings.json");
-    REQUIRE(errorKindOf(missing.status()) == ErrorKind::SettingsInvalid);
+    for (const char *path : {"no-such-settings.json", "."}) {
+        const auto missing = loadSettings(path);
+        REQUIRE(errorKindOf(missing.status()) == ErrorKind::SettingsInvalid);
+        REQUIRE(missing.status().message().find("cannot be read") != absl::string_view::npos);
+    }
 }
 
 TEST_CASE("any bytes give settings or faults")
