--- a/packages/standins/caller_main.cpp
+++ b/packages/standins/caller_main.cpp
@@ -24,6 +24,7 @@
   --services LIST     services [default: testlog,certdesk]
   --rate N            requests/s [default: 200]
   --seconds N         duration [default: 5]
+  --wait-s N          first wait up to N s until all entries serve all services [default: 0]
   --keys N            keys per service [default: 200]
   --skew X            exponent of the key distribution [default: 0.9]
   --writes PERCENT    share of non-idempotent requests [default: 30]
@@ -147,6 +148,10 @@
     if (!loadOptions.ok()) {
         return failWith(loadOptions.status());
     }
+    const auto startLimit = std::chrono::seconds(options.at("--wait-s").asLong());
+    if (startLimit > Duration::zero() && !waitUntilServed(*loadOptions, startLimit)) {
+        return failWith(absl::UnavailableError("not all entries serve all services"));
+    }
     LoadGenerator load(*loadOptions);
     const std::vector<Attempt> attempts = load.run();
     const auto runs = collectRuns(options);
--- a/packages/standins/load.cpp
+++ b/packages/standins/load.cpp
@@ -17,6 +17,8 @@
 constexpr Duration repeatDelay = 300ms; // before a write of unknown outcome is sent again
 constexpr Duration probeInterval = 50ms;
 constexpr Duration longestProbe = 8s;
+constexpr Duration startInterval = 100ms;
+constexpr int keysToTry = 10;
 constexpr int percent = 100;
 
 std::string makeTokenPrefix()
@@ -39,10 +41,42 @@
     return shares;
 }
 
+bool isServed(const LoadOptions &options, const Address &entry)
+{
+    HttpClient client(entry);
+    for (const std::string &service : options.services) {
+        for (int key = 0; key < keysToTry; ++key) {
+            Attempt attempt;
+            attempt.service = service;
+            attempt.key = absl::StrCat("D-", key);
+            attempt.token = "start";
+            readOutcome(client.send(makeRead(attempt), options.timeout), attempt);
+            if (attempt.outcome != Outcome::Done) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
 } // namespace
 
 // --- requests
 
+bool waitUntilServed(const LoadOptions &options, Duration longest)
+{
+    const Time giveUp = readBootTime() + longest;
+    for (const Address &entry : options.entries) {
+        while (!isServed(options, entry)) {
+            if (readBootTime() >= giveUp) {
+                return false;
+            }
+            std::this_thread::sleep_for(startInterval);
+        }
+    }
+    return true;
+}
+
 std::string makeRequestId(WallTime now, std::mt19937_64 &random)
 {
     constexpr std::uint64_t versionBits = 0x7000;
--- a/packages/standins/load.h
+++ b/packages/standins/load.h
@@ -63,6 +63,9 @@
 // Fills in outcome, error, status and correctness from an exchange.
 void readOutcome(const HttpExchange &exchange, Attempt &attempt);
 
+// Waits until every entry answers reads of several keys of every service; false after `longest`.
+bool waitUntilServed(const LoadOptions &options, Duration longest);
+
 class LoadGenerator
 {
 public:
--- a/packages/system/cluster.cpp
+++ b/packages/system/cluster.cpp
@@ -166,34 +166,9 @@
 
 // --- waiting
 
-bool Cluster::isServed(const std::string &service, int keys)
-{
-    for (const auto &host : this->allHosts) {
-        for (int key = 0; key < keys; ++key) {
-            if (this->read(*host, service, keyOf(key)).outcome != Outcome::Done) {
-                return false;
-            }
-        }
-    }
-    return true;
-}
-
 bool Cluster::waitUntilServed(Duration longest)
 {
-    const Time giveUp = readBootTime() + longest;
-    std::map<std::string, bool> services;
-    for (const auto &host : this->allHosts) {
-        services[host->service] = true;
-    }
-    for (const auto &[service, isUsed] : services) {
-        while (!this->isServed(service, keysToTry)) {
-            if (readBootTime() >= giveUp) {
-                return false;
-            }
-            std::this_thread::sleep_for(pollInterval);
-        }
-    }
-    return true;
+    return kumquat::waitUntilServed(this->makeLoad(Duration::zero()), longest);
 }
 
 bool Cluster::waitUntilSpread(const std::string &service, std::size_t count, Duration longest)
--- a/packages/system/cluster.h
+++ b/packages/system/cluster.h
@@ -102,8 +102,6 @@
     Host &host(const std::string &name);
 
 private:
-    bool isServed(const std::string &service, int keys);
-
     std::string path;
     Address log;
     std::unique_ptr<Child> logProcess;
