Count idle upstreams in the imbalance

Cause: a service's upstream without any run was left out of the mean, so the imbalance looked smaller than it was. Change: a ledger begins with the name of its upstream and service; the verdict counts the named upstreams. Conclusion: imbalance is over all upstreams whose ledger is given.

--- a/packages/standins/caller_main.cpp
+++ b/packages/standins/caller_main.cpp
@@ -102,7 +102,7 @@
     return text.str();
 }
 
-absl::StatusOr<std::vector<Run>> collectRuns(const Options &options)
+absl::StatusOr<Records> collectRecords(const Options &options)
 {
     const auto upstreams = readAddresses(options, "--upstreams");
     if (!upstreams.ok()) {
@@ -123,7 +123,7 @@
         // A line that was cut off by a kill must not run into the next file.
         text += lines.substr(0, lines.rfind('\n') + 1);
     }
-    return parseRuns(text);
+    return parseRecords(text);
 }
 
 std::optional<Time> readFailureTime(const Options &options)
@@ -154,11 +154,11 @@
     }
     LoadGenerator load(*loadOptions);
     const std::vector<Attempt> attempts = load.run();
-    const auto runs = collectRuns(options);
-    if (!runs.ok()) {
-        return failWith(runs.status());
+    const auto records = collectRecords(options);
+    if (!records.ok()) {
+        return failWith(records.status());
     }
-    const Verdict verdict = judge(attempts, *runs, readFailureTime(options));
+    const Verdict verdict = judge(attempts, *records, readFailureTime(options));
     std::cout << (options.at("--json").asBool() ? verdict.toJson() : verdict.toText());
     return verdict.keepsPromises() ? 0 : 1;
 }
--- a/packages/standins/ledger.cpp
+++ b/packages/standins/ledger.cpp
@@ -55,29 +55,35 @@
     return json.dump() + "\n";
 }
 
-absl::StatusOr<std::vector<Run>> parseRuns(std::string_view text)
+absl::StatusOr<Records> parseRecords(std::string_view text)
 {
     std::map<std::pair<std::string, std::uint64_t>, Run> runs;
+    Records result;
     const std::string_view complete = text.substr(0, text.rfind('\n') + 1);
     for (const auto line : absl::StrSplit(toAbsl(complete), '\n', absl::SkipEmpty())) {
         const auto json = nlohmann::json::parse(line.begin(), line.end(), nullptr, false);
         if (json.is_discarded()) {
             return absl::InvalidArgumentError(absl::StrCat("not a run: ", line));
         }
+        if (!json.contains("number")) {
+            result.upstreams[json.at("service").get<std::string>()].insert(
+                    json.at("upstream").get<std::string>());
+            continue;
+        }
         Run run = readRun(json);
         auto key = std::pair(run.upstream, run.number);
         runs.insert_or_assign(std::move(key), std::move(run));
     }
-    std::vector<Run> result;
-    result.reserve(runs.size());
+    result.runs.reserve(runs.size());
     for (auto &[key, run] : runs) {
-        result.push_back(std::move(run));
+        result.runs.push_back(std::move(run));
     }
     return result;
 }
 
-Ledger::Ledger(std::string upstreamName)
+Ledger::Ledger(std::string upstreamName, std::string serviceName)
     : upstream(std::move(upstreamName))
+    , service(std::move(serviceName))
 {}
 
 absl::Status Ledger::openFile(const std::string &path)
@@ -88,6 +94,7 @@
     if (this->descriptor < 0) {
         return absl::UnavailableError("cannot write the ledger " + path);
     }
+    this->write(this->formatName());
     return absl::OkStatus();
 }
 
@@ -97,7 +104,7 @@
     run.number = this->runs.size();
     run.upstream = this->upstream;
     run.end = run.start;
-    this->write(run);
+    this->write(formatRun(run));
     this->runs.push_back(std::move(run));
     return this->runs.back().number;
 }
@@ -109,13 +116,13 @@
     Run &run = this->runs[number];
     run.result = result;
     run.end = time;
-    this->write(run);
+    this->write(formatRun(run));
 }
 
 std::string Ledger::format() const
 {
     const std::lock_guard lock(this->mutex);
-    std::string text;
+    std::string text = this->formatName();
     for (const Run &run : this->runs) {
         text += formatRun(run);
     }
@@ -128,12 +135,17 @@
     return this->runs.size();
 }
 
-void Ledger::write(const Run &run) const
+std::string Ledger::formatName() const
+{
+    const nlohmann::json json{{"upstream", this->upstream}, {"service", this->service}};
+    return json.dump() + "\n";
+}
+
+void Ledger::write(const std::string &line) const
 {
     if (this->descriptor < 0) {
         return;
     }
-    const std::string line = formatRun(run);
     const ssize_t written = ::write(this->descriptor, line.data(), line.size());
     assert(written == static_cast<ssize_t>(line.size()) && "free space for the ledger file");
     static_cast<void>(written);
--- a/packages/standins/ledger.h
+++ b/packages/standins/ledger.h
@@ -1,6 +1,6 @@
 // The runs of an upstream, which tests use as the record of what really happened.
 //
-//   Ledger ledger("certdesk-1");
+//   Ledger ledger("certdesk-1", "certdesk");
 //   ledger.openFile("build/demo/certdesk-1.ledger"); // optional; survives a kill
 //   std::uint64_t number = ledger.begin(run);
 //   ledger.end(number, RunResult::Done, readBootTime());
@@ -13,7 +13,9 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,15 +54,22 @@
 // Formats one run as one line of JSON.
 std::string formatRun(const Run &run);
 
-// Reads lines of formatRun; a later line replaces an earlier one of the same upstream and number.
+// What several ledgers hold together.
+struct Records
+{
+    std::vector<Run> runs;
+    std::map<std::string, std::set<std::string>> upstreams; // by service, also those without runs
+};
+
+// Reads the lines of ledgers; a later line replaces an earlier one of the same upstream and number.
 // A last line that was cut off by a kill is ignored. Error: any other line that is not a run.
-absl::StatusOr<std::vector<Run>> parseRuns(std::string_view text);
+absl::StatusOr<Records> parseRecords(std::string_view text);
 
 // Thread-safe.
 class Ledger
 {
 public:
-    explicit Ledger(std::string upstreamName);
+    Ledger(std::string upstreamName, std::string serviceName);
 
     // Also writes every run to a file, which keeps its lines when the process is killed.
     absl::Status openFile(const std::string &path);
@@ -69,15 +78,17 @@
     std::uint64_t begin(Run run);
     void end(std::uint64_t number, RunResult result, Time time);
 
-    // Returns all runs as lines of formatRun.
+    // Returns a line that names the upstream and all runs as lines of formatRun.
     std::string format() const;
     std::size_t size() const;
 
 private:
-    void write(const Run &run) const;
+    std::string formatName() const;
+    void write(const std::string &line) const;
 
     mutable std::mutex mutex;
     std::string upstream;
+    std::string service;
     std::vector<Run> runs;
     int descriptor = -1;
 };
--- a/packages/standins/tests/test_standins.cpp
+++ b/packages/standins/tests/test_standins.cpp
@@ -21,7 +21,7 @@
 
 std::vector<Run> runsOf(Upstream &upstream)
 {
-    return parseRuns(upstream.ledger().format()).value();
+    return parseRecords(upstream.ledger().format()).value().runs;
 }
 
 std::string expiresIn(Duration time)
@@ -205,9 +205,9 @@
     run.upstream = "u";
     run.token = "t";
     const std::string line = formatRun(run);
-    const auto runs = parseRuns(line + line.substr(0, 10));
+    const auto runs = parseRecords(line + line.substr(0, 10));
     REQUIRE(runs.ok());
-    REQUIRE(runs->size() == 1);
-    REQUIRE(runs->at(0).result == RunResult::Running);
-    REQUIRE_FALSE(parseRuns("no json\n").ok());
+    REQUIRE(runs->runs.size() == 1);
+    REQUIRE(runs->runs.at(0).result == RunResult::Running);
+    REQUIRE_FALSE(parseRecords("no json\n").ok());
 }
--- a/packages/standins/tests/test_verdict.cpp
+++ b/packages/standins/tests/test_verdict.cpp
@@ -38,7 +38,7 @@
 {
     const Verdict verdict =
             judge({makeAttempt("a", Outcome::Done), makeAttempt("b", Outcome::NotRun)},
-                  {makeRun("u1", "a", 0ms, 1ms)});
+                  {{makeRun("u1", "a", 0ms, 1ms)}, {}});
     REQUIRE(verdict.keepsPromises());
     REQUIRE(verdict.sent == 2);
     REQUIRE(verdict.done == 1);
@@ -52,14 +52,14 @@
     {
         std::vector<Run> runs{makeRun("u1", "a", 0ms, 1ms), makeRun("u2", "a", 5ms, 6ms)};
         runs[0].requestId = runs[1].requestId = "id";
-        const Verdict verdict = judge({makeAttempt("a", Outcome::Done)}, runs);
+        const Verdict verdict = judge({makeAttempt("a", Outcome::Done)}, {runs, {}});
         REQUIRE(verdict.runTwice == 1);
         REQUIRE_FALSE(verdict.keepsPromises());
     }
     SECTION("reported not run, but ran")
     {
         const Verdict verdict =
-                judge({makeAttempt("a", Outcome::NotRun)}, {makeRun("u1", "a", 0ms, 1ms)});
+                judge({makeAttempt("a", Outcome::NotRun)}, {{makeRun("u1", "a", 0ms, 1ms)}, {}});
         REQUIRE(verdict.notRunButRan == 1);
         REQUIRE_FALSE(verdict.keepsPromises());
     }
@@ -72,8 +72,9 @@
     SECTION("the same key at two upstreams at a time")
     {
         const Verdict verdict =
-                judge({}, {makeRun("u1", "a", 0ms, 10ms), makeRun("u1", "b", 1ms, 2ms),
-                           makeRun("u2", "c", 9ms, 11ms), makeRun("u2", "d", 10ms, 12ms)});
+                judge({}, {{makeRun("u1", "a", 0ms, 10ms), makeRun("u1", "b", 1ms, 2ms),
+                            makeRun("u2", "c", 9ms, 11ms), makeRun("u2", "d", 10ms, 12ms)},
+                           {}});
         REQUIRE(verdict.overlaps == 1);
         REQUIRE_FALSE(verdict.keepsPromises());
     }
@@ -85,7 +86,7 @@
         exchange.answer.fields = {{"Kumquat-Outcome", "done"}};
         exchange.answer.body = R"({"token":"ab"})";
         readOutcome(exchange, attempt);
-        const Verdict verdict = judge({attempt}, {makeRun("u1", "a", 0ms, 1ms)});
+        const Verdict verdict = judge({attempt}, {{makeRun("u1", "a", 0ms, 1ms)}, {}});
         REQUIRE(verdict.wrongAnswers == 1);
         REQUIRE_FALSE(verdict.keepsPromises());
     }
@@ -103,8 +104,8 @@
 {
     Attempt repeat = makeAttempt("a", Outcome::Done);
     repeat.number = 1;
-    const Verdict verdict =
-            judge({makeAttempt("a", Outcome::Unknown), repeat}, {makeRun("u1", "a", 0ms, 1ms)});
+    const Verdict verdict = judge({makeAttempt("a", Outcome::Unknown), repeat},
+                                  {{makeRun("u1", "a", 0ms, 1ms)}, {}});
     REQUIRE(verdict.keepsPromises());
     REQUIRE(verdict.repeats == 1);
 }
@@ -120,12 +121,16 @@
     REQUIRE(judge({attempts[0], attempts[1]}, {}).keysNotServedAgain == 1);
 }
 
-TEST_CASE("imbalance is peak over mean")
+// Guards against an imbalance that leaves out idle upstreams.
+TEST_CASE("imbalance is peak over mean of all upstreams")
 {
-    const Verdict verdict = judge({}, {makeRun("u1", "a", 0ms, 1ms), makeRun("u1", "b", 2ms, 3ms),
-                                       makeRun("u1", "c", 4ms, 5ms), makeRun("u2", "d", 6ms, 7ms)});
+    const std::vector<Run> runs{makeRun("u1", "a", 0ms, 1ms), makeRun("u1", "b", 2ms, 3ms),
+                                makeRun("u1", "c", 4ms, 5ms), makeRun("u2", "d", 6ms, 7ms)};
+    const Verdict verdict = judge({}, {runs, {}});
     REQUIRE(verdict.services.at("testlog").imbalance == Approx(1.5));
     REQUIRE(verdict.movedKeys == 1);
+    const Verdict withIdle = judge({}, {runs, {{"testlog", {"u3", "u4"}}}});
+    REQUIRE(withIdle.services.at("testlog").imbalance == Approx(3));
 }
 
 TEST_CASE("request ids are version 7 UUIDs with the time in front")
--- a/packages/standins/upstream.cpp
+++ b/packages/standins/upstream.cpp
@@ -44,7 +44,7 @@
 Upstream::Upstream(const UpstreamOptions &initialOptions)
     : options(initialOptions)
     , random(std::random_device{}())
-    , runs(initialOptions.name)
+    , runs(initialOptions.name, initialOptions.service)
 {}
 
 // --- admission
--- a/packages/standins/verdict.cpp
+++ b/packages/standins/verdict.cpp
@@ -191,9 +191,14 @@
 
 // --- shares
 
-void measureShares(Verdict &verdict, const std::vector<Run> &runs)
+void measureShares(Verdict &verdict, const Records &records)
 {
-    for (const Run &run : runs) {
+    for (const auto &[service, upstreams] : records.upstreams) {
+        for (const std::string &upstream : upstreams) {
+            verdict.services[service].runs[upstream] = 0;
+        }
+    }
+    for (const Run &run : records.runs) {
         ++verdict.services[run.service].runs[run.upstream];
     }
     for (auto &[service, share] : verdict.services) {
@@ -204,7 +209,7 @@
             peak = std::max(peak, count);
         }
         const double mean = static_cast<double>(total) / static_cast<double>(share.runs.size());
-        share.imbalance = static_cast<double>(peak) / mean;
+        share.imbalance = total == 0 ? 0 : static_cast<double>(peak) / mean;
     }
 }
 
@@ -220,9 +225,10 @@
 
 } // namespace
 
-Verdict judge(const std::vector<Attempt> &attempts, const std::vector<Run> &runs,
+Verdict judge(const std::vector<Attempt> &attempts, const Records &records,
               std::optional<Time> failedAt)
 {
+    const std::vector<Run> &runs = records.runs;
     Verdict verdict;
     verdict.runs = runs.size();
     countAttempts(verdict, attempts);
@@ -234,7 +240,7 @@
     }
     measureGaps(verdict, attempts, failedAt);
     measureLatencies(verdict, attempts);
-    measureShares(verdict, runs);
+    measureShares(verdict, records);
     return verdict;
 }
 
--- a/packages/standins/verdict.h
+++ b/packages/standins/verdict.h
@@ -1,6 +1,6 @@
 // Compares what callers were told with what upstreams ran.
 //
-//   Verdict verdict = judge(attempts, runs);
+//   Verdict verdict = judge(attempts, records);
 //   if (!verdict.keepsPromises()) { std::cout << verdict.toText(); }
 #pragma once
 
@@ -58,7 +58,7 @@
 };
 
 // With `failedAt`, gaps count from this time and only later attempts are considered for them.
-Verdict judge(const std::vector<Attempt> &attempts, const std::vector<Run> &runs,
+Verdict judge(const std::vector<Attempt> &attempts, const Records &records,
               std::optional<Time> failedAt = std::nullopt);
 
 } // namespace kumquat
--- a/packages/system/cluster.cpp
+++ b/packages/system/cluster.cpp
@@ -272,14 +272,14 @@
 
 // --- records
 
-std::vector<Run> Cluster::collectRuns() const
+Records Cluster::collectRecords() const
 {
     std::string text;
     for (const std::string &ledger : this->ledgers) {
         const std::string lines = readFile(ledger);
         text += lines.substr(0, lines.rfind('\n') + 1);
     }
-    return parseRuns(text).value();
+    return parseRecords(text).value();
 }
 
 std::string Cluster::describeLogs() const
--- a/packages/system/cluster.h
+++ b/packages/system/cluster.h
@@ -90,7 +90,8 @@
     static void controlUpstream(const Host &host, const std::string &target);
 
     // Returns the runs of all upstreams, also of those that were killed.
-    std::vector<Run> collectRuns() const;
+    Records collectRecords() const;
+    std::vector<Run> collectRuns() const { return this->collectRecords().runs; }
 
     // Prints the last lines of every process, for a failed test.
     std::string describeLogs() const;
--- a/packages/system/tests/test_system.cpp
+++ b/packages/system/tests/test_system.cpp
@@ -66,7 +66,7 @@
     Cluster cluster("path");
     startServing(cluster);
     const std::vector<Attempt> attempts = LoadGenerator(cluster.makeLoad(4s)).run();
-    const Verdict verdict = judge(attempts, cluster.collectRuns());
+    const Verdict verdict = judge(attempts, cluster.collectRecords());
     INFO(verdict.toText());
     REQUIRE(verdict.keepsPromises());
     REQUIRE(verdict.sent == 800);
@@ -84,7 +84,7 @@
     const Time killedAt = readBootTime();
     owner.process->kill();
     const std::vector<Attempt> attempts = load.finish();
-    const Verdict verdict = judge(attempts, cluster.collectRuns(), killedAt);
+    const Verdict verdict = judge(attempts, cluster.collectRecords(), killedAt);
     INFO(owner.name << " was killed\n" << verdict.toText());
     REQUIRE(verdict.keepsPromises());
     REQUIRE(verdict.keysNotServedAgain == 0);
@@ -104,7 +104,7 @@
     std::this_thread::sleep_for(4s);
     owner.process->signal(SIGCONT);
     const std::vector<Attempt> attempts = load.finish();
-    const Verdict verdict = judge(attempts, cluster.collectRuns(), pausedAt);
+    const Verdict verdict = judge(attempts, cluster.collectRecords(), pausedAt);
     INFO(owner.name << " was paused\n" << verdict.toText());
     REQUIRE(verdict.keepsPromises());
     REQUIRE(verdict.keysNotServedAgain == 0);
@@ -125,7 +125,7 @@
     std::this_thread::sleep_for(2500ms);
     cluster.controlLog("outage?mode=none");
     const std::vector<Attempt> attempts = load.finish();
-    const Verdict verdict = judge(attempts, cluster.collectRuns());
+    const Verdict verdict = judge(attempts, cluster.collectRecords());
     INFO(verdict.toText());
     REQUIRE(verdict.keepsPromises());
     REQUIRE(verdict.done == verdict.sent);
@@ -141,7 +141,7 @@
     cluster.controlLog("lose-replies?count=2");
     Host &added = cluster.startHost("t5", "dakar-2", "testlog");
     const std::vector<Attempt> attempts = load.finish();
-    const Verdict verdict = judge(attempts, cluster.collectRuns());
+    const Verdict verdict = judge(attempts, cluster.collectRecords());
     INFO(verdict.toText());
     REQUIRE(verdict.keepsPromises());
     REQUIRE(verdict.unknown == 0);
@@ -169,7 +169,7 @@
     Cluster::controlUpstream(slowHost, "set?service_ms=2");
     const auto status = owner.process->waitForExit(drainLimit);
     const std::vector<Attempt> attempts = load.finish();
-    const Verdict verdict = judge(attempts, cluster.collectRuns(), stoppedAt);
+    const Verdict verdict = judge(attempts, cluster.collectRecords(), stoppedAt);
     INFO(owner.name << " was stopped\n" << verdict.toText() << owner.process->output());
     REQUIRE(status == 0);
     REQUIRE(verdict.keepsPromises());
@@ -190,7 +190,7 @@
     Cluster::controlUpstream(owner, "set?draining=1");
     const std::vector<Attempt> attempts = load.finish();
     const auto status = owner.process->waitForExit(drainLimit);
-    const Verdict verdict = judge(attempts, cluster.collectRuns(), drainedAt);
+    const Verdict verdict = judge(attempts, cluster.collectRecords(), drainedAt);
     INFO(owner.name << " drained\n" << verdict.toText() << owner.process->output());
     REQUIRE(verdict.keepsPromises());
     REQUIRE(verdict.unknown == 0);
