--- a/packages/standins/caller_main.cpp
+++ b/packages/standins/caller_main.cpp
@@ -24,6 +24,7 @@
   --services LIST     services [default: testlog,certdesk]
   --rate N            requests/s [default: 200]
   --seconds N         duration [default: 5]
+  --wait-s N          first wait up to N s until all entries serve all services [default: 0]
   --keys N            keys per service [default: 200]
   --skew X            exponent of the key distribution [default: 0.9]
   --writes PERCENT    share of non-idempotent requests [default: 30]
@@ -101,7 +102,7 @@
     return text.str();
 }
 
-absl::StatusOr<std::vector<Run>> collectRuns(const Options &options)
+absl::StatusOr<Records> collectRecords(const Options &options)
 {
     const auto upstreams = readAddresses(options, "--upstreams");
     if (!upstreams.ok()) {
@@ -122,7 +123,7 @@
         // A line that was cut off by a kill must not run into the next file.
         text += lines.substr(0, lines.rfind('\n') + 1);
     }
-    return parseRuns(text);
+    return parseRecords(text);
 }
 
 std::optional<Time> readFailureTime(const Options &options)
@@ -147,13 +148,17 @@
     if (!loadOptions.ok()) {
         return failWith(loadOptions.status());
     }
+    const auto startLimit = std::chrono::seconds(options.at("--wait-s").asLong());
+    if (startLimit > Duration::zero() && !waitUntilServed(*loadOptions, startLimit)) {
+        return failWith(absl::UnavailableError("not all entries serve all services"));
+    }
     LoadGenerator load(*loadOptions);
     const std::vector<Attempt> attempts = load.run();
-    const auto runs = collectRuns(options);
-    if (!runs.ok()) {
-        return failWith(runs.status());
+    const auto records = collectRecords(options);
+    if (!records.ok()) {
+        return failWith(records.status());
     }
-    const Verdict verdict = judge(attempts, *runs, readFailureTime(options));
+    const Verdict verdict = judge(attempts, *records, readFailureTime(options));
     std::cout << (options.at("--json").asBool() ? verdict.toJson() : verdict.toText());
     return verdict.keepsPromises() ? 0 : 1;
 }
