bench: add the benchmark of placement decisions

Cause: the targets of section 8 need a measurement. The policy keeps its list of new sessions between changes of the log, and a meter clears only what it counted.

--- /dev/null
+++ b/packages/bench/model.h
@@ -0,0 +1,180 @@
+// Discrete model of servers, callers and links that runs the placement code in virtual time.
+//
+// Sections: Strategy, ModelTimes, Result, Simulation.
+#pragma once
+
+#include "base/names.h"
+#include "bench/trace.h"
+#include "placement/policy.h"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kumquat::bench {
+
+enum class Strategy : std::uint8_t {
+    Rendezvous,   // highest hash of (session, slot), no moves
+    NoHysteresis, // moves whenever the load is above the mean, without limit or rest
+    Policy,       // PlacementPolicy
+};
+
+inline constexpr NameTable<Strategy, 3> strategyNames{{{{Strategy::Rendezvous, "rendezvous"},
+                                                        {Strategy::NoHysteresis, "no-hysteresis"},
+                                                        {Strategy::Policy, "policy"}}}};
+
+// Times and sizes that the model does not compute. The times follow section 3 of the design page.
+struct ModelTimes
+{
+    double handoverNear = 0.015; // s without an answer when a slot moves within a region
+    double handoverFar = 0.045;  // s, between regions: 30 ms more for the Handover message
+    double detection = 1.0;      // s from a loss until the Fence is read
+    double takeover = 0.3;       // s from reading the Fence until the slots are served
+    double coldTime = 60;        // s until a new upstream has its full capacity
+    double coldShare = 0.3;      // of the capacity of a cold upstream
+    double requestBytes = 2'048; // request and answer together, on a link between regions
+    double messageBytes = 100;   // one LoadQuery or LoadReply on the wire
+    double slotBytes = 10;       // one slot in a Move record
+    double recordBytes = 60;     // rest of a record
+};
+
+// Measures of one run, without the warm-up.
+struct Result
+{
+    std::string trace;
+    std::string service;
+    Strategy strategy{};
+    std::uint64_t seed = 0;
+    double imbalanceP50 = 0;   // peak over mean
+    double imbalanceWorst = 0; // peak over mean
+    double settleWorst = 0;    // s until at most 1.15 after the slowest shift, -1: never
+    double settledWorst = 0;   // worst peak over mean later than 3 min after every shift
+    double churnPerHour = 0;   // share of all keys that change owner
+    double unavailable = 0;    // key-seconds without an answer
+    double done = 0;           // requests
+    double notRun = 0;         // requests refused or without an owner
+    double unknown = 0;        // requests that a frozen upstream did not answer
+    double regionBytes = 0;    // bytes of requests between regions
+    double logAppends = 0;
+    double controlBytes = 0;    // per node and second: load queries and log records
+    double largestKeyShare = 0; // largest rate of one key in a server's fair shares
+    std::vector<float> series;  // peak over mean per step, for the plot
+
+    // Returns whether the targets of section 8 apply and are met, in words.
+    std::string verdict() const;
+    bool meetsTargets() const;
+};
+
+// One run of a trace. The same trace and strategy always give the same result.
+//
+//   Result result = Simulation(trace, Strategy::Policy, settings, times).run();
+class Simulation
+{
+public:
+    Simulation(const Trace &replayed, Strategy chosen, const PlacementSettings &placement,
+               const ModelTimes &parameters);
+
+    Result run();
+
+private:
+    static constexpr int noNode = -1;
+
+    struct Node
+    {
+        std::uint32_t region = 0;
+        std::uint32_t dataCentre = 0;
+        bool isAlive = true;
+        bool isFrozen = false;
+        double fenceDue = 0; // s; a lost node's slots are reassigned from then on
+        bool isFenced = false;
+        double joinedAt = 0; // s
+        std::uint64_t session = 0;
+        std::vector<Slot> slots;
+        std::optional<PlacementPolicy> policy;
+        std::unique_ptr<SlotRates> rates;       // of the baseline with moves
+        std::array<double, regionCount> load{}; // requests/s by region of the callers
+    };
+
+    // A key that is followed by itself: the most frequent ones and the hot ones.
+    struct Key
+    {
+        std::uint64_t hash = 0;
+        std::uint32_t region = 0;
+        std::uint32_t hemisphere = 0;
+        double base = 0; // requests/s
+        Slot slot = 0;   // hashed or dedicated
+        double rate = 0; // requests/s now
+        std::vector<HotPhase> phases;
+    };
+
+    // Setting up (model.cpp).
+    void makeLoad();
+    void startNodes();
+    void startSession(int node, double time);
+
+    // Ownership (model.cpp).
+    void assign(Slot slot, int node, SlotGain how);
+    void reassign(int lost);
+    int chooseOwner(Slot slot, std::uint32_t preferredRegion) const;
+    void applyEvents(double from, double to);
+    void applyEvent(const Event &event);
+    void fenceLostNodes();
+    void rebuildSlots();
+    bool reaches(std::uint32_t left, std::uint32_t right) const;
+    bool hasLog(const Node &node) const;
+
+    // One step (step.cpp).
+    void updateRates();
+    void drawCounts();
+    void runPolicies();
+    void publishViews();
+    void askLoads(int asker, const AskLoad &ask);
+    void applyDecision(int node, const PlacementDecision &decision);
+    void applyMove(int node, const MoveSlots &move);
+    void applyBind(int node, const BindKey &bind);
+    void applyUnbind(const UnbindKey &unbind);
+    void runNaive();
+    void measure();
+    double imbalanceNow();
+    void measureRequests(const Node &node);
+    double unservedRequests(const Node &node);
+    double loadOf(const Node &node) const;
+    double capacityOf(const Node &node) const;
+    int findNode(std::uint64_t session) const;
+    void countAppend(double bytes);
+    Result summarise();
+
+    Time now() const;
+    bool isMeasured() const { return this->time >= this->trace.warmUp; }
+
+    const Trace &trace;
+    Strategy strategy;
+    PlacementSettings settings;
+    ModelTimes times;
+    Random random;
+    double time = 0; // s
+    std::vector<Node> nodes;
+    std::uint64_t nextSession = 1;
+    bool logUp = true;
+    std::array<bool, regionCount> isCut{};
+
+    using Rates = std::vector<double>;                                // per slot
+    std::array<std::array<Rates, hemisphereCount>, regionCount> base; // requests/s, without keys
+    std::array<Rates, regionCount> background;                        // base with the season
+    std::vector<Key> keys;
+    std::vector<std::uint32_t> counts; // requests per slot in this step
+    std::vector<int> owners;           // node per slot
+    std::vector<double> unservedUntil; // s, per slot
+    double allServedFrom = 0;          // s, the latest of unservedUntil
+    std::vector<BindingView> bindings;
+    bool ownersChanged = true;
+    LoadMeter meter;
+    double mean = 0; // requests/s over all live nodes
+    Result result;
+    double keysMoved = 0;
+};
+
+} // namespace kumquat::bench
--- /dev/null
+++ b/packages/bench/step.cpp
@@ -0,0 +1,482 @@
+// One step of virtual time: rates, counts, decisions and measures.
+#include "bench/model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+namespace kumquat::bench {
+
+namespace {
+
+constexpr double seasonPeriod = 10; // s between two computations of the background load
+constexpr double hotRamp = 10;      // s until a hot key has its full rate
+constexpr double targetRatio = 1.15;
+constexpr double targetTime = 180;   // s after a shift
+constexpr double targetChurn = 0.02; // share of the keys an hour
+constexpr double settledFor = 10;    // s at the target that count as settled
+
+double rateInPhase(const HotPhase &phase, double time)
+{
+    const double rise = std::clamp((time - phase.from) / hotRamp, 0.0, 1.0);
+    const double fall = std::clamp((phase.to + hotRamp - time) / hotRamp, 0.0, 1.0);
+    return phase.share * std::min(rise, fall);
+}
+
+} // namespace
+
+// --- load ---
+
+void Simulation::updateRates()
+{
+    const bool isDue = std::fmod(this->time, seasonPeriod) < this->trace.step;
+    for (std::uint32_t region = 0; region < regionCount; ++region) {
+        if (isDue) {
+            const double north = this->trace.factorOf(region, 0, this->time);
+            const double south = this->trace.factorOf(region, 1, this->time);
+            for (Slot slot = 0; slot < hashedSlotCount; ++slot) {
+                this->background[region][slot] =
+                        north * this->base[region][0][slot] + south * this->base[region][1][slot];
+            }
+        }
+    }
+    const double fairShare = this->trace.rate / this->trace.nodes;
+    for (Key &key : this->keys) {
+        key.rate = key.base * this->trace.factorOf(key.region, key.hemisphere, this->time);
+        for (const HotPhase &phase : key.phases) {
+            key.rate += fairShare * rateInPhase(phase, this->time);
+        }
+    }
+}
+
+void Simulation::drawCounts()
+{
+    for (Slot slot = 0; slot < slotCount; ++slot) {
+        double rate = 0;
+        for (std::uint32_t region = 0; region < regionCount; ++region) {
+            rate += this->background[region][slot];
+        }
+        this->counts[slot] = this->random.poisson(rate * this->trace.step);
+    }
+}
+
+// --- decisions ---
+
+void Simulation::publishViews()
+{
+    std::vector<SessionView> views;
+    for (const Node &node : this->nodes) {
+        if (!node.isFenced) {
+            const auto seen = std::chrono::duration<double>(node.joinedAt);
+            views.push_back({node.session, std::to_string(node.region),
+                             std::chrono::duration_cast<Time>(seen),
+                             static_cast<std::uint32_t>(node.slots.size())});
+        }
+    }
+    for (Node &node : this->nodes) {
+        if (node.policy) {
+            node.policy->setSessions(views);
+            node.policy->setBindings(this->bindings);
+        }
+    }
+}
+
+void Simulation::runPolicies()
+{
+    if (this->ownersChanged) {
+        this->publishViews();
+        this->ownersChanged = false;
+    }
+    std::vector<std::vector<const Key *>> keysOf(this->nodes.size());
+    for (Key &key : this->keys) {
+        if (key.rate > 0 && this->owners[key.slot] != noNode) {
+            keysOf[static_cast<std::size_t>(this->owners[key.slot])].push_back(&key);
+        }
+    }
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+        Node &node = this->nodes[index];
+        if (!node.policy) {
+            continue;
+        }
+        for (const Slot slot : node.slots) {
+            this->meter.countSlot(slot, this->counts[slot]);
+        }
+        for (const Key *key : keysOf[index]) {
+            const auto requests = this->random.poisson(key->rate * this->trace.step);
+            this->meter.count(key->slot, key->hash, requests);
+        }
+        node.policy->takeCounts(this->meter, this->now());
+        const double load = this->loadOf(node);
+        node.policy->setLogAvailable(this->hasLog(node));
+        node.policy->setUtilisation(node.isFrozen ? 1
+                                                  : std::min(1.0, load / this->capacityOf(node)));
+    }
+    // Replies take far less than a step, so a round ends in the step in which it started. All
+    // owners decide on the state before any of their moves: the worst case for collisions.
+    using Decided = std::pair<int, PlacementDecision>;
+    std::vector<Decided> decided;
+    for (int pass = 0; pass < 2; ++pass) {
+        for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+            if (!this->nodes[index].policy) {
+                continue;
+            }
+            for (PlacementDecision &decision : this->nodes[index].policy->decide(this->now())) {
+                decided.emplace_back(static_cast<int>(index), std::move(decision));
+            }
+        }
+        if (pass == 0) {
+            for (const auto &[index, decision] : decided) {
+                if (const auto *ask = std::get_if<AskLoad>(&decision)) {
+                    this->askLoads(index, *ask);
+                }
+            }
+        }
+    }
+    for (const auto &[index, decision] : decided) {
+        this->applyDecision(index, decision);
+    }
+}
+
+void Simulation::askLoads(int asker, const AskLoad &ask)
+{
+    Node &node = this->nodes[static_cast<std::size_t>(asker)];
+    for (const std::uint64_t session : ask.sessions) {
+        const int other = this->findNode(session);
+        if (this->isMeasured()) {
+            // Each message counts at its sender and at its receiver.
+            this->result.controlBytes += 4 * this->times.messageBytes;
+        }
+        if (other == noNode) {
+            continue;
+        }
+        const Node &peer = this->nodes[static_cast<std::size_t>(other)];
+        if (peer.policy && this->reaches(node.region, peer.region)) {
+            node.policy->takeSample(peer.policy->ownSample(this->now()), this->now());
+        }
+    }
+}
+
+void Simulation::applyDecision(int node, const PlacementDecision &decision)
+{
+    if (const auto *move = std::get_if<MoveSlots>(&decision)) {
+        this->applyMove(node, *move);
+    } else if (const auto *bind = std::get_if<BindKey>(&decision)) {
+        this->applyBind(node, *bind);
+    } else if (const auto *unbind = std::get_if<UnbindKey>(&decision)) {
+        this->applyUnbind(*unbind);
+    }
+}
+
+void Simulation::applyMove(int from, const MoveSlots &move)
+{
+    const int to = this->findNode(move.target);
+    this->countAppend(this->times.recordBytes
+                      + this->times.slotBytes * static_cast<double>(move.slots.size()));
+    if (to == noNode) {
+        return;
+    }
+    const bool isNear = this->nodes[static_cast<std::size_t>(from)].region
+                        == this->nodes[static_cast<std::size_t>(to)].region;
+    const double gap = isNear ? this->times.handoverNear : this->times.handoverFar;
+    for (const Slot slot : move.slots) {
+        if (this->owners[slot] == from) {
+            this->assign(slot, to, SlotGain::Moved);
+            const double keyCount = slot < hashedSlotCount ? this->trace.keys / hashedSlotCount : 1;
+            this->result.unavailable += this->isMeasured() ? gap * keyCount : 0;
+        }
+    }
+}
+
+void Simulation::applyBind(int node, const BindKey &bind)
+{
+    this->countAppend(this->times.recordBytes);
+    const bool isTaken = std::any_of(
+            this->bindings.begin(), this->bindings.end(), [&bind](const BindingView &view) {
+                return view.dedicatedSlot == bind.dedicatedSlot || view.keyHash == bind.keyHash;
+            });
+    if (isTaken || this->owners[slotOf(bind.keyHash)] != node) {
+        return;
+    }
+    this->bindings.push_back({bind.keyHash, bind.dedicatedSlot, 0, 0});
+    this->assign(bind.dedicatedSlot, node, SlotGain::Assigned);
+    for (Key &key : this->keys) {
+        key.slot = key.hash == bind.keyHash ? bind.dedicatedSlot : key.slot;
+    }
+}
+
+void Simulation::applyUnbind(const UnbindKey &unbind)
+{
+    this->countAppend(this->times.recordBytes);
+    for (Key &key : this->keys) {
+        key.slot = key.slot == unbind.dedicatedSlot ? slotOf(key.hash) : key.slot;
+    }
+    std::erase_if(this->bindings, [&unbind](const BindingView &view) {
+        return view.dedicatedSlot == unbind.dedicatedSlot;
+    });
+    this->assign(unbind.dedicatedSlot, noNode, SlotGain::Assigned);
+}
+
+// The baseline with moves: every 3 s, each owner above the mean moves to the least loaded of five
+// others what it has above the mean, but at most half of their difference. It knows the exact mean.
+void Simulation::runNaive()
+{
+    this->ownersChanged = false;
+    for (const Key &key : this->keys) {
+        this->counts[key.slot] += this->random.poisson(key.rate * this->trace.step);
+    }
+    std::vector<double> loads(this->nodes.size());
+    double sum = 0;
+    double alive = 0;
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+        Node &node = this->nodes[index];
+        node.rates->add(this->counts, this->now());
+        loads[index] = node.rates->load(this->now());
+        sum += node.isAlive ? loads[index] : 0;
+        alive += node.isAlive ? 1 : 0;
+    }
+    const double average = sum / alive;
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+        Node &node = this->nodes[index];
+        const bool isDue = std::fmod(this->time + static_cast<double>(index), 3) < 1;
+        if (!node.isAlive || !this->hasLog(node) || loads[index] <= average || !isDue) {
+            continue;
+        }
+        std::size_t target = index;
+        for (std::uint32_t ask = 0; ask < this->settings.askCount; ++ask) {
+            const std::size_t other = this->random.next() % this->nodes.size();
+            const Node &peer = this->nodes[other];
+            if (peer.isAlive && this->reaches(node.region, peer.region)
+                && loads[other] < loads[target]) {
+                target = other;
+            }
+        }
+        const double amount = std::min(loads[index] - average, (loads[index] - loads[target]) / 2);
+        MoveSlots move;
+        move.target = this->nodes[target].session;
+        for (const SlotRate &entry : node.rates->movable(this->now())) {
+            if (move.load + entry.rate <= amount && target != index) {
+                move.slots.push_back(entry.slot);
+                move.load += entry.rate;
+            }
+        }
+        if (!move.slots.empty()) {
+            this->applyMove(static_cast<int>(index), move);
+        }
+    }
+}
+
+int Simulation::findNode(std::uint64_t session) const
+{
+    const auto found =
+            std::find_if(this->nodes.begin(), this->nodes.end(), [session](const Node &node) {
+                return node.session == session && node.isAlive;
+            });
+    return found == this->nodes.end() ? noNode
+                                      : static_cast<int>(std::distance(this->nodes.begin(), found));
+}
+
+// --- measures ---
+
+void Simulation::countAppend(double bytes)
+{
+    if (this->isMeasured()) {
+        this->result.logAppends += 1;
+        this->result.controlBytes += bytes * static_cast<double>(this->nodes.size());
+    }
+}
+
+double Simulation::capacityOf(const Node &node) const
+{
+    const double age = std::clamp((this->time - node.joinedAt) / this->times.coldTime, 0.0, 1.0);
+    return this->trace.capacity * (this->times.coldShare + (1 - this->times.coldShare) * age);
+}
+
+void Simulation::measure()
+{
+    for (Node &node : this->nodes) {
+        node.load.fill(0);
+        for (const Slot slot : node.slots) {
+            for (std::uint32_t region = 0; region < regionCount; ++region) {
+                node.load[region] += this->background[region][slot];
+            }
+        }
+    }
+    for (const Key &key : this->keys) {
+        if (this->owners[key.slot] != noNode) {
+            this->nodes[static_cast<std::size_t>(this->owners[key.slot])].load[key.region] +=
+                    key.rate;
+        }
+    }
+    const double imbalance = this->imbalanceNow();
+    if (!this->isMeasured()) {
+        return;
+    }
+    this->result.series.push_back(static_cast<float>(imbalance));
+    for (const Key &key : this->keys) {
+        this->result.largestKeyShare =
+                std::max(this->result.largestKeyShare, key.rate / this->mean);
+    }
+    for (const Node &node : this->nodes) {
+        this->measureRequests(node);
+    }
+}
+
+// Returns peak over mean. While regions are cut off from each other, each side has its own mean and
+// the worse side counts, because no load can cross the cut.
+double Simulation::imbalanceNow()
+{
+    double worst = 1;
+    double total = 0;
+    double alive = 0;
+    for (std::uint32_t side = 0; side < regionCount; ++side) {
+        double peak = 0;
+        double sum = 0;
+        double count = 0;
+        for (const Node &node : this->nodes) {
+            const double load = this->loadOf(node);
+            if (node.isAlive && this->reaches(side, node.region)) {
+                peak = std::max(peak, load);
+                sum += load;
+                count += 1;
+            }
+            if (node.isAlive && node.region == side) {
+                total += load;
+                alive += 1;
+            }
+        }
+        worst = sum > 0 ? std::max(worst, peak * count / sum) : worst;
+    }
+    this->mean = total / alive;
+    return worst;
+}
+
+// Returns the requests/s that reach a node.
+double Simulation::loadOf(const Node &node) const
+{
+    double load = 0;
+    for (std::uint32_t region = 0; region < regionCount; ++region) {
+        load += this->reaches(region, node.region) ? node.load[region] : 0;
+    }
+    return load;
+}
+
+// Counts the requests of one node's slots, and the keys without an answer.
+void Simulation::measureRequests(const Node &node)
+{
+    const double step = this->trace.step;
+    for (std::uint32_t region = 0; region < regionCount; ++region) {
+        if (!this->reaches(region, node.region)) {
+            // The callers of one region are a third of a key's callers.
+            const double keyCount =
+                    this->trace.keys / hashedSlotCount * static_cast<double>(node.slots.size());
+            this->result.unavailable += keyCount * step / regionCount;
+            this->result.notRun += node.load[region] * step;
+        } else if (region != node.region) {
+            this->result.regionBytes += node.load[region] * step * this->times.requestBytes;
+        }
+    }
+    const double unserved = this->unservedRequests(node);
+    const double served = this->loadOf(node) * step - unserved;
+    this->result.notRun += unserved;
+    if (node.isFrozen) {
+        this->result.unknown += served;
+        return;
+    }
+    const double done = std::min(served, this->capacityOf(node) * step);
+    this->result.done += done;
+    this->result.notRun += served - done;
+}
+
+// Returns the requests of this step that find no serving owner, and adds the key-seconds.
+double Simulation::unservedRequests(const Node &node)
+{
+    if (node.isAlive && !node.isFrozen && this->time >= this->allServedFrom) {
+        return 0;
+    }
+    const double step = this->trace.step;
+    double gaps = 0;
+    for (const Slot slot : node.slots) {
+        const double keyCount = slot < hashedSlotCount ? this->trace.keys / hashedSlotCount : 1;
+        const double gap =
+                node.isAlive ? std::clamp(this->unservedUntil[slot] - this->time, 0.0, step) : step;
+        gaps += gap;
+        this->result.unavailable += keyCount * (node.isFrozen ? step : gap);
+    }
+    // The slots without an owner are taken as average ones of the node.
+    return node.slots.empty() ? 0
+                              : this->loadOf(node) * gaps / static_cast<double>(node.slots.size());
+}
+
+Result Simulation::summarise()
+{
+    Result &sums = this->result;
+    sums.trace = this->trace.name;
+    sums.service = this->trace.service;
+    sums.strategy = this->strategy;
+    sums.seed = this->trace.seed;
+    const double measured = this->trace.length - this->trace.warmUp;
+    sums.churnPerHour = this->keysMoved / this->trace.keys * 3'600 / measured;
+    sums.controlBytes /= measured * static_cast<double>(this->nodes.size());
+
+    std::vector<float> sorted = sums.series;
+    std::sort(sorted.begin(), sorted.end());
+    sums.imbalanceP50 = sorted[sorted.size() / 2];
+    sums.imbalanceWorst = sorted.back();
+
+    const auto indexOf = [this](double at) {
+        return static_cast<std::size_t>((at - this->trace.warmUp) / this->trace.step);
+    };
+    const auto needed = static_cast<std::size_t>(settledFor / this->trace.step);
+    for (const double shift : this->trace.shifts) {
+        std::size_t good = 0;
+        std::size_t at = indexOf(shift) + 1; // the shift itself is in the first step
+        for (; at < sums.series.size() && good < needed; ++at) {
+            good = sums.series[at] <= targetRatio ? good + 1 : 0;
+        }
+        const double took = static_cast<double>(at - good - indexOf(shift)) * this->trace.step;
+        const double settle = good < needed ? -1 : took;
+        const bool isWorse = sums.settleWorst >= 0 && (settle < 0 || settle > sums.settleWorst);
+        sums.settleWorst = isWorse ? settle : sums.settleWorst;
+    }
+    for (std::size_t index = 0; index < sums.series.size(); ++index) {
+        const double at = this->trace.warmUp + static_cast<double>(index) * this->trace.step;
+        const bool isSettling =
+                std::any_of(this->trace.shifts.begin(), this->trace.shifts.end(),
+                            [at](double shift) { return at >= shift && at < shift + targetTime; });
+        if (!isSettling) {
+            sums.settledWorst = std::max<double>(sums.settledWorst, sums.series[index]);
+        }
+    }
+    return std::move(sums);
+}
+
+bool Result::meetsTargets() const
+{
+    const bool isBalanced = this->settleWorst >= 0 && this->settleWorst <= targetTime
+                            && this->settledWorst <= targetRatio;
+    const bool isSteady = this->trace != "steady-day" || this->churnPerHour <= targetChurn;
+    return isBalanced && isSteady;
+}
+
+std::string Result::verdict() const
+{
+    if (this->meetsTargets()) {
+        return "met";
+    }
+    if (this->largestKeyShare > 1) {
+        return "n/a: one key exceeds a fair share";
+    }
+    std::string reasons = "missed:";
+    if (this->settleWorst < 0 || this->settleWorst > targetTime) {
+        reasons += " settle";
+    }
+    if (this->settledWorst > targetRatio) {
+        reasons += " imbalance";
+    }
+    if (this->trace == "steady-day" && this->churnPerHour > targetChurn) {
+        reasons += " churn";
+    }
+    return reasons;
+}
+
+} // namespace kumquat::bench
--- /dev/null
+++ b/packages/bench/trace.cpp
@@ -0,0 +1,221 @@
+#include "bench/trace.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <numbers>
+
+namespace kumquat::bench {
+
+std::uint64_t Random::next()
+{
+    this->state += 0x9e3779b97f4a7c15ULL;
+    std::uint64_t value = this->state;
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+double Random::uniform()
+{
+    return static_cast<double>(this->next() >> 11) * 0x1p-53;
+}
+
+std::uint32_t Random::poisson(double mean)
+{
+    if (mean > 30) {
+        // The number of set bits of 64 random ones has the deviation 4.
+        const double deviate = (std::popcount(this->next()) - 32) / 4.0;
+        return static_cast<std::uint32_t>(std::max(0.0, mean + deviate * std::sqrt(mean) + 0.5));
+    }
+    if (mean <= 0) {
+        return 0;
+    }
+    std::uint32_t count = 0;
+    double term = std::exp(-mean);
+    double rest = this->uniform() - term;
+    while (rest > 0 && count < 200) {
+        ++count;
+        term *= mean / count;
+        rest -= term;
+    }
+    return count;
+}
+
+// --- load over time ---
+
+namespace {
+
+constexpr double day = 86'400; // s
+
+double dailyWave(std::uint32_t region, double time)
+{
+    const double shift = 1'800.0 * region; // the regions' days start half an hour apart
+    return 1 + 0.4 * std::sin(2 * std::numbers::pi * (time + shift) / day);
+}
+
+// Rises from 0 to 1 between two times.
+double rampOf(double time, double from, double to)
+{
+    return std::clamp((time - from) / (to - from), 0.0, 1.0);
+}
+
+} // namespace
+
+double Trace::factorOf(std::uint32_t region, std::uint32_t hemisphere, double time) const
+{
+    const double busyHalf = hemisphere == 0 ? 1.2 : 0.8;
+    switch (this->season) {
+    case Season::Steady:
+        return busyHalf * dailyWave(region, time);
+    case Season::Shutdown:
+        return hemisphere == 0 ? 1.3 : 0.7;
+    case Season::NewYear: {
+        const double midnight = this->warmUp + 60 + 120 * region;
+        return 1 + rampOf(time, midnight, midnight + 300);
+    }
+    }
+    return 1;
+}
+
+// --- the traces ---
+
+namespace {
+
+// The part of a trace that depends on the service only.
+Trace makeService(const std::string &name, std::uint64_t seed)
+{
+    Trace trace;
+    trace.service = name;
+    trace.seed = hashPair(seed, hashBytes(name));
+    if (name == "testlog") {
+        trace.user = "teranga";
+        trace.nodes = 10;
+        trace.rate = 6'000;
+        trace.keys = 200'000;
+        trace.zipf = 0.8;
+    } else if (name == "certdesk") {
+        trace.user = "teranga";
+        trace.nodes = 6;
+        trace.rate = 1'200;
+        trace.keys = 50'000;
+        trace.zipf = 0.8;
+    } else if (name == "habit-core") {
+        trace.user = "sahya";
+        trace.nodes = 8;
+        trace.rate = 8'000;
+        trace.keys = 2'000'000;
+        trace.zipf = 0.9;
+    } else if (name == "bonus-hub") {
+        trace.user = "sahya";
+        trace.nodes = 6;
+        trace.rate = 1'500;
+        trace.keys = 500'000;
+        trace.zipf = 0.9;
+    } else {
+        trace.user = "design size";
+        trace.nodes = 550;
+        trace.rate = 4'800'000;
+        trace.keys = 460e6;
+        trace.zipf = 0.6;
+    }
+    trace.capacity = 2 * trace.rate / trace.nodes; // half full on average
+    return trace;
+}
+
+// Adds a shift every `period` seconds: `count` new hot keys replace those before.
+void addHotKeys(Trace &trace, std::uint32_t count, double period, double lowest, double highest)
+{
+    Random random(hashPair(trace.seed, count));
+    for (double from = trace.warmUp + 60; from + period <= trace.length; from += period) {
+        trace.shifts.push_back(from);
+        for (std::uint32_t index = 0; index < count; ++index) {
+            HotPhase phase;
+            phase.keyHash = random.next();
+            phase.region = static_cast<std::uint32_t>(random.next() % regionCount);
+            phase.from = from;
+            phase.to = from + period;
+            phase.share = lowest + (highest - lowest) * random.uniform();
+            trace.hotPhases.push_back(phase);
+        }
+    }
+}
+
+Trace makeSteadyDay(Trace trace, bool isShort)
+{
+    trace.name = "steady-day";
+    trace.warmUp = 1'800;
+    trace.step = 10;
+    trace.length = trace.warmUp + (isShort ? day / 12 : day);
+    trace.season = Season::Steady;
+    return trace;
+}
+
+Trace makeRush(Trace trace, bool isShort)
+{
+    const bool isTeranga = trace.user == "teranga";
+    trace.name = isTeranga ? "shutdown-week" : "new-year";
+    trace.season = isTeranga ? Season::Shutdown : Season::NewYear;
+    trace.length = trace.warmUp + (isShort ? 600 : 1'800);
+    addHotKeys(trace, 3, 270, 0.3, 0.9);
+    return trace;
+}
+
+Trace makeEvents(Trace trace, const std::string &name, std::vector<Event> events, double length)
+{
+    trace.name = name;
+    trace.season = Season::Steady;
+    trace.length = trace.warmUp + length;
+    for (Event &event : events) {
+        event.at += trace.warmUp;
+        const bool isShift =
+                event.kind == EventKind::LoseNode || event.kind == EventKind::LoseDataCentre
+                || event.kind == EventKind::RestoreNodes || event.kind == EventKind::JoinRegions
+                || event.kind == EventKind::LogUp;
+        if (isShift) {
+            trace.shifts.push_back(event.at);
+        }
+    }
+    trace.events = std::move(events);
+    return trace;
+}
+
+Trace makeDesignSize(Trace trace, bool isShort)
+{
+    trace.name = "hot-keys-550";
+    trace.season = Season::Shutdown;
+    trace.warmUp = 120;
+    trace.length = trace.warmUp + (isShort ? 330 : 1'200);
+    addHotKeys(trace, 11, 240, 0.3, 0.9);
+    return trace;
+}
+
+} // namespace
+
+std::vector<Trace> makeTraces(std::uint64_t seed, bool isShort)
+{
+    std::vector<Trace> traces;
+    for (const char *name : {"testlog", "certdesk", "habit-core", "bonus-hub"}) {
+        const Trace service = makeService(name, seed);
+        traces.push_back(makeSteadyDay(service, isShort));
+        traces.push_back(makeRush(service, isShort));
+        traces.push_back(makeEvents(
+                service, "frozen-upstream",
+                {{60, EventKind::FreezeUpstream, 1}, {300, EventKind::ThawUpstream, 1}}, 600));
+        traces.push_back(makeEvents(service, "log-outage",
+                                    {{60, EventKind::LogDown, 0},
+                                     {120, EventKind::LoseNode, 2},
+                                     {360, EventKind::LogUp, 0}},
+                                    660));
+        traces.push_back(
+                makeEvents(service, "region-cut",
+                           {{60, EventKind::CutRegion, 2}, {300, EventKind::JoinRegions, 2}}, 600));
+        traces.push_back(makeEvents(
+                service, "data-centre-loss",
+                {{60, EventKind::LoseDataCentre, 1}, {300, EventKind::RestoreNodes, 0}}, 600));
+    }
+    traces.push_back(makeDesignSize(makeService("design", seed), isShort));
+    return traces;
+}
+
+} // namespace kumquat::bench
--- a/packages/placement/choice.cpp
+++ b/packages/placement/choice.cpp
@@ -259,20 +259,28 @@
 
 // --- new sessions ---
 
+void PlacementPolicy::findNewSessions()
+{
+    this->newSessions.clear();
+    const double limit = newSessionShare * this->averageSlots();
+    for (const SessionView &view : this->sessions) {
+        if (view.session != this->session && view.slots < limit) {
+            this->newSessions.push_back(view.session);
+        }
+    }
+}
+
 // Returns a new session that this owner should give slots to in this step. All owners see the new
 // session in the log at once; the hash lets only a few of them act.
-std::optional<std::uint64_t> PlacementPolicy::findNewSession(Time now) const
+std::optional<std::uint64_t> PlacementPolicy::chooseNewSession(Time now) const
 {
     const auto others = static_cast<double>(std::max<std::size_t>(this->sessions.size(), 2) - 1);
     const auto step = static_cast<std::uint64_t>(now / newSessionStep);
-    for (const SessionView &view : this->sessions) {
-        if (view.session == this->session || view.slots >= newSessionShare * this->averageSlots()) {
-            continue;
-        }
-        const std::uint64_t draw = hashPair(hashPair(view.session, this->session), step);
+    for (const std::uint64_t id : this->newSessions) {
+        const std::uint64_t draw = hashPair(hashPair(id, this->session), step);
         const double position = static_cast<double>(draw >> 11) * 0x1p-53;
         if (position * others < newSessionDonors) {
-            return view.session;
+            return id;
         }
     }
     return std::nullopt;
@@ -280,7 +288,7 @@
 
 bool PlacementPolicy::giveToNewSession(Time now, double load, Decisions &decisions)
 {
-    const auto id = this->findNewSession(now);
+    const auto id = this->chooseNewSession(now);
     if (!id || load < leastDonorRatio * this->mean) {
         return false;
     }
--- a/packages/placement/meter.cpp
+++ b/packages/placement/meter.cpp
@@ -46,15 +46,26 @@
 {}
 
 void LoadMeter::count(Slot slot, std::uint64_t keyHash, std::uint32_t requests)
+{
+    this->countSlot(slot, requests);
+    this->sketch.add(keyHash, requests);
+}
+
+void LoadMeter::countSlot(Slot slot, std::uint32_t requests)
 {
     assert(slot < slotCount && "pass the slot from slotOf or a dedicated slot");
+    if (this->perSlot[slot] == 0 && requests > 0) {
+        this->touched.push_back(slot);
+    }
     this->perSlot[slot] += requests;
-    this->sketch.add(keyHash, requests);
 }
 
 void LoadMeter::clear()
 {
-    std::fill(this->perSlot.begin(), this->perSlot.end(), 0);
+    for (const Slot slot : this->touched) {
+        this->perSlot[slot] = 0;
+    }
+    this->touched.clear();
     this->sketch.clear();
 }
 
--- a/packages/placement/meter.h
+++ b/packages/placement/meter.h
@@ -52,6 +52,9 @@
     // Counts requests of a key; the slot is the hashed or the dedicated slot that serves it.
     void count(Slot slot, std::uint64_t keyHash, std::uint32_t requests = 1);
 
+    // Counts requests without following their keys, for callers that sample the keys.
+    void countSlot(Slot slot, std::uint32_t requests);
+
     // Returns requests per slot since the last clear, indexed by slot.
     const std::vector<std::uint32_t> &requests() const { return this->perSlot; }
 
@@ -61,6 +64,7 @@
 
 private:
     std::vector<std::uint32_t> perSlot;
+    std::vector<Slot> touched; // slots with requests, so that clear costs no more than needed
     HotKeySketch sketch;
 };
 
--- a/packages/placement/policy.cpp
+++ b/packages/placement/policy.cpp
@@ -79,10 +79,13 @@
 void PlacementPolicy::setSessions(std::vector<SessionView> views)
 {
     this->sessions = std::move(views);
-    std::sort(this->sessions.begin(), this->sessions.end(),
-              [](const SessionView &left, const SessionView &right) {
-                  return left.session < right.session;
-              });
+    const auto bySession = [](const SessionView &left, const SessionView &right) {
+        return left.session < right.session;
+    };
+    if (!std::is_sorted(this->sessions.begin(), this->sessions.end(), bySession)) {
+        std::sort(this->sessions.begin(), this->sessions.end(), bySession);
+    }
+    this->findNewSessions();
 }
 
 void PlacementPolicy::setBindings(std::vector<BindingView> views)
@@ -224,7 +227,7 @@
     if (this->isOverloaded(load) && age >= this->settings.askPeriod * (1 << this->fruitless)) {
         return PlacementReason::Overload;
     }
-    if (this->findNewSession(now)) {
+    if (this->chooseNewSession(now)) {
         return PlacementReason::NewSession;
     }
     if (age >= this->settings.refreshPeriod) {
@@ -253,7 +256,7 @@
     }
     const auto count = std::min<std::size_t>(this->settings.askCount, others.size());
     if (reason == PlacementReason::NewSession) {
-        const auto wanted = std::find(others.begin(), others.end(), *this->findNewSession(now));
+        const auto wanted = std::find(others.begin(), others.end(), *this->chooseNewSession(now));
         std::iter_swap(others.begin(), wanted);
     }
     for (std::size_t at = reason == PlacementReason::NewSession ? 1 : 0; at < count; ++at) {
--- a/packages/placement/policy.h
+++ b/packages/placement/policy.h
@@ -238,7 +238,8 @@
     double warmth(const SessionView &view, Time now) const;
     double expectedLoad(const Heard &heard, const SessionView &view) const;
     bool move(PlacementReason reason, const Target &target, Time now, Decisions &decisions);
-    std::optional<std::uint64_t> findNewSession(Time now) const;
+    void findNewSessions();
+    std::optional<std::uint64_t> chooseNewSession(Time now) const;
     std::optional<Slot> findFreeDedicatedSlot(std::uint64_t keyHash) const;
 
     PlacementSettings settings;
@@ -246,7 +247,8 @@
     std::string region;
     bool logAvailable = true;
     double utilisation = 0;
-    std::vector<SessionView> sessions; // ascending by session
+    std::vector<SessionView> sessions;      // ascending by session
+    std::vector<std::uint64_t> newSessions; // other sessions with few slots
     std::vector<BindingView> bindings;
     SlotRates rates;
 
