--- a/packages/ctl/publication.cpp
+++ b/packages/ctl/publication.cpp
@@ -97,7 +97,9 @@
 // wherever they are, are void.
 void Publication::takeEntry(const RulesEntry &entry, Time now)
 {
-    if (entry.offset < this->nextOffset || entry.baseVersion != this->result.baseVersion) {
+    // Version 0 means "no rules", so a record at offset 0 is void and is appended again.
+    const bool isVoid = entry.offset == 0 || entry.baseVersion != this->result.baseVersion;
+    if (entry.offset < this->nextOffset || isVoid) {
         return;
     }
     this->result.version = entry.offset;
--- /dev/null
+++ b/packages/node/entry_path.cpp
@@ -0,0 +1,218 @@
+#include "node/entry_path.h"
+
+#include "base/text.h"
+#include "traffic/request_id.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+constexpr Duration logWaitLimit = 50ms; // for a process to read what the other one has read
+constexpr Duration logPoll = 2ms;
+constexpr Duration routeBackoff = 20ms; // before another look for an owner
+
+constexpr std::string_view outcomeField = "Kumquat-Outcome";
+constexpr std::string_view errorField = "Kumquat-Error";
+
+// Either a request to route or why there is none.
+struct PreparedRequest
+{
+    RoutedRequest request;
+    ErrorKind error = ErrorKind::None;
+    std::string message;
+};
+
+PreparedRequest refusePrepared(const absl::Status &status)
+{
+    PreparedRequest prepared;
+    prepared.error = errorKindOf(status);
+    prepared.message = std::string(toStd(status.message()));
+    return prepared;
+}
+
+PreparedRequest prepare(const Rule &rule, const HttpRequest &http, Time now)
+{
+    const auto findHeader = [&http](std::string_view name) -> std::optional<std::string_view> {
+        for (const HttpField &field : http.fields) {
+            if (isSameFieldName(field.name, name)) {
+                return field.value;
+            }
+        }
+        return std::nullopt;
+    };
+    const auto key = extractKey(rule, http.target, findHeader);
+    if (!key.ok()) {
+        return refusePrepared(key.status());
+    }
+    PreparedRequest prepared;
+    RoutedRequest &request = prepared.request;
+    request.service = rule.service;
+    request.keyHash = hashKey(rule.service, *key);
+    request.deadline = now + rule.timeout;
+    request.idempotent = rule.idempotent;
+    request.fingerprint = fingerprintRequest(http.method, http.target, *key, http.body);
+    if (!rule.idempotent) {
+        const auto id = RequestId::parse(http.field("Idempotency-Key"));
+        if (!id.ok()) {
+            return refusePrepared(id.status());
+        }
+        request.id = *id;
+    }
+    request.http = http;
+    std::erase_if(request.http.fields,
+                  [](const HttpField &field) { return isConnectionField(field.name); });
+    return prepared;
+}
+
+HttpResponse toResponse(RoutedAnswer &&answer)
+{
+    if (answer.error != ErrorKind::None) {
+        return makeErrorResponse(answer.error, answer.message);
+    }
+    std::erase_if(answer.http.fields, [](const HttpField &field) {
+        return isConnectionField(field.name) || isSameFieldName(field.name, outcomeField)
+               || isSameFieldName(field.name, errorField);
+    });
+    answer.http.fields.push_back(
+            {std::string(outcomeField), std::string(outcomeName(Outcome::Done))});
+    return std::move(answer.http);
+}
+
+} // namespace
+
+HttpResponse makeErrorResponse(ErrorKind kind, std::string_view message)
+{
+    const ErrorInfo &info = errorInfo(kind);
+    HttpResponse response;
+    response.status = info.httpStatus;
+    response.fields = {{"Content-Type", "application/json"},
+                       {std::string(outcomeField), std::string(outcomeName(info.outcome))},
+                       {std::string(errorField), std::string(info.name)}};
+    const nlohmann::json body = {{"error", info.name},
+                                 {"outcome", outcomeName(info.outcome)},
+                                 {"message", message},
+                                 {"remedy", info.remedy}};
+    response.body = body.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace) + "\n";
+    return response;
+}
+
+EntryPath::EntryPath(OwnershipDriver &ownershipDriver, OwnerPath &ownerPath,
+                     Forwarder &requestForwarder,
+                     std::function<void(const FinishedRequest &)> reportHook)
+    : driver(ownershipDriver)
+    , owner(ownerPath)
+    , forwarder(requestForwarder)
+    , report(std::move(reportHook))
+{}
+
+HttpResponse EntryPath::handle(std::size_t worker, asio::io_context &io, const HttpRequest &request)
+{
+    ++this->open;
+    const Time start = readBootTime();
+    const std::shared_ptr<const RuleSet> rules = this->driver.rules();
+    const Rule *rule = rules ? rules->match(request.method, request.target) : nullptr;
+    RoutedAnswer answer;
+    if (!rules) {
+        answer = makeFailure(ErrorKind::RulesMissing, "no rules have been read yet");
+    } else if (rule == nullptr) {
+        answer = makeFailure(ErrorKind::NoRule, "no rule matches this method and path");
+    } else {
+        const PreparedRequest prepared = prepare(*rule, request, start);
+        answer = prepared.error == ErrorKind::None ? this->route(worker, io, prepared.request)
+                                                   : makeFailure(prepared.error, prepared.message);
+    }
+    const Time now = readBootTime();
+    this->report({rule == nullptr ? std::string_view() : std::string_view(rule->prefix),
+                  answer.error, now - start, now});
+    HttpResponse response = toResponse(std::move(answer));
+    --this->open;
+    return response;
+}
+
+HttpResponse EntryPath::refuse(ErrorKind kind)
+{
+    this->report({std::string_view(), kind, Duration::zero(), readBootTime()});
+    return makeErrorResponse(kind, "the request could not be read");
+}
+
+RoutedAnswer EntryPath::route(std::size_t worker, asio::io_context &io,
+                              const RoutedRequest &request)
+{
+    {
+        const std::lock_guard lock(this->budgetMutex);
+        this->retryBudget.noteFirstAttempt(readBootTime());
+    }
+    bool mayHaveRun = false;
+    for (int attempts = 1;; ++attempts) {
+        RoutedAnswer answer = this->attempt(worker, io, request);
+        const ErrorKind kind = answer.error;
+        const bool isUnknown = errorInfo(kind).outcome == Outcome::Unknown;
+        mayHaveRun = mayHaveRun || (kind != ErrorKind::None && isUnknown);
+        if (kind == ErrorKind::None || !this->mayRetry(request, answer, attempts)) {
+            // An earlier attempt may have run, so the last refusal must not say "not run".
+            const bool hidesRun = mayHaveRun && errorInfo(kind).outcome == Outcome::NotRun;
+            return hidesRun ? makeFailure(ErrorKind::OwnerLost, "an earlier attempt may have run")
+                            : std::move(answer);
+        }
+        const bool isBehind = answer.logOffset > this->driver.nextOffset();
+        const Duration left = request.deadline - readBootTime();
+        if (isBehind) {
+            this->waitForLog(io, answer.logOffset, std::min(left, logWaitLimit));
+        } else {
+            sleepFor(io, std::min(left, routeBackoff));
+        }
+    }
+}
+
+RoutedAnswer EntryPath::attempt(std::size_t worker, asio::io_context &io,
+                                const RoutedRequest &request)
+{
+    const RouteAnswer target = this->driver.route(request.service, request.keyHash);
+    if (target.node.empty()) {
+        return makeFailure(ErrorKind::NoOwner, "the key has no owner");
+    }
+    if (target.own) {
+        RoutedAnswer answer = this->owner.serve(worker, request);
+        answer.logOffset = this->driver.nextOffset();
+        return answer;
+    }
+    return this->forwarder.forward(io, target.meshAddress, request, this->driver.nextOffset());
+}
+
+bool EntryPath::mayRetry(const RoutedRequest &request, const RoutedAnswer &answer, int attempts)
+{
+    const RetryQuestion question{.error = answer.error,
+                                 .idempotent = request.idempotent,
+                                 .attempts = attempts,
+                                 .remaining = request.deadline - readBootTime(),
+                                 .needed = routeBackoff};
+    const std::lock_guard lock(this->budgetMutex);
+    return decideRetry(question, this->retryBudget, readBootTime()) == RetryDecision::Retry;
+}
+
+RoutedAnswer EntryPath::handleForward(std::size_t worker, asio::io_context &io,
+                                      const wire::Forward &forward)
+{
+    const RoutedRequest request = fromForward(forward, readBootTime());
+    if (forward.log_offset() > this->driver.nextOffset()) {
+        this->waitForLog(io, forward.log_offset(),
+                         std::min<Duration>(request.deadline - readBootTime(), logWaitLimit));
+    }
+    RoutedAnswer answer = this->owner.serve(worker, request);
+    answer.logOffset = this->driver.nextOffset();
+    return answer;
+}
+
+void EntryPath::waitForLog(asio::io_context &io, Offset offset, Duration limit)
+{
+    const Time until = readBootTime() + limit;
+    while (this->driver.nextOffset() < offset && readBootTime() < until) {
+        sleepFor(io, logPoll);
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/node/main.cpp
@@ -0,0 +1,88 @@
+// The binary kumquatstage: reads the command line and the settings and runs the process.
+#include "base/log.h"
+#include "base/text.h"
+#include "node/process.h"
+#include "settings/settings.h"
+
+#include <docopt/docopt.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+constexpr int exitDone = 0;
+constexpr int exitRefused = 1;
+constexpr int exitWrongUse = 2;
+
+constexpr const char *versionText = "kumquatstage 0.1.0";
+
+constexpr const char *usageText = R"(kumquatstage: routes each request to the only owner of its key.
+
+Usage:
+  kumquatstage --config FILE
+  kumquatstage --check-config FILE
+  kumquatstage --version
+  kumquatstage --help
+
+Options:
+  --config FILE        Run with these settings (JSON).
+  --check-config FILE  Check the settings and exit; all faults are printed.
+  --version            Print the version.
+  --help               Print this text.
+
+Exit status: 0 done, 1 refused with the reasons, 2 wrong use.
+SIGTERM and SIGINT drain: slots are handed over and no request in flight is interrupted.
+)";
+
+int checkConfig(const std::string &path)
+{
+    const auto settings = kumquat::loadSettings(path);
+    if (!settings.ok()) {
+        std::cerr << settings.status().message() << "\n";
+        return exitRefused;
+    }
+    std::cout << path << ": settings are valid\n";
+    return exitDone;
+}
+
+int runProcess(const std::string &path)
+{
+    auto settings = kumquat::loadSettings(path);
+    if (!settings.ok()) {
+        std::cerr << settings.status().message() << "\n";
+        return exitRefused;
+    }
+    kumquat::setUpLogging(settings->logLevel);
+    auto process = kumquat::Process::create(*std::move(settings));
+    if (!process.ok()) {
+        kumquat::logError(kumquat::LogPart::Main, kumquat::toStd(process.status().message()));
+        return exitRefused;
+    }
+    (*process)->run();
+    // Fibers of idle connections never end, so the process leaves without joining its threads.
+    std::quick_exit(exitDone);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::map<std::string, docopt::value> options;
+    try {
+        options = docopt::docopt_parse(usageText, {argv + 1, argv + argc}, true, true);
+    } catch (const docopt::DocoptExitHelp &) {
+        std::cout << usageText;
+        return exitDone;
+    } catch (const docopt::DocoptExitVersion &) {
+        std::cout << versionText << "\n";
+        return exitDone;
+    } catch (const std::exception &error) {
+        std::cerr << "wrong use: " << error.what() << "\n\n" << usageText;
+        return exitWrongUse;
+    }
+    if (options["--check-config"].isString()) {
+        return checkConfig(options["--check-config"].asString());
+    }
+    return runProcess(options["--config"].asString());
+}
--- /dev/null
+++ b/packages/node/ownership_driver.cpp
@@ -0,0 +1,346 @@
+#include "node/ownership_driver.h"
+
+#include "base/errors.h"
+#include "base/log.h"
+#include "base/text.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace kumquat {
+namespace {
+
+// Request traffic does not take the engine lock.
+bool isEngineMessage(const wire::MeshMessage &message)
+{
+    switch (message.body_case()) {
+    case wire::MeshMessage::kRenew:
+    case wire::MeshMessage::kGrant:
+    case wire::MeshMessage::kSuspect:
+    case wire::MeshMessage::kReleaseRequest:
+    case wire::MeshMessage::kReleaseReply:
+    case wire::MeshMessage::kHandover:
+    case wire::MeshMessage::kHandoverRequest:
+    case wire::MeshMessage::kHandoverAck:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<OwnershipDriver>>
+OwnershipDriver::create(FiberThread &thread, Mesh &mesh, EngineSettings settings,
+                        EngineHooks engineHooks, LogClientSettings logSettings, DriverHooks hooks)
+{
+    const std::string node = settings.node;
+    auto engine = OwnershipEngine::create(std::move(settings), std::move(engineHooks));
+    if (!engine.ok()) {
+        return engine.status();
+    }
+    return std::unique_ptr<OwnershipDriver>(new OwnershipDriver(
+            thread, mesh, *std::move(engine), node, std::move(logSettings), std::move(hooks)));
+}
+
+OwnershipDriver::OwnershipDriver(FiberThread &driverThread, Mesh &driverMesh,
+                                 std::unique_ptr<OwnershipEngine> driverEngine,
+                                 std::string nodeName, LogClientSettings logSettings,
+                                 DriverHooks driverHooks)
+    : thread(driverThread)
+    , mesh(driverMesh)
+    , node(std::move(nodeName))
+    , hooks(std::move(driverHooks))
+    , engine(std::move(driverEngine))
+    , log(driverThread, std::move(logSettings),
+          {.receive = [this](std::uint64_t offset,
+                             wire::LogRecord &&record) { this->takeRecord(offset, record); },
+           .reachEnd =
+                   [this](std::uint64_t end, Time askedAt) {
+                       this->input([&](Time now) { this->engine->onLogEnd(end, askedAt, now); });
+                   },
+           .skipGap =
+                   [this](std::uint64_t firstKept) {
+                       this->input([&](Time now) { this->engine->onFirstKept(firstKept, now); });
+                   },
+           .reportAnswering =
+                   [this](bool answering) {
+                       this->logAnswering = answering;
+                       this->input([&](Time now) { this->engine->onLogAnswering(answering, now); });
+                   }})
+    , tick(driverThread,
+           [this](Time) { this->input([this](Time now) { this->engine->onTick(now); }); })
+{}
+
+void OwnershipDriver::start()
+{
+    this->startedAt = readBootTime();
+    this->thread.post([this] {
+        this->input([this](Time now) { this->engine->start(now); });
+        this->log.startReading(0);
+    });
+}
+
+// ---- Inputs ----
+
+template <typename Function>
+void OwnershipDriver::input(Function function)
+{
+    EngineOutput output;
+    OwnSession session;
+    {
+        const std::unique_lock lock(this->engineMutex);
+        function(readBootTime());
+        output = this->engine->takeOutput();
+        session = this->engine->ownSession();
+    }
+    this->carryOut(std::move(output));
+    this->hooks.reportSession(session);
+    this->armTick();
+}
+
+void OwnershipDriver::carryOut(EngineOutput &&output)
+{
+    for (OutgoingMessage &outgoing : output.messages) {
+        outgoing.message.set_from(this->node);
+        this->mesh.send(outgoing.meshAddress, outgoing.message);
+    }
+    for (const wire::LogRecord &record : output.records) {
+        this->log.append(record);
+    }
+}
+
+void OwnershipDriver::armTick()
+{
+    std::optional<Time> due;
+    {
+        const std::shared_lock lock(this->engineMutex);
+        due = this->engine->nextDue();
+    }
+    this->tick.arm(due);
+}
+
+void OwnershipDriver::takeRecord(std::uint64_t offset, const wire::LogRecord &record)
+{
+    std::uint64_t version = 0;
+    this->input([&](Time now) {
+        version = this->engine->cluster().rules().version;
+        this->engine->onRecord(offset, record, now);
+    });
+    this->updateRules(version);
+    if (record.has_crash_suspect()) {
+        this->hooks.reportCrash(record.crash_suspect());
+    }
+}
+
+void OwnershipDriver::updateRules(std::uint64_t previousVersion)
+{
+    const RulesState state = this->rulesText();
+    if (state.version == previousVersion) {
+        return;
+    }
+    // A file with faults cannot be published, so a fault here means another version of the program.
+    auto parsed = parseRules(state.text, "rules");
+    if (!parsed.ok()) {
+        logError(LogPart::Rules, "published rules are not valid; the previous ones stay",
+                 {{"version", absl::StrCat(state.version)}});
+        return;
+    }
+    {
+        const std::unique_lock lock(this->rulesMutex);
+        this->currentRules = std::make_shared<const RuleSet>(*std::move(parsed));
+    }
+    logInfo(LogPart::Rules, "rules in force",
+            {{"version", absl::StrCat(state.version)}, {"author", state.author}});
+}
+
+void OwnershipDriver::receive(wire::MeshMessage &&message)
+{
+    if (!isEngineMessage(message)) {
+        this->hooks.receiveOther(message);
+        return;
+    }
+    this->input([&](Time now) { this->engine->onMessage(message, now); });
+}
+
+void OwnershipDriver::setUpstream(const std::optional<UpstreamInfo> &upstream)
+{
+    this->input([&](Time now) { this->engine->setUpstream(upstream, now); });
+}
+
+void OwnershipDriver::requestDrain()
+{
+    this->input([&](Time now) { this->engine->requestDrain(now); });
+}
+
+void OwnershipDriver::requestMove(const std::vector<Slot> &slots, SessionId target)
+{
+    this->input([&](Time now) { this->engine->requestMove(slots, target, now); });
+}
+
+void OwnershipDriver::requestBind(std::uint64_t keyHash)
+{
+    this->input([&](Time now) { this->engine->requestBind(keyHash, now); });
+}
+
+void OwnershipDriver::setJournalComplete(const OwnSession &session)
+{
+    this->input([&](Time now) {
+        for (const PeerView &peer : session.peers) {
+            this->engine->setJournalComplete(peer.node, peer.incarnation, now);
+        }
+    });
+}
+
+void OwnershipDriver::append(const wire::LogRecord &record)
+{
+    this->log.append(record);
+}
+
+void OwnershipDriver::wake()
+{
+    if (this->wakePosted.exchange(true)) {
+        return;
+    }
+    this->thread.post([this] {
+        this->wakePosted = false;
+        this->input([this](Time now) { this->engine->onTick(now); });
+    });
+}
+
+// ---- Queries ----
+
+ServeAnswer OwnershipDriver::mayServe(std::string_view service, std::uint64_t keyHash) const
+{
+    const std::shared_lock lock(this->engineMutex);
+    return this->engine->mayServe(service, keyHash, readBootTime());
+}
+
+RouteAnswer OwnershipDriver::route(std::string_view service, std::uint64_t keyHash) const
+{
+    const std::shared_lock lock(this->engineMutex);
+    return this->engine->route(service, keyHash);
+}
+
+Slot OwnershipDriver::slotOf(std::string_view service, std::uint64_t keyHash) const
+{
+    const std::shared_lock lock(this->engineMutex);
+    const auto view = this->engine->cluster().find(service, keyHash);
+    return view ? view->slot : kumquat::slotOf(keyHash);
+}
+
+std::vector<LineageSession> OwnershipDriver::findLineage(std::string_view service, Slot slot) const
+{
+    const std::shared_lock lock(this->engineMutex);
+    const ClusterState &cluster = this->engine->cluster();
+    const SlotState *state = cluster.findSlot(service, slot);
+    std::vector<LineageSession> lineage;
+    if (state == nullptr) {
+        return lineage;
+    }
+    const Time now = readBootTime();
+    for (const SessionId id : state->lineage) {
+        const Time endedAt = this->engine->endReadAt(id).value_or(this->startedAt);
+        if (id == 0 || now - endedAt > requestMemoryLife) {
+            continue;
+        }
+        LineageSession entry;
+        entry.session = id;
+        // A session that is no longer known has no peers here, and the verdict is then Unknown.
+        if (const Session *session = cluster.findSession(id)) {
+            for (const PeerSet &set : session->peerSets) {
+                entry.peerSets.push_back({set.generation, set.peers});
+            }
+        }
+        lineage.push_back(std::move(entry));
+    }
+    return lineage;
+}
+
+bool OwnershipDriver::hasReleased(SessionId session) const
+{
+    const std::shared_lock lock(this->engineMutex);
+    return this->engine->hasReleased(session);
+}
+
+std::string OwnershipDriver::meshAddressOf(std::string_view name) const
+{
+    const std::shared_lock lock(this->engineMutex);
+    const Session *session = this->engine->cluster().findNode(name);
+    return session == nullptr ? std::string() : session->meshAddress;
+}
+
+SessionId OwnershipDriver::session() const
+{
+    const std::shared_lock lock(this->engineMutex);
+    return this->engine->ownSession().session;
+}
+
+Offset OwnershipDriver::nextOffset() const
+{
+    const std::shared_lock lock(this->engineMutex);
+    return this->engine->nextOffset();
+}
+
+bool OwnershipDriver::isDraining() const
+{
+    const std::shared_lock lock(this->engineMutex);
+    return this->engine->isDraining();
+}
+
+bool OwnershipDriver::isDrained() const
+{
+    const std::shared_lock lock(this->engineMutex);
+    return this->engine->isDrained();
+}
+
+DriverStatus OwnershipDriver::status() const
+{
+    const std::shared_lock lock(this->engineMutex);
+    const ClusterState &cluster = this->engine->cluster();
+    const Time now = readBootTime();
+    DriverStatus status;
+    status.session = this->engine->ownSession().session;
+    status.rulesVersion = cluster.rules().version;
+    status.logOffset = this->engine->nextOffset();
+    status.logAnswering = this->logAnswering;
+    status.lease = std::max(this->engine->leaseEnd(now) - now, Duration::zero());
+    status.draining = this->engine->isDraining();
+    for (const Session *member : cluster.members()) {
+        status.members.push_back(
+                {member->node, member->adminAddress, member->service, member->id, member->slots});
+        if (member->id == status.session) {
+            status.service = member->service;
+            status.slots = member->slots;
+        }
+    }
+    return status;
+}
+
+RulesState OwnershipDriver::rulesText() const
+{
+    const std::shared_lock lock(this->engineMutex);
+    return this->engine->cluster().rules();
+}
+
+std::optional<RouteAnswer> OwnershipDriver::findOwner(const std::string &service,
+                                                      const std::string &key,
+                                                      std::string &adminAddress) const
+{
+    const std::shared_lock lock(this->engineMutex);
+    const std::uint64_t keyHash = hashKey(service, key);
+    if (!this->engine->cluster().find(service, keyHash)) {
+        return std::nullopt;
+    }
+    RouteAnswer answer = this->engine->route(service, keyHash);
+    const Session *session = this->engine->cluster().findSession(answer.session);
+    adminAddress = session == nullptr ? std::string() : session->adminAddress;
+    return answer;
+}
+
+std::shared_ptr<const RuleSet> OwnershipDriver::rules() const
+{
+    const std::shared_lock lock(this->rulesMutex);
+    return this->currentRules;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/node/ownership_driver.h
@@ -0,0 +1,138 @@
+// Drives the ownership engine: feeds it records, messages and ticks, carries out its commands and
+// answers the workers' queries under a shared lock.
+//
+// Lock order: the driver's engine lock comes before the locks of the owner path.
+#pragma once
+
+#include "net/fibers.h"
+#include "net/log_client.h"
+#include "net/mesh.h"
+#include "node/due_timer.h"
+#include "ownership/engine.h"
+#include "rules/rules.h"
+#include "traffic/journal.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <shared_mutex>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+// Called on the control thread, without the engine lock unless stated.
+struct DriverHooks
+{
+    std::function<void(const wire::MeshMessage &message)> receiveOther; // not an engine message
+    std::function<void(const OwnSession &session)> reportSession;       // after each input
+    std::function<void(const wire::CrashSuspect &suspect)> reportCrash;
+};
+
+// One member as operators see it.
+struct MemberView
+{
+    std::string node;
+    std::string adminAddress;
+    std::string service;
+    SessionId session = 0;
+    std::uint32_t slots = 0;
+};
+
+struct DriverStatus
+{
+    SessionId session = 0;
+    std::string service;
+    std::uint64_t rulesVersion = 0;
+    Offset logOffset = 0; // of the next record to read
+    bool logAnswering = false;
+    Duration lease{}; // left
+    bool draining = false;
+    std::uint32_t slots = 0;
+    std::vector<MemberView> members;
+};
+
+class OwnershipDriver
+{
+public:
+    // Error: SettingsInvalid from the engine.
+    static absl::StatusOr<std::unique_ptr<OwnershipDriver>>
+    create(FiberThread &thread, Mesh &mesh, EngineSettings settings, EngineHooks engineHooks,
+           LogClientSettings logSettings, DriverHooks hooks);
+
+    // Starts the engine and the log reader; call once, before the thread starts.
+    void start();
+
+    // ---- inputs, on the control thread ----
+
+    void receive(wire::MeshMessage &&message);
+    void setUpstream(const std::optional<UpstreamInfo> &upstream);
+    void requestDrain();
+    void requestMove(const std::vector<Slot> &slots, SessionId target);
+    void requestBind(std::uint64_t keyHash);
+    void setJournalComplete(const OwnSession &session);
+    void append(const wire::LogRecord &record);
+
+    // Lets the engine look at what ended. Callable from any thread.
+    void wake();
+
+    // ---- queries, from any thread ----
+
+    ServeAnswer mayServe(std::string_view service, std::uint64_t keyHash) const;
+    RouteAnswer route(std::string_view service, std::uint64_t keyHash) const;
+    Slot slotOf(std::string_view service, std::uint64_t keyHash) const;
+
+    // Returns the sessions whose journals must be asked before a new id of the key may run.
+    std::vector<LineageSession> findLineage(std::string_view service, Slot slot) const;
+
+    bool hasReleased(SessionId session) const;
+    std::string meshAddressOf(std::string_view node) const; // empty: unknown node
+    SessionId session() const;
+    Offset nextOffset() const;
+    bool isDraining() const;
+    bool isDrained() const;
+    DriverStatus status() const;
+    RulesState rulesText() const;
+    std::optional<RouteAnswer> findOwner(const std::string &service, const std::string &key,
+                                         std::string &adminAddress) const;
+
+    // Returns the rules in force; nullptr before the first.
+    std::shared_ptr<const RuleSet> rules() const;
+
+    std::uint64_t appends() const { return this->log.appends(); }
+
+    // Reads state under the shared lock; for the placement policy and the status page.
+    template <typename Function>
+    auto withEngine(Function function) const
+    {
+        const std::shared_lock lock(this->engineMutex);
+        return function(static_cast<const OwnershipEngine &>(*this->engine));
+    }
+
+private:
+    OwnershipDriver(FiberThread &thread, Mesh &mesh, std::unique_ptr<OwnershipEngine> engine,
+                    std::string node, LogClientSettings logSettings, DriverHooks hooks);
+
+    template <typename Function>
+    void input(Function function);
+    void carryOut(EngineOutput &&output);
+    void armTick();
+    void takeRecord(std::uint64_t offset, const wire::LogRecord &record);
+    void updateRules(std::uint64_t previousVersion);
+
+    FiberThread &thread;
+    Mesh &mesh;
+    std::string node;
+    DriverHooks hooks;
+    mutable std::shared_mutex engineMutex; // guards engine
+    std::unique_ptr<OwnershipEngine> engine;
+    LogClient log;
+    DueTimer tick;
+    std::atomic<bool> wakePosted{false};
+    std::atomic<bool> logAnswering{false};
+    Time startedAt{};
+    mutable std::shared_mutex rulesMutex; // guards currentRules
+    std::shared_ptr<const RuleSet> currentRules;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/node/process.h
@@ -0,0 +1,88 @@
+// The process: joins settings, control thread, workers, mesh, log, admin interface and signals.
+//
+//   absl::StatusOr<std::unique_ptr<Process>> process = Process::create(settings);
+//   (*process)->run();     // returns after SIGTERM, SIGINT or a drain
+#pragma once
+
+#include "net/fibers.h"
+#include "net/http_server.h"
+#include "net/mesh.h"
+#include "node/entry_path.h"
+#include "node/forwarder.h"
+#include "node/owner_path.h"
+#include "node/ownership_driver.h"
+#include "node/upstream.h"
+#include "settings/settings.h"
+
+#include <absl/status/statusor.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+class Process
+{
+public:
+    // Binds all ports and starts nothing else. Error: SettingsInvalid.
+    static absl::StatusOr<std::unique_ptr<Process>> create(Settings settings);
+    ~Process();
+
+    // Runs until a signal or a drain ends the process gracefully.
+    void run();
+
+private:
+    explicit Process(Settings settings);
+
+    absl::Status setUp();
+    absl::Status listen();
+    EngineSettings makeEngineSettings() const;
+    EngineHooks makeEngineHooks();
+    LogClientSettings makeLogSettings() const;
+    HttpServerHooks makeCallerHooks(std::size_t worker);
+    void sendTo(const std::string &node, wire::MeshMessage &&message);
+    void receiveOther(const wire::MeshMessage &message);
+    void receiveForward(const wire::MeshMessage &message);
+
+    HttpResponse handleAdmin(const HttpRequest &request);
+    HttpResponse showStatus() const;
+    HttpResponse showOwner(const HttpRequest &request) const;
+    HttpResponse showRules() const;
+    HttpResponse showMetrics() const;
+    HttpResponse takeAnnouncement(const HttpRequest &request);
+    void watchUpstream();
+    void loseUpstream();
+    void startDrain();
+    void waitForSignal();
+    void waitUntilDrained();
+
+    Settings settings;
+    std::uint64_t incarnation;
+    FiberThread control;
+    std::vector<std::unique_ptr<FiberThread>> workers;
+    std::unique_ptr<Mesh> mesh;
+    std::unique_ptr<OwnerPath> owner;
+    std::unique_ptr<OwnershipDriver> driver;
+    std::unique_ptr<Forwarder> forwarder;
+    std::unique_ptr<EntryPath> entry;
+    std::vector<std::shared_ptr<HttpServer>> callerServers;
+    std::shared_ptr<HttpServer> adminServer;
+    std::atomic<std::size_t> nextWorker{0}; // for forwarded requests
+    std::atomic<bool> closing{false};
+
+    // Control thread only.
+    std::optional<Time> lastAnnouncement;
+    Time rejoinAfter{};     // announcements are ignored until then
+    Duration rejoinDelay{}; // grows with each loss of the upstream
+
+    std::mutex stopMutex; // guards stopping
+    std::condition_variable stopChanged;
+    bool stopping = false;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/node/request.h
@@ -0,0 +1,43 @@
+// A caller's request on its way from the entry process to the owner, and its answer.
+#pragma once
+
+#include "base/errors.h"
+#include "base/time.h"
+#include "net/http.h"
+#include "traffic/request_id.h"
+
+#include <cstdint>
+#include <string>
+
+namespace kumquat {
+
+// What the owner needs to run a request.
+struct RoutedRequest
+{
+    std::string service;
+    std::uint64_t keyHash = 0;
+    Time deadline{}; // on this host's clock
+    bool idempotent = false;
+    RequestId id; // of a non-idempotent request
+    std::uint64_t fingerprint = 0;
+    HttpRequest http;
+};
+
+// The answer to one attempt.
+struct RoutedAnswer
+{
+    ErrorKind error = ErrorKind::None; // None: `http` is the upstream's answer
+    std::string message;               // for a person, if there is an error
+    HttpResponse http;
+    std::uint64_t logOffset = 0; // next offset that the answering process will read
+};
+
+inline RoutedAnswer makeFailure(ErrorKind error, std::string message)
+{
+    RoutedAnswer answer;
+    answer.error = error;
+    answer.message = std::move(message);
+    return answer;
+}
+
+} // namespace kumquat
--- a/packages/traffic/journal.h
+++ b/packages/traffic/journal.h
@@ -60,7 +60,7 @@
 };
 
 // Majority of a set of peers; 0 for an empty set.
-constexpr std::size_t majorityOf(std::size_t peers)
+constexpr std::size_t journalMajority(std::size_t peers)
 {
     return peers == 0 ? 0 : peers / 2 + 1;
 }
--- a/packages/traffic/journal_lookup.cpp
+++ b/packages/traffic/journal_lookup.cpp
@@ -144,7 +144,7 @@
                     const auto count = std::count_if(
                             set.peers.begin(), set.peers.end(),
                             [&](const auto &node) { return answered->second.contains(node); });
-                    return static_cast<std::size_t>(count) >= majorityOf(set.peers.size());
+                    return static_cast<std::size_t>(count) >= journalMajority(set.peers.size());
                 });
     };
     return std::all_of(lookup.lineage.begin(), lookup.lineage.end(), isProved);
--- a/packages/traffic/journal_writer.cpp
+++ b/packages/traffic/journal_writer.cpp
@@ -415,7 +415,7 @@
                 std::count_if(set.peers.begin(), set.peers.end(), [&](const std::string &node) {
                     return this->peers.at(node).state == PeerState::Complete;
                 });
-        if (static_cast<std::size_t>(complete) >= majorityOf(set.peers.size())) {
+        if (static_cast<std::size_t>(complete) >= journalMajority(set.peers.size())) {
             this->joined.insert(set.generation);
         }
     }
@@ -441,7 +441,7 @@
         return batch.holders.contains(node) && this->peers.at(node).state == PeerState::Complete;
     };
     const auto holders = std::count_if(set.peers.begin(), set.peers.end(), counts);
-    return static_cast<std::size_t>(holders) >= majorityOf(set.peers.size());
+    return static_cast<std::size_t>(holders) >= journalMajority(set.peers.size());
 }
 
 bool JournalWriter::isWritten(const Batch &batch) const
