--- a/packages/system/cluster.cpp
+++ b/packages/system/cluster.cpp
@@ -144,8 +144,11 @@
 {
     std::vector<std::string> command{binary("kumquatctl")};
     command.insert(command.end(), arguments.begin(), arguments.end());
-    command.emplace_back("--log");
-    command.push_back(this->log.toString());
+    command.emplace_back("--admin");
+    command.push_back(this->allHosts.front()->admin.toString());
+    if (arguments.front() == "publish") {
+        command.insert(command.end(), {"--log", this->log.toString(), "--author", "process tests"});
+    }
     return Child::start(command, absl::StrCat(this->path, "/ctl", ++this->nextCtl, ".log")).value();
 }
 
@@ -159,6 +162,24 @@
     return status.value_or(-1);
 }
 
+bool Cluster::waitUntilStarted(Duration longest)
+{
+    const Time giveUp = readBootTime() + longest;
+    for (const auto &host : this->allHosts) {
+        const auto answers = [&] {
+            const HttpExchange exchange = send(host->admin, {"GET", "/status", {}, {}, {}});
+            return exchange.result == ExchangeResult::Answered && exchange.answer.status == 200;
+        };
+        while (!answers()) {
+            if (readBootTime() >= giveUp || !host->process->isRunning()) {
+                return false;
+            }
+            std::this_thread::sleep_for(pollInterval);
+        }
+    }
+    return true;
+}
+
 int Cluster::publishRules()
 {
     return this->runCtl({"publish", this->rulesPath()});
--- a/packages/system/cluster.h
+++ b/packages/system/cluster.h
@@ -63,6 +63,9 @@
     // Starts kumquatctl and returns at once.
     std::unique_ptr<Child> startCtl(const std::vector<std::string> &arguments);
 
+    // Waits until every process answers on its admin port.
+    bool waitUntilStarted(Duration longest);
+
     // Waits until every host answers reads of several keys of each service.
     bool waitUntilServed(Duration longest);
 
--- a/packages/system/tests/test_requests.cpp
+++ b/packages/system/tests/test_requests.cpp
@@ -22,9 +22,13 @@
 void startServing(Cluster &cluster)
 {
     cluster.startUsualHosts();
-    REQUIRE(cluster.publishRules() == 0);
+    const bool isStarted = cluster.waitUntilStarted(startLimit);
+    const int published = cluster.publishRules();
+    const bool isServed = cluster.waitUntilServed(startLimit);
     INFO(cluster.describeLogs());
-    REQUIRE(cluster.waitUntilServed(startLimit));
+    REQUIRE(isStarted);
+    REQUIRE(published == 0);
+    REQUIRE(isServed);
 }
 
 // Sends bytes over a new connection and returns what comes back within 2 s.
--- a/packages/system/tests/test_system.cpp
+++ b/packages/system/tests/test_system.cpp
@@ -37,9 +37,13 @@
 void startServing(Cluster &cluster, const std::vector<std::string> &upstreamOptions = {})
 {
     cluster.startUsualHosts(upstreamOptions);
-    REQUIRE(cluster.publishRules() == 0);
+    const bool isStarted = cluster.waitUntilStarted(startLimit);
+    const int published = cluster.publishRules();
+    const bool isServed = cluster.waitUntilServed(startLimit);
     INFO(cluster.describeLogs());
-    REQUIRE(cluster.waitUntilServed(startLimit));
+    REQUIRE(isStarted);
+    REQUIRE(published == 0);
+    REQUIRE(isServed);
 }
 
 // Returns the testlog host that runs most of a short load.
