net: stop the idle fiber scheduler from spinning

Cause: suspend_until armed its timer at each call; that cancelled the pending wait, whose handler ended run_one, so an idle thread used a whole core. Ruled out: polling by the log reader or the mesh (the stack showed the timer). Change: the timer is armed only when the time differs from the armed one.

--- a/packages/net/fibers.cpp
+++ b/packages/net/fibers.cpp
@@ -49,7 +49,10 @@
 
     void suspend_until(const std::chrono::steady_clock::time_point &until) noexcept override
     {
-        if (until != std::chrono::steady_clock::time_point::max()) {
+        // Arming the timer again cancels the pending wait, whose handler would end run_one at once,
+        // and the thread would never sleep.
+        if (until != this->armedUntil) {
+            this->armedUntil = until;
             this->timer.expires_at(until);
             this->timer.async_wait([](const ErrorCode &) {});
         }
@@ -80,6 +83,7 @@
     std::shared_ptr<asio::io_context> context;
     std::shared_ptr<std::atomic<bool>> parked;
     asio::steady_timer timer;
+    std::chrono::steady_clock::time_point armedUntil = std::chrono::steady_clock::time_point::max();
     boost::fibers::scheduler::ready_queue_type readyFibers;
     int picksSincePoll = 0;
 };
--- a/packages/net/tests/test_net.cpp
+++ b/packages/net/tests/test_net.cpp
@@ -99,3 +99,23 @@
     event.notify();
     REQUIRE(runInFiber(thread, [&] { return event.waitFor(5s); }));
 }
+
+// Guards against a scheduler that polls: it took more than a core of an idle process.
+TEST_CASE("an idle thread uses almost no processor time")
+{
+    FiberThread thread("test");
+    thread.start();
+    thread.spawn([&thread] {
+        for (int round = 0; round < 20; ++round) {
+            sleepFor(thread.io(), 10ms);
+        }
+    });
+    const auto processorTime = [] {
+        timespec value{};
+        clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &value);
+        return std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec);
+    };
+    const Duration before = processorTime();
+    std::this_thread::sleep_for(1s);
+    REQUIRE(processorTime() - before < 13ms); // 1.3 % of a core
+}
