--- a/packages/ownership/engine.cpp
+++ b/packages/ownership/engine.cpp
@@ -8,6 +8,7 @@
 #include "ownership/owner_lease.h"
 #include "ownership/peer_role.h"
 #include "ownership/takeover.h"
+#include "wire/trace.pb.h"
 
 #include <set>
 #include <utility>
@@ -58,6 +59,27 @@
         return now;
     }
 
+    // Shows an input to the trace hook, as a tick unless `fill` says otherwise.
+    template <typename Fill>
+    void trace(Time now, Fill fill)
+    {
+        if (!this->context.hooks.trace) {
+            return;
+        }
+        wire::TraceEvent event;
+        event.set_time_ns(now.count());
+        event.mutable_tick();
+        fill(event);
+        this->context.hooks.trace(event);
+    }
+
+    // Takes the time of an input that the trace shows as a tick.
+    Time enterUntraced(Time now)
+    {
+        this->trace(now, [](wire::TraceEvent &) {});
+        return this->enter(now);
+    }
+
     void step(Time now)
     {
         this->lease.step(now);
@@ -162,6 +184,10 @@
 void OwnershipEngine::start(Time now)
 {
     Parts &p = *this->parts;
+    p.trace(now, [&p](wire::TraceEvent &event) {
+        event.mutable_start()->set_node(p.context.settings.node);
+        event.mutable_start()->set_incarnation(p.context.settings.incarnation);
+    });
     p.last = now;
     p.context.started = now;
     p.context.resumed = now;
@@ -172,6 +198,10 @@
 void OwnershipEngine::onRecord(Offset offset, const wire::LogRecord &record, Time now)
 {
     Parts &p = *this->parts;
+    p.trace(now, [offset, &record](wire::TraceEvent &event) {
+        event.mutable_record()->set_offset(offset);
+        *event.mutable_record()->mutable_record() = record;
+    });
     now = p.enter(now);
     const LogFollower::Step step = p.follower.onRecord(offset, record, now);
     if (step.reloaded) {
@@ -194,6 +224,10 @@
 
 void OwnershipEngine::onLogEnd(Offset end, Time askedAt, Time now)
 {
+    this->parts->trace(now, [end, askedAt](wire::TraceEvent &event) {
+        event.mutable_log_end()->set_end(end);
+        event.mutable_log_end()->set_asked_at_ns(askedAt.count());
+    });
     now = this->parts->enter(now);
     this->parts->follower.onLogEnd(end, askedAt);
     this->parts->step(now);
@@ -201,14 +235,14 @@
 
 void OwnershipEngine::onFirstKept(Offset firstKept, Time now)
 {
-    now = this->parts->enter(now);
+    now = this->parts->enterUntraced(now);
     this->parts->follower.onFirstKept(firstKept);
     this->parts->step(now);
 }
 
 void OwnershipEngine::onLogAnswering(bool answering, Time now)
 {
-    now = this->parts->enter(now);
+    now = this->parts->enterUntraced(now);
     this->parts->context.answering = answering;
     this->parts->step(now);
 }
@@ -216,6 +250,7 @@
 bool OwnershipEngine::onMessage(const wire::MeshMessage &message, Time now)
 {
     Parts &p = *this->parts;
+    p.trace(now, [&message](wire::TraceEvent &event) { *event.mutable_message() = message; });
     now = p.enter(now);
     const std::string &from = message.from();
     switch (message.body_case()) {
@@ -252,49 +287,49 @@
 
 void OwnershipEngine::onTick(Time now)
 {
-    now = this->parts->enter(now);
+    now = this->parts->enterUntraced(now);
     this->parts->prune(now);
     this->parts->step(now);
 }
 
 void OwnershipEngine::setUpstream(const std::optional<UpstreamInfo> &upstream, Time now)
 {
-    now = this->parts->enter(now);
+    now = this->parts->enterUntraced(now);
     this->parts->membership.setUpstream(upstream);
     this->parts->step(now);
 }
 
 void OwnershipEngine::requestDrain(Time now)
 {
-    now = this->parts->enter(now);
+    now = this->parts->enterUntraced(now);
     this->parts->membership.requestDrain(now);
     this->parts->step(now);
 }
 
 void OwnershipEngine::requestMove(const std::vector<Slot> &slots, SessionId target, Time now)
 {
-    now = this->parts->enter(now);
+    now = this->parts->enterUntraced(now);
     this->parts->membership.requestMove(slots, target, now);
     this->parts->step(now);
 }
 
 void OwnershipEngine::requestBind(std::uint64_t keyHash, Time now)
 {
-    now = this->parts->enter(now);
+    now = this->parts->enterUntraced(now);
     this->parts->membership.requestBind(keyHash, now);
     this->parts->step(now);
 }
 
 void OwnershipEngine::requestUnbind(std::uint64_t keyHash, Time now)
 {
-    now = this->parts->enter(now);
+    now = this->parts->enterUntraced(now);
     this->parts->membership.requestUnbind(keyHash, now);
     this->parts->step(now);
 }
 
 void OwnershipEngine::setJournalComplete(std::string_view peer, std::uint64_t incarnation, Time now)
 {
-    now = this->parts->enter(now);
+    now = this->parts->enterUntraced(now);
     this->parts->lease.setJournalComplete(std::string(peer), incarnation);
     this->parts->step(now);
 }
--- a/packages/ownership/engine_types.h
+++ b/packages/ownership/engine_types.h
@@ -12,6 +12,10 @@
 #include <string>
 #include <vector>
 
+namespace kumquat::wire {
+class TraceEvent;
+} // namespace kumquat::wire
+
 namespace kumquat {
 
 // ---- settings ----
@@ -87,6 +91,10 @@
     // Takes over remembered requests; may see the same request twice.
     std::function<void(const std::string &service, const std::vector<wire::RememberedRequest> &)>
             importRemembered;
+
+    // Sees every input before the engine takes it; may be empty. Inputs that trace.proto has no
+    // kind for (answering, upstream, drain, move, bind, journal) are seen as ticks.
+    std::function<void(const wire::TraceEvent &)> trace;
 };
 
 // ---- inputs ----
--- a/packages/ownership/tests/harness.cpp
+++ b/packages/ownership/tests/harness.cpp
@@ -142,15 +142,13 @@
     hooks.hasAnyInFlight = [busy](const std::string &) { return busy([](int) { return true; }); };
     hooks.remembered = [](const SlotKeys &) { return std::vector<wire::RememberedRequest>(); };
     hooks.importRemembered = [](const std::string &, const auto &) {};
+    if (node == this->options.traceNode) {
+        hooks.trace = [this](const wire::TraceEvent &event) { this->recorded.push_back(event); };
+    }
     entry.engine = OwnershipEngine::create(settingsOf(node, entry.incarnation, this->options),
                                            std::move(hooks))
                            .value();
-    const Time local = this->localTime(node, this->now);
-    this->record(node, local, [&entry, node](wire::TraceEvent &event) {
-        event.mutable_start()->set_node(nodeName(node));
-        event.mutable_start()->set_incarnation(entry.incarnation);
-    });
-    entry.engine->start(local);
+    entry.engine->start(this->localTime(node, this->now));
     this->input(node, [](OwnershipEngine &engine, Time time) {
         engine.setUpstream(UpstreamInfo{std::string(service), true}, time);
     });
@@ -225,10 +223,7 @@
             return;
         }
         self.nextTick = Duration(0);
-        this->input(node, [this, node](OwnershipEngine &engine, Time time) {
-            this->record(node, time, [](wire::TraceEvent &event) { event.mutable_tick(); });
-            engine.onTick(time);
-        });
+        this->input(node, [](OwnershipEngine &engine, Time time) { engine.onTick(time); });
     });
 }
 
@@ -342,11 +337,8 @@
         delay += this->faultDelay(this->slowBy[{from, to}]);
     }
     this->at(this->now + delay, [this, to, wire = message.message] {
-        this->input(to, [this, to, wire](OwnershipEngine &engine, Time time) {
-            this->record(to, time,
-                         [&wire](wire::TraceEvent &event) { *event.mutable_message() = wire; });
-            engine.onMessage(wire, time);
-        });
+        this->input(to,
+                    [wire](OwnershipEngine &engine, Time time) { engine.onMessage(wire, time); });
     });
 }
 
@@ -426,20 +418,11 @@
     }
     const Time askedLocal = this->localTime(node, asked);
     this->at(this->now + delay, [this, node, life, batch, next, end, askedLocal] {
-        const auto give = [this, node, batch, next, end, askedLocal](OwnershipEngine &engine,
-                                                                     Time time) {
+        const auto give = [batch, next, end, askedLocal](OwnershipEngine &engine, Time time) {
             engine.onLogAnswering(true, time);
             for (std::size_t index = 0; index < batch.size(); ++index) {
-                this->record(node, time, [&](wire::TraceEvent &event) {
-                    event.mutable_record()->set_offset(next + index);
-                    *event.mutable_record()->mutable_record() = batch[index];
-                });
                 engine.onRecord(next + index, batch[index], time);
             }
-            this->record(node, time, [&](wire::TraceEvent &event) {
-                event.mutable_log_end()->set_end(end);
-                event.mutable_log_end()->set_asked_at_ns(askedLocal.count());
-            });
             engine.onLogEnd(end, askedLocal, time);
         };
         if (this->nodes[static_cast<std::size_t>(node)].life != life) {
@@ -470,6 +453,9 @@
     }
     const Time local = this->localTime(node, this->now);
     const ServeAnswer answer = entry.engine->mayServe(service, keyHash(key), local);
+    if (node == this->options.traceNode) {
+        this->allAnswers.push_back({this->recorded.size(), local, key, answer});
+    }
     if (answer.error != ErrorKind::None) {
         return;
     }
@@ -515,15 +501,4 @@
     return std::max(longest, until - last);
 }
 
-void World::record(int node, Time time, const std::function<void(wire::TraceEvent &)> &fill)
-{
-    if (node != this->options.traceNode) {
-        return;
-    }
-    wire::TraceEvent event;
-    event.set_time_ns(time.count());
-    fill(event);
-    this->recorded.push_back(std::move(event));
-}
-
 } // namespace kumquat::test
--- a/packages/ownership/tests/harness.h
+++ b/packages/ownership/tests/harness.h
@@ -81,6 +81,15 @@
     Duration until{0};
 };
 
+// What the traced node answered to a call.
+struct TracedAnswer
+{
+    std::size_t events = 0; // recorded before
+    Time at{0};             // local time
+    int key = 0;
+    ServeAnswer answer;
+};
+
 // Times at which a key was served, in real time.
 using ServedTimes = std::vector<Duration>;
 
@@ -105,10 +114,9 @@
     // Returns the longest time between `from` and `until` without a served call of the key.
     Duration longestGap(int key, Duration from, Duration until) const;
 
-    OwnershipEngine *engine(int node) { return this->nodes.at(node).engine.get(); }
     const std::vector<wire::TraceEvent> &trace() const { return this->recorded; }
+    const std::vector<TracedAnswer> &answers() const { return this->allAnswers; }
     Duration localTime(int node, Duration real) const;
-    bool isDrained(int node) const { return this->nodes.at(node).drained; }
 
     static constexpr int keys = 4;
     static std::uint64_t keyHash(int key) { return static_cast<std::uint64_t>(key); }
@@ -165,7 +173,6 @@
     void poll(int node);
     void answerPoll(int node, std::uint64_t life, Duration asked, Duration deadline);
     void call(int node, int key);
-    void record(int node, Time now, const std::function<void(wire::TraceEvent &)> &fill);
 
     Schedule schedule;
     WorldOptions options;
@@ -184,6 +191,7 @@
     std::vector<ServedTimes> servedTimes;
     std::vector<std::string> found;
     std::vector<wire::TraceEvent> recorded;
+    std::vector<TracedAnswer> allAnswers;
 };
 
 } // namespace kumquat::test
