--- a/packages/ownership/tests/harness.cpp
+++ b/packages/ownership/tests/harness.cpp
@@ -13,6 +13,9 @@
 constexpr Duration logDelay = 30ms;   // longest usual delay to or from the log
 constexpr Duration holdPoll = 400ms;  // of the log's long poll
 constexpr Duration retryPoll = 100ms; // after a poll that was not answered
+constexpr double slowAppends = 0.05;  // share of appends that take up to 1.5 s
+constexpr double lostReplies = 0.1;   // share of appends that take effect twice
+constexpr Duration trickle = 300ms;   // of one read during LogTrickle
 constexpr SlotLayout layout{World::keys, 2};
 
 double toSeconds(Duration duration)
@@ -33,12 +36,10 @@
     this->servedTimes.resize(keys);
     for (int node = 0; node < this->schedule.nodes; ++node) {
         Node &entry = this->nodes[static_cast<std::size_t>(node)];
-        // Rates at the very bounds are the hardest case, so half of the clocks have one.
-        const double spread = this->random() < 0.5 ? (this->random() < 0.5 ? -1.0 : 1.0)
-                                                   : 2.0 * this->random() - 1.0;
-        entry.rate = this->options.drift ? 1.0 + 0.0099 * spread : 1.0;
+        entry.rate = this->clockRate(node);
         entry.offset = this->randomUpTo(1000s);
-        this->at(this->randomUpTo(50ms), [this, node] { this->start(node); });
+        const Duration late = this->options.directed && node > 0 ? 300ms : 0ms;
+        this->at(late + this->randomUpTo(50ms), [this, node] { this->start(node); });
         for (int key = 0; key < keys; ++key) {
             this->at(this->randomUpTo(this->options.calls),
                      [this, node, key] { this->call(node, key); });
@@ -61,6 +62,24 @@
             static_cast<Duration::rep>(this->random() * static_cast<double>(limit.count())));
 }
 
+// Returns the whole delay in directed schedules.
+Duration World::faultDelay(Duration limit)
+{
+    return this->options.directed ? limit : this->randomUpTo(limit);
+}
+
+double World::clockRate(int node)
+{
+    constexpr double bound = 0.0099; // just within 1 %
+    if (this->options.directed) {
+        return this->options.slowOwner ? 1.0 + (node == 0 ? -bound : bound) : 1.0;
+    }
+    // Rates at the very bounds are the hardest case, so half of the clocks have one.
+    const double drawn = 2.0 * this->random() - 1.0;
+    const double atBound = drawn < 0.0 ? -1.0 : 1.0;
+    return 1.0 + bound * (this->random() < 0.5 ? atBound : drawn);
+}
+
 Duration World::localTime(int node, Duration real) const
 {
     const Node &entry = this->nodes.at(static_cast<std::size_t>(node));
@@ -123,15 +142,13 @@
     hooks.hasAnyInFlight = [busy](const std::string &) { return busy([](int) { return true; }); };
     hooks.remembered = [](const SlotKeys &) { return std::vector<wire::RememberedRequest>(); };
     hooks.importRemembered = [](const std::string &, const auto &) {};
+    if (node == this->options.traceNode) {
+        hooks.trace = [this](const wire::TraceEvent &event) { this->recorded.push_back(event); };
+    }
     entry.engine = OwnershipEngine::create(settingsOf(node, entry.incarnation, this->options),
                                            std::move(hooks))
                            .value();
-    const Time local = this->localTime(node, this->now);
-    this->record(node, local, [&entry, node](wire::TraceEvent &event) {
-        event.mutable_start()->set_node(nodeName(node));
-        event.mutable_start()->set_incarnation(entry.incarnation);
-    });
-    entry.engine->start(local);
+    entry.engine->start(this->localTime(node, this->now));
     this->input(node, [](OwnershipEngine &engine, Time time) {
         engine.setUpstream(UpstreamInfo{std::string(service), true}, time);
     });
@@ -206,10 +223,7 @@
             return;
         }
         self.nextTick = Duration(0);
-        this->input(node, [this, node](OwnershipEngine &engine, Time time) {
-            this->record(node, time, [](wire::TraceEvent &event) { event.mutable_tick(); });
-            engine.onTick(time);
-        });
+        this->input(node, [](OwnershipEngine &engine, Time time) { engine.onTick(time); });
     });
 }
 
@@ -264,6 +278,9 @@
         entry.logLagUntil = until;
         entry.logLag = fault.duration;
         break;
+    case FaultKind::LogTrickle:
+        entry.trickleUntil = until;
+        break;
     case FaultKind::SlowMessages:
         this->slows[{node, other}] = until;
         this->slowBy[{node, other}] = fault.duration;
@@ -317,14 +334,11 @@
     }
     Duration delay = 100us + this->randomUpTo(meshDelay);
     if (this->slows[{from, to}] > this->now) {
-        delay += this->randomUpTo(this->slowBy[{from, to}]);
+        delay += this->faultDelay(this->slowBy[{from, to}]);
     }
     this->at(this->now + delay, [this, to, wire = message.message] {
-        this->input(to, [this, to, wire](OwnershipEngine &engine, Time time) {
-            this->record(to, time,
-                         [&wire](wire::TraceEvent &event) { *event.mutable_message() = wire; });
-            engine.onMessage(wire, time);
-        });
+        this->input(to,
+                    [wire](OwnershipEngine &engine, Time time) { engine.onMessage(wire, time); });
     });
 }
 
@@ -338,9 +352,9 @@
 // An append may be lost, slow, or take effect twice (its reply was lost and it was sent again).
 void World::appendRecord(int node, const wire::LogRecord &record)
 {
-    const bool slow = this->random() < this->options.slowAppends;
+    const bool slow = !this->options.directed && this->random() < slowAppends;
     const Duration delay = this->randomUpTo(slow ? Duration(1500ms) : logDelay);
-    const bool twice = this->random() < this->options.lostReplies;
+    const bool twice = this->random() < lostReplies;
     const auto store = [this, node, record] {
         const Node &self = this->nodes[static_cast<std::size_t>(node)];
         if (this->now >= this->logDownUntil && this->now >= self.logCutUntil) {
@@ -389,30 +403,26 @@
         });
         return;
     }
-    const std::vector<wire::LogRecord> batch(
-            this->log.begin() + static_cast<std::ptrdiff_t>(std::min(next, this->log.size())),
-            this->log.end());
     const Offset end = this->log.size();
+    const bool trickles = this->now < entry.trickleUntil;
+    const Offset last = trickles ? std::min(next + 1, end) : end;
+    const std::vector<wire::LogRecord> batch(
+            this->log.begin() + static_cast<std::ptrdiff_t>(std::min(next, last)),
+            this->log.begin() + static_cast<std::ptrdiff_t>(last));
     Duration delay = this->randomUpTo(logDelay);
+    if (trickles) {
+        delay += trickle;
+    }
     if (this->now < entry.logLagUntil) {
-        delay += this->randomUpTo(entry.logLag);
+        delay += this->faultDelay(entry.logLag);
     }
     const Time askedLocal = this->localTime(node, asked);
     this->at(this->now + delay, [this, node, life, batch, next, end, askedLocal] {
-        const auto give = [this, node, batch, next, end, askedLocal](OwnershipEngine &engine,
-                                                                     Time time) {
+        const auto give = [batch, next, end, askedLocal](OwnershipEngine &engine, Time time) {
             engine.onLogAnswering(true, time);
             for (std::size_t index = 0; index < batch.size(); ++index) {
-                this->record(node, time, [&](wire::TraceEvent &event) {
-                    event.mutable_record()->set_offset(next + index);
-                    *event.mutable_record()->mutable_record() = batch[index];
-                });
                 engine.onRecord(next + index, batch[index], time);
             }
-            this->record(node, time, [&](wire::TraceEvent &event) {
-                event.mutable_log_end()->set_end(end);
-                event.mutable_log_end()->set_asked_at_ns(askedLocal.count());
-            });
             engine.onLogEnd(end, askedLocal, time);
         };
         if (this->nodes[static_cast<std::size_t>(node)].life != life) {
@@ -443,6 +453,9 @@
     }
     const Time local = this->localTime(node, this->now);
     const ServeAnswer answer = entry.engine->mayServe(service, keyHash(key), local);
+    if (node == this->options.traceNode) {
+        this->allAnswers.push_back({this->recorded.size(), local, key, answer});
+    }
     if (answer.error != ErrorKind::None) {
         return;
     }
@@ -488,15 +501,4 @@
     return std::max(longest, until - last);
 }
 
-void World::record(int node, Time time, const std::function<void(wire::TraceEvent &)> &fill)
-{
-    if (node != this->options.traceNode) {
-        return;
-    }
-    wire::TraceEvent event;
-    event.set_time_ns(time.count());
-    fill(event);
-    this->recorded.push_back(std::move(event));
-}
-
 } // namespace kumquat::test
