Model contention of a cold endpoint in bench_limits

Cause: the figures of the cold start covered only the restart, and a cold endpoint was slowed equally at every concurrency, so that a ramp could only lose. Change: slowness grows with the square of the concurrency; the figures cover the 3 s after the restart; work is counted without slowness, relative to the best concurrency at each time.

--- a/packages/traffic/limits_model.cpp
+++ b/packages/traffic/limits_model.cpp
@@ -44,6 +44,7 @@
     bool atEndpoint = false;
     bool working = false;
     Duration work{};
+    double plainSeconds = 0; // the work without slowness
 };
 
 class LimitModel
@@ -94,6 +95,7 @@
     void pumpFixed();
 
     LimitFigures collect() const;
+    double possibleSeconds() const;
     double findRecovery() const;
 
     LimitScenario scenario;
@@ -141,7 +143,7 @@
         return 3;
     }
     if (this->scenario == LimitScenario::ColdStart && this->now >= this->end) {
-        return 1 + 3 * std::exp(-toSeconds(this->now - this->end));
+        return coldSlowness(this->now - this->end, this->busy);
     }
     return 1;
 }
@@ -158,7 +160,7 @@
         return;
     }
     std::lognormal_distribution<double> service(std::log(medianServiceSeconds), serviceSigma);
-    this->calls.at(number).work = fromSeconds(service(this->random) * this->slowness());
+    this->calls.at(number).plainSeconds = service(this->random);
     this->calls.at(number).atEndpoint = true;
     this->atEndpoint.insert(number);
     this->endpointQueue.push_back(number);
@@ -176,6 +178,7 @@
         }
         ++this->busy;
         call->second.working = true;
+        call->second.work = fromSeconds(call->second.plainSeconds * this->slowness());
         this->at(this->now + call->second.work, [this, number] { this->finishWork(number); });
     }
 }
@@ -192,8 +195,9 @@
     }
     const Call call = found->second;
     const Request &request = this->requests[call.request];
-    if (!request.ended && this->now <= request.deadline && this->isDisturbed()) {
-        this->usefulSeconds += toSeconds(call.work);
+    const bool counts = this->now >= start && this->now < this->end + this->plan.cold;
+    if (!request.ended && this->now <= request.deadline && counts) {
+        this->usefulSeconds += call.plainSeconds;
     }
     this->endCall(number, CallEnd::Answered, ErrorKind::None);
     this->startWork();
@@ -479,7 +483,7 @@
     double late = 0;
     double refused = 0;
     for (const Request &request : this->requests) {
-        if (request.arrived < start || request.arrived >= this->end) {
+        if (request.arrived < start || request.arrived >= this->end + this->plan.cold) {
             continue;
         }
         ++figures.requests;
@@ -505,18 +509,29 @@
     }
     figures.refusedShare =
             refused / static_cast<double>(std::max<std::uint64_t>(1, figures.requests));
-    figures.usefulShare =
-            this->usefulSeconds / (toSeconds(this->plan.length) * workers * this->plan.capacity);
-    // Slowed work takes longer in seconds, so the shares of slow endpoints count unslowed work.
-    if (this->scenario == LimitScenario::MisleadingHealth) {
-        figures.usefulShare *= this->plan.capacity;
-    }
+    figures.usefulShare = this->usefulSeconds / this->possibleSeconds();
     figures.retries = this->retries;
     figures.unsafeRetries = this->unsafeRetries;
     figures.recoverySeconds = this->findRecovery();
     return figures;
 }
 
+// Returns the work that the endpoint could do in the time of the figures.
+double LimitModel::possibleSeconds() const
+{
+    constexpr Duration step = 1ms;
+    double possible =
+            toSeconds(this->plan.length - this->plan.outage) * workers * this->plan.capacity;
+    for (Duration since{}; since < this->plan.cold; since += step) {
+        double best = 0;
+        for (std::size_t running = 1; running <= workers; ++running) {
+            best = std::max(best, static_cast<double>(running) / coldSlowness(since, running));
+        }
+        possible += best * toSeconds(step);
+    }
+    return possible;
+}
+
 double LimitModel::findRecovery() const
 {
     const auto bucketCount = static_cast<std::size_t>(observation / bucketLength) - 2;
--- a/packages/traffic/limits_model.h
+++ b/packages/traffic/limits_model.h
@@ -15,7 +15,7 @@
     Frozen,           // half load; the endpoint stops for 3 s
     Sheds,            // 0.8 of the capacity; for 10 s it refuses what exceeds 5 at a time
     MisleadingHealth, // half load; for 10 s it is 3 times slower and announces 40 slots
-    ColdStart,        // 0.6 of the capacity; restarts in 0.5 s and is up to 4 times slower at first
+    ColdStart,        // 0.6 of the capacity; restarts in 0.5 s and is slowed by contention at first
 };
 
 inline constexpr NameTable<LimitScenario, 6> limitScenarioNames{
@@ -39,7 +39,8 @@
           {LimitVariant::Limiter, "limiter"},
           {LimitVariant::LimiterBreaker, "limiter-breaker"}}}};
 
-// Figures of the requests that arrived during the disturbance (HalfLoad: 20 s of steady load).
+// Figures of the requests that arrived during the disturbance (HalfLoad: 20 s of steady load;
+// ColdStart: the restart and 3 s after it).
 struct LimitFigures
 {
     LimitScenario scenario = LimitScenario::HalfLoad;
--- a/packages/traffic/limits_plan.h
+++ b/packages/traffic/limits_plan.h
@@ -40,6 +40,15 @@
     return Duration(static_cast<Duration::rep>(seconds * 1e9));
 }
 
+// How much slower a cold endpoint works with `running` requests at a time: contention grows with
+// their square, so that it does most with 4 at a time at first, and ends with a time constant of 1
+// s.
+inline double coldSlowness(Duration sinceStart, std::size_t running)
+{
+    const auto count = static_cast<double>(running);
+    return 1 + 0.06 * count * count * std::exp(-toSeconds(sinceStart));
+}
+
 // Loads and capacities of a scenario; the disturbance begins at `start`.
 struct Plan
 {
@@ -48,6 +57,7 @@
     Duration length = 20s;      // of the disturbance
     double capacity = 1;        // share of the capacity that the endpoint has during it
     Duration outage{};          // at the start of the disturbance, without connections
+    Duration cold{};            // after the disturbance; the figures include it
     std::uint32_t slots = workers;
 };
 
@@ -65,7 +75,7 @@
     case LimitScenario::MisleadingHealth:
         return {.length = 10s, .capacity = 1 / 3.0, .slots = 40};
     case LimitScenario::ColdStart:
-        return {.load = 0.6, .disturbedLoad = 0.6, .length = 500ms, .outage = 500ms};
+        return {.load = 0.6, .disturbedLoad = 0.6, .length = 500ms, .outage = 500ms, .cold = 3s};
     }
     return {};
 }
