--- a/packages/traffic/bench_limits.cpp
+++ b/packages/traffic/bench_limits.cpp
@@ -1,10 +1,11 @@
-// Measures the limits of an endpoint in virtual time: bench_limits [--json] [--seed N]
+// Measures the limits of an endpoint in virtual time: bench_limits [--json] [--seed N] [--variant
+// NAME]
 #include "traffic/limits_model.h"
 
 #include <cstdlib>
-#include <cstring>
 #include <iomanip>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,14 +60,18 @@
 {
     bool json = false;
     std::uint64_t seed = defaultSeed;
+    std::optional<LimitVariant> only;
     for (int index = 1; index < argc; ++index) {
         const std::string word = argv[index];
         if (word == "--json") {
             json = true;
         } else if (word == "--seed" && index + 1 < argc) {
             seed = std::strtoull(argv[++index], nullptr, 10);
+        } else if (word == "--variant" && index + 1 < argc
+                   && limitVariantNames.valueOf(argv[index + 1])) {
+            only = limitVariantNames.valueOf(argv[++index]);
         } else {
-            std::cerr << "usage: bench_limits [--json] [--seed N]\n";
+            std::cerr << "usage: bench_limits [--json] [--seed N] [--variant NAME]\n";
             return 2;
         }
     }
@@ -76,6 +81,9 @@
     bool first = true;
     for (const auto &scenario : limitScenarioNames.entries) {
         for (const auto &variant : limitVariantNames.entries) {
+            if (only && *only != variant.value) {
+                continue;
+            }
             const LimitFigures figures = runLimitModel(scenario.value, variant.value, seed);
             if (json) {
                 printJson(figures, first);
--- a/packages/traffic/limiter.cpp
+++ b/packages/traffic/limiter.cpp
@@ -93,7 +93,7 @@
         break;
     case CallEnd::Refused:
         this->lastEnd = now;
-        this->lower(call, this->settings.decrease);
+        this->lower(call, this->settings.refusalDecrease);
         break;
     case CallEnd::Lost:
         this->lower(call, this->settings.decrease);
--- a/packages/traffic/limiter.h
+++ b/packages/traffic/limiter.h
@@ -66,7 +66,8 @@
     std::size_t queue = 256;         // most requests that wait
     double coldLimit = 2;            // first limit of a cold upstream
     Duration coldRamp = 3s;          // time in which the cold limit grows to the announced slots
-    double decrease = 0.8;           // factor on overload, at most once a round trip
+    double decrease = 0.8;           // factor on latency or a lost connection, once a round trip
+    double refusalDecrease = 0.9;    // factor on a refusal, at most once a round trip
     double timeoutDecrease = 0.5;    // factor on a timeout, at most once a round trip
     double increase = 1;             // added to the limit for each full window of good answers
     double tolerance = 2;            // latency over the usual one that counts as overload
