Probe a silent endpoint with one request at a time

Cause: a frozen endpoint got a waiting request whenever a call timed out. Most of these had little time left, so one request after the other was lost with an unknown outcome. Change: after 3 timeouts in a row without any answer, one request at a time is dispatched, at most one in 50 ms; the rest waits or is answered not-run. The first answer ends this. The late ones that remain were dispatched before the silence could be seen.

--- a/packages/traffic/limiter.cpp
+++ b/packages/traffic/limiter.cpp
@@ -54,6 +54,7 @@
     this->startWindow();
     ++this->rounds;
     this->usualLatency = 0;
+    this->timeoutsInRow = 0;
 }
 
 Admission EndpointLimiter::admit(RequestNumber request, Time deadline, Time now)
@@ -88,17 +89,20 @@
     switch (end) {
     case CallEnd::Answered:
         this->lastEnd = now;
+        this->timeoutsInRow = 0;
         this->learnLatency(now - call.started);
         this->judgeAnswer(call, now - call.started);
         break;
     case CallEnd::Refused:
         this->lastEnd = now;
+        this->timeoutsInRow = 0;
         this->lower(call, this->settings.refusalDecrease);
         break;
     case CallEnd::Lost:
         this->lower(call, this->settings.decrease);
         break;
     case CallEnd::TimedOut:
+        this->timeoutsInRow += this->lastEnd <= call.started ? 1 : 0;
         this->lower(call, this->settings.timeoutDecrease);
         break;
     case CallEnd::Cancelled:
@@ -134,6 +138,9 @@
     if (next) {
         *next -= std::min(this->serviceTime(), *next);
     }
+    if (next && this->isSilent() && this->running.empty()) {
+        next = std::min(*next, this->lastDispatch + this->settings.probeEvery);
+    }
     return next;
 }
 
@@ -167,6 +174,9 @@
 
 bool EndpointLimiter::hasRoom(Time now) const
 {
+    if (this->isSilent()) {
+        return this->running.empty() && now - this->lastDispatch >= this->settings.probeEvery;
+    }
     return static_cast<double>(this->running.size() + 1) <= this->effectiveLimit(now);
 }
 
@@ -204,6 +214,7 @@
 
 void EndpointLimiter::dispatch(RequestNumber request, Time deadline, Time now)
 {
+    this->lastDispatch = now;
     const double after = static_cast<double>(this->running.size() + 2);
     this->running[request] = {.started = now,
                               .deadline = deadline,
--- a/packages/traffic/limiter.h
+++ b/packages/traffic/limiter.h
@@ -63,14 +63,16 @@
 
 struct LimiterSettings
 {
-    std::size_t queue = 256;         // most requests that wait
-    double coldLimit = 2;            // first limit of a cold upstream
-    Duration coldRamp = 3s;          // time in which the cold limit grows to the announced slots
-    double decrease = 0.8;           // factor on latency or a lost connection, once a round trip
-    double refusalDecrease = 0.9;    // factor on a refusal, at most once a round trip
-    double timeoutDecrease = 0.5;    // factor on a timeout, at most once a round trip
-    double increase = 1;             // added to the limit for each full window of good answers
-    double tolerance = 2;            // latency over the usual one that counts as overload
+    std::size_t queue = 256;        // most requests that wait
+    double coldLimit = 2;           // first limit of a cold upstream
+    Duration coldRamp = 3s;         // time in which the cold limit grows to the announced slots
+    double decrease = 0.8;          // factor on latency or a lost connection, once a round trip
+    double refusalDecrease = 0.9;   // factor on a refusal, at most once a round trip
+    double timeoutDecrease = 0.5;   // factor on a timeout, at most once a round trip
+    std::size_t silentTimeouts = 3; // timeouts in a row without any answer that mean silence
+    Duration probeEvery = 50ms; // in silence one request at a time, and at most one in this time
+    double increase = 1;        // added to the limit for each full window of good answers
+    double tolerance = 2;       // latency over the usual one that counts as overload
     Duration firstServiceTime = 5ms; // assumed before the first answer
 };
 
@@ -131,6 +133,7 @@
 
     double effectiveLimit(Time now) const;
     bool hasRoom(Time now) const;
+    bool isSilent() const { return this->timeoutsInRow >= this->settings.silentTimeouts; }
     Duration expectedWait(std::size_t ahead, Time now) const;
     Duration expectedService(Time now) const;
     bool canMeet(Time deadline, std::size_t ahead, Time now) const;
@@ -150,14 +153,16 @@
     std::uint32_t connections;
     double currentLimit;
     std::optional<Time> coldSince;
-    std::uint64_t rounds = 0;    // decreases so far
-    double usualLatency = 0;     // ns, of windows without overload; 0: not known
-    double meanLatency = 0;      // ns, of the latest answers; 0: not known
-    double latencySpread = 0;    // ns, mean distance to meanLatency
-    double windowSum = 0;        // ns, of the answers in the window
-    std::size_t windowCount = 0; // answers in the window
-    bool windowAtLimit = false;  // some were dispatched with the limit fully used
-    Time lastEnd{};              // of the last answer or refusal
+    std::uint64_t rounds = 0;      // decreases so far
+    double usualLatency = 0;       // ns, of windows without overload; 0: not known
+    double meanLatency = 0;        // ns, of the latest answers; 0: not known
+    double latencySpread = 0;      // ns, mean distance to meanLatency
+    double windowSum = 0;          // ns, of the answers in the window
+    std::size_t windowCount = 0;   // answers in the window
+    bool windowAtLimit = false;    // some were dispatched with the limit fully used
+    std::size_t timeoutsInRow = 0; // without an answer since the timed out request was dispatched
+    Time lastDispatch{};
+    Time lastEnd{}; // of the last answer or refusal
     std::unordered_map<RequestNumber, Running> running;
     std::deque<Waiting> queue; // in order of arrival
     LimiterOutput output;
