--- a/packages/ctl/commands.cpp
+++ b/packages/ctl/commands.cpp
@@ -7,16 +7,13 @@
 #include "ctl/publish.h"
 #include "report/table.h"
 #include "rules/rules.h"
+#include "settings/file.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
-#include <array>
-#include <cerrno>
-#include <cstring>
-#include <fstream>
 #include <map>
 #include <ostream>
 #include <utility>
@@ -62,22 +59,6 @@
 
 // --- rules files ---
 
-absl::StatusOr<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    std::string text;
-    std::array<char, 65'536> buffer{};
-    while (file.read(buffer.data(), buffer.size()) || file.gcount() > 0) {
-        text.append(buffer.data(), static_cast<std::size_t>(file.gcount()));
-    }
-    if (!file.eof()) { // such as a directory
-        const std::string reason = std::strerror(errno);
-        return makeError(ErrorKind::RulesRefused,
-                         toStd(absl::StrCat(path, ": cannot be read: ", reason)));
-    }
-    return text;
-}
-
 struct CheckedFile
 {
     std::string text;
@@ -86,7 +67,7 @@
 
 absl::StatusOr<CheckedFile> checkFile(const std::string &path)
 {
-    auto text = readFile(path);
+    auto text = readFile(path, ErrorKind::RulesRefused);
     if (!text.ok()) {
         return text.status();
     }
--- a/packages/settings/settings.cpp
+++ b/packages/settings/settings.cpp
@@ -3,6 +3,7 @@
 
 #include "base/errors.h"
 #include "base/text.h"
+#include "settings/file.h"
 #include "settings/json.h"
 
 #include <absl/strings/ascii.h>
@@ -10,10 +11,6 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
-#include <array>
-#include <cerrno>
-#include <cstring>
-#include <fstream>
 #include <map>
 #include <utility>
 
@@ -239,18 +236,8 @@
 
 absl::StatusOr<Settings> loadSettings(const std::string &path)
 {
-    std::ifstream file(path, std::ios::binary);
-    std::string text;
-    std::array<char, 65'536> buffer{};
-    while (file.read(buffer.data(), buffer.size()) || file.gcount() > 0) {
-        text.append(buffer.data(), static_cast<std::size_t>(file.gcount()));
-    }
-    if (!file.eof()) { // such as a directory
-        const std::string reason = std::strerror(errno);
-        return makeError(ErrorKind::SettingsInvalid,
-                         toStd(absl::StrCat(path, ": cannot be read: ", reason)));
-    }
-    return parseSettings(text);
+    const auto text = readFile(path, ErrorKind::SettingsInvalid);
+    return text.ok() ? parseSettings(*text) : text.status();
 }
 
 } // namespace kumquat
