Tighten tests of publications and burns

Trial runs with 16 faults inserted by hand left four unnoticed: entries on another base, expired records, a second log address after a lost reply, and the start of a second burn.

--- a/packages/ctl/tests/test_ctl.cpp
+++ b/packages/ctl/tests/test_ctl.cpp
@@ -184,7 +184,7 @@
                   this->errors,
                   json,
                   fleet.server.address(),
-                  {{"127.0.0.1", 1}, fleet.server.address()}}
+                  {{"127.0.0.1", 1}, fleet.server.address(), fleet.server.address()}}
     {}
 };
 
--- a/packages/ctl/tests/test_publication.cpp
+++ b/packages/ctl/tests/test_publication.cpp
@@ -96,7 +96,9 @@
             this->append({0, this->version(), other, "them"});
         } else if (event == 1) {
             this->append({0, noBase, {}, ""});
-        } else if (event == 2 && !this->delayed.empty()) {
+        } else if (event == 2) {
+            this->append({0, 0, other, "late"}); // void: the first rules are on this base
+        } else if (event == 3 && !this->delayed.empty()) {
             this->append(this->delayed.back());
             this->delayed.pop_back();
         }
@@ -199,6 +201,15 @@
     REQUIRE(outcome.version == 1);
 }
 
+// Guards against a conflict with a record that is itself void.
+TEST_CASE("a record on another base decides nothing")
+{
+    Publication publication = makeAppended({AppendAnswer::Appended, 11, ""});
+    publication.takeLog(RulesBatch{0, 12, 12, {{9, 3, other, "them"}, {11, 5, ours, "us"}}}, 1s);
+    REQUIRE(publication.next(1s).step == PublishStep::AskMembers);
+    REQUIRE(publication.outcome().version == 11);
+}
+
 TEST_CASE("after a lost reply the log is read before the next append")
 {
     Publication publication = makeAppended({AppendAnswer::Unknown, 0, "late"});
@@ -236,6 +247,7 @@
     REQUIRE(unsent.outcome().verdict == PublishVerdict::NotSent);
     Publication expired = makeAppended({AppendAnswer::Appended, 12, ""});
     expired.takeLog(RulesBatch{11, 13, 13, {{12, 5, ours, "us"}}}, 1s);
+    REQUIRE(expired.next(1s).step == PublishStep::Done);
     REQUIRE(expired.outcome().verdict == PublishVerdict::Unknown);
 }
 
--- a/packages/report/tests/test_report.cpp
+++ b/packages/report/tests/test_report.cpp
@@ -96,6 +96,10 @@
     recordMany(collector, 300, ErrorKind::None, now);
     REQUIRE_FALSE(collector.makeReport(now).objectives[0].burningFor(Measure::Availability));
     REQUIRE(collector.makeReport(now).objectives[0].windows[2].failed == 50);
+    recordMany(collector, 20, ErrorKind::OwnerLost, now);
+    const auto again = collector.makeReport(now).objectives[0];
+    REQUIRE(again.burningFor(Measure::Availability) == Duration(20s));
+    REQUIRE(again.largestCause(Measure::Availability) == "owner-lost");
     REQUIRE(collector.makeReport(now + 6h).objectives[0].windows[2].requests == 0);
 }
 
