Measure a gap from the key's first failed attempt

Cause: with an injected fault, a failure long after it was counted from the fault on, although the key had been served in between. Change: a gap begins at the due time of the key's first failed attempt. Conclusion: the gap of a key that fails from the fault on is unchanged but for the time until its first request.

--- a/packages/standins/verdict.cpp
+++ b/packages/standins/verdict.cpp
@@ -159,7 +159,7 @@
         std::optional<Time> since;
         for (const Attempt *attempt : group) {
             if (attempt->outcome != Outcome::Done) {
-                since = since.value_or(failedAt.value_or(attempt->due));
+                since = since.value_or(attempt->due);
                 continue;
             }
             if (since && attempt->finished - *since > verdict.longestGap) {
--- a/packages/standins/verdict.h
+++ b/packages/standins/verdict.h
@@ -57,7 +57,7 @@
     std::string toJson() const;
 };
 
-// With `failedAt`, gaps count from this time and only later attempts are considered for them.
+// With `failedAt`, gaps are measured only from attempts that ended later.
 Verdict judge(const std::vector<Attempt> &attempts, const Records &records,
               std::optional<Time> failedAt = std::nullopt);
 
