--- a/packages/bench/model.cpp
+++ b/packages/bench/model.cpp
@@ -71,6 +71,7 @@
         }
         this->background[region].assign(slotCount, 0);
     }
+    this->arrivals.resize(hashedSlotCount);
     Random draw(hashPair(this->trace.seed, 1));
     const double exponent = 1 - this->trace.zipf;
     // Sum of rank^-zipf over all keys, by the integral and the first correction term.
@@ -136,7 +137,9 @@
         assert(policy.ok() && "the benchmark passes settings in range");
         node.policy.emplace(*std::move(policy));
     }
-    node.rates = std::make_unique<SlotRates>(this->settings.rateWindow);
+    if (this->strategy == Strategy::NoHysteresis) {
+        node.rates.emplace(this->settings.rateWindow);
+    }
     this->ownersChanged = true;
 }
 
@@ -150,7 +153,9 @@
     }
     if (old != noNode) {
         Node &loser = this->nodes[static_cast<std::size_t>(old)];
-        loser.rates->lose(slot);
+        if (loser.rates) {
+            loser.rates->lose(slot);
+        }
         if (loser.policy) {
             loser.policy->loseSlot(slot);
         }
@@ -164,7 +169,9 @@
         return;
     }
     Node &winner = this->nodes[static_cast<std::size_t>(index)];
-    winner.rates->gain(slot, this->now(), this->now());
+    if (winner.rates) {
+        winner.rates->gain(slot, this->now(), this->now());
+    }
     if (winner.policy) {
         winner.policy->gainSlot(slot, how, this->now());
     }
--- a/packages/bench/model.h
+++ b/packages/bench/model.h
@@ -9,7 +9,6 @@
 
 #include <array>
 #include <cstdint>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -94,7 +93,7 @@
         std::uint64_t session = 0;
         std::vector<Slot> slots;
         std::optional<PlacementPolicy> policy;
-        std::unique_ptr<SlotRates> rates;       // of the baseline with moves
+        std::optional<SlotRates> rates;         // of the baseline with moves
         std::array<double, regionCount> load{}; // requests/s by region of the callers
     };
 
@@ -128,6 +127,7 @@
 
     // One step (step.cpp).
     void updateRates();
+    void updateBackground();
     void drawCounts();
     void runPolicies();
     void publishViews();
@@ -164,6 +164,7 @@
     using Rates = std::vector<double>;                                // per slot
     std::array<std::array<Rates, hemisphereCount>, regionCount> base; // requests/s, without keys
     std::array<Rates, regionCount> background;                        // base with the season
+    std::vector<Poisson> arrivals; // requests of a step per slot, without the followed keys
     std::vector<Key> keys;
     std::vector<std::uint32_t> counts; // requests per slot in this step
     std::vector<int> owners;           // node per slot
--- a/packages/bench/trace.h
+++ b/packages/bench/trace.h
@@ -14,6 +14,15 @@
 
 // --- random numbers ---
 
+// A Poisson distribution with the probability of no event, which is costly to compute.
+struct Poisson
+{
+    double mean = 0;
+    double none = 1; // exp(-mean)
+
+    static Poisson of(double mean);
+};
+
 // SplitMix64: the same numbers on every machine and with every library.
 class Random
 {
@@ -29,7 +38,7 @@
 
     // Returns a Poisson count. Above 30 a normal distribution with steps of a quarter of the
     // deviation stands in, which is fast enough for thousands of slots a step.
-    std::uint32_t poisson(double mean);
+    std::uint32_t poisson(const Poisson &distribution);
 
 private:
     std::uint64_t state;
--- a/packages/placement/rates.cpp
+++ b/packages/placement/rates.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Every slot counts as a little load, so that slots spread evenly even without any request.
-constexpr double baseRate = 1e-4; // requests/s
-
 // A slot observed for less than this counts as an average slot.
 constexpr double leastSeconds = 1.0;
 
@@ -64,6 +61,7 @@
         entry.seconds = entry.seconds * decay + toSeconds(step);
         entry.countedTo += step;
     }
+    this->updateAverage();
 }
 
 void SlotRates::shift(Slot from, Slot to, double rate)
@@ -90,13 +88,13 @@
 
 double SlotRates::load(Time now) const
 {
-    const double average = this->averageRate();
     double sum = 0;
     for (const OwnSlot &entry : this->owned) {
         if (entry.pendingUntil > now) {
             continue;
         }
-        sum += entry.seconds < leastSeconds ? average : entry.requests / entry.seconds + baseRate;
+        sum += entry.seconds < leastSeconds ? this->average
+                                            : entry.requests / entry.seconds + SlotRates::baseRate;
     }
     return sum;
 }
@@ -109,14 +107,13 @@
 
 std::vector<SlotRate> SlotRates::movable(Time now) const
 {
-    const double average = this->averageRate();
     std::vector<SlotRate> result;
     for (const OwnSlot &entry : this->owned) {
         if (entry.pendingUntil > now || entry.restsUntil > now || entry.seconds < leastSeconds) {
             continue;
         }
         const double rate =
-                (entry.requests + priorRequests) / (entry.seconds + priorRequests / average);
+                (entry.requests + priorRequests) / (entry.seconds + priorRequests / this->average);
         result.push_back({entry.slot, rate});
     }
     std::sort(result.begin(), result.end(), [](const SlotRate &left, const SlotRate &right) {
@@ -137,7 +134,7 @@
     return at != this->owned.end() && at->slot == slot ? &*at : nullptr;
 }
 
-double SlotRates::averageRate() const
+void SlotRates::updateAverage()
 {
     double sum = 0;
     std::size_t observed = 0;
@@ -147,7 +144,9 @@
             ++observed;
         }
     }
-    return (observed == 0 ? 0 : sum / static_cast<double>(observed)) + baseRate;
+    if (observed > 0) {
+        this->average = sum / static_cast<double>(observed) + SlotRates::baseRate;
+    }
 }
 
 } // namespace kumquat
--- a/packages/placement/rates.h
+++ b/packages/placement/rates.h
@@ -33,6 +33,9 @@
 class SlotRates
 {
 public:
+    // Every slot counts as a little load, so that slots spread evenly even without any request.
+    static constexpr double baseRate = 1e-4; // requests/s
+
     explicit SlotRates(Duration rateWindow)
         : window(rateWindow)
     {}
@@ -68,11 +71,11 @@
 private:
     OwnSlot *findOwn(Slot slot);
 
-    // Returns the average requests/s of the slots that have been observed long enough.
-    double averageRate() const;
+    void updateAverage();
 
     Duration window;
     std::vector<OwnSlot> owned; // ascending by slot
+    double average = baseRate;  // requests/s of the slots that were observed long enough
 };
 
 } // namespace kumquat
