placement: estimate the rate of hot slots without drawing them down

Cause: the estimate drew every slot to the average with the weight of four requests, which is many seconds for an average slot. A hot slot seemed light, so its target received more than planned and the load went back and forth. Change: the estimate is at least the count less two standard deviations.

--- a/packages/placement/rates.cpp
+++ b/packages/placement/rates.cpp
@@ -112,9 +112,7 @@
         if (entry.pendingUntil > now || entry.restsUntil > now || entry.seconds < leastSeconds) {
             continue;
         }
-        const double rate =
-                (entry.requests + priorRequests) / (entry.seconds + priorRequests / this->average);
-        result.push_back({entry.slot, rate});
+        result.push_back({entry.slot, this->estimate(entry)});
     }
     std::sort(result.begin(), result.end(), [](const SlotRate &left, const SlotRate &right) {
         return left.rate != right.rate ? left.rate > right.rate : left.slot < right.slot;
@@ -122,6 +120,16 @@
     return result;
 }
 
+double SlotRates::estimate(const OwnSlot &entry) const
+{
+    const double drawn =
+            (entry.requests + priorRequests) / (entry.seconds + priorRequests / this->average);
+    // Rates span several powers of ten, so a slot with many requests must not be drawn down: its
+    // target would receive far more than planned. Two standard deviations below the count is safe.
+    const double sure = (entry.requests - 2 * std::sqrt(entry.requests)) / entry.seconds;
+    return std::max(drawn, sure);
+}
+
 const OwnSlot *SlotRates::find(Slot slot) const
 {
     const auto at = std::lower_bound(this->owned.begin(), this->owned.end(), slot, orderBySlot);
--- a/packages/placement/rates.h
+++ b/packages/placement/rates.h
@@ -73,6 +73,9 @@
 
     void updateAverage();
 
+    // Returns the requests/s of a slot, drawn to the average if it has few requests.
+    double estimate(const OwnSlot &entry) const;
+
     Duration window;
     std::vector<OwnSlot> owned; // ascending by slot
     double average = baseRate;  // requests/s of the slots that were observed long enough
