placement, bench: test the policy and its targets

Cause: nothing guarded the limits of the policy or the targets. Change: unit tests, a property over random loads, and the targets on short traces. The tests found that a session in its first second answered with almost no load and received slots; it now answers as fully used until it knows.

--- /dev/null
+++ b/packages/bench/tests/test_bench.cpp
@@ -0,0 +1,73 @@
+#include "bench/table.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+using namespace kumquat::bench;
+
+namespace {
+
+constexpr std::uint64_t seed = 20261204;
+
+Result replay(const Trace &trace, Strategy strategy)
+{
+    return Simulation(trace, strategy, PlacementSettings{}, ModelTimes{}).run();
+}
+
+Trace findTrace(const std::string &name, const std::string &service)
+{
+    for (const Trace &trace : makeTraces(seed, true)) {
+        if (trace.name == name && trace.service == service) {
+            return trace;
+        }
+    }
+    FAIL("no trace " << name << " of " << service);
+    return {};
+}
+
+} // namespace
+
+// Guards the targets of section 8 of the design page against a worse policy.
+TEST_CASE("the policy meets its targets on the short traces")
+{
+    for (const Trace &trace : makeTraces(seed, true)) {
+        const Result result = replay(trace, Strategy::Policy);
+        INFO(trace.name << " " << trace.service << ": " << result.verdict());
+        CHECK(result.largestKeyShare <= 1);
+        CHECK(result.meetsTargets());
+    }
+}
+
+// Guards against targets that any placement would meet.
+TEST_CASE("the baselines miss the targets")
+{
+    REQUIRE_FALSE(
+            replay(findTrace("shutdown-week", "testlog"), Strategy::Rendezvous).meetsTargets());
+    REQUIRE_FALSE(
+            replay(findTrace("steady-day", "testlog"), Strategy::NoHysteresis).meetsTargets());
+}
+
+TEST_CASE("a run can be repeated exactly and compared with an earlier one")
+{
+    const Trace trace = findTrace("shutdown-week", "certdesk");
+    const Result first = replay(trace, Strategy::Policy);
+    Result second = replay(trace, Strategy::Policy);
+    REQUIRE(first.series == second.series);
+    const std::string earlier = formatJson({first}, seed);
+    REQUIRE(earlier == formatJson({second}, seed));
+    REQUIRE(formatComparison({second}, earlier)->find("certdesk") == std::string::npos);
+    second.logAppends *= 2;
+    REQUIRE(formatComparison({second}, earlier)->find("appends") != std::string::npos);
+    REQUIRE_FALSE(formatComparison({second}, "[]").ok());
+}
+
+// Guards against requests that the model loses or counts twice.
+TEST_CASE("every request is done, not run or unknown")
+{
+    const Trace trace = findTrace("region-cut", "testlog");
+    const Result policy = replay(trace, Strategy::Policy);
+    const Result plain = replay(trace, Strategy::Rendezvous);
+    const double sum = policy.done + policy.notRun + policy.unknown;
+    REQUIRE(sum == Approx(plain.done + plain.notRun + plain.unknown).epsilon(1e-9));
+    REQUIRE(policy.notRun > 0);
+}
--- a/packages/placement/policy.cpp
+++ b/packages/placement/policy.cpp
@@ -144,7 +144,9 @@
 
 LoadSample PlacementPolicy::ownSample(Time now) const
 {
-    return {this->session, this->rates.load(now), this->mean, this->utilisation};
+    // A session that cannot know its load yet must not be taken for an idle one.
+    const double share = this->rates.isGuess() ? 1 : this->utilisation;
+    return {this->session, this->rates.load(now), this->mean, share};
 }
 
 // --- rounds ---
@@ -206,6 +208,7 @@
     const double weight = meanCount == 0 ? 1 : std::clamp(known / others, leastSampleWeight, 1.0);
     const double reported = meanCount == 0 ? 0 : means / meanCount;
     this->mean = weight * sampled + (1 - weight) * reported;
+    this->rates.setGuess(this->mean / this->averageSlots());
 }
 
 std::optional<PlacementReason> PlacementPolicy::findReasonToAsk(Time now)
--- a/packages/placement/rates.cpp
+++ b/packages/placement/rates.cpp
@@ -86,6 +86,13 @@
     }
 }
 
+void SlotRates::setGuess(double rate)
+{
+    if (this->observed == 0) {
+        this->average = rate;
+    }
+}
+
 double SlotRates::load(Time now) const
 {
     double sum = 0;
@@ -145,15 +152,15 @@
 void SlotRates::updateAverage()
 {
     double sum = 0;
-    std::size_t observed = 0;
+    this->observed = 0;
     for (const OwnSlot &entry : this->owned) {
         if (entry.seconds >= leastSeconds) {
             sum += entry.requests / entry.seconds;
-            ++observed;
+            ++this->observed;
         }
     }
-    if (observed > 0) {
-        this->average = sum / static_cast<double>(observed) + SlotRates::baseRate;
+    if (this->observed > 0) {
+        this->average = sum / static_cast<double>(this->observed) + SlotRates::baseRate;
     }
 }
 
--- a/packages/placement/rates.h
+++ b/packages/placement/rates.h
@@ -57,6 +57,12 @@
     // Returns requests/s of the slots that are not pending.
     double load(Time now) const;
 
+    // Returns whether the load is a guess, because no slot has been observed long enough.
+    bool isGuess() const { return this->observed == 0 && !this->owned.empty(); }
+
+    // Sets the requests/s that a slot counts for while no slot has been observed long enough.
+    void setGuess(double rate);
+
     // Returns requests/s of one slot, 0 if it is not owned.
     double rateOf(Slot slot) const;
 
@@ -78,6 +84,7 @@
 
     Duration window;
     std::vector<OwnSlot> owned; // ascending by slot
+    std::size_t observed = 0;   // slots that were observed long enough
     double average = baseRate;  // requests/s of the slots that were observed long enough
 };
 
--- a/packages/placement/tests/test_placement.cpp
+++ b/packages/placement/tests/test_placement.cpp
@@ -1,12 +1,299 @@
 #include "placement/policy.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <numeric>
 
 using namespace kumquat;
 
+namespace {
+
+constexpr Slot usedSlots = 512; // slots of the small service, enough to balance eight owners
+
+struct Moved
+{
+    Time at{};
+    std::size_t from = 0;
+    MoveSlots move;
+    double ownLoad = 0;    // requests/s before the move
+    double targetLoad = 0; // as the mover heard it
+};
+
+// A service whose log and links are instant. Rates are whole requests/s, so counts have no noise.
+struct SmallService
+{
+    PlacementSettings settings;
+    std::vector<PlacementPolicy> policies; // session i + 1 at index i
+    std::vector<std::size_t> owners = std::vector<std::size_t>(usedSlots, 0);
+    std::vector<std::uint32_t> rates = std::vector<std::uint32_t>(usedSlots, 10);
+    std::vector<Time> joinedAt; // sessions of the start are warm
+    std::vector<Moved> moves;
+    std::vector<BindKey> binds;
+    LoadMeter meter;
+    Time now = 0s;
+
+    void addSession()
+    {
+        this->joinedAt.push_back(this->now > 0s ? this->now : -1h);
+        auto policy = PlacementPolicy::create(this->settings, this->policies.size() + 1, "dakar");
+        this->policies.push_back(*std::move(policy));
+    }
+
+    void spreadSlots()
+    {
+        for (Slot slot = 0; slot < usedSlots; ++slot) {
+            this->owners[slot] = slot % this->policies.size();
+            this->policies[this->owners[slot]].gainSlot(slot, SlotGain::Assigned, this->now);
+        }
+    }
+
+    double loadOf(std::size_t index) const
+    {
+        double load = 0;
+        for (Slot slot = 0; slot < usedSlots; ++slot) {
+            load += this->owners[slot] == index ? this->rates[slot] : 0;
+        }
+        return load;
+    }
+
+    std::vector<SessionView> views() const
+    {
+        std::vector<SessionView> views;
+        for (std::size_t index = 0; index < this->policies.size(); ++index) {
+            const auto slots = std::count(this->owners.begin(), this->owners.end(), index);
+            views.push_back({index + 1, "dakar", this->joinedAt[index],
+                             static_cast<std::uint32_t>(slots * (hashedSlotCount / usedSlots))});
+        }
+        return views;
+    }
+
+    void run(int seconds)
+    {
+        for (int second = 0; second < seconds; ++second) {
+            this->now += 1s;
+            std::vector<Moved> decided;
+            for (std::size_t index = 0; index < this->policies.size(); ++index) {
+                this->step(index, decided);
+            }
+            for (const Moved &moved : decided) {
+                for (const Slot slot : moved.move.slots) {
+                    this->owners[slot] = moved.move.target - 1;
+                    this->policies[moved.from].loseSlot(slot);
+                    this->policies[moved.move.target - 1].gainSlot(slot, SlotGain::Moved,
+                                                                   this->now);
+                }
+                this->moves.push_back(moved);
+            }
+        }
+    }
+
+    void step(std::size_t index, std::vector<Moved> &decided)
+    {
+        PlacementPolicy &policy = this->policies[index];
+        for (Slot slot = 0; slot < usedSlots; ++slot) {
+            if (this->owners[slot] == index) {
+                this->meter.count(slot, slot, this->rates[slot]);
+            }
+        }
+        policy.setSessions(this->views());
+        policy.takeCounts(this->meter, this->now);
+        std::map<std::uint64_t, double> heard;
+        for (int pass = 0; pass < 2; ++pass) {
+            const double ownLoad = policy.ownSample(this->now).load;
+            for (const PlacementDecision &decision : policy.decide(this->now)) {
+                if (const auto *ask = std::get_if<AskLoad>(&decision)) {
+                    for (const std::uint64_t id : ask->sessions) {
+                        heard[id] = this->policies[id - 1].ownSample(this->now).load;
+                        policy.takeSample(this->policies[id - 1].ownSample(this->now), this->now);
+                    }
+                } else if (const auto *move = std::get_if<MoveSlots>(&decision)) {
+                    decided.push_back({this->now, index, *move, ownLoad, heard[move->target]});
+                } else if (const auto *bind = std::get_if<BindKey>(&decision)) {
+                    this->binds.push_back(*bind);
+                }
+            }
+        }
+    }
+};
+
+SmallService makeService(std::size_t sessions)
+{
+    SmallService service;
+    for (std::size_t index = 0; index < sessions; ++index) {
+        service.addSession();
+    }
+    service.spreadSlots();
+    return service;
+}
+
+} // namespace
+
 TEST_CASE("settings out of range are refused")
 {
     PlacementSettings settings;
     settings.weightUnavailable = 1.5;
     REQUIRE_FALSE(PlacementPolicy::create(settings, 1, "dakar").ok());
 }
+
+// Guards against a sketch that loses a frequent key or reports a count below the true one.
+TEST_CASE("the sketch keeps frequent keys")
+{
+    HotKeySketch sketch(8);
+    for (std::uint64_t round = 0; round < 1'000; ++round) {
+        sketch.add(7, 1);
+        sketch.add(100 + round, 1);
+    }
+    const auto &keys = sketch.keys();
+    const auto hot = std::find_if(keys.begin(), keys.end(),
+                                  [](const HotKey &key) { return key.keyHash == 7; });
+    REQUIRE(keys.size() == 8);
+    REQUIRE(hot != keys.end());
+    REQUIRE(hot->count >= 1'000);
+    REQUIRE(hot->count - hot->error <= 1'000);
+}
+
+// Guards against moves, and against a flow of queries, without a reason.
+TEST_CASE("a balanced service moves nothing and asks only at the refresh period")
+{
+    SmallService service = makeService(4);
+    service.run(10);
+    const auto asksOf = [&service](int seconds) {
+        int asks = 0;
+        for (int second = 0; second < seconds; ++second) {
+            service.now += 1s;
+            asks += static_cast<int>(service.policies[0].decide(service.now).size());
+        }
+        return asks;
+    };
+    REQUIRE(service.moves.empty());
+    REQUIRE(asksOf(120) <= 2);
+}
+
+TEST_CASE("an overload ends within three minutes and stays ended")
+{
+    SmallService service = makeService(8);
+    service.run(30);
+    for (Slot slot = 0; slot < usedSlots; slot += 8) {
+        service.rates[slot] = 25; // all slots of session 1
+    }
+    service.run(180);
+    const double mean = std::accumulate(service.rates.begin(), service.rates.end(), 0.0) / 8;
+    REQUIRE(service.loadOf(0) <= 1.15 * mean);
+    const std::size_t moves = service.moves.size();
+    service.run(300);
+    REQUIRE(service.moves.size() == moves);
+}
+
+// Guards against two owners that both fill the same least loaded session.
+TEST_CASE("two overloaded owners do not overload their common target")
+{
+    SmallService service = makeService(6);
+    service.run(30);
+    for (Slot slot = 0; slot < usedSlots; ++slot) {
+        service.rates[slot] = slot % 6 < 2 ? 20 : slot % 6 == 5 ? 4 : 10;
+    }
+    const double mean = std::accumulate(service.rates.begin(), service.rates.end(), 0.0) / 6;
+    for (int second = 0; second < 180; ++second) {
+        service.run(1);
+        REQUIRE(service.loadOf(5) <= 1.15 * mean);
+    }
+    REQUIRE(service.loadOf(0) <= 1.15 * mean);
+    REQUIRE(service.loadOf(1) <= 1.15 * mean);
+}
+
+TEST_CASE("a new session receives slots step by step")
+{
+    SmallService service = makeService(5);
+    service.run(30);
+    service.addSession();
+    service.run(6);
+    const double early = service.loadOf(5);
+    service.run(174);
+    const double mean = 10.0 * usedSlots / 6;
+    REQUIRE(early < 0.8 * mean);
+    REQUIRE(service.loadOf(5) > 0.7 * mean);
+    REQUIRE(service.loadOf(5) <= 1.15 * mean);
+}
+
+TEST_CASE("slots spread without any request")
+{
+    SmallService service;
+    service.rates.assign(usedSlots, 0);
+    service.addSession();
+    service.spreadSlots();
+    service.addSession();
+    service.run(180);
+    REQUIRE(std::count(service.owners.begin(), service.owners.end(), 1) >= usedSlots / 4);
+}
+
+TEST_CASE("a key that dominates its slot is bound, but only while its owner is overloaded")
+{
+    SmallService service = makeService(6);
+    service.rates[0] = 90; // above a tenth of the mean, but the owner is not overloaded
+    service.run(60);
+    REQUIRE(service.binds.empty());
+    service.rates[0] = 600;
+    service.run(30);
+    REQUIRE_FALSE(service.binds.empty());
+    REQUIRE(service.binds.front().keyHash == 0);
+    REQUIRE(service.binds.front().dedicatedSlot >= hashedSlotCount);
+}
+
+TEST_CASE("nothing is decided without the log")
+{
+    SmallService service = makeService(4);
+    service.policies[0].setLogAvailable(false);
+    service.rates[0] = 5'000;
+    service.run(60);
+    for (const Moved &moved : service.moves) {
+        REQUIRE(moved.from != 0);
+    }
+}
+
+// Guards against a remote that fills the table or poisons the estimate.
+TEST_CASE("samples that nobody asked for or that are no numbers are ignored")
+{
+    SmallService service = makeService(3);
+    service.run(30);
+    const double mean = service.policies[0].meanLoad();
+    service.policies[0].takeSample({2, std::nan(""), mean, 0}, service.now);
+    service.policies[0].takeSample({99, 1e9, 1e9, 0}, service.now);
+    service.run(90);
+    REQUIRE(service.policies[0].meanLoad() == Approx(mean).epsilon(0.01));
+}
+
+TEST_CASE("moves respect limits, targets and hysteresis for any load")
+{
+    rc::prop("for any rates and any shift", [] {
+        const auto sessions = *rc::gen::inRange<std::size_t>(2, 9);
+        SmallService service = makeService(sessions);
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        for (int phase = 0; phase < 3; ++phase) {
+            for (Slot slot = 0; slot < usedSlots; ++slot) {
+                const std::uint64_t draw = hashPair(seed + static_cast<std::uint64_t>(phase), slot);
+                service.rates[slot] = draw % 64 == 0 ? draw / 64 % 500 : draw % 20;
+            }
+            service.run(70);
+        }
+        for (std::size_t index = 0; index < service.moves.size(); ++index) {
+            const Moved &moved = service.moves[index];
+            RC_ASSERT(moved.move.slots.size() <= service.settings.slotsPerMove);
+            RC_ASSERT(moved.targetLoad + moved.move.load <= moved.ownLoad - moved.move.load + 1e-6);
+            std::size_t recent = 0;
+            for (std::size_t other = 0; other <= index; ++other) {
+                const Moved &earlier = service.moves[other];
+                const Time gap = moved.at - earlier.at;
+                recent += earlier.from == moved.from && gap < 1min ? 1 : 0;
+                if (other == index || gap >= service.settings.hysteresis) {
+                    continue;
+                }
+                for (const Slot slot : moved.move.slots) {
+                    RC_ASSERT(std::count(earlier.move.slots.begin(), earlier.move.slots.end(), slot)
+                              == 0);
+                }
+            }
+            RC_ASSERT(recent <= service.settings.movesPerMinute);
+        }
+    });
+}
