--- a/packages/placement/rates.cpp
+++ b/packages/placement/rates.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Every slot counts as a little load, so that slots spread evenly even without any request.
-constexpr double baseRate = 1e-4; // requests/s
-
 // A slot observed for less than this counts as an average slot.
 constexpr double leastSeconds = 1.0;
 
@@ -64,6 +61,7 @@
         entry.seconds = entry.seconds * decay + toSeconds(step);
         entry.countedTo += step;
     }
+    this->updateAverage();
 }
 
 void SlotRates::shift(Slot from, Slot to, double rate)
@@ -88,15 +86,22 @@
     }
 }
 
+void SlotRates::setGuess(double rate)
+{
+    if (this->observed == 0) {
+        this->average = rate;
+    }
+}
+
 double SlotRates::load(Time now) const
 {
-    const double average = this->averageRate();
     double sum = 0;
     for (const OwnSlot &entry : this->owned) {
         if (entry.pendingUntil > now) {
             continue;
         }
-        sum += entry.seconds < leastSeconds ? average : entry.requests / entry.seconds + baseRate;
+        sum += entry.seconds < leastSeconds ? this->average
+                                            : entry.requests / entry.seconds + SlotRates::baseRate;
     }
     return sum;
 }
@@ -109,15 +114,12 @@
 
 std::vector<SlotRate> SlotRates::movable(Time now) const
 {
-    const double average = this->averageRate();
     std::vector<SlotRate> result;
     for (const OwnSlot &entry : this->owned) {
         if (entry.pendingUntil > now || entry.restsUntil > now || entry.seconds < leastSeconds) {
             continue;
         }
-        const double rate =
-                (entry.requests + priorRequests) / (entry.seconds + priorRequests / average);
-        result.push_back({entry.slot, rate});
+        result.push_back({entry.slot, this->estimate(entry)});
     }
     std::sort(result.begin(), result.end(), [](const SlotRate &left, const SlotRate &right) {
         return left.rate != right.rate ? left.rate > right.rate : left.slot < right.slot;
@@ -125,6 +127,16 @@
     return result;
 }
 
+double SlotRates::estimate(const OwnSlot &entry) const
+{
+    const double drawn =
+            (entry.requests + priorRequests) / (entry.seconds + priorRequests / this->average);
+    // Rates span several powers of ten, so a slot with many requests must not be drawn down: its
+    // target would receive far more than planned. Two standard deviations below the count is safe.
+    const double sure = (entry.requests - 2 * std::sqrt(entry.requests)) / entry.seconds;
+    return std::max(drawn, sure);
+}
+
 const OwnSlot *SlotRates::find(Slot slot) const
 {
     const auto at = std::lower_bound(this->owned.begin(), this->owned.end(), slot, orderBySlot);
@@ -137,17 +149,19 @@
     return at != this->owned.end() && at->slot == slot ? &*at : nullptr;
 }
 
-double SlotRates::averageRate() const
+void SlotRates::updateAverage()
 {
     double sum = 0;
-    std::size_t observed = 0;
+    this->observed = 0;
     for (const OwnSlot &entry : this->owned) {
         if (entry.seconds >= leastSeconds) {
             sum += entry.requests / entry.seconds;
-            ++observed;
+            ++this->observed;
         }
     }
-    return (observed == 0 ? 0 : sum / static_cast<double>(observed)) + baseRate;
+    if (this->observed > 0) {
+        this->average = sum / static_cast<double>(this->observed) + SlotRates::baseRate;
+    }
 }
 
 } // namespace kumquat
