Give types of report and kumquatctl names of their own

FinishedRequest, LogClient and AppendResult also exist in node, net and standins, in the same namespace; two definitions in one program are undefined. They are now RequestSample, RulesLog and RulesAppendResult.

--- a/packages/ctl/clients.cpp
+++ b/packages/ctl/clients.cpp
@@ -187,7 +187,7 @@
 // --- log client ---
 
 // Goes on to the next address only if the call cannot have reached the one before.
-HttpResult LogClient::send(HttpCall call) const
+HttpResult RulesLog::send(HttpCall call) const
 {
     HttpResult result;
     for (const Address &server : this->servers) {
@@ -200,8 +200,8 @@
     return result;
 }
 
-AppendResult LogClient::appendRules(std::uint64_t baseVersion, PublicationId id,
-                                    const std::string &author, const std::string &text) const
+RulesAppendResult RulesLog::appendRules(std::uint64_t baseVersion, PublicationId id,
+                                        const std::string &author, const std::string &text) const
 {
     wire::LogRecord record;
     wire::Rules *rules = record.mutable_rules();
@@ -230,7 +230,7 @@
             "log: " + describeAnswer(result)};
 }
 
-std::optional<RulesBatch> LogClient::readRules(std::uint64_t from, Duration wait) const
+std::optional<RulesBatch> RulesLog::readRules(std::uint64_t from, Duration wait) const
 {
     const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
     const std::string target =
--- a/packages/ctl/clients.h
+++ b/packages/ctl/clients.h
@@ -96,16 +96,16 @@
 // --- log client ---
 
 // One log service behind several addresses, which are tried in order.
-class LogClient
+class RulesLog
 {
 public:
-    explicit LogClient(std::vector<Address> addresses)
+    explicit RulesLog(std::vector<Address> addresses)
         : servers(std::move(addresses))
     {}
 
     // Appends a record Rules.
-    AppendResult appendRules(std::uint64_t baseVersion, PublicationId id, const std::string &author,
-                             const std::string &text) const;
+    RulesAppendResult appendRules(std::uint64_t baseVersion, PublicationId id,
+                                  const std::string &author, const std::string &text) const;
 
     // Reads what follows an offset, or nothing if the log does not answer. Waits up to `wait` for
     // a record.
--- a/packages/ctl/commands.cpp
+++ b/packages/ctl/commands.cpp
@@ -220,7 +220,7 @@
         return refuse(context, file.status());
     }
     const AdminClient admin(context.admin);
-    const LogClient log(context.log);
+    const RulesLog log(context.log);
     const PublicationId id = makePublicationId();
     const PublishOutcome outcome = publishRules(admin, log, id, author, file->text);
     printOutcome(context, outcome, id);
--- a/packages/ctl/publication.cpp
+++ b/packages/ctl/publication.cpp
@@ -39,7 +39,7 @@
     this->goTo(PublishStep::Append);
 }
 
-void Publication::takeAppend(const AppendResult &append)
+void Publication::takeAppend(const RulesAppendResult &append)
 {
     this->appendedOffset.reset();
     this->isRefused = append.answer == AppendAnswer::Refused;
--- a/packages/ctl/publication.h
+++ b/packages/ctl/publication.h
@@ -51,7 +51,7 @@
     Unknown,  // no answer after sending; the record may be, or may still get, in the log
 };
 
-struct AppendResult
+struct RulesAppendResult
 {
     AppendAnswer answer = AppendAnswer::Unknown;
     std::uint64_t offset = 0; // for Appended
@@ -144,7 +144,7 @@
     void takeVersion(const std::optional<VersionSeen> &seen);
 
     // Takes the answer to an append.
-    void takeAppend(const AppendResult &result);
+    void takeAppend(const RulesAppendResult &result);
 
     // Takes records from the offset that the command named, or nothing if the log did not answer.
     void takeLog(const std::optional<RulesBatch> &batch, Time now);
--- a/packages/ctl/publish.cpp
+++ b/packages/ctl/publish.cpp
@@ -95,7 +95,7 @@
     return absl::StrFormat("%016x%016x", id.high, id.low);
 }
 
-PublishOutcome publishRules(const AdminClient &admin, const LogClient &log, const PublicationId &id,
+PublishOutcome publishRules(const AdminClient &admin, const RulesLog &log, const PublicationId &id,
                             const std::string &author, const std::string &text)
 {
     Publication publication(id, readBootTime());
--- a/packages/ctl/publish.h
+++ b/packages/ctl/publish.h
@@ -18,7 +18,7 @@
 
 // Publishes text that has been checked. Blocks for at most publishLimit and membersLimit, and the
 // deadline of the last call.
-PublishOutcome publishRules(const AdminClient &admin, const LogClient &log, const PublicationId &id,
+PublishOutcome publishRules(const AdminClient &admin, const RulesLog &log, const PublicationId &id,
                             const std::string &author, const std::string &text);
 
 } // namespace kumquat
--- a/packages/report/collector.cpp
+++ b/packages/report/collector.cpp
@@ -7,19 +7,19 @@
 
 constexpr int lowestServerFault = 500; // HTTP status
 
-bool hasFailed(const FinishedRequest &request)
+bool hasFailed(const RequestSample &request)
 {
     const int status = request.kind == ErrorKind::None ? request.httpStatus
                                                        : errorInfo(request.kind).httpStatus;
     return status >= lowestServerFault;
 }
 
-bool isCallerFault(const FinishedRequest &request)
+bool isCallerFault(const RequestSample &request)
 {
     return request.kind != ErrorKind::None && !hasFailed(request);
 }
 
-WindowCounts countFor(const Objective &objective, const FinishedRequest &request)
+WindowCounts countFor(const Objective &objective, const RequestSample &request)
 {
     WindowCounts counts;
     counts.requests = 1;
@@ -60,7 +60,7 @@
     return entry;
 }
 
-void ReportCollector::record(const FinishedRequest &request, Time now)
+void ReportCollector::record(const RequestSample &request, Time now)
 {
     Prefix &entry = this->findPrefix(request.prefix);
     ++entry.totals.kinds.at(static_cast<std::size_t>(request.kind));
--- a/packages/report/collector.h
+++ b/packages/report/collector.h
@@ -23,7 +23,7 @@
 inline constexpr std::string_view overflowPrefix = "(other)";
 
 // One request that has been answered.
-struct FinishedRequest
+struct RequestSample
 {
     std::string_view prefix; // of its rule, "" without one
     ErrorKind kind = ErrorKind::None;
@@ -38,7 +38,7 @@
     explicit ReportCollector(const std::vector<Objective> &objectives);
 
     // Counts a request. Times should not decrease; an earlier one counts as the last.
-    void record(const FinishedRequest &request, Time now);
+    void record(const RequestSample &request, Time now);
 
     // Returns the report at this time.
     Report makeReport(Time now);
