--- a/packages/ctl/clients.cpp
+++ b/packages/ctl/clients.cpp
@@ -5,6 +5,7 @@
 #include "base/text.h"
 #include "wire/log.pb.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
@@ -28,8 +29,9 @@
 
 std::string describeAnswer(const HttpResult &result)
 {
-    return absl::StrCat("HTTP ", result.status, " ", result.errorKind, " ",
-                        result.body.substr(0, maxReasonBytes));
+    std::string body = result.body.substr(0, maxReasonBytes);
+    absl::RemoveExtraAsciiWhitespace(&body); // reasons are lines
+    return absl::StrCat("HTTP ", result.status, " ", result.errorKind, " ", body);
 }
 
 // Returns the body of a successful answer.
--- a/packages/ctl/commands.cpp
+++ b/packages/ctl/commands.cpp
@@ -333,6 +333,7 @@
     Report sum;
     std::vector<std::string> included; // nodes
     std::vector<std::string> missing;  // nodes with the reason
+    ErrorKind lastFault = ErrorKind::None;
 };
 
 FleetReport collectReports(const std::map<std::string, Address> &nodes)
@@ -350,6 +351,7 @@
             fleet.sum.merge(*reports[index]);
             fleet.included.push_back(names[index]);
         } else {
+            fleet.lastFault = errorKindOf(reports[index].status());
             fleet.missing.push_back(
                     absl::StrCat(names[index], ": ", reports[index].status().message()));
         }
@@ -383,7 +385,7 @@
     }
     const FleetReport fleet = collectReports(nodesOf(*status, context.admin));
     if (fleet.included.empty()) {
-        return refuse(context, ErrorKind::UpstreamUnreachable, fleet.missing);
+        return refuse(context, fleet.lastFault, fleet.missing);
     }
     printFleet(context, fleet);
     return exitDone;
--- a/packages/ctl/tests/test_ctl.cpp
+++ b/packages/ctl/tests/test_ctl.cpp
@@ -233,10 +233,12 @@
     CHECK(readBootTime() - start < 2s);
     isOver = true;
     const TestServer refusing([](const auto &, const auto &) {
-        return makeAnswer("full", "503 Service Unavailable", "Kumquat-Error: overloaded\r\n");
+        return makeAnswer("very\n full\n", "503 Service Unavailable",
+                          "Kumquat-Error: overloaded\r\n");
     });
     const auto status = AdminClient(refusing.address()).readStatus();
     REQUIRE(errorKindOf(status.status()) == ErrorKind::Overloaded);
+    REQUIRE(std::string(status.status().message()).ends_with("HTTP 503 overloaded very full"));
     REQUIRE(encodeQueryValue("a b/\xc3") == "a%20b%2F%C3");
 }
 
