--- a/packages/ctl/publication.cpp
+++ b/packages/ctl/publication.cpp
@@ -34,6 +34,13 @@
         this->goTo(PublishStep::ReadVersion, publishRetryPause);
         return;
     }
+    // Rules at offset 0 would have version 0, which stands for no rules.
+    if (seen->logOffset == 0) {
+        this->result.reason = "the process at the admin address has not read any record yet";
+        this->goTo(PublishStep::ReadVersion, publishRetryPause);
+        return;
+    }
+    this->result.reason.clear();
     this->result.baseVersion = seen->version;
     this->nextOffset = seen->logOffset;
     this->goTo(PublishStep::Append);
--- a/packages/ctl/tests/test_publication.cpp
+++ b/packages/ctl/tests/test_publication.cpp
@@ -201,6 +201,16 @@
     REQUIRE(outcome.version == 1);
 }
 
+// Guards against rules at offset 0, whose version would stand for no rules.
+TEST_CASE("nothing is appended to an empty log")
+{
+    Publication publication(ours, 0s);
+    publication.takeVersion(VersionSeen{0, 0});
+    REQUIRE(publication.next(1s).step == PublishStep::ReadVersion);
+    publication.takeVersion(VersionSeen{0, 1});
+    REQUIRE(publication.next(1s).step == PublishStep::Append);
+}
+
 // Guards against a conflict with a record that is itself void.
 TEST_CASE("a record on another base decides nothing")
 {
--- a/packages/report/tests/test_report.cpp
+++ b/packages/report/tests/test_report.cpp
@@ -92,6 +92,10 @@
     const auto burning = collector.makeReport(now).objectives[0];
     REQUIRE(burning.burningFor(Measure::Availability) == Duration(50s));
     REQUIRE(burning.largestCause(Measure::Availability) == "upstream-lost");
+    const std::string text = formatReport(collector.makeReport(now));
+    CAPTURE(text);
+    REQUIRE(text.find("reads      availability  99 % ") != std::string::npos);
+    REQUIRE(text.find("50 s         upstream-lost\n") != std::string::npos);
     REQUIRE_FALSE(burning.burningFor(Measure::Latency));
     recordMany(collector, 300, ErrorKind::None, now);
     REQUIRE_FALSE(collector.makeReport(now).objectives[0].burningFor(Measure::Availability));
