Inject faults only after every session has settled peers

Cause: "a request id runs once across a takeover" sometimes killed the first process that joined, about 1.5 s after its start. Conclusion: the case now guards against what it names.

--- a/packages/system/cluster.cpp
+++ b/packages/system/cluster.cpp
@@ -1,6 +1,8 @@
 // Sections: hosts, rules, waiting, requests, records.
 #include "system/cluster.h"
 
+#include "wire/log.pb.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <nlohmann/json.hpp>
@@ -28,6 +30,7 @@
 
 constexpr Duration pollInterval = 100ms;
 constexpr Duration ctlLimit = 15s;
+constexpr int usualPeers = 3;
 constexpr int keysToTry = 10;
 constexpr std::size_t shownLogBytes = 4'000;
 
@@ -62,6 +65,14 @@
     writeFile(this->rulesPath(), usualRules);
 }
 
+Cluster::~Cluster()
+{
+    // Kept for a person who looks into a failed test; protoc --decode shows it.
+    const HttpExchange exchange =
+            send(this->log, {"GET", "/records?from=0&limit=100000", {}, {}, {}}, 1s);
+    writeFile(this->path + "/records.pb", exchange.answer.body);
+}
+
 Host &Cluster::startHost(const std::string &name, const std::string &dataCentre,
                          const std::string &service, std::vector<std::string> upstreamOptions)
 {
@@ -180,6 +191,48 @@
     return true;
 }
 
+std::set<std::string> Cluster::findProtected() const
+{
+    const HttpExchange exchange = send(this->log, {"GET", "/records?limit=100000", {}, {}, {}});
+    wire::LogBatch batch;
+    batch.ParseFromString(exchange.answer.body);
+    std::map<std::uint64_t, std::string> nodes;                      // by session
+    std::map<std::pair<std::uint64_t, std::uint32_t>, int> proposed; // peers by generation
+    std::set<std::string> result;
+    for (int index = 0; index < batch.records_size(); ++index) {
+        const std::uint64_t offset = batch.from() + static_cast<std::uint64_t>(index);
+        wire::LogRecord record;
+        record.ParseFromString(batch.records(index));
+        if (record.has_join()) {
+            nodes[offset] = record.join().node();
+            if (record.join().peers_size() >= usualPeers) {
+                result.insert(record.join().node());
+            }
+        } else if (record.has_peers()) {
+            const wire::Peers &peers = record.peers();
+            proposed[{peers.session(), peers.generation()}] = peers.peers_size();
+        } else if (record.has_peers_settled()) {
+            const wire::PeersSettled &settled = record.peers_settled();
+            if (proposed[{settled.session(), settled.generation()}] >= usualPeers) {
+                result.insert(nodes[settled.session()]);
+            }
+        }
+    }
+    return result;
+}
+
+bool Cluster::waitUntilProtected(Duration longest)
+{
+    const Time giveUp = readBootTime() + longest;
+    while (this->findProtected().size() < this->allHosts.size()) {
+        if (readBootTime() >= giveUp) {
+            return false;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
 int Cluster::publishRules()
 {
     return this->runCtl({"publish", this->rulesPath()});
--- a/packages/system/cluster.h
+++ b/packages/system/cluster.h
@@ -16,6 +16,7 @@
 #include "system/child.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,9 @@
     // Starts the log stand-in. Files are below build/system/<name>.
     explicit Cluster(std::string name);
 
+    // Saves the records of the log as records.pb and ends all processes.
+    ~Cluster();
+
     // Adds a host and starts its processes.
     Host &startHost(const std::string &name, const std::string &dataCentre,
                     const std::string &service, std::vector<std::string> upstreamOptions = {});
@@ -66,6 +70,10 @@
     // Waits until every process answers on its admin port.
     bool waitUntilStarted(Duration longest);
 
+    // Waits until every node has a session with 3 settled peers. Before that the loss of an owner
+    // is not tolerated: a session without peers can only be taken over by its own node.
+    bool waitUntilProtected(Duration longest);
+
     // Waits until every host answers reads of several keys of each service.
     bool waitUntilServed(Duration longest);
 
@@ -106,6 +114,9 @@
     Host &host(const std::string &name);
 
 private:
+    // Returns the nodes that have a session with 3 settled peers.
+    std::set<std::string> findProtected() const;
+
     std::string path;
     Address log;
     std::unique_ptr<Child> logProcess;
--- a/packages/system/tests/test_requests.cpp
+++ b/packages/system/tests/test_requests.cpp
@@ -25,10 +25,12 @@
     const bool isStarted = cluster.waitUntilStarted(startLimit);
     const int published = cluster.publishRules();
     const bool isServed = cluster.waitUntilServed(startLimit);
+    const bool isProtected = cluster.waitUntilProtected(startLimit);
     INFO(cluster.describeLogs());
     REQUIRE(isStarted);
     REQUIRE(published == 0);
     REQUIRE(isServed);
+    REQUIRE(isProtected);
 }
 
 // Sends bytes over a new connection and returns what comes back within 2 s.
