ownership: settle a peer set only after the leases of older sets

PeersSettled ended the use of older peer sets at once, but requests dispatched under a lease of an older set could run on after the new set alone had released the session. The record now waits for the end of that lease. A directed schedule shows overlaps without the wait and none with it. Waiting for proof looks at sessions instead of slots, and requests for it back off to 4 s. A checkpoint comes first after an outage longer than the retention. Faults now include upstreams that come and go.

--- a/packages/ownership/engine.cpp
+++ b/packages/ownership/engine.cpp
@@ -82,12 +82,12 @@
 
     void step(Time now)
     {
+        this->follower.step(now);
         this->lease.step(now);
         this->peers.step(now);
         this->takeover.step(now);
         this->handover.step(now);
         this->membership.step(now);
-        this->follower.step(now);
         this->due = this->findDue(now);
         this->idle = this->due == never ? Duration(0) : this->due - now;
     }
@@ -243,6 +243,7 @@
 void OwnershipEngine::onLogAnswering(bool answering, Time now)
 {
     now = this->parts->enterUntraced(now);
+    this->parts->follower.onAnswering(answering, now);
     this->parts->context.answering = answering;
     this->parts->step(now);
 }
--- a/packages/ownership/engine_types.h
+++ b/packages/ownership/engine_types.h
@@ -56,6 +56,7 @@
     bool allPeerSets = true;         // every unsettled peer set counts, not only the newest
     bool waitAfterRestart = true;    // a restarted peer waits one lease
     bool readAfterRestart = true;    // a restarted peer reads to an end asked for after its start
+    bool settleAfterLease = true;    // a peer set is settled when leases of older sets are over
     bool driftMargin = true;         // owners shorten, peers lengthen by the drift bound
 };
 
--- a/packages/ownership/log_follower.cpp
+++ b/packages/ownership/log_follower.cpp
@@ -89,6 +89,19 @@
     return true;
 }
 
+// After an outage longer than the retention nothing may be left of the log, so the checkpoint comes
+// before any other record.
+void LogFollower::onAnswering(bool answering, Time now)
+{
+    if (answering && this->answeredAt
+        && now >= *this->answeredAt + this->context.timings().retention) {
+        this->overdue = true;
+    }
+    if (answering || this->context.answering) {
+        this->answeredAt = now;
+    }
+}
+
 // The end may have been asked for before some of its records were given; it counts once the state
 // has reached it.
 void LogFollower::onLogEnd(Offset reported, Time askedAt)
@@ -110,6 +123,9 @@
     if (!this->context.caughtUp || !this->context.answering || this->end == 0) {
         return never;
     }
+    if (this->overdue) {
+        return this->answeredAt.value_or(this->context.started);
+    }
     const Time half = this->context.timings().retention / 2;
     const Time readAt = this->checkpointReadAt.value_or(
             this->firstRecordReadAt.value_or(this->context.started));
@@ -132,6 +148,7 @@
     if (now < this->nextDue(now)) {
         return;
     }
+    this->overdue = false;
     for (const wire::Checkpoint &part : this->context.state.makeCheckpoint()) {
         wire::LogRecord record;
         *record.mutable_checkpoint() = part;
--- a/packages/ownership/log_follower.h
+++ b/packages/ownership/log_follower.h
@@ -28,6 +28,7 @@
     Step onRecord(Offset offset, const wire::LogRecord &record, Time now);
     void onLogEnd(Offset end, Time askedAt);
     void onFirstKept(Offset kept);
+    void onAnswering(bool answering, Time now);
 
     // Returns the offset of the record that is wanted next.
     Offset nextOffset() const;
@@ -54,6 +55,8 @@
     std::map<PartKey, std::map<std::uint32_t, wire::Checkpoint>> parts;
     Offset covered = 0;                    // by the last complete checkpoint
     std::optional<Time> checkpointReadAt;  // the last complete one
+    std::optional<Time> answeredAt;        // last time at which the log answered
+    bool overdue = false;                  // an outage outlasted the retention
     std::optional<Time> firstRecordReadAt; // age of a log without checkpoint
 };
 
--- a/packages/ownership/membership.cpp
+++ b/packages/ownership/membership.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr Duration peerCheckEvery = 500ms; // between looks for peers to replace
-constexpr Duration peerGrowth = 2s;        // a new peer set is kept at least this long
+constexpr Duration peerGrowth = 2s;        // a set with peers is kept at least this long
 
 } // namespace
 
@@ -105,10 +105,10 @@
         return;
     }
     this->nextPeerCheck = now + peerCheckEvery;
-    if (now < this->lease.peersReadAt() + peerGrowth) {
+    const std::vector<std::string> &current = own->peerSets.back().peers;
+    if (!current.empty() && now < this->lease.peersReadAt() + peerGrowth) {
         return;
     }
-    const std::vector<std::string> &current = own->peerSets.back().peers;
     PeerQuery query{own->node, own->region, own->dataCentre, {}, {}};
     std::vector<std::string> silent;
     for (const std::string &peer : current) {
--- a/packages/ownership/owner_lease.cpp
+++ b/packages/ownership/owner_lease.cpp
@@ -60,6 +60,7 @@
     this->peersChangedAt = now;
     this->generation = own.generation;
     this->minGeneration = 0;
+    this->settleFrom = now;
     this->sent.clear();
     this->links.clear();
     this->replaced.clear();
@@ -217,8 +218,9 @@
     return set.peers.empty() || usable >= majorityOf(set.peers.size());
 }
 
-// Older sets stop counting before the record is appended for the first time, because others may
-// read it before this process does.
+// Older sets stop counting before the record is appended, because others may read it before this
+// process does. Requests dispatched under a lease of the older sets may run until its end, and the
+// new set does not cover that time, so the record waits for the end.
 void OwnerLease::settlePeers(Time now)
 {
     const Session *own = this->context.state.findSession(this->session);
@@ -226,14 +228,19 @@
         || (own->generation > this->minGeneration && !this->isUsable(own->peerSets.back(), now))) {
         return;
     }
+    if (own->generation > this->minGeneration) {
+        this->settleFrom = this->leaseEnd(now);
+        this->minGeneration = own->generation;
+        this->refreshLease();
+    }
+    if (now < this->settleFrom && this->context.guards().settleAfterLease) {
+        return;
+    }
     wire::LogRecord record;
     record.mutable_peers_settled()->set_session(this->session);
     record.mutable_peers_settled()->set_generation(own->generation);
     const AppendKey key{record.body_case(), this->session, own->generation};
-    if (this->context.append(key, record, now)) {
-        this->minGeneration = own->generation;
-        this->refreshLease();
-    }
+    this->context.append(key, record, now);
 }
 
 Time OwnerLease::nextDue(Time now) const
@@ -245,7 +252,7 @@
     Time due = this->nextRound;
     if (own != nullptr && own->peerSets.size() > 1 && this->isUsable(own->peerSets.back(), now)) {
         const AppendKey key{wire::LogRecord::kPeersSettled, this->session, own->generation};
-        due = std::min(due, this->context.appendDue(key));
+        due = std::min(due, std::max(this->settleFrom, this->context.appendDue(key)));
     }
     return due;
 }
--- a/packages/ownership/owner_lease.h
+++ b/packages/ownership/owner_lease.h
@@ -65,6 +65,7 @@
     Time peersChangedAt{0};
     std::uint32_t generation = 0;    // newest set
     std::uint32_t minGeneration = 0; // older sets no longer count
+    Time settleFrom{0};              // PeersSettled is not appended before
     bool unlimited = false;          // a usable set is empty
     Time until = longAgo;            // end of the lease, unless unlimited
     std::uint64_t sequence = 0;
--- a/packages/ownership/takeover.cpp
+++ b/packages/ownership/takeover.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t handoverLimit = 65'536; // handovers kept before their record is read
+constexpr Duration askAtMost = 4s;            // between requests for the same proof
 constexpr Duration sweepEvery = 2s;           // between looks for unreleased predecessors
 
 } // namespace
@@ -27,6 +28,12 @@
             this->followSlot(change.service, slot.slot, now);
         }
     }
+    for (const SessionId ended : result.ended) {
+        const auto proof = this->proofs.find(ended);
+        if (proof != this->proofs.end()) {
+            proof->second.askSoon(now);
+        }
+    }
     if (result.released != 0) {
         this->proofs.erase(result.released);
         this->settle(now);
@@ -61,8 +68,7 @@
         this->unsettled.insert(slot);
         // Proof is asked for at once, because the record has just been read.
         for (const Predecessor &predecessor : state->predecessors) {
-            this->proofs[predecessor.session].asked = std::min(
-                    this->proofs[predecessor.session].asked, now - this->context.timings().resend);
+            this->proofs[predecessor.session].askSoon(now);
         }
         return;
     }
@@ -123,19 +129,24 @@
 {
     const SlotState &state = *this->context.state.findSlot(this->service, slot);
     const auto &list = state.predecessors;
+    bool proven = true;
     for (const Predecessor &predecessor : list) {
         const bool counts = this->context.guards().allPredecessors || &predecessor == &list.back();
         if (counts && !this->hasStopped(slot, predecessor, now)) {
-            return false;
+            this->blockers.insert(predecessor.session);
+            proven = false;
         }
     }
-    this->settled[slot] = state.epoch;
-    return true;
+    if (proven) {
+        this->settled[slot] = state.epoch;
+    }
+    return proven;
 }
 
 void Takeover::settle(Time now)
 {
     ++this->pass;
+    this->blockers.clear();
     std::erase_if(this->unsettled, [this, now](Slot slot) { return this->trySettle(slot, now); });
 }
 
@@ -207,20 +218,33 @@
 
 // ---- requests ----
 
-// Returns the sessions that keep own slots from being settled.
-std::set<SessionId> Takeover::findUnproven(Time now)
+// Looks at the sessions that keep own slots from being settled, rather than at every slot.
+bool Takeover::findNewProof(Time now)
 {
-    std::set<SessionId> sessions;
-    for (const Slot slot : this->unsettled) {
-        for (const Predecessor &predecessor :
-             this->context.state.findSlot(this->service, slot)->predecessors) {
-            if (sessions.count(predecessor.session) == 0
-                && !this->hasStopped(slot, predecessor, now)) {
-                sessions.insert(predecessor.session);
-            }
+    ++this->pass;
+    return std::any_of(this->blockers.begin(), this->blockers.end(), [this, now](SessionId id) {
+        const Session *session = this->context.state.findSession(id);
+        return session == nullptr || session->released
+               || this->isProven(*session, this->proofs[id], now);
+    });
+}
+
+// Asks for proof at growing intervals: a peer that cannot release yet answers later by itself.
+void Takeover::askBlockers(Time now)
+{
+    for (const SessionId id : this->blockers) {
+        const Session *session = this->context.state.findSession(id);
+        Proof &proof = this->proofs[id];
+        if (session == nullptr || now < proof.askDue) {
+            continue;
         }
+        proof.interval = std::clamp(proof.interval * 2, this->context.timings().resend, askAtMost);
+        proof.askDue = now + proof.interval;
+        if (session->ended) {
+            this->askReleases(*session, proof);
+        }
+        this->askHandovers(*session, proof);
     }
-    return sessions;
 }
 
 void Takeover::askReleases(const Session &session, Proof &proof)
@@ -301,8 +325,8 @@
         const Session *session = this->context.state.findSession(id);
         Proof &proof = this->proofs[id];
         if (session->ended && !proof.complete && !this->isProven(*session, proof, now)
-            && now >= proof.asked + this->context.timings().resend) {
-            proof.asked = now;
+            && now >= proof.askDue) {
+            proof.askDue = now + sweepEvery;
             this->askReleases(*session, proof);
         }
     }
@@ -315,21 +339,10 @@
     if (this->own == 0 || this->service.empty()) {
         return;
     }
-    if (!this->unsettled.empty()) {
+    if (!this->blockers.empty() && this->findNewProof(now)) {
         this->settle(now);
-        for (const SessionId id : this->findUnproven(now)) {
-            const Session *session = this->context.state.findSession(id);
-            Proof &proof = this->proofs[id];
-            if (now < proof.asked + this->context.timings().resend) {
-                continue;
-            }
-            proof.asked = now;
-            if (session->ended) {
-                this->askReleases(*session, proof);
-            }
-            this->askHandovers(*session, proof);
-        }
     }
+    this->askBlockers(now);
     if (now >= this->nextSweep) {
         this->askUnreleased(now);
     }
@@ -342,9 +355,8 @@
         return never;
     }
     Time due = this->nextSweep;
-    // Own releases and stopped own sessions become true by time alone, so unsettled slots are
-    // looked at often.
-    if (!this->unsettled.empty()) {
+    // Own releases and stopped own sessions become true by time alone, so they are looked at often.
+    if (!this->blockers.empty()) {
         due = std::min(due, now + this->context.timings().fenceBatch);
     }
     for (const auto &[id, proof] : this->proofs) {
--- a/packages/ownership/takeover.h
+++ b/packages/ownership/takeover.h
@@ -48,10 +48,17 @@
     struct Proof
     {
         std::set<std::string> releasedBy; // peers, and the session's own node
-        Time asked = longAgo;             // last round of requests
+        Time askDue = longAgo;            // next round of requests
+        Duration interval{0};             // between the last two rounds
         bool complete = false;
         std::uint64_t checked = 0; // last pass that looked at the replies
         Time completeAt{0};
+
+        void askSoon(Time now)
+        {
+            this->askDue = std::min(this->askDue, now);
+            this->interval = Duration(0);
+        }
     };
 
     struct HandoverKey
@@ -71,7 +78,8 @@
     bool isProven(const Session &session, Proof &proof, Time now);
     void settle(Time now);
     bool trySettle(Slot slot, Time now);
-    std::set<SessionId> findUnproven(Time now);
+    bool findNewProof(Time now);
+    void askBlockers(Time now);
     void askReleases(const Session &session, Proof &proof);
     void askHandovers(const Session &session, Proof &proof);
     void appendReleased(Time now);
@@ -80,8 +88,9 @@
     EngineContext &context;
     SessionId own = 0;
     std::string service;
-    std::vector<Epoch> settled; // by slot: the epoch with complete proof, 0: none
-    std::set<Slot> unsettled;   // own slots without complete proof
+    std::vector<Epoch> settled;   // by slot: the epoch with complete proof, 0: none
+    std::set<Slot> unsettled;     // own slots without complete proof
+    std::set<SessionId> blockers; // predecessors that keep own slots from being settled
     std::map<SessionId, Proof> proofs;
     std::set<HandoverKey> handovers; // received
     std::uint64_t pass = 1;          // grows whenever replies may prove more than before
--- a/packages/ownership/tests/harness.cpp
+++ b/packages/ownership/tests/harness.cpp
@@ -127,6 +127,7 @@
     entry.incarnation = hashPair(static_cast<std::uint64_t>(node) + 1, entry.life) | 1;
     entry.waiting.clear();
     entry.running.clear();
+    entry.journals.clear();
     entry.drained = false;
     entry.pausedUntil = Duration(0);
     EngineHooks hooks;
@@ -188,13 +189,7 @@
     for (const wire::LogRecord &record : output.records) {
         this->appendRecord(node, record);
     }
-    // A peer takes the journal of a session over at once.
-    for (const PeerView &peer : entry.engine->ownSession().peers) {
-        if (peer.incarnation != 0 && !peer.journalComplete) {
-            entry.engine->setJournalComplete(peer.node, peer.incarnation,
-                                             this->localTime(node, this->now));
-        }
-    }
+    this->copyJournal(node);
     if (entry.engine->isDrained() && !entry.drained) {
         entry.drained = true;
         this->stop(node);
@@ -204,6 +199,29 @@
     this->scheduleTick(node);
 }
 
+// Copies the journal of the session to peers that lack it.
+void World::copyJournal(int node)
+{
+    Node &entry = this->nodes[static_cast<std::size_t>(node)];
+    for (const PeerView &peer : entry.engine->ownSession().peers) {
+        if (peer.incarnation == 0 || peer.journalComplete
+            || !entry.journals.insert({peer.node, peer.incarnation}).second) {
+            continue;
+        }
+        const std::uint64_t life = entry.life;
+        this->at(this->now + this->options.journal, [this, node, life, peer] {
+            Node &self = this->nodes[static_cast<std::size_t>(node)];
+            if (self.life != life) {
+                return;
+            }
+            self.journals.erase({peer.node, peer.incarnation});
+            this->input(node, [peer](OwnershipEngine &engine, Time time) {
+                engine.setJournalComplete(peer.node, peer.incarnation, time);
+            });
+        });
+    }
+}
+
 void World::scheduleTick(int node)
 {
     Node &entry = this->nodes[static_cast<std::size_t>(node)];
@@ -308,6 +326,16 @@
         entry.restartAfter = fault.duration;
         this->input(node, [](OwnershipEngine &engine, Time time) { engine.requestDrain(time); });
         break;
+    case FaultKind::Upstream:
+        this->input(node, [](OwnershipEngine &engine, Time time) {
+            engine.setUpstream(std::nullopt, time);
+        });
+        this->at(until, [this, node] {
+            this->input(node, [](OwnershipEngine &engine, Time time) {
+                engine.setUpstream(UpstreamInfo{std::string(service), true}, time);
+            });
+        });
+        break;
     case FaultKind::Bind:
     case FaultKind::Unbind:
         this->input(node, [this, fault](OwnershipEngine &engine, Time time) {
@@ -476,7 +504,7 @@
                                     toSeconds(run.from), toSeconds(run.until)));
             break;
         }
-        if (past->from + 1s < this->now) {
+        if (past->from + 2s < this->now) {
             break; // no call lasts longer
         }
     }
--- a/packages/ownership/tests/harness.h
+++ b/packages/ownership/tests/harness.h
@@ -34,9 +34,10 @@
     Drain,        // `node` drains, then restarts after `duration`
     Bind,         // `node` binds a key
     Unbind,       // `node` unbinds a key
+    Upstream,     // the upstream of `node` goes away for `duration`
 };
 
-inline constexpr int faultKinds = 15;
+inline constexpr int faultKinds = 16;
 
 struct Fault
 {
@@ -62,6 +63,7 @@
     Duration length = 8s;         // of the whole run
     Duration calls = 40ms;        // between the calls that each node tries to run for each key
     Duration longestCall = 900ms; // deadline of a call
+    Duration journal{0};          // until a new peer holds the complete journal
     bool quick = false;           // calls last 1 ms instead of up to the deadline
     bool directed = false;        // node 0 joins first, faults last as long as stated, appends are
                                   // quick; clocks are exact unless slowOwner is set
@@ -143,6 +145,7 @@
         bool drained = false;
         Duration restartAfter{0}; // of a drain
         Duration nextTick{0};
+        std::set<std::pair<std::string, std::uint64_t>> journals; // copied or on the way
     };
 
     struct Event
@@ -166,6 +169,7 @@
     void inject(const Fault &fault);
     void input(int node, const std::function<void(OwnershipEngine &, Time)> &give);
     void drainOutput(int node);
+    void copyJournal(int node);
     void scheduleTick(int node);
     void sendMessage(int from, const OutgoingMessage &message);
     void appendRecord(int node, const wire::LogRecord &record);
--- a/packages/ownership/tests/test_ownership.cpp
+++ b/packages/ownership/tests/test_ownership.cpp
@@ -210,6 +210,32 @@
     REQUIRE(with == 0);
 }
 
+// The first session has no peers and thus no end of its lease. It is cut off just when it settles
+// its first peers, between two renewals; requests that it dispatched before must end first.
+TEST_CASE("directed: a peer set is settled after the leases of older sets")
+{
+    WorldOptions options;
+    options.directed = true;
+    options.calls = 8ms;
+    options.longestCall = 1150ms;
+    options.journal = 1150ms; // not a multiple of the time between renewals
+    options.length = 6s;
+    int without = 0;
+    int with = 0;
+    for (Duration cut = 2500ms; cut < 3600ms; cut += 10ms) {
+        std::vector<Fault> faults{makeFault(FaultKind::LogCut, 0, cut + 35ms, 4s)};
+        mute(faults, cut, 4s);
+        for (const bool guarded : {true, false}) {
+            options.guards.settleAfterLease = guarded;
+            World world(makeSchedule(faults), options);
+            world.run();
+            (guarded ? with : without) += world.violations().empty() ? 0 : 1;
+        }
+    }
+    REQUIRE(without > 0);
+    REQUIRE(with == 0);
+}
+
 // The owner gives slots away without reading it and goes on; the next owner dies.
 TEST_CASE("directed: every predecessor must have stopped")
 {
