ownership: give up peers whose session has ended sooner

A peer that was fenced waited 3 s for its replacement, during which small clusters stood still. It is now replaced after the silence time.

--- a/packages/ownership/handover.cpp
+++ b/packages/ownership/handover.cpp
@@ -130,11 +130,14 @@
     const SlotState &slot = *this->context.state.findSlot(key.service, key.slot);
     const Session *target = this->context.state.findSession(slot.owner);
     const SlotKeys keys = this->context.state.keysOf(key.service, key.slot);
-    if (target == nullptr || this->context.hooks.hasInFlight(keys)) {
+    entry.due = now + this->context.timings().resend;
+    if (target == nullptr) {
+        return;
+    }
+    if (this->context.hooks.hasInFlight(keys)) {
         entry.due = now + pollEvery;
         return;
     }
-    entry.due = now + this->context.timings().resend;
     const Predecessor own = *this->findOwn(slot);
     const std::size_t limit =
             std::max<std::size_t>(1, this->context.settings.handoverBytes / requestBytes);
--- a/packages/ownership/membership.cpp
+++ b/packages/ownership/membership.cpp
@@ -97,6 +97,16 @@
 
 // ---- peers ----
 
+// A peer whose session has ended is given up sooner, because others have missed it as well.
+bool Membership::isSilent(const std::string &peer, Time now) const
+{
+    const LeaseTimings &timings = this->context.timings();
+    const Session *session = this->context.state.findNode(peer);
+    const bool ended = session == nullptr || session->ended;
+    const Time heard = std::max(this->lease.answeredAt(peer), this->context.resumed);
+    return now >= heard + (ended ? timings.silence : timings.peerSilence);
+}
+
 // Replaces peers that do not answer, and fills a set that is smaller or nearer than it could be.
 void Membership::replacePeers(Time now)
 {
@@ -112,8 +122,7 @@
     PeerQuery query{own->node, own->region, own->dataCentre, {}, {}};
     std::vector<std::string> silent;
     for (const std::string &peer : current) {
-        const Time heard = std::max(this->lease.answeredAt(peer), this->context.resumed);
-        if (now >= heard + this->context.timings().peerSilence) {
+        if (this->isSilent(peer, now)) {
             query.avoid.insert(peer);
             silent.push_back(peer);
         } else {
--- a/packages/ownership/membership.h
+++ b/packages/ownership/membership.h
@@ -47,6 +47,7 @@
     void join(Time now);
     bool wantsJoin(Time now) const;
     Time joinDue() const;
+    bool isSilent(const std::string &peer, Time now) const;
     void replacePeers(Time now);
     void releaseOwn(Time now);
     void drain(Time now);
--- a/packages/ownership/tests/test_ownership.cpp
+++ b/packages/ownership/tests/test_ownership.cpp
@@ -315,11 +315,12 @@
 }
 
 // Runs the schedule with 10 seeds; returns the longest time without a served call of any key.
-Duration findLongestGap(const std::vector<Fault> &faults, Duration from, Duration until)
+Duration findLongestGap(const std::vector<Fault> &faults, Duration from, Duration until,
+                        int nodes = 4)
 {
     Duration gap{0};
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        Schedule schedule = makeSchedule(faults);
+        Schedule schedule = makeSchedule(faults, nodes);
         schedule.seed = seed;
         for (Fault &fault : schedule.faults) {
             fault.at += seed * 37ms; // other phases of the renewals
@@ -386,3 +387,17 @@
     std::cout << "one peer cut off: longest gap " << gap / 1ms << " ms\n";
     REQUIRE(gap < 50ms);
 }
+
+// Guards against small clusters that stop for longer than a takeover when a peer is lost.
+TEST_CASE("clusters of two and three nodes go on after a loss")
+{
+    for (const int nodes : {2, 3}) {
+        for (const int lost : {0, 1}) {
+            const Duration gap =
+                    findLongestGap({makeFault(FaultKind::Crash, lost, 6s, 30s)}, 5s, 15s, nodes);
+            std::cout << nodes << " nodes, node " << lost << " lost: longest gap " << gap / 1ms
+                      << " ms\n";
+            CHECK(gap < 2s);
+        }
+    }
+}
