Bound the queue of the limiter by its expected wait

Cause: at twice the capacity the queue of 256 made half of the answers wait for more than 60 ms. Change: a request is refused when its expected wait is over 30 ms, even if its deadline is later.

--- a/packages/traffic/limiter.cpp
+++ b/packages/traffic/limiter.cpp
@@ -68,7 +68,8 @@
         this->dispatch(request, deadline, now);
         return {.action = AdmitAction::Dispatch};
     }
-    const bool full = this->queue.size() >= this->settings.queue;
+    const bool full = this->queue.size() >= this->settings.queue
+                      || this->expectedWait(this->queue.size(), now) > this->settings.queueTime;
     if (full || !this->canMeet(deadline, this->queue.size(), now)) {
         return {.action = AdmitAction::Refuse,
                 .error = ErrorKind::Overloaded,
--- a/packages/traffic/limiter.h
+++ b/packages/traffic/limiter.h
@@ -63,12 +63,13 @@
 
 struct LimiterSettings
 {
-    std::size_t queue = 256;        // most requests that wait
-    double coldLimit = 2;           // first limit of a cold upstream
-    Duration coldRamp = 3s;         // time in which the cold limit grows to the announced slots
-    double decrease = 0.8;          // factor on latency or a lost connection, once a round trip
-    double refusalDecrease = 0.9;   // factor on a refusal, at most once a round trip
-    double timeoutDecrease = 0.5;   // factor on a timeout, at most once a round trip
+    std::size_t queue = 256;      // most requests that wait
+    Duration queueTime = 30ms;    // longest expected wait; more delays all answers and adds no work
+    double coldLimit = 2;         // first limit of a cold upstream
+    Duration coldRamp = 3s;       // time in which the cold limit grows to the announced slots
+    double decrease = 0.8;        // factor on latency or a lost connection, once a round trip
+    double refusalDecrease = 0.9; // factor on a refusal, at most once a round trip
+    double timeoutDecrease = 0.5; // factor on a timeout, at most once a round trip
     std::size_t silentTimeouts = 3; // timeouts in a row without any answer that mean silence
     Duration probeEvery = 50ms; // in silence one request at a time, and at most one in this time
     double increase = 1;        // added to the limit for each full window of good answers
