placement: move slots away from a stalled upstream

Cause: a frozen upstream kept its slots, so all their keys went unanswered until it was back. Change: an owner whose utilisation stays full for 5 s without overload gives its slots to sessions with room, and keeps 5 % of the mean to notice the recovery. Sessions that are full with little load do not count in the mean. Owners ask for a new session at most once per step of 10 s, and a session counts as new below 0.75 of the average.

--- a/packages/bench/model.h
+++ b/packages/bench/model.h
@@ -30,6 +30,7 @@
 {
     double handoverNear = 0.015; // s without an answer when a slot moves within a region
     double handoverFar = 0.045;  // s, between regions: 30 ms more for the Handover message
+    double handoverFrozen = 0.9; // s more from a frozen upstream: the longest deadline in flight
     double detection = 1.0;      // s from a loss until the Fence is read
     double takeover = 0.3;       // s from reading the Fence until the slots are served
     double coldTime = 60;        // s until a new upstream has its full capacity
--- a/packages/placement/choice.cpp
+++ b/packages/placement/choice.cpp
@@ -22,7 +22,7 @@
 
 // A session with less than this share of the average slots, and of the mean load, is new. An owner
 // of one hot key has few slots as well, but not little load.
-constexpr double newSessionShare = 0.5;
+constexpr double newSessionShare = 0.75;
 constexpr double newSessionDonors = 4;   // expected owners that give to it at once
 constexpr Duration newSessionStep = 10s; // time between two choices of donors
 constexpr double newSessionGift = 0.08;  // share of the mean that one donor gives
@@ -44,6 +44,11 @@
     }
     this->releaseCooledKeys(now, decisions);
     const double load = this->rates.load(now);
+    if (this->isStalled(now)) {
+        const bool moved = this->moveFromStalled(now, load, decisions);
+        this->fruitless = moved ? 0 : std::min(this->fruitless + 1, longestBackoff);
+        return;
+    }
     if (!this->isOverloaded(load)) {
         this->fruitless = 0;
         this->giveToNewSession(now, load, decisions);
@@ -119,7 +124,8 @@
         }
         if (view.hashedOwner == this->session) {
             this->rates.setPending({view.dedicatedSlot}, now + pendingLimit);
-            decisions.emplace_back(UnbindKey{PlacementReason::KeyCooled, view.dedicatedSlot});
+            decisions.emplace_back(
+                    UnbindKey{PlacementReason::KeyCooled, view.dedicatedSlot, view.keyHash});
             continue;
         }
         this->returnCooledKey(view, now, decisions);
@@ -155,11 +161,18 @@
     return target && this->move(PlacementReason::Overload, *target, now, decisions);
 }
 
+// A stalled upstream does not answer, so its slots move even to sessions with more load.
+bool PlacementPolicy::moveFromStalled(Time now, double load, Decisions &decisions)
+{
+    const auto target = this->findTarget(now, load, load - stalledRest * this->mean);
+    return target && this->move(PlacementReason::Stalled, *target, now, decisions);
+}
+
 std::optional<PlacementPolicy::Target> PlacementPolicy::findTarget(Time now, double load,
                                                                    double want) const
 {
-    const double share = this->shareOfRoom(want);
-    const double weight = this->settings.weightUnavailable;
+    // Moves from a stalled upstream end unavailable time, so that weight is on their side.
+    const double weight = this->isStalled(now) ? 0 : this->settings.weightUnavailable;
     std::optional<Target> best;
     for (const auto &[id, entry] : this->heard) {
         const SessionView *view = this->findSession(id);
@@ -170,9 +183,7 @@
         Target target;
         target.session = id;
         target.load = this->expectedLoad(entry, *view);
-        // Half of the difference at most: the target must not end above this session.
-        target.amount =
-                std::min({want, this->roomOf(entry, *view, now) * share, (load - target.load) / 2});
+        target.amount = this->amountFor(entry, *view, now, load, want);
         target.worth =
                 (1 - weight) * target.amount / this->mean - weight * this->costOf(*view, now);
         if (target.worth > 0 && (!best || target.worth > best->worth)) {
@@ -182,6 +193,22 @@
     return best;
 }
 
+// Returns the requests/s that should move to a session.
+double PlacementPolicy::amountFor(const Heard &entry, const SessionView &view, Time now,
+                                  double load, double want) const
+{
+    const double room = this->roomOf(entry, view, now);
+    if (this->isStalled(now)) {
+        // The others share the load of this session, which raises their mean.
+        const auto others =
+                static_cast<double>(std::max<std::size_t>(this->sessions.size(), 2) - 1);
+        return std::min(want, room + this->mean / others);
+    }
+    // Half of the difference at most: the target must not end above this session.
+    const double half = (load - this->expectedLoad(entry, view)) / 2;
+    return std::min({want, room * this->shareOfRoom(want), half});
+}
+
 // Returns the requests/s that a session may still receive.
 double PlacementPolicy::roomOf(const Heard &entry, const SessionView &view, Time now) const
 {
@@ -272,14 +299,19 @@
 
 // Returns a new session that this owner should give slots to in this step. All owners see the new
 // session in the log at once; the hash lets only a few of them act.
-std::optional<std::uint64_t> PlacementPolicy::chooseNewSession(Time now) const
+std::optional<std::uint64_t> PlacementPolicy::chooseNewSession(Time now)
 {
     const auto others = static_cast<double>(std::max<std::size_t>(this->sessions.size(), 2) - 1);
     const auto step = static_cast<std::uint64_t>(now / newSessionStep);
+    // One round a step: a session with a hot key has few slots for as long as the key is hot.
+    if (this->giftStep == step) {
+        return std::nullopt;
+    }
     for (const std::uint64_t id : this->newSessions) {
         const std::uint64_t draw = hashPair(hashPair(id, this->session), step);
         const double position = static_cast<double>(draw >> 11) * 0x1p-53;
         if (position * others < newSessionDonors) {
+            this->giftStep = step;
             return id;
         }
     }
@@ -288,14 +320,15 @@
 
 bool PlacementPolicy::giveToNewSession(Time now, double load, Decisions &decisions)
 {
-    const auto id = this->chooseNewSession(now);
+    const auto id = this->recipient;
     if (!id || load < leastDonorRatio * this->mean) {
         return false;
     }
     const auto found = this->heard.find(*id);
     const SessionView *view = this->findSession(*id);
     if (found == this->heard.end() || found->second.at < this->roundAt || view == nullptr
-        || found->second.sample.load >= newSessionShare * this->mean) {
+        || found->second.sample.load >= newSessionShare * this->mean
+        || found->second.sample.utilisation > fullUtilisation) {
         return false;
     }
     Target target;
--- a/packages/placement/policy.cpp
+++ b/packages/placement/policy.cpp
@@ -20,6 +20,11 @@
 // follows a change of the whole service faster.
 constexpr double leastSampleWeight = 0.3;
 
+// An upstream is stalled if it has been full for this long. Short bursts fill it too.
+constexpr double fullShare = 0.98;
+constexpr Duration stallTime = 5s;
+constexpr double spentRatio = 0.5; // a full session below this ratio to the mean is spent
+
 // A change of the own load by this share is a reason to ask again.
 constexpr double changeShare = 0.05;
 
@@ -97,7 +102,8 @@
 {
     const Time restsUntil = how == SlotGain::Moved ? now + this->settings.hysteresis : now;
     this->rates.gain(slot, now, restsUntil);
-    if (this->lastBind && this->lastBind->dedicatedSlot == slot) {
+    // The engine may have bound the key to another dedicated slot than the one suggested.
+    if (this->lastBind && how == SlotGain::Assigned && slot >= hashedSlotCount) {
         // Without this the key's requests count twice until the old slot's rate has decayed.
         this->rates.shift(slotOf(this->lastBind->keyHash), slot, this->lastBind->load);
         this->lastBind.reset();
@@ -155,6 +161,7 @@
 {
     Decisions decisions;
     this->forget(now);
+    this->noteStall(now);
     if (this->roundOpen && this->isRoundDone(now)) {
         this->closeRound(now);
         this->balance(now, decisions);
@@ -188,24 +195,28 @@
 void PlacementPolicy::closeRound(Time now)
 {
     this->roundOpen = false;
-    const double load = this->rates.load(now);
-    double loads = load;
+    const LoadSample own = this->ownSample(now);
+    double loads = this->isSpent(own) ? 0 : own.load;
+    double known = this->isSpent(own) ? 0 : 1;
     double means = this->mean;
     int meanCount = this->mean > 0 ? 1 : 0;
     for (const auto &[id, entry] : this->heard) {
-        loads += entry.sample.load;
+        if (!this->isSpent(entry.sample)) {
+            loads += entry.sample.load;
+            known += 1;
+        }
         if (entry.sample.mean > 0) {
             means += entry.sample.mean;
             ++meanCount;
         }
     }
-    if (this->heard.empty()) {
+    if (this->heard.empty() || known < 1) {
         return;
     }
-    const auto known = static_cast<double>(this->heard.size());
-    const double sampled = loads / (known + 1);
+    const double sampled = loads / known;
     const auto others = static_cast<double>(std::max<std::size_t>(this->sessions.size(), 2) - 1);
-    const double weight = meanCount == 0 ? 1 : std::clamp(known / others, leastSampleWeight, 1.0);
+    const double weight =
+            meanCount == 0 ? 1 : std::clamp((known - 1) / others, leastSampleWeight, 1.0);
     const double reported = meanCount == 0 ? 0 : means / meanCount;
     this->mean = weight * sampled + (1 - weight) * reported;
     this->rates.setGuess(this->mean / this->averageSlots());
@@ -217,6 +228,7 @@
         || this->sessions.size() < 2) {
         return std::nullopt;
     }
+    this->recipient.reset();
     const double load = this->rates.load(now);
     const Duration age = now - this->roundAt;
     if (this->mean <= 0 || this->rounds == 0) {
@@ -230,7 +242,12 @@
     if (this->isOverloaded(load) && age >= this->settings.askPeriod * (1 << this->fruitless)) {
         return PlacementReason::Overload;
     }
-    if (this->chooseNewSession(now)) {
+    if (this->isStalled(now) && load > stalledRest * this->mean
+        && age >= this->settings.askPeriod * (1 << this->fruitless)) {
+        return PlacementReason::Stalled;
+    }
+    this->recipient = this->chooseNewSession(now);
+    if (this->recipient) {
         return PlacementReason::NewSession;
     }
     if (age >= this->settings.refreshPeriod) {
@@ -259,7 +276,7 @@
     }
     const auto count = std::min<std::size_t>(this->settings.askCount, others.size());
     if (reason == PlacementReason::NewSession) {
-        const auto wanted = std::find(others.begin(), others.end(), *this->chooseNewSession(now));
+        const auto wanted = std::find(others.begin(), others.end(), *this->recipient);
         std::iter_swap(others.begin(), wanted);
     }
     for (std::size_t at = reason == PlacementReason::NewSession ? 1 : 0; at < count; ++at) {
@@ -308,6 +325,29 @@
     return 1.02 + 0.04 * this->settings.weightUnavailable;
 }
 
+void PlacementPolicy::noteStall(Time now)
+{
+    if (this->utilisation < fullShare) {
+        this->fullSince.reset();
+    } else if (!this->fullSince) {
+        this->fullSince = now;
+    }
+}
+
+bool PlacementPolicy::isStalled(Time now) const
+{
+    // An owner that is full because it is overloaded moves slots by the normal rule.
+    return this->fullSince && now - *this->fullSince >= stallTime
+           && !this->isOverloaded(this->rates.load(now));
+}
+
+// Returns whether a session is full with little load. It takes no part in the mean, because the
+// others have to carry its share.
+bool PlacementPolicy::isSpent(const LoadSample &sample) const
+{
+    return sample.utilisation >= fullShare && sample.load < spentRatio * this->mean;
+}
+
 bool PlacementPolicy::isOverloaded(double load) const
 {
     return this->mean > 0 && load > this->enterRatio(load) * this->mean;
--- a/packages/placement/policy.h
+++ b/packages/placement/policy.h
@@ -81,15 +81,17 @@
     NewSession,  // a session owns far fewer slots than the others
     HotKey,      // one key dominates a slot
     KeyCooled,   // a bound key is no longer hot
+    Stalled,     // the own upstream is full at a load that others serve easily
 };
 
-inline constexpr NameTable<PlacementReason, 6> placementReasonNames{
+inline constexpr NameTable<PlacementReason, 7> placementReasonNames{
         {{{PlacementReason::MeanUnknown, "mean-unknown"},
           {PlacementReason::LoadChanged, "load-changed"},
           {PlacementReason::Overload, "overload"},
           {PlacementReason::NewSession, "new-session"},
           {PlacementReason::HotKey, "hot-key"},
-          {PlacementReason::KeyCooled, "key-cooled"}}}};
+          {PlacementReason::KeyCooled, "key-cooled"},
+          {PlacementReason::Stalled, "stalled"}}}};
 
 // Send a LoadQuery to each of these sessions.
 struct AskLoad
@@ -112,8 +114,8 @@
 {
     PlacementReason reason{};
     std::uint64_t keyHash = 0;
-    Slot dedicatedSlot = 0;
-    double load = 0; // requests/s of the key
+    Slot dedicatedSlot = 0; // a suggestion; any free one will do
+    double load = 0;        // requests/s of the key
 };
 
 // Append Unbind.
@@ -121,6 +123,7 @@
 {
     PlacementReason reason{};
     Slot dedicatedSlot = 0;
+    std::uint64_t keyHash = 0;
 };
 
 using PlacementDecision = std::variant<AskLoad, MoveSlots, BindKey, UnbindKey>;
@@ -170,7 +173,8 @@
     // first.
     void setLogAvailable(bool available) { this->logAvailable = available; }
 
-    // Sets the share of the learned concurrency limit in use, 0 to 1; sent with the own sample.
+    // Sets the share of the learned concurrency limit in use, 0 to 1; sent with the own sample. An
+    // upstream that stays full gives its slots away step by step, because it does not answer.
     void setUtilisation(double share) { this->utilisation = share; }
 
     // Returns what to do now. A move, bind or unbind that does not show up in the log within 10 s
@@ -208,6 +212,9 @@
         double rate = 0; // requests/s, a lower bound
     };
 
+    // Share of the mean that a stalled session keeps, so that it notices the recovery.
+    static constexpr double stalledRest = 0.05;
+
     PlacementPolicy(const PlacementSettings &chosen, std::uint64_t ownSession,
                     std::string ownRegion);
 
@@ -223,6 +230,9 @@
     double enterRatio(double load) const;
     double exitRatio() const;
     bool isOverloaded(double load) const;
+    void noteStall(Time now);
+    bool isStalled(Time now) const;
+    bool isSpent(const LoadSample &sample) const;
 
     // Decisions at the end of a round (choice.cpp).
     void balance(Time now, Decisions &decisions);
@@ -230,8 +240,11 @@
     void releaseCooledKeys(Time now, Decisions &decisions);
     void returnCooledKey(const BindingView &view, Time now, Decisions &decisions);
     bool moveAway(Time now, double load, Decisions &decisions);
+    bool moveFromStalled(Time now, double load, Decisions &decisions);
     bool giveToNewSession(Time now, double load, Decisions &decisions);
     std::optional<Target> findTarget(Time now, double load, double want) const;
+    double amountFor(const Heard &entry, const SessionView &view, Time now, double load,
+                     double want) const;
     double roomOf(const Heard &heard, const SessionView &view, Time now) const;
     double shareOfRoom(double excess) const;
     double costOf(const SessionView &view, Time now) const;
@@ -239,7 +252,7 @@
     double expectedLoad(const Heard &heard, const SessionView &view) const;
     bool move(PlacementReason reason, const Target &target, Time now, Decisions &decisions);
     void findNewSessions();
-    std::optional<std::uint64_t> chooseNewSession(Time now) const;
+    std::optional<std::uint64_t> chooseNewSession(Time now);
     std::optional<Slot> findFreeDedicatedSlot(std::uint64_t keyHash) const;
 
     PlacementSettings settings;
@@ -247,6 +260,7 @@
     std::string region;
     bool logAvailable = true;
     double utilisation = 0;
+    std::optional<Time> fullSince;          // the utilisation has been full since then
     std::vector<SessionView> sessions;      // ascending by session
     std::vector<std::uint64_t> newSessions; // other sessions with few slots
     std::vector<BindingView> bindings;
@@ -265,10 +279,12 @@
     Time roundAt{};
     Time nextRound{};
     std::uint64_t rounds = 0;
-    std::uint32_t fruitless = 0; // rounds in a row with overload but without a decision
-    double loadAtRound = 0;      // own requests/s
-    double mean = 0;             // requests/s, 0: unknown
-    std::deque<Time> moves;      // decided within the last minute
+    std::optional<std::uint64_t> recipient; // new session that the current round is for
+    std::optional<std::uint64_t> giftStep;  // last step with such a round
+    std::uint32_t fruitless = 0;            // rounds in a row with overload but without a decision
+    double loadAtRound = 0;                 // own requests/s
+    double mean = 0;                        // requests/s, 0: unknown
+    std::deque<Time> moves;                 // decided within the last minute
 };
 
 } // namespace kumquat
--- a/packages/placement/tests/test_placement.cpp
+++ b/packages/placement/tests/test_placement.cpp
@@ -240,6 +240,23 @@
     REQUIRE(service.binds.front().dedicatedSlot >= hashedSlotCount);
 }
 
+// Guards against keys that stay at an upstream which answers nothing, and against a service that
+// moves its slots in circles because all upstreams are full.
+TEST_CASE("a stalled upstream gives its slots away unless all upstreams are full")
+{
+    SmallService service = makeService(6);
+    service.run(30);
+    service.policies[0].setUtilisation(1);
+    service.run(90);
+    REQUIRE(service.loadOf(0) <= 0.2 * service.loadOf(1));
+    const std::size_t moves = service.moves.size();
+    for (PlacementPolicy &policy : service.policies) {
+        policy.setUtilisation(1);
+    }
+    service.run(60);
+    REQUIRE(service.moves.size() == moves);
+}
+
 TEST_CASE("nothing is decided without the log")
 {
     SmallService service = makeService(4);
