node: placement, reports, crash records in time, late forwards at exit

Cause: slots stayed where the first session got them; /report was missing; process tests showed that a probe of an earlier upstream dropped its successor, that the second CrashSuspect within a second was never appended, and that a forward that arrived during the exit got no answer. Change: PlacementDriver and ReportCollector are wired in; a lost report counts only from the current upstream; crash records have a timer; the process answers late forwards for 1 s before it exits.

--- a/packages/node/admin.cpp
+++ b/packages/node/admin.cpp
@@ -2,6 +2,7 @@
 #include "base/log.h"
 #include "base/text.h"
 #include "node/process.h"
+#include "report/exposition.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -119,6 +120,9 @@
     if (isGet && path == "/metrics") {
         return this->showMetrics();
     }
+    if (isGet && path == "/report") {
+        return this->showReport();
+    }
     if (isPost && path == "/announce") {
         return this->takeAnnouncement(request);
     }
@@ -184,23 +188,60 @@
             {{"version", rules.version}, {"author", rules.author}, {"text", rules.text}});
 }
 
-HttpResponse Process::showMetrics() const
+HttpResponse Process::showReport()
 {
-    const MeshCounters &mesh = this->mesh->counters();
+    const std::lock_guard lock(this->reportMutex);
     HttpResponse response;
-    response.fields = {{"Content-Type", "text/plain; version=0.0.4"}};
-    const auto add = [&response](std::string_view name, std::uint64_t value) {
-        absl::StrAppend(&response.body, "# TYPE ", toAbsl(name), " counter\n", toAbsl(name), " ",
-                        value, "\n");
+    response.fields = {{"Content-Type", "application/json"}};
+    response.body = formatReportJson(this->collector.makeReport(readBootTime()));
+    return response;
+}
+
+HttpResponse Process::showMetrics()
+{
+    const MeshCounters &counters = this->mesh->counters();
+    const DriverStatus status = this->driver->status();
+    ExpositionWriter writer;
+    const auto add = [&writer](std::string_view name, std::string_view type, std::string_view help,
+                               double value) {
+        writer.addFamily(name, type, help);
+        writer.addSample(name, {}, value);
+    };
+    const auto addCounter = [&add](std::string_view name, std::string_view help,
+                                   std::uint64_t value) {
+        add(name, "counter", help, static_cast<double>(value));
     };
-    add("kumquat_mesh_sent_messages_total", mesh.sent);
-    add("kumquat_mesh_sent_bytes_total", mesh.sentBytes);
-    add("kumquat_mesh_received_messages_total", mesh.received);
-    add("kumquat_mesh_received_bytes_total", mesh.receivedBytes);
-    add("kumquat_mesh_dropped_messages_total", mesh.dropped);
-    add("kumquat_mesh_invalid_messages_total", mesh.invalid);
-    add("kumquat_forward_unmatched_replies_total", this->forwarder->unmatchedReplies());
-    add("kumquat_log_appends_total", this->driver->appends());
+    addCounter("kumquat_mesh_sent_messages_total", "Messages sent to other processes.",
+               counters.sent);
+    addCounter("kumquat_mesh_sent_bytes_total", "Payload bytes sent to other processes.",
+               counters.sentBytes);
+    addCounter("kumquat_mesh_received_messages_total", "Messages received.", counters.received);
+    addCounter("kumquat_mesh_received_bytes_total", "Payload bytes received.",
+               counters.receivedBytes);
+    addCounter("kumquat_mesh_dropped_messages_total", "Messages dropped: the queue was full.",
+               counters.dropped);
+    addCounter("kumquat_mesh_invalid_messages_total", "Received frames that are no message.",
+               counters.invalid);
+    addCounter("kumquat_forward_unmatched_replies_total",
+               "Answers without a waiting request, dropped.", this->forwarder->unmatchedReplies());
+    addCounter("kumquat_log_appends_total", "Records sent to the log service.",
+               this->driver->appends());
+    add("kumquat_slots", "gauge", "Slots that this process owns.", status.slots);
+    add("kumquat_lease_seconds", "gauge", "Time left of the lease.",
+        std::chrono::duration<double>(status.lease).count());
+    add("kumquat_rules_version", "gauge", "Version of the rules in force.",
+        static_cast<double>(status.rulesVersion));
+    add("kumquat_log_answering", "gauge", "1 while the log service answers.",
+        status.logAnswering ? 1 : 0);
+    add("kumquat_requests_in_flight", "gauge", "Requests at the upstream or waiting for it.",
+        static_cast<double>(this->owner->inFlightCount()));
+    {
+        const std::lock_guard lock(this->reportMutex);
+        writeReport(writer, this->collector.makeReport(readBootTime()));
+    }
+    HttpResponse response;
+    response.fields = {{"Content-Type", std::string(expositionContentType)}};
+    response.body = writer.text();
     return response;
 }
 
--- a/packages/node/entry_path.cpp
+++ b/packages/node/entry_path.cpp
@@ -102,7 +102,7 @@
 
 EntryPath::EntryPath(OwnershipDriver &ownershipDriver, OwnerPath &ownerPath,
                      Forwarder &requestForwarder,
-                     std::function<void(const FinishedRequest &)> reportHook)
+                     std::function<void(const RequestSample &, Time)> reportHook)
     : driver(ownershipDriver)
     , owner(ownerPath)
     , forwarder(requestForwarder)
@@ -125,17 +125,20 @@
         answer = prepared.error == ErrorKind::None ? this->route(worker, io, prepared.request)
                                                    : makeFailure(prepared.error, prepared.message);
     }
-    const Time now = readBootTime();
-    this->report({rule == nullptr ? std::string_view() : std::string_view(rule->prefix),
-                  answer.error, now - start, now});
+    const ErrorKind kind = answer.error;
     HttpResponse response = toResponse(std::move(answer));
+    const Time now = readBootTime();
+    this->report({rule == nullptr ? std::string_view() : std::string_view(rule->prefix), kind,
+                  response.status, now - start},
+                 now);
     --this->open;
     return response;
 }
 
 HttpResponse EntryPath::refuse(ErrorKind kind)
 {
-    this->report({std::string_view(), kind, Duration::zero(), readBootTime()});
+    this->report({std::string_view(), kind, errorInfo(kind).httpStatus, Duration::zero()},
+                 readBootTime());
     return makeErrorResponse(kind, "the request could not be read");
 }
 
--- a/packages/node/entry_path.h
+++ b/packages/node/entry_path.h
@@ -6,6 +6,7 @@
 #include "node/forwarder.h"
 #include "node/owner_path.h"
 #include "node/ownership_driver.h"
+#include "report/collector.h"
 #include "rules/rules.h"
 #include "traffic/retry.h"
 
@@ -16,20 +17,11 @@
 
 namespace kumquat {
 
-// One finished request, for reports.
-struct FinishedRequest
-{
-    std::string_view rulePrefix; // empty: no rule matched
-    ErrorKind error = ErrorKind::None;
-    Duration latency{};
-    Time now{};
-};
-
 class EntryPath
 {
 public:
     EntryPath(OwnershipDriver &driver, OwnerPath &owner, Forwarder &forwarder,
-              std::function<void(const FinishedRequest &)> report);
+              std::function<void(const RequestSample &request, Time now)> report);
 
     // Answers a caller's request, in a fiber of the worker.
     HttpResponse handle(std::size_t worker, asio::io_context &io, const HttpRequest &request);
@@ -53,7 +45,7 @@
     OwnershipDriver &driver;
     OwnerPath &owner;
     Forwarder &forwarder;
-    std::function<void(const FinishedRequest &)> report;
+    std::function<void(const RequestSample &request, Time now)> report;
     std::atomic<int> open{0};
     std::mutex budgetMutex; // guards retryBudget; a leaf lock
     RetryBudget retryBudget;
--- a/packages/node/owner_path.cpp
+++ b/packages/node/owner_path.cpp
@@ -82,6 +82,7 @@
 {
     this->driver = &ownershipDriver;
     this->timer = std::make_unique<DueTimer>(control, [this](Time now) { this->advance(now); });
+    this->crashTimer = std::make_unique<DueTimer>(control, [this](Time) { this->reportCrashes(); });
     for (const auto &thread : threads) {
         this->workers.push_back(thread.get());
     }
@@ -101,11 +102,19 @@
             announcement, upstreamSettings, this->workers,
             {.reportCrash =
                      [this](const std::vector<Fingerprint> &running) { this->blame(running); },
-             .reportLost = this->hooks.reportUpstreamLost});
+             .reportLost = [this](const Upstream *lost) { this->reportLost(lost); }});
     logInfo(LogPart::Upstream, "upstream announced",
             {{"service", announcement.service}, {"address", announcement.address.toString()}});
 }
 
+// A probe of an earlier upstream may end after another one has announced itself in its place.
+void OwnerPath::reportLost(const Upstream *lost)
+{
+    if (this->findUpstream().get() == lost) {
+        this->hooks.reportUpstreamLost();
+    }
+}
+
 void OwnerPath::dropUpstream()
 {
     const std::lock_guard lock(this->upstreamMutex);
@@ -212,6 +221,7 @@
         return failure(serving.error == ErrorKind::None ? ErrorKind::NotOwner : serving.error,
                        "the key moved while the request waited");
     }
+    this->hooks.countRequest(serving.slot, request.keyHash);
     const Time expires = std::min(request.deadline, serving.leaseEnd);
     this->inFlight.setExpiry(number, expires);
     RoutedAnswer answer =
@@ -561,11 +571,20 @@
 
 void OwnerPath::blame(const std::vector<Fingerprint> &running)
 {
-    std::optional<CrashReport> report;
     {
         const std::lock_guard lock(this->upstreamMutex);
         this->crashGuard.blame(running, makeRandomNumber(), readBootTime());
+    }
+    this->reportCrashes();
+}
+
+void OwnerPath::reportCrashes()
+{
+    std::optional<CrashReport> report;
+    {
+        const std::lock_guard lock(this->upstreamMutex);
         report = this->crashGuard.takeReport(readBootTime());
+        this->crashTimer->arm(this->crashGuard.nextReport());
     }
     if (!report) {
         return;
--- a/packages/node/owner_path.h
+++ b/packages/node/owner_path.h
@@ -44,6 +44,7 @@
     std::function<void(const std::string &node, wire::MeshMessage &&message)> send; // any thread
     std::function<void(const wire::LogRecord &record)> append;                      // any thread
     std::function<void()> reportUpstreamLost;                                       // any thread
+    std::function<void(Slot slot, std::uint64_t keyHash)> countRequest;             // any thread
 };
 
 // ---- OwnerPath ----
@@ -113,12 +114,15 @@
     void finishImport(bool isWritten);
     void advance(Time now);
     void blame(const std::vector<Fingerprint> &running);
+    void reportCrashes();
+    void reportLost(const Upstream *lost);
 
     OwnerPathSettings settings;
     OwnerPathHooks hooks;
     OwnershipDriver *driver = nullptr;
     std::vector<FiberThread *> workers;
-    std::unique_ptr<DueTimer> timer; // of writer and lookup
+    std::unique_ptr<DueTimer> timer;      // of writer and lookup
+    std::unique_ptr<DueTimer> crashTimer; // of crashGuard
     InFlight inFlight;
     std::atomic<int> heldRequests{0}; // wait for a handover or takeover
 
--- a/packages/node/ownership_driver.cpp
+++ b/packages/node/ownership_driver.cpp
@@ -182,6 +182,11 @@
     this->input([&](Time now) { this->engine->requestBind(keyHash, now); });
 }
 
+void OwnershipDriver::requestUnbind(std::uint64_t keyHash)
+{
+    this->input([&](Time now) { this->engine->requestUnbind(keyHash, now); });
+}
+
 void OwnershipDriver::setJournalComplete(const OwnSession &session)
 {
     this->input([&](Time now) {
@@ -269,6 +274,13 @@
     return session == nullptr ? std::string() : session->meshAddress;
 }
 
+std::string OwnershipDriver::nodeOf(SessionId id) const
+{
+    const std::shared_lock lock(this->engineMutex);
+    const Session *session = this->engine->cluster().findSession(id);
+    return session == nullptr ? std::string() : session->node;
+}
+
 SessionId OwnershipDriver::session() const
 {
     const std::shared_lock lock(this->engineMutex);
--- a/packages/node/ownership_driver.h
+++ b/packages/node/ownership_driver.h
@@ -70,6 +70,7 @@
     void requestDrain();
     void requestMove(const std::vector<Slot> &slots, SessionId target);
     void requestBind(std::uint64_t keyHash);
+    void requestUnbind(std::uint64_t keyHash);
     void setJournalComplete(const OwnSession &session);
     void append(const wire::LogRecord &record);
 
@@ -87,6 +88,8 @@
 
     bool hasReleased(SessionId session) const;
     std::string meshAddressOf(std::string_view node) const; // empty: unknown node
+    std::string nodeOf(SessionId session) const;            // empty: unknown session
+    bool isLogAnswering() const { return this->logAnswering; }
     SessionId session() const;
     Offset nextOffset() const;
     bool isDraining() const;
--- a/packages/node/process.cpp
+++ b/packages/node/process.cpp
@@ -13,12 +13,13 @@
 namespace kumquat {
 namespace {
 
-constexpr Duration watchEvery = 500ms;
 constexpr Duration announcementLimit = 10s; // five announcements are missing
 constexpr Duration minRejoinDelay = 2s;     // after an upstream was lost
 constexpr Duration maxRejoinDelay = 60s;    // for one that keeps failing after it announced itself
 constexpr Duration drainPoll = 20ms;
-constexpr Duration connectionCloseTime = 100ms; // for the last answers to leave
+// After the drain, forwards of processes that have not yet read it are still answered not-owner;
+// the longest rule timeout bounds how long such a forward can be under way.
+constexpr Duration lateForwardTime = 1s;
 
 sigset_t stopSignals()
 {
@@ -46,6 +47,7 @@
     : settings(std::move(processSettings))
     , incarnation(makeRandomNumber())
     , control("control")
+    , collector(this->settings.objectives)
 {
     for (int index = 0; index < this->settings.workers; ++index) {
         this->workers.push_back(std::make_unique<FiberThread>(absl::StrCat("worker-", index)));
@@ -84,7 +86,11 @@
                     .append =
                             [this](const wire::LogRecord &record) { this->driver->append(record); },
                     .reportUpstreamLost =
-                            [this] { this->control.post([this] { this->loseUpstream(); }); }});
+                            [this] { this->control.post([this] { this->loseUpstream(); }); },
+                    .countRequest =
+                            [this](Slot slot, std::uint64_t keyHash) {
+                                this->placement->count(slot, keyHash);
+                            }});
     auto created = OwnershipDriver::create(
             this->control, *this->mesh, this->makeEngineSettings(), this->makeEngineHooks(),
             this->makeLogSettings(),
@@ -96,11 +102,26 @@
     }
     this->driver = *std::move(created);
     this->owner->connect(*this->driver, this->control, this->workers);
+    this->placement = std::make_unique<PlacementDriver>(
+            *this->driver,
+            PlacementDriverSettings{.node = this->settings.node,
+                                    .region = this->settings.region,
+                                    .weightUnavailable = this->settings.weightUnavailable,
+                                    .seed = this->incarnation},
+            PlacementDriverHooks{
+                    .send =
+                            [this](const std::string &node, wire::MeshMessage &&message) {
+                                this->sendTo(node, std::move(message));
+                            },
+                    .readUtilisation = [this] { return this->owner->utilisation(); }});
     this->forwarder =
             std::make_unique<Forwarder>(*this->mesh, this->settings.node, this->incarnation,
                                         this->settings.listen.mesh.toString());
     this->entry = std::make_unique<EntryPath>(*this->driver, *this->owner, *this->forwarder,
-                                              [](const FinishedRequest &) {});
+                                              [this](const RequestSample &request, Time now) {
+                                                  const std::lock_guard lock(this->reportMutex);
+                                                  this->collector.record(request, now);
+                                              });
     return this->listen();
 }
 
@@ -192,7 +213,7 @@
 
 void Process::receiveOther(const wire::MeshMessage &message)
 {
-    if (this->owner->receive(message)) {
+    if (this->owner->receive(message) || this->placement->receive(message, readBootTime())) {
         return;
     }
     if (message.has_forward()) {
@@ -225,7 +246,7 @@
     for (const auto &worker : this->workers) {
         worker->start();
     }
-    this->control.spawn([this] { this->watchUpstream(); });
+    this->control.spawn([this] { this->advanceEverySecond(); });
     logInfo(LogPart::Main, "process started",
             {{"node", this->settings.node},
              {"callers", this->settings.listen.callers.toString()},
@@ -272,21 +293,27 @@
            && (this->entry->openRequests() > 0 || this->owner->inFlightCount() > 0)) {
         std::this_thread::sleep_for(drainPoll);
     }
-    std::this_thread::sleep_for(connectionCloseTime);
+    std::this_thread::sleep_for(lateForwardTime);
 }
 
 // ---- Upstream watch ----
 
-void Process::watchUpstream()
+void Process::advanceEverySecond()
 {
     while (true) {
-        sleepFor(this->control.io(), watchEvery);
-        const bool isSilent = this->lastAnnouncement
-                              && readBootTime() - *this->lastAnnouncement > announcementLimit;
-        if (isSilent) {
-            logWarning(LogPart::Upstream, "upstream stopped announcing itself");
-            this->loseUpstream();
-        }
+        sleepFor(this->control.io(), 1s);
+        this->watchUpstream();
+        this->placement->advance(readBootTime());
+    }
+}
+
+void Process::watchUpstream()
+{
+    const bool isSilent =
+            this->lastAnnouncement && readBootTime() - *this->lastAnnouncement > announcementLimit;
+    if (isSilent) {
+        logWarning(LogPart::Upstream, "upstream stopped announcing itself");
+        this->loseUpstream();
     }
 }
 
--- a/packages/node/process.h
+++ b/packages/node/process.h
@@ -11,6 +11,7 @@
 #include "node/forwarder.h"
 #include "node/owner_path.h"
 #include "node/ownership_driver.h"
+#include "node/placement_driver.h"
 #include "node/upstream.h"
 #include "settings/settings.h"
 
@@ -53,8 +54,10 @@
     HttpResponse showStatus() const;
     HttpResponse showOwner(const HttpRequest &request) const;
     HttpResponse showRules() const;
-    HttpResponse showMetrics() const;
+    HttpResponse showMetrics();
+    HttpResponse showReport();
     HttpResponse takeAnnouncement(const HttpRequest &request);
+    void advanceEverySecond();
     void watchUpstream();
     void loseUpstream();
     void startDrain();
@@ -68,6 +71,7 @@
     std::unique_ptr<Mesh> mesh;
     std::unique_ptr<OwnerPath> owner;
     std::unique_ptr<OwnershipDriver> driver;
+    std::unique_ptr<PlacementDriver> placement;
     std::unique_ptr<Forwarder> forwarder;
     std::unique_ptr<EntryPath> entry;
     std::vector<std::shared_ptr<HttpServer>> callerServers;
@@ -75,6 +79,9 @@
     std::atomic<std::size_t> nextWorker{0}; // for forwarded requests
     std::atomic<bool> closing{false};
 
+    std::mutex reportMutex; // guards collector; a leaf lock
+    ReportCollector collector;
+
     // Control thread only.
     std::optional<Time> lastAnnouncement;
     Time rejoinAfter{};     // announcements are ignored until then
--- a/packages/node/upstream.cpp
+++ b/packages/node/upstream.cpp
@@ -236,7 +236,7 @@
     if (isFrozen) {
         logWarning(LogPart::Upstream, "upstream does not answer",
                    {{"address", this->info.address.toString()}});
-        this->hooks.reportLost();
+        this->hooks.reportLost(this);
     }
 }
 
@@ -294,7 +294,7 @@
     if (isRefused) {
         logWarning(LogPart::Upstream, "upstream refuses connections",
                    {{"address", this->info.address.toString()}});
-        this->hooks.reportLost();
+        this->hooks.reportLost(this);
     }
 }
 
--- a/packages/node/upstream.h
+++ b/packages/node/upstream.h
@@ -37,11 +37,14 @@
     std::uint32_t initialConcurrency = 0; // 0: the announced slots
 };
 
+class Upstream;
+
 // Both may be called on any worker thread.
 struct UpstreamHooks
 {
     std::function<void(const std::vector<Fingerprint> &running)> reportCrash;
-    std::function<void()> reportLost; // refuses connections or does not answer any more
+    // The upstream refuses connections or does not answer any more.
+    std::function<void(const Upstream *lost)> reportLost;
 };
 
 // Fence and deadline that go along with a request.
