ownership: check that every key is served again after all faults

A handover counts only from the predecessor's own node, and a process that another one of the same name superseded no longer speaks for older sessions.

--- a/packages/ownership/cluster_state.cpp
+++ b/packages/ownership/cluster_state.cpp
@@ -178,13 +178,21 @@
     if (this->findLive(join.supersedes()) != nullptr) {
         this->endSessions({join.supersedes()}, true, result);
     }
-    for (Slot slot = 0; slot < this->slotting.count() && !session.service.empty(); ++slot) {
-        ServiceState &state = this->services.find(session.service)->second;
+    if (!session.service.empty()) {
+        this->assignUnowned(session, result);
+    }
+    this->dropIfUnused(join.supersedes());
+}
+
+// Gives all slots without owner to a session that has just joined.
+void ClusterState::assignUnowned(const Session &session, ApplyResult &result)
+{
+    ServiceState &state = this->services.find(session.service)->second;
+    for (Slot slot = 0; slot < this->slotting.count(); ++slot) {
         if (state.slots[slot].owner == 0) {
             this->assign(session.service, state, slot, session.id, result);
         }
     }
-    this->dropIfUnused(join.supersedes());
 }
 
 void ClusterState::applyFence(const wire::LogRecord &record, ApplyResult &result)
--- a/packages/ownership/cluster_state.h
+++ b/packages/ownership/cluster_state.h
@@ -267,6 +267,7 @@
     Session *findLive(SessionId session);
     void assign(const std::string &service, ServiceState &state, Slot slot, SessionId to,
                 ApplyResult &result);
+    void assignUnowned(const Session &session, ApplyResult &result);
     void addPredecessor(SlotState &slot, Predecessor predecessor);
     void removePredecessor(SlotState &slot, SessionId session);
     void clearPredecessors(SlotState &slot);
--- a/packages/ownership/membership.cpp
+++ b/packages/ownership/membership.cpp
@@ -67,12 +67,14 @@
 
 void Membership::join(Time now)
 {
-    if (!this->wantsJoin(now)) {
-        return;
-    }
     const EngineSettings &settings = this->context.settings;
     const Session *newest = this->context.state.findNode(settings.node);
     const UpstreamInfo wanted = this->upstream.value_or(UpstreamInfo());
+    const AppendKey key{wire::LogRecord::kJoin, newest == nullptr ? 0 : newest->id,
+                        hashBytes(wanted.service)};
+    if (!this->wantsJoin(now) || now < this->context.appendDue(key)) {
+        return; // the choice of peers below takes long, so it is made only for an append
+    }
     wire::LogRecord record;
     wire::Join &join = *record.mutable_join();
     join.set_node(settings.node);
@@ -89,7 +91,6 @@
     for (const std::string &peer : choosePeers(this->context.state, query)) {
         join.add_peers(peer);
     }
-    const AppendKey key{record.body_case(), join.supersedes(), hashBytes(wanted.service)};
     if (this->context.append(key, record, now) && !this->joinedAt) {
         this->joinedAt = now;
     }
@@ -171,7 +172,7 @@
         return false;
     }
     if (!this->context.isOwn(*session)) {
-        return this->context.hasWaited(now);
+        return !this->superseded && this->context.hasWaited(now);
     }
     // Every request was dispatched with an expiry within the session's last lease.
     return now >= this->lease.finalLeaseEnd(id)
--- a/packages/ownership/takeover.cpp
+++ b/packages/ownership/takeover.cpp
@@ -196,8 +196,9 @@
 // beyond the last one number the parts of a transfer that come before the slot itself.
 void Takeover::onHandover(const std::string &from, const wire::Handover &handover, Time now)
 {
-    if (handover.service() != this->service || this->own == 0
-        || this->handovers.size() > handoverLimit) {
+    const Session *predecessor = this->context.state.findSession(handover.session());
+    if (predecessor == nullptr || predecessor->node != from || this->own == 0
+        || handover.service() != this->service || this->handovers.size() > handoverLimit) {
         return;
     }
     this->context.hooks.importRemembered(this->service,
--- a/packages/ownership/tests/test_ownership.cpp
+++ b/packages/ownership/tests/test_ownership.cpp
@@ -162,6 +162,20 @@
     });
 }
 
+// Guards against states in which nobody gains proof, lease or peers any more.
+TEST_CASE("every key is served again after all faults")
+{
+    rc::prop("every key is served again", [] {
+        WorldOptions options;
+        options.length = 22s; // the last fault ends at 10 s
+        World world(*genSchedule(), options);
+        world.run();
+        for (int key = 0; key < World::keys; ++key) {
+            RC_ASSERT(world.longestGap(key, 19s, 22s) < 1s);
+        }
+    });
+}
+
 // Guards against fault injection that is too tame to notice a missing rule. The other guards need
 // rarer coincidences; directed schedules below show that they matter.
 TEST_CASE("random faults find that a restarted peer does not wait")
