Shorten the ramp of a cold endpoint to 2 s

Cause: the ramp from 2 requests in 3 s held the limit below what the modelled endpoint could do, and the latency already lowers the limit when contention is high. Change: the ramp starts at 3 requests and takes 2 s. The test expects 3 instead of 2, as exactly as before.

--- a/packages/traffic/limiter.h
+++ b/packages/traffic/limiter.h
@@ -65,8 +65,8 @@
 {
     std::size_t queue = 256;      // most requests that wait
     Duration queueTime = 30ms;    // longest expected wait; more delays all answers and adds no work
-    double coldLimit = 2;         // first limit of a cold upstream
-    Duration coldRamp = 3s;       // time in which the cold limit grows to the announced slots
+    double coldLimit = 3;         // first limit of a cold upstream
+    Duration coldRamp = 2s;       // time in which the cold limit grows to the announced slots
     double decrease = 0.8;        // factor on latency or a lost connection, once a round trip
     double refusalDecrease = 0.9; // factor on a refusal, at most once a round trip
     double timeoutDecrease = 0.5; // factor on a timeout, at most once a round trip
@@ -104,7 +104,7 @@
     void advance(Time now);
     std::optional<Time> nextDue() const;
 
-    // Returns and clears the output. Call after finish, cancelWaiting and advance.
+    // Returns and clears the output. Call after each other call.
     LimiterOutput takeOutput();
 
     std::size_t inFlight() const { return this->running.size(); }
--- a/packages/traffic/tests/test_traffic.cpp
+++ b/packages/traffic/tests/test_traffic.cpp
@@ -265,5 +265,5 @@
     limiter.announce(4, 6, now);
     REQUIRE(limiter.limit() == 1); // a health report adds no capacity
     limiter.startCold(now);
-    REQUIRE(runRound(CallEnd::Answered) == 2);
+    REQUIRE(runRound(CallEnd::Answered) == 3);
 }
