--- a/packages/traffic/tests/test_journal.cpp
+++ b/packages/traffic/tests/test_journal.cpp
@@ -114,3 +114,63 @@
         CHECK(scenarios > 0);
     }
 }
+
+// Guards against a verdict "new" without proof, and against replies that nobody asked for.
+TEST_CASE("a lookup needs a majority of complete peers of each session")
+{
+    const RequestId id{.high = 0x7000, .low = 1};
+    const JournalPeerSet set{.generation = 0, .peers = {"a", "b", "c"}};
+    JournalLookup lookup(7);
+    const auto verdictOf = [&](const std::vector<LineageSession> &lineage) {
+        lookup.begin(id, lineage, 1s, 0s);
+        return lookup.takeOutput().results;
+    };
+    REQUIRE(verdictOf({}).at(0).verdict == LookupVerdict::New);
+    REQUIRE(verdictOf({{1, {}}}).at(0).verdict == LookupVerdict::Unknown);
+    const LineageSession asked{.session = 1, .peerSets = {set}};
+    REQUIRE(verdictOf({asked, asked, asked, asked}).at(0).verdict == LookupVerdict::Unknown);
+
+    const LookupTicket ticket = lookup.begin(id, {asked}, 1s, 0s);
+    REQUIRE(lookup.takeOutput().messages.size() == 3);
+    const auto reply = [&](const char *from, std::uint64_t session, wire::JournalVerdict verdict) {
+        wire::JournalReply message;
+        message.set_session(session);
+        message.set_query(ticket);
+        message.set_verdict(verdict);
+        lookup.reply(from, message, 1ms);
+        return lookup.takeOutput().results;
+    };
+    REQUIRE(reply("a", 1, wire::JOURNAL_NOT_KNOWN).empty());
+    REQUIRE(reply("a", 1, wire::JOURNAL_NOT_KNOWN).empty());
+    REQUIRE(reply("b", 1, wire::JOURNAL_UNKNOWN).empty());
+    REQUIRE(reply("b", 2, wire::JOURNAL_NOT_KNOWN).empty());
+    REQUIRE(reply("d", 1, wire::JOURNAL_NOT_KNOWN).empty());
+    REQUIRE(reply("c", 1, wire::JOURNAL_NOT_KNOWN).at(0).verdict == LookupVerdict::New);
+
+    lookup.begin(id, {asked}, 1s, 0s);
+    lookup.advance(1s);
+    REQUIRE(lookup.takeOutput().results.at(0).verdict == LookupVerdict::Unknown);
+}
+
+// Guards against a peer that is slow to acknowledge and gets everything resent without end, and
+// against a write that waits past its deadline.
+TEST_CASE("a write fails at its deadline and resends are bounded")
+{
+    JournalWriter writer(1);
+    writer.setPeerSets({{.generation = 0, .peers = {"a", "b", "c"}}}, 0s);
+    for (const char *node : {"a", "b", "c"}) {
+        writer.notePeer(node, 5, 0s);
+    }
+    const WriteTicket ticket = writer.write({{.id = {0x7000, 1}, .keyHash = 1}}, 900ms, 0s);
+    std::size_t messages = 0;
+    std::vector<WriteTicket> failed;
+    for (std::optional<Time> due = writer.nextDue(); due && *due < 1h; due = writer.nextDue()) {
+        writer.advance(*due);
+        const JournalOutput out = writer.takeOutput();
+        messages += out.messages.size();
+        failed.insert(failed.end(), out.failed.begin(), out.failed.end());
+        REQUIRE(out.written.empty());
+    }
+    REQUIRE(failed == std::vector<WriteTicket>{ticket});
+    REQUIRE(messages <= 60); // 3 peers, 2 writes each, 8 sendings in 1 s
+}
--- a/packages/traffic/tests/test_traffic.cpp
+++ b/packages/traffic/tests/test_traffic.cpp
@@ -267,3 +267,24 @@
     limiter.startCold(now);
     REQUIRE(runRound(CallEnd::Answered) == 3);
 }
+
+// Guards against a frozen endpoint that gets one request after the other.
+TEST_CASE("a silent endpoint gets one probe at a time")
+{
+    EndpointLimiter limiter(4, 6, false, 0s);
+    for (RequestNumber request = 1; request <= 4; ++request) {
+        REQUIRE(limiter.admit(request, 100ms, 0s).action == AdmitAction::Dispatch);
+    }
+    for (RequestNumber request = 1; request <= 4; ++request) {
+        limiter.finish(request, CallEnd::TimedOut, 100ms);
+    }
+    REQUIRE(limiter.admit(5, 1s, 100ms).action == AdmitAction::Dispatch);
+    REQUIRE(limiter.admit(6, 2s, 100ms).action == AdmitAction::Wait);
+    limiter.finish(5, CallEnd::TimedOut, 110ms);
+    REQUIRE(limiter.takeOutput().dispatch.empty());
+    REQUIRE(limiter.nextDue() == Time(150ms));
+    limiter.advance(150ms);
+    REQUIRE(limiter.takeOutput().dispatch == std::vector<RequestNumber>{6});
+    limiter.finish(6, CallEnd::Answered, 152ms);
+    REQUIRE(limiter.admit(7, 1s, 152ms).action == AdmitAction::Dispatch);
+}
