Report the time from the kill until all keys are served again

Cause: a gap counted from the first failed attempt leaves out the time between the kill and that attempt.

--- a/packages/standins/tests/test_verdict.cpp
+++ b/packages/standins/tests/test_verdict.cpp
@@ -117,6 +117,11 @@
             makeAttempt("c", Outcome::NotRun, 200ms), makeAttempt("d", Outcome::Done, 500ms)};
     REQUIRE(judge(attempts, {}).longestGap == 401ms);
     REQUIRE(judge(attempts, {}, Time(150ms)).longestGap == 301ms);
+    REQUIRE(judge(attempts, {}, Time(50ms)).servedAgain == 451ms);
+    REQUIRE(judge({makeAttempt("b", Outcome::NotRun, 3s), makeAttempt("c", Outcome::Done, 4s)}, {},
+                  Time(50ms))
+                    .servedAgain
+            == 0s);
     REQUIRE(judge(attempts, {}).keysNotServedAgain == 0);
     REQUIRE(judge({attempts[0], attempts[1]}, {}).keysNotServedAgain == 1);
 }
--- a/packages/standins/verdict.cpp
+++ b/packages/standins/verdict.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t exampleLimit = 20;
+constexpr Duration causedWithin = 2s; // the target of recovery after a loss
 constexpr double p50Rank = 0.50;
 constexpr double p99Rank = 0.99;
 
@@ -166,6 +167,9 @@
                 verdict.longestGap = attempt->finished - *since;
                 verdict.longestGapKey = key;
             }
+            if (since && failedAt && *since <= *failedAt + causedWithin) {
+                verdict.servedAgain = std::max(verdict.servedAgain, attempt->finished - *failedAt);
+            }
             since.reset();
         }
         verdict.keysNotServedAgain += since ? 1 : 0;
@@ -255,28 +259,29 @@
 
 std::string Verdict::toText() const
 {
-    std::string text =
-            absl::StrFormat("requests sent                         %d\n"
-                            "  done                                %d\n"
-                            "  not run                             %d\n"
-                            "  unknown                             %d\n"
-                            "repeats of unknown writes             %d\n"
-                            "probes of keys that failed            %d\n"
-                            "runs in the ledgers                   %d\n"
-                            "run twice                             %d   (must be 0)\n"
-                            "reported not run, but ran             %d   (must be 0)\n"
-                            "reported done, but missing            %d   (must be 0)\n"
-                            "same key at two upstreams at a time   %d   (must be 0)\n"
-                            "wrong or incomplete answers           %d   (must be 0)\n"
-                            "longest time a key was not served     %.0f ms %s\n"
-                            "keys not served again                 %d\n"
-                            "latency p50 / p99                     %.2f ms / %.2f ms\n"
-                            "keys that moved                       %d of %d\n",
-                            this->sent, this->done, this->notRun, this->unknown, this->repeats,
-                            this->probes, this->runs, this->runTwice, this->notRunButRan,
-                            this->doneButMissing, this->overlaps, this->wrongAnswers,
-                            toMs(this->longestGap), this->longestGapKey, this->keysNotServedAgain,
-                            toMs(this->p50), toMs(this->p99), this->movedKeys, this->keys);
+    std::string text = absl::StrFormat(
+            "requests sent                         %d\n"
+            "  done                                %d\n"
+            "  not run                             %d\n"
+            "  unknown                             %d\n"
+            "repeats of unknown writes             %d\n"
+            "probes of keys that failed            %d\n"
+            "runs in the ledgers                   %d\n"
+            "run twice                             %d   (must be 0)\n"
+            "reported not run, but ran             %d   (must be 0)\n"
+            "reported done, but missing            %d   (must be 0)\n"
+            "same key at two upstreams at a time   %d   (must be 0)\n"
+            "wrong or incomplete answers           %d   (must be 0)\n"
+            "longest time a key was not served     %.0f ms %s\n"
+            "served again after the fault          %.0f ms\n"
+            "keys not served again                 %d\n"
+            "latency p50 / p99                     %.2f ms / %.2f ms\n"
+            "keys that moved                       %d of %d\n",
+            this->sent, this->done, this->notRun, this->unknown, this->repeats, this->probes,
+            this->runs, this->runTwice, this->notRunButRan, this->doneButMissing, this->overlaps,
+            this->wrongAnswers, toMs(this->longestGap), this->longestGapKey,
+            toMs(this->servedAgain), this->keysNotServedAgain, toMs(this->p50), toMs(this->p99),
+            this->movedKeys, this->keys);
     for (const auto &[service, share] : this->services) {
         absl::StrAppendFormat(&text, "imbalance of %-24s %.2f  runs:", service, share.imbalance);
         for (const auto &[upstream, count] : share.runs) {
@@ -315,6 +320,7 @@
                               {"examples", this->examples},
                               {"longestGapMs", toMs(this->longestGap)},
                               {"longestGapKey", this->longestGapKey},
+                              {"servedAgainMs", toMs(this->servedAgain)},
                               {"keysNotServedAgain", this->keysNotServedAgain},
                               {"p50Ms", toMs(this->p50)},
                               {"p99Ms", toMs(this->p99)},
--- a/packages/standins/verdict.h
+++ b/packages/standins/verdict.h
@@ -45,6 +45,7 @@
 
     Duration longestGap{}; // longest time from a failed attempt to the key's next answer
     std::string longestGapKey;
+    Duration servedAgain{}; // from the injected fault to the end of the gaps that it caused
     std::uint64_t keysNotServedAgain = 0; // keys whose last attempt failed
     Duration p50{};                       // of done first attempts, from the due time
     Duration p99{};
@@ -57,7 +58,8 @@
     std::string toJson() const;
 };
 
-// With `failedAt`, gaps are measured only from attempts that ended later.
+// With `failedAt`, gaps are measured only from attempts that ended later, and gaps that begin
+// within 2 s after it count as caused by the fault.
 Verdict judge(const std::vector<Attempt> &attempts, const Records &records,
               std::optional<Time> failedAt = std::nullopt);
 
--- a/packages/system/tests/test_system.cpp
+++ b/packages/system/tests/test_system.cpp
@@ -113,6 +113,7 @@
     REQUIRE(verdict.keepsPromises());
     REQUIRE(verdict.keysNotServedAgain == 0);
     REQUIRE(verdict.longestGap <= recoveryTarget);
+    REQUIRE(verdict.servedAgain <= recoveryTarget);
 }
 
 // Guards against an owner that acts on an expired lease when it resumes.
@@ -133,6 +134,7 @@
     REQUIRE(verdict.keepsPromises());
     REQUIRE(verdict.keysNotServedAgain == 0);
     REQUIRE(verdict.longestGap <= recoveryTarget);
+    REQUIRE(verdict.servedAgain <= recoveryTarget);
     REQUIRE(owner.process->isRunning());
     REQUIRE(cluster.read(owner, "testlog", "D-1").outcome == Outcome::Done);
 }
@@ -201,6 +203,7 @@
     REQUIRE(verdict.unknown == 0);
     REQUIRE(verdict.keysNotServedAgain == 0);
     REQUIRE(verdict.longestGap <= recoveryTarget);
+    REQUIRE(verdict.servedAgain <= recoveryTarget);
     REQUIRE(countRunsAfter(cluster, owner.upstreamName, stoppedAt + drainTarget) == 0);
 }
 
