--- a/packages/ctl/clients.cpp
+++ b/packages/ctl/clients.cpp
@@ -5,6 +5,7 @@
 #include "base/text.h"
 #include "wire/log.pb.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
@@ -28,8 +29,9 @@
 
 std::string describeAnswer(const HttpResult &result)
 {
-    return absl::StrCat("HTTP ", result.status, " ", result.errorKind, " ",
-                        result.body.substr(0, maxReasonBytes));
+    std::string body = result.body.substr(0, maxReasonBytes);
+    absl::RemoveExtraAsciiWhitespace(&body); // reasons are lines
+    return absl::StrCat("HTTP ", result.status, " ", result.errorKind, " ", body);
 }
 
 // Returns the body of a successful answer.
@@ -187,7 +189,7 @@
 // --- log client ---
 
 // Goes on to the next address only if the call cannot have reached the one before.
-HttpResult LogClient::send(HttpCall call) const
+HttpResult RulesLog::send(HttpCall call) const
 {
     HttpResult result;
     for (const Address &server : this->servers) {
@@ -200,8 +202,8 @@
     return result;
 }
 
-AppendResult LogClient::appendRules(std::uint64_t baseVersion, PublicationId id,
-                                    const std::string &author, const std::string &text) const
+RulesAppendResult RulesLog::appendRules(std::uint64_t baseVersion, PublicationId id,
+                                        const std::string &author, const std::string &text) const
 {
     wire::LogRecord record;
     wire::Rules *rules = record.mutable_rules();
@@ -230,7 +232,7 @@
             "log: " + describeAnswer(result)};
 }
 
-std::optional<RulesBatch> LogClient::readRules(std::uint64_t from, Duration wait) const
+std::optional<RulesBatch> RulesLog::readRules(std::uint64_t from, Duration wait) const
 {
     const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
     const std::string target =
--- a/packages/ctl/commands.cpp
+++ b/packages/ctl/commands.cpp
@@ -7,16 +7,13 @@
 #include "ctl/publish.h"
 #include "report/table.h"
 #include "rules/rules.h"
+#include "settings/file.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
-#include <array>
-#include <cerrno>
-#include <cstring>
-#include <fstream>
 #include <map>
 #include <ostream>
 #include <utility>
@@ -62,22 +59,6 @@
 
 // --- rules files ---
 
-absl::StatusOr<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    std::string text;
-    std::array<char, 65'536> buffer{};
-    while (file.read(buffer.data(), buffer.size()) || file.gcount() > 0) {
-        text.append(buffer.data(), static_cast<std::size_t>(file.gcount()));
-    }
-    if (!file.eof()) { // such as a directory
-        const std::string reason = std::strerror(errno);
-        return makeError(ErrorKind::RulesRefused,
-                         toStd(absl::StrCat(path, ": cannot be read: ", reason)));
-    }
-    return text;
-}
-
 struct CheckedFile
 {
     std::string text;
@@ -86,7 +67,7 @@
 
 absl::StatusOr<CheckedFile> checkFile(const std::string &path)
 {
-    auto text = readFile(path);
+    auto text = readFile(path, ErrorKind::RulesRefused);
     if (!text.ok()) {
         return text.status();
     }
@@ -239,7 +220,7 @@
         return refuse(context, file.status());
     }
     const AdminClient admin(context.admin);
-    const LogClient log(context.log);
+    const RulesLog log(context.log);
     const PublicationId id = makePublicationId();
     const PublishOutcome outcome = publishRules(admin, log, id, author, file->text);
     printOutcome(context, outcome, id);
@@ -352,6 +333,7 @@
     Report sum;
     std::vector<std::string> included; // nodes
     std::vector<std::string> missing;  // nodes with the reason
+    ErrorKind lastFault = ErrorKind::None;
 };
 
 FleetReport collectReports(const std::map<std::string, Address> &nodes)
@@ -369,6 +351,7 @@
             fleet.sum.merge(*reports[index]);
             fleet.included.push_back(names[index]);
         } else {
+            fleet.lastFault = errorKindOf(reports[index].status());
             fleet.missing.push_back(
                     absl::StrCat(names[index], ": ", reports[index].status().message()));
         }
@@ -402,7 +385,7 @@
     }
     const FleetReport fleet = collectReports(nodesOf(*status, context.admin));
     if (fleet.included.empty()) {
-        return refuse(context, ErrorKind::UpstreamUnreachable, fleet.missing);
+        return refuse(context, fleet.lastFault, fleet.missing);
     }
     printFleet(context, fleet);
     return exitDone;
--- a/packages/ownership/engine_types.h
+++ b/packages/ownership/engine_types.h
@@ -12,6 +12,10 @@
 #include <string>
 #include <vector>
 
+namespace kumquat::wire {
+class TraceEvent;
+} // namespace kumquat::wire
+
 namespace kumquat {
 
 // ---- settings ----
@@ -52,6 +56,7 @@
     bool allPeerSets = true;         // every unsettled peer set counts, not only the newest
     bool waitAfterRestart = true;    // a restarted peer waits one lease
     bool readAfterRestart = true;    // a restarted peer reads to an end asked for after its start
+    bool settleAfterLease = true;    // a peer set is settled when leases of older sets are over
     bool driftMargin = true;         // owners shorten, peers lengthen by the drift bound
 };
 
@@ -87,6 +92,10 @@
     // Takes over remembered requests; may see the same request twice.
     std::function<void(const std::string &service, const std::vector<wire::RememberedRequest> &)>
             importRemembered;
+
+    // Sees every input before the engine takes it; may be empty. Inputs that trace.proto has no
+    // kind for (answering, upstream, drain, move, bind, journal) are seen as ticks.
+    std::function<void(const wire::TraceEvent &)> trace;
 };
 
 // ---- inputs ----
--- a/packages/placement/rates.h
+++ b/packages/placement/rates.h
@@ -33,6 +33,9 @@
 class SlotRates
 {
 public:
+    // Every slot counts as a little load, so that slots spread evenly even without any request.
+    static constexpr double baseRate = 1e-4; // requests/s
+
     explicit SlotRates(Duration rateWindow)
         : window(rateWindow)
     {}
@@ -54,6 +57,12 @@
     // Returns requests/s of the slots that are not pending.
     double load(Time now) const;
 
+    // Returns whether the load is a guess, because no slot has been observed long enough.
+    bool isGuess() const { return this->observed == 0 && !this->owned.empty(); }
+
+    // Sets the requests/s that a slot counts for while no slot has been observed long enough.
+    void setGuess(double rate);
+
     // Returns requests/s of one slot, 0 if it is not owned.
     double rateOf(Slot slot) const;
 
@@ -68,11 +77,15 @@
 private:
     OwnSlot *findOwn(Slot slot);
 
-    // Returns the average requests/s of the slots that have been observed long enough.
-    double averageRate() const;
+    void updateAverage();
+
+    // Returns the requests/s of a slot, drawn to the average if it has few requests.
+    double estimate(const OwnSlot &entry) const;
 
     Duration window;
     std::vector<OwnSlot> owned; // ascending by slot
+    std::size_t observed = 0;   // slots that were observed long enough
+    double average = baseRate;  // requests/s of the slots that were observed long enough
 };
 
 } // namespace kumquat
