node: record traces, test forwarding and requests in flight

Change: the driver writes each engine input to a trace file; test_node covers conversion, matching of answers, lost owners and requests that may still run. Conclusion: a fault seen live can be replayed.

--- a/packages/node/main.cpp
+++ b/packages/node/main.cpp
@@ -20,13 +20,14 @@
 constexpr const char *usageText = R"(kumquatstage: routes each request to the only owner of its key.
 
 Usage:
-  kumquatstage --config FILE
+  kumquatstage --config FILE [--trace FILE]
   kumquatstage --check-config FILE
   kumquatstage --version
   kumquatstage --help
 
 Options:
   --config FILE        Run with these settings (JSON).
+  --trace FILE         Record the inputs of the ownership decisions, for replay.
   --check-config FILE  Check the settings and exit; all faults are printed.
   --version            Print the version.
   --help               Print this text.
@@ -46,7 +47,7 @@
     return exitDone;
 }
 
-int runProcess(const std::string &path)
+int runProcess(const std::string &path, const std::string &tracePath)
 {
     auto settings = kumquat::loadSettings(path);
     if (!settings.ok()) {
@@ -59,6 +60,12 @@
         kumquat::logError(kumquat::LogPart::Main, kumquat::toStd(process.status().message()));
         return exitRefused;
     }
+    const absl::Status tracing =
+            tracePath.empty() ? absl::OkStatus() : (*process)->recordTrace(tracePath);
+    if (!tracing.ok()) {
+        kumquat::logError(kumquat::LogPart::Main, kumquat::toStd(tracing.message()));
+        return exitRefused;
+    }
     (*process)->run();
     // Fibers of idle connections never end, so the process leaves without joining its threads.
     std::quick_exit(exitDone);
@@ -84,5 +91,6 @@
     if (options["--check-config"].isString()) {
         return checkConfig(options["--check-config"].asString());
     }
-    return runProcess(options["--config"].asString());
+    const docopt::value &trace = options["--trace"];
+    return runProcess(options["--config"].asString(), trace.isString() ? trace.asString() : "");
 }
--- a/packages/node/ownership_driver.cpp
+++ b/packages/node/ownership_driver.cpp
@@ -3,6 +3,7 @@
 #include "base/errors.h"
 #include "base/log.h"
 #include "base/text.h"
+#include "ownership/replay.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -34,21 +35,24 @@
                         EngineHooks engineHooks, LogClientSettings logSettings, DriverHooks hooks)
 {
     const std::string node = settings.node;
+    const std::uint64_t incarnation = settings.incarnation;
     auto engine = OwnershipEngine::create(std::move(settings), std::move(engineHooks));
     if (!engine.ok()) {
         return engine.status();
     }
-    return std::unique_ptr<OwnershipDriver>(new OwnershipDriver(
-            thread, mesh, *std::move(engine), node, std::move(logSettings), std::move(hooks)));
+    return std::unique_ptr<OwnershipDriver>(
+            new OwnershipDriver(thread, mesh, *std::move(engine), node, incarnation,
+                                std::move(logSettings), std::move(hooks)));
 }
 
 OwnershipDriver::OwnershipDriver(FiberThread &driverThread, Mesh &driverMesh,
                                  std::unique_ptr<OwnershipEngine> driverEngine,
-                                 std::string nodeName, LogClientSettings logSettings,
-                                 DriverHooks driverHooks)
+                                 std::string nodeName, std::uint64_t ownIncarnation,
+                                 LogClientSettings logSettings, DriverHooks driverHooks)
     : thread(driverThread)
     , mesh(driverMesh)
     , node(std::move(nodeName))
+    , incarnation(ownIncarnation)
     , hooks(std::move(driverHooks))
     , engine(std::move(driverEngine))
     , log(driverThread, std::move(logSettings),
@@ -56,7 +60,11 @@
                              wire::LogRecord &&record) { this->takeRecord(offset, record); },
            .reachEnd =
                    [this](std::uint64_t end, Time askedAt) {
-                       this->input([&](Time now) { this->engine->onLogEnd(end, askedAt, now); });
+                       wire::TraceEvent event;
+                       event.mutable_log_end()->set_end(end);
+                       event.mutable_log_end()->set_asked_at_ns(askedAt.count());
+                       this->input([&](Time now) { this->engine->onLogEnd(end, askedAt, now); },
+                                   &event);
                    },
            .skipGap =
                    [this](std::uint64_t firstKept) {
@@ -67,29 +75,52 @@
                        this->logAnswering = answering;
                        this->input([&](Time now) { this->engine->onLogAnswering(answering, now); });
                    }})
-    , tick(driverThread,
-           [this](Time) { this->input([this](Time now) { this->engine->onTick(now); }); })
+    , tick(driverThread, [this](Time) { this->advanceEngine(); })
 {}
 
 void OwnershipDriver::start()
 {
     this->startedAt = readBootTime();
     this->thread.post([this] {
-        this->input([this](Time now) { this->engine->start(now); });
+        wire::TraceEvent event;
+        event.mutable_start()->set_node(this->node);
+        event.mutable_start()->set_incarnation(this->incarnation);
+        this->input([this](Time now) { this->engine->start(now); }, &event);
         this->log.startReading(0);
     });
 }
 
 // ---- Inputs ----
 
+absl::Status OwnershipDriver::recordTrace(const std::string &path)
+{
+    this->trace.open(path, std::ios::binary | std::ios::trunc);
+    if (!this->trace) {
+        return makeError(ErrorKind::SettingsInvalid, absl::StrCat("cannot write trace ", path));
+    }
+    return absl::OkStatus();
+}
+
+void OwnershipDriver::writeTrace(wire::TraceEvent &event, Time now)
+{
+    event.set_time_ns(now.count());
+    std::string bytes;
+    appendTraceEvent(bytes, event);
+    this->trace << bytes << std::flush;
+}
+
 template <typename Function>
-void OwnershipDriver::input(Function function)
+void OwnershipDriver::input(Function function, wire::TraceEvent *event)
 {
     EngineOutput output;
     OwnSession session;
     {
         const std::unique_lock lock(this->engineMutex);
-        function(readBootTime());
+        const Time now = readBootTime();
+        if (event != nullptr && this->trace.is_open()) {
+            this->writeTrace(*event, now);
+        }
+        function(now);
         output = this->engine->takeOutput();
         session = this->engine->ownSession();
     }
@@ -122,10 +153,15 @@
 void OwnershipDriver::takeRecord(std::uint64_t offset, const wire::LogRecord &record)
 {
     std::uint64_t version = 0;
-    this->input([&](Time now) {
-        version = this->engine->cluster().rules().version;
-        this->engine->onRecord(offset, record, now);
-    });
+    wire::TraceEvent event;
+    event.mutable_record()->set_offset(offset);
+    *event.mutable_record()->mutable_record() = record;
+    this->input(
+            [&](Time now) {
+                version = this->engine->cluster().rules().version;
+                this->engine->onRecord(offset, record, now);
+            },
+            &event);
     this->updateRules(version);
     if (record.has_crash_suspect()) {
         this->hooks.reportCrash(record.crash_suspect());
@@ -159,7 +195,11 @@
         this->hooks.receiveOther(message);
         return;
     }
-    this->input([&](Time now) { this->engine->onMessage(message, now); });
+    wire::TraceEvent event;
+    if (this->trace.is_open()) {
+        *event.mutable_message() = message;
+    }
+    this->input([&](Time now) { this->engine->onMessage(message, now); }, &event);
 }
 
 void OwnershipDriver::setUpstream(const std::optional<UpstreamInfo> &upstream)
@@ -201,6 +241,13 @@
     this->log.append(record);
 }
 
+void OwnershipDriver::advanceEngine()
+{
+    wire::TraceEvent event;
+    event.mutable_tick();
+    this->input([this](Time now) { this->engine->onTick(now); }, &event);
+}
+
 void OwnershipDriver::wake()
 {
     if (this->wakePosted.exchange(true)) {
@@ -208,7 +255,7 @@
     }
     this->thread.post([this] {
         this->wakePosted = false;
-        this->input([this](Time now) { this->engine->onTick(now); });
+        this->advanceEngine();
     });
 }
 
--- a/packages/node/ownership_driver.h
+++ b/packages/node/ownership_driver.h
@@ -11,8 +11,10 @@
 #include "ownership/engine.h"
 #include "rules/rules.h"
 #include "traffic/journal.h"
+#include "wire/trace.pb.h"
 
 #include <atomic>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <shared_mutex>
@@ -60,6 +62,10 @@
     create(FiberThread &thread, Mesh &mesh, EngineSettings settings, EngineHooks engineHooks,
            LogClientSettings logSettings, DriverHooks hooks);
 
+    // Records the engine's inputs to a file, for replay. Call before start().
+    // Error: SettingsInvalid if the file cannot be written.
+    absl::Status recordTrace(const std::string &path);
+
     // Starts the engine and the log reader; call once, before the thread starts.
     void start();
 
@@ -114,20 +120,25 @@
 
 private:
     OwnershipDriver(FiberThread &thread, Mesh &mesh, std::unique_ptr<OwnershipEngine> engine,
-                    std::string node, LogClientSettings logSettings, DriverHooks hooks);
+                    std::string node, std::uint64_t incarnation, LogClientSettings logSettings,
+                    DriverHooks hooks);
 
     template <typename Function>
-    void input(Function function);
+    void input(Function function, wire::TraceEvent *event = nullptr);
+    void writeTrace(wire::TraceEvent &event, Time now);
     void carryOut(EngineOutput &&output);
     void armTick();
+    void advanceEngine();
     void takeRecord(std::uint64_t offset, const wire::LogRecord &record);
     void updateRules(std::uint64_t previousVersion);
 
     FiberThread &thread;
     Mesh &mesh;
     std::string node;
+    std::uint64_t incarnation;
     DriverHooks hooks;
-    mutable std::shared_mutex engineMutex; // guards engine
+    mutable std::shared_mutex engineMutex; // guards engine and trace
+    std::ofstream trace;                   // open while inputs are recorded
     std::unique_ptr<OwnershipEngine> engine;
     LogClient log;
     DueTimer tick;
--- a/packages/node/process.h
+++ b/packages/node/process.h
@@ -34,6 +34,9 @@
     static absl::StatusOr<std::unique_ptr<Process>> create(Settings settings);
     ~Process();
 
+    // Records the inputs of the ownership engine to a file. Call before run().
+    absl::Status recordTrace(const std::string &path) { return this->driver->recordTrace(path); }
+
     // Runs until a signal or a drain ends the process gracefully.
     void run();
 
--- /dev/null
+++ b/packages/node/tests/test_node.cpp
@@ -0,0 +1,153 @@
+#include "node/entry_path.h"
+#include "node/forwarder.h"
+#include "node/in_flight.h"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+
+using namespace kumquat;
+
+namespace {
+
+constexpr std::uint16_t meshPort = 18'491;
+constexpr std::uint64_t incarnation = 77;
+
+RoutedRequest makeRequest()
+{
+    RoutedRequest request;
+    request.service = "testlog";
+    request.keyHash = 5;
+    request.deadline = readBootTime() + 2s;
+    request.idempotent = true;
+    request.fingerprint = 9;
+    request.http = {"POST", "/testlog/D-1?x=1", {{"Detector", "D-1"}}, std::string("a\0b", 3)};
+    return request;
+}
+
+// A process on the mesh that answers or ignores forwards.
+struct MeshFixture
+{
+    explicit MeshFixture(std::function<void(MeshFixture &, const wire::Forward &)> onForward)
+        : thread("test")
+        , mesh(thread, {.receive =
+                                [this, onForward](wire::MeshMessage &&message) {
+                                    if (message.has_forward()) {
+                                        onForward(*this, message.forward());
+                                    } else {
+                                        this->forwarder.complete(message.forward_reply());
+                                    }
+                                }})
+        , forwarder(mesh, "n1", incarnation, address.toString())
+    {
+        REQUIRE(this->mesh.bind(this->address).ok());
+        this->thread.start();
+    }
+
+    ~MeshFixture() { this->thread.stop(); }
+
+    void reply(const wire::RequestId &id, const std::string &body)
+    {
+        wire::MeshMessage message;
+        *message.mutable_forward_reply()->mutable_forward_id() = id;
+        message.mutable_forward_reply()->set_http_status(200);
+        message.mutable_forward_reply()->set_body(body);
+        this->mesh.send(this->address.toString(), message);
+    }
+
+    RoutedAnswer forward(const RoutedRequest &request)
+    {
+        auto promise = std::make_shared<std::promise<RoutedAnswer>>();
+        auto result = promise->get_future();
+        this->thread.spawn([this, promise, request] {
+            promise->set_value(this->forwarder.forward(this->thread.io(), this->address.toString(),
+                                                       request, 0));
+        });
+        return result.get();
+    }
+
+    Address address{"127.0.0.1", meshPort};
+    FiberThread thread;
+    Mesh mesh;
+    Forwarder forwarder;
+};
+
+} // namespace
+
+TEST_CASE("a forwarded request and its answer keep every byte")
+{
+    const RoutedRequest request = makeRequest();
+    const Time now = request.deadline - 1s;
+    const RoutedRequest copy = fromForward(toForward(request, now), now);
+    REQUIRE(copy.deadline == request.deadline);
+    REQUIRE(copy.http.body == request.http.body);
+    REQUIRE(copy.http.target == request.http.target);
+    REQUIRE(copy.http.field("detector") == "D-1");
+    RoutedAnswer answer = makeFailure(ErrorKind::NotOwner, "moved");
+    answer.logOffset = 12;
+    const RoutedAnswer back = fromForwardReply(toForwardReply(answer));
+    REQUIRE(back.error == ErrorKind::NotOwner);
+    REQUIRE(back.logOffset == 12);
+    wire::ForwardReply unknown;
+    unknown.set_error_kind(1'000);
+    REQUIRE(fromForwardReply(unknown).error == ErrorKind::Internal);
+}
+
+// Guards against an answer to an earlier incarnation or to another request reaching a caller.
+TEST_CASE("only the answer to the own request is taken")
+{
+    MeshFixture fixture([](MeshFixture &self, const wire::Forward &forward) {
+        wire::RequestId earlier = forward.forward_id();
+        earlier.set_high(incarnation - 1);
+        self.reply(earlier, "earlier incarnation");
+        wire::RequestId other = forward.forward_id();
+        other.set_low(other.low() + 100);
+        self.reply(other, "other request");
+        self.reply(forward.forward_id(), "own");
+        self.reply(forward.forward_id(), "late duplicate");
+    });
+    const RoutedAnswer answer = fixture.forward(makeRequest());
+    REQUIRE(answer.error == ErrorKind::None);
+    REQUIRE(answer.http.body == "own");
+    REQUIRE(fixture.forward(makeRequest()).http.body == "own");
+    REQUIRE(fixture.forwarder.unmatchedReplies() >= 4);
+}
+
+// Guards against calling a request not run when its owner did not answer.
+TEST_CASE("a forward without an answer has an unknown outcome")
+{
+    MeshFixture fixture([](MeshFixture &, const wire::Forward &) {});
+    RoutedRequest request = makeRequest();
+    request.deadline = readBootTime() + 50ms;
+    const RoutedAnswer answer = fixture.forward(request);
+    REQUIRE(answer.error == ErrorKind::OwnerLost);
+    REQUIRE(errorInfo(answer.error).outcome == Outcome::Unknown);
+}
+
+// Guards against a handover while the upstream may still run a request whose connection broke.
+TEST_CASE("a request that may still run is in flight until it expires")
+{
+    InFlight inFlight;
+    SlotKeys keys;
+    keys.service = "testlog";
+    keys.slot = slotOf(5);
+    const RequestNumber number = inFlight.add("testlog", 5);
+    REQUIRE(inFlight.has(keys, 0s));
+    inFlight.setExpiry(number, 10s);
+    inFlight.end(number, true);
+    REQUIRE(inFlight.has(keys, 9s));
+    REQUIRE(inFlight.hasAny("testlog", 9s));
+    REQUIRE_FALSE(inFlight.hasAny("certdesk", 9s));
+    REQUIRE_FALSE(inFlight.has(keys, 10s));
+    inFlight.end(inFlight.add("testlog", 5), false);
+    REQUIRE(inFlight.count() == 0);
+}
+
+TEST_CASE("an error answer names kind, outcome and remedy")
+{
+    const HttpResponse response = makeErrorResponse(ErrorKind::OwnerLost, "broken \xff text");
+    REQUIRE(response.status == 502);
+    REQUIRE(response.field("Kumquat-Outcome") == "unknown");
+    REQUIRE(response.field("kumquat-error") == "owner-lost");
+    REQUIRE(response.body.find("remedy") != std::string::npos);
+}
