rules: refuse a file without any rule

Cause: publishing an empty file by mistake would refuse every request. Change: such a file is a fault; two assertions that allowed it now expect it.

--- a/packages/rules/parse.cpp
+++ b/packages/rules/parse.cpp
@@ -384,6 +384,10 @@
             file.parseLine(toStd(line), ++number);
         }
     }
+    // Publishing an empty file by mistake would refuse every request.
+    if (file.faults.empty() && file.rules.empty()) {
+        file.report(1, {"no rule in the file; expected at least one"});
+    }
     if (!file.faults.empty()) {
         return makeError(ErrorKind::RulesRefused, toStd(absl::StrJoin(file.faults, "\n")));
     }
--- a/packages/rules/tests/test_rules.cpp
+++ b/packages/rules/tests/test_rules.cpp
@@ -60,6 +60,8 @@
 TEST_CASE("all faults of a file are reported with their lines")
 {
     const std::string good = "route GET /a/" + words;
+    const std::string noRule = "f:1: no rule in the file; expected at least one";
+    REQUIRE(faultsOf("") == noRule);
     REQUIRE(faultsOf("# comment only\n\n  \t\r\n" + good) == "");
     REQUIRE(faultsOf(good + good) == "f:2: duplicate of line 1: GET /a/");
     REQUIRE(faultsOf("path GET /a\n" + good + "route x a# service= # A")
@@ -95,10 +97,10 @@
     for (const char *bad : {"\xc0\x80", "\xed\xa0\x80", "\xf4\x90\x80\x80", "\xe2\x82", "\x80"}) {
         REQUIRE(faultsOf("# " + std::string(bad)) == "f:1: bad UTF-8");
     }
-    REQUIRE(faultsOf("#" + std::string(1023, 'x')) == "");
+    REQUIRE(faultsOf("#" + std::string(1023, 'x')) == noRule);
     REQUIRE(faultsOf("#" + std::string(1024, 'x'))
             == "f:1: line of 1025 bytes; expected at most 1024");
-    REQUIRE(faultsOf(std::string(262'144, '\n')) == "");
+    REQUIRE(faultsOf(std::string(262'144, '\n')) == noRule);
     REQUIRE(faultsOf(std::string(262'145, '\n'))
             == "f:1: file of 262145 bytes; expected at most 262144");
 }
