bench: add traces of the ownership engines

Cause: the time until lost keys are served again was not measured at the sizes of today. Change: engines of both users with a stand-in for the log and for the links, in virtual time; one lost owner, a lost data centre, and a loss during a log outage. Traces run in parallel.

--- a/packages/bench/bench_decisions.cpp
+++ b/packages/bench/bench_decisions.cpp
@@ -1,4 +1,5 @@
 // Replays traces through the placement code in virtual time and prints what the decisions do.
+#include "bench/engine_trace.h"
 #include "bench/table.h"
 
 #include <docopt/docopt.h>
@@ -7,6 +8,7 @@
 #include <chrono>
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <sstream>
 #include <thread>
@@ -36,26 +38,42 @@
 
 constexpr std::size_t strategyCount = 3;
 
-// Runs every trace with every strategy; the order of the results does not depend on the threads.
-std::vector<Result> runAll(const std::vector<Trace> &traces, const PlacementSettings &settings,
-                           long threads)
+// Runs jobs 0 to count - 1 on some threads.
+void runJobs(std::size_t count, long threads, const std::function<void(std::size_t)> &run)
 {
-    std::vector<Result> results(traces.size() * strategyCount);
     std::atomic<std::size_t> next = 0;
     const auto work = [&] {
-        for (std::size_t job = next++; job < results.size(); job = next++) {
-            // The last trace is the longest, so it starts first.
-            const std::size_t index = results.size() - 1 - job;
-            const Trace &trace = traces[index / strategyCount];
-            const auto strategy = static_cast<Strategy>(index % strategyCount);
-            results[index] = Simulation(trace, strategy, settings, ModelTimes{}).run();
+        for (std::size_t job = next++; job < count; job = next++) {
+            run(job);
         }
     };
     std::vector<std::jthread> workers;
-    for (long count = 0; count < threads; ++count) {
+    for (long thread = 0; thread < threads; ++thread) {
         workers.emplace_back(work);
     }
-    workers.clear();
+}
+
+// Runs every trace with every strategy; the order of the results does not depend on the threads.
+std::vector<Result> runAll(const std::vector<Trace> &traces, const PlacementSettings &settings,
+                           long threads)
+{
+    std::vector<Result> results(traces.size() * strategyCount);
+    runJobs(results.size(), threads, [&](std::size_t job) {
+        // The last trace is the longest, so it starts first.
+        const std::size_t index = results.size() - 1 - job;
+        const Trace &trace = traces[index / strategyCount];
+        const auto strategy = static_cast<Strategy>(index % strategyCount);
+        results[index] = Simulation(trace, strategy, settings, ModelTimes{}).run();
+    });
+    return results;
+}
+
+std::vector<EngineResult> runEngines(std::uint64_t seed, long threads)
+{
+    const std::vector<EngineTrace> traces = makeEngineTraces(seed);
+    std::vector<EngineResult> results(traces.size());
+    runJobs(traces.size(), threads,
+            [&](std::size_t job) { results[job] = EngineWorld(traces[job]).run(); });
     return results;
 }
 
@@ -90,6 +108,9 @@
     } else {
         std::cout << "seed " << seed << ", weightUnavailable " << settings.weightUnavailable << '\n'
                   << formatTables(results);
+        if (!arguments["--trace"]) {
+            std::cout << formatEngineTable(runEngines(seed, arguments["--threads"].asLong()));
+        }
     }
     if (arguments["--plot"]) {
         writePlot(arguments["--plot"].asString(), results);
--- a/packages/bench/tests/test_bench.cpp
+++ b/packages/bench/tests/test_bench.cpp
@@ -1,3 +1,4 @@
+#include "bench/engine_trace.h"
 #include "bench/table.h"
 
 #include <catch2/catch.hpp>
@@ -71,3 +72,19 @@
     REQUIRE(sum == Approx(plain.done + plain.notRun + plain.unknown).epsilon(1e-9));
     REQUIRE(policy.notRun > 0);
 }
+
+// Guards against slots that stay without an owner, and against a slower takeover of one owner.
+TEST_CASE("lost slots are served again")
+{
+    for (const EngineTrace &trace : makeEngineTraces(seed)) {
+        const EngineResult result = EngineWorld(trace).run();
+        INFO(trace.user << " " << engineFaultNames.nameOf(trace.fault));
+        CHECK(result.lostSlots > 0);
+        CHECK(result.unserved == 0);
+        CHECK(result.appends < 50);
+        CHECK(result.steadyBytes < 4'000);
+        if (trace.fault != EngineFault::DataCentreLost) {
+            CHECK(result.meetsTarget());
+        }
+    }
+}
