node: refuse new work for a draining upstream while the log is down

Cause: without the log the record that hands its slots over cannot be appended, and the process went on sending requests to the leaving upstream (read-through). Change: new requests are refused as draining 2.5 s after the announcement.

--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -19,8 +19,8 @@
 
 struct HttpClientLimits
 {
-    int maxIdle = 16;                             // connections kept open between calls
-    std::uint64_t maxBodyBytes = 8 * 1024 * 1024; // of an answer
+    int maxIdle = 16;                                // connections kept open between calls
+    std::uint64_t maxBodyBytes = 8ULL * 1024 * 1024; // of an answer
     Duration connectLimit = 500ms;
 };
 
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -21,7 +21,7 @@
 struct HttpServerLimits
 {
     std::uint32_t maxHeaderBytes = 16 * 1024;
-    std::uint64_t maxBodyBytes = 1024 * 1024;
+    std::uint64_t maxBodyBytes = 1024ULL * 1024;
     int maxConnections = 10'000; // further ones are closed at once
     Duration idleLimit = 75s;    // between requests
     Duration messageLimit = 10s; // for one whole request to arrive, or answer to leave
--- a/packages/node/admin.cpp
+++ b/packages/node/admin.cpp
@@ -17,6 +17,9 @@
 constexpr int maxPort = 65'535;
 constexpr int maxSlots = 10'000;
 
+// A draining upstream receives no new work after 3 s (P6), also while the log is down.
+constexpr Duration upstreamDrainServe = 2500ms;
+
 HttpResponse jsonResponse(const Json &body)
 {
     HttpResponse response;
@@ -257,6 +260,7 @@
         if (this->lastAnnouncement) {
             logInfo(LogPart::Upstream, "upstream drains", {{"service", announcement->service}});
             this->lastAnnouncement.reset();
+            this->owner->refuseFrom(now + upstreamDrainServe);
             this->driver->setUpstream(std::nullopt);
         }
         return jsonResponse({{"accepted", true}});
--- a/packages/node/owner_path.cpp
+++ b/packages/node/owner_path.cpp
@@ -90,6 +90,7 @@
 
 void OwnerPath::announce(const Announcement &announcement)
 {
+    this->refuseAt = std::numeric_limits<Duration::rep>::max();
     const std::lock_guard lock(this->upstreamMutex);
     if (this->upstream && this->upstream->isSameAs(announcement)) {
         this->upstream->announce(announcement);
@@ -137,6 +138,9 @@
             return failure(ErrorKind::RequestQuarantined, "this request crashed upstreams before");
         }
     }
+    if (readBootTime().count() >= this->refuseAt) {
+        return failure(ErrorKind::Draining, "the upstream is leaving");
+    }
     const RequestNumber number = this->inFlight.add(request.service, request.keyHash);
     bool mayStillRun = false;
     RoutedAnswer answer = this->serveRegistered(worker, request, number, mayStillRun);
--- a/packages/node/owner_path.h
+++ b/packages/node/owner_path.h
@@ -17,6 +17,7 @@
 #include "traffic/request_memory.h"
 
 #include <atomic>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -65,6 +66,10 @@
     // Takes over what the upstream announced.
     void announce(const Announcement &announcement);
 
+    // Refuses new requests for the upstream from this time on, whether or not the log has taken the
+    // record that hands its slots over. The next announce() without a drain ends this.
+    void refuseFrom(Time time) { this->refuseAt = time.count(); }
+
     // Forgets the upstream after it was lost; it may announce itself again.
     void dropUpstream();
 
@@ -125,6 +130,7 @@
     std::unique_ptr<DueTimer> crashTimer; // of crashGuard
     InFlight inFlight;
     std::atomic<int> heldRequests{0}; // wait for a handover or takeover
+    std::atomic<Duration::rep> refuseAt{std::numeric_limits<Duration::rep>::max()};
 
     std::mutex journalMutex; // guards the members below, up to lookupWaiters
     RequestMemory memory;
