path_bench: measure the path and the idle cost with real processes

Cause: no measurement covered the added latency of the path, its processor time per request or the control cost of idle processes.

Change: program bench_path (path, idle, upstream) and scripts/bench-path.

--- /dev/null
+++ b/packages/path_bench/bench_path.cpp
@@ -0,0 +1,136 @@
+// Benchmark of the path of requests and of idle processes.
+#include "base/log.h"
+#include "base/text.h"
+#include "path_bench/idle.h"
+#include "path_bench/path.h"
+#include "path_bench/upstream.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <docopt/docopt.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <iostream>
+#include <map>
+
+namespace kumquat {
+namespace {
+
+constexpr const char *usage = R"(Benchmark of the path and of the idle cost with real processes.
+
+Usage:
+  bench_path path [--seconds N] [--json FILE]
+  bench_path idle [--processes LIST] [--endpoints N] [--seconds N] [--json FILE]
+  bench_path upstream --listen ADDRESS --announce FILE [--slots N]
+  bench_path --help
+
+path measures requests to an upstream directly, through one kumquatstage and through two.
+idle measures processes without requests. upstream is the program that both start as the upstream.
+
+Options:
+  --seconds N       Length of one measurement; default 3 for path and 60 for idle.
+  --processes LIST  Numbers of processes, measured one after the other [default: 10].
+  --endpoints N     Processes per service [default: 10].
+  --json FILE       Also write the results to this file.
+  --listen ADDRESS  IP:port of the upstream.
+  --announce FILE   Lines "SERVICE IP:PORT" with the admin addresses to announce to.
+  --slots N         Slots that the upstream announces [default: 64].
+)";
+
+constexpr long pathSeconds = 3;
+constexpr long idleSeconds = 60;
+constexpr int maxProcesses = 400; // the ports of the benchmark end at 32,000
+
+using Arguments = std::map<std::string, docopt::value>;
+
+Duration secondsOf(const Arguments &arguments, long fallback)
+{
+    const docopt::value &value = arguments.at("--seconds");
+    return std::chrono::seconds(value ? value.asLong() : fallback);
+}
+
+int fail(const absl::Status &status)
+{
+    std::cerr << toStd(status.message()) << '\n';
+    return 1;
+}
+
+void writeJson(const Arguments &arguments, const std::string &json)
+{
+    if (const docopt::value &file = arguments.at("--json")) {
+        writeFile(file.asString(), json);
+    }
+}
+
+int runUpstream(const Arguments &arguments)
+{
+    BenchUpstreamOptions options;
+    const auto listen = Address::parse(arguments.at("--listen").asString());
+    if (!listen.ok()) {
+        return fail(listen.status());
+    }
+    options.listen = *listen;
+    options.announceFile = arguments.at("--announce").asString();
+    options.slots = static_cast<int>(arguments.at("--slots").asLong());
+    const absl::Status status = serveUpstream(options);
+    return status.ok() ? 0 : fail(status);
+}
+
+int runPath(const Arguments &arguments, const std::filesystem::path &program)
+{
+    const auto result = measurePath({.directory = program.parent_path() / "../path_bench/path",
+                                     .selfPath = program,
+                                     .duration = secondsOf(arguments, pathSeconds)});
+    if (!result.ok()) {
+        return fail(result.status());
+    }
+    std::cout << formatTable(*result);
+    writeJson(arguments, formatJson(*result));
+    return 0;
+}
+
+int runIdle(const Arguments &arguments, const std::filesystem::path &program)
+{
+    const std::string list = arguments.at("--processes").asString();
+    const int endpoints = std::max(1, static_cast<int>(arguments.at("--endpoints").asLong()));
+    std::vector<IdleRow> rows;
+    for (const auto text : absl::StrSplit(list, ',')) {
+        int processes = 0;
+        if (!absl::SimpleAtoi(text, &processes) || processes < 1 || processes > maxProcesses) {
+            std::cerr << "--processes takes numbers from 1 to " << maxProcesses << '\n';
+            return 2;
+        }
+        const auto row =
+                measureIdle({.directory = program.parent_path()
+                                          / ("../path_bench/idle-" + std::to_string(processes)),
+                             .selfPath = program,
+                             .processes = processes,
+                             .endpoints = endpoints,
+                             .duration = secondsOf(arguments, idleSeconds)});
+        if (!row.ok()) {
+            return fail(row.status());
+        }
+        rows.push_back(*row);
+    }
+    std::cout << formatTable(rows);
+    writeJson(arguments, formatJson(rows));
+    return 0;
+}
+
+} // namespace
+} // namespace kumquat
+
+int main(int argc, char **argv)
+{
+    using namespace kumquat;
+    setUpLogging(LogLevel::Warning);
+    const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    if (arguments.at("upstream").asBool()) {
+        return runUpstream(arguments);
+    }
+    const std::filesystem::path program = std::filesystem::read_symlink("/proc/self/exe");
+    return arguments.at("idle").asBool() ? runIdle(arguments, program)
+                                         : runPath(arguments, program);
+}
--- /dev/null
+++ b/packages/path_bench/caller.h
@@ -0,0 +1,102 @@
+// Load of callers: closed loop and open loop over blocking connections, one thread each.
+//
+//   LoadPlan plan{.target = {"127.0.0.1", 8080}, .connections = 16, .duration = 3s};
+//   LoadResult closed = runLoad(plan);
+//   plan.rate = closed.throughput() / 2;
+//   LoadResult open = runLoad(plan); // latency counts from the intended send time
+#pragma once
+
+#include "base/address.h"
+#include "base/time.h"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+// --- one connection
+
+struct CallerAnswer
+{
+    int status = 0;    // 0: no complete answer
+    std::string error; // Kumquat-Error
+    std::string body;
+};
+
+// A kept connection with blocking calls. It parses only what the measured programs send: status
+// line, Content-Length and body.
+class CallerConnection
+{
+public:
+    explicit CallerConnection(Address address);
+    ~CallerConnection();
+
+    CallerConnection(const CallerConnection &) = delete;
+    CallerConnection &operator=(const CallerConnection &) = delete;
+
+    // Sends the bytes of one request and reads the answer; connects first if necessary.
+    CallerAnswer exchange(const std::string &request);
+
+    // Sends GET, or POST if there is a body.
+    CallerAnswer send(const std::string &target, const std::string &body = "");
+
+private:
+    bool open();
+    void close();
+    bool receiveMore();
+
+    Address address;
+    int descriptor = -1;
+    std::string received;
+};
+
+// Length of the header with its empty line and of the body, read from the start of an answer; both
+// are 0 until the header is complete.
+struct AnswerSize
+{
+    std::size_t header = 0;
+    std::size_t body = 0;
+};
+AnswerSize measureAnswer(const std::string &received);
+
+// --- requests
+
+enum class RequestType : std::uint8_t { Read, Write };
+
+// Returns a version 7 UUID for the time.
+std::string makeUuid(WallTime now, std::mt19937_64 &random);
+
+// Returns the bytes of a request for a key; a write gets a new Idempotency-Key.
+std::string makeRequest(RequestType type, int key, std::mt19937_64 &random);
+
+// --- load
+
+struct LoadPlan
+{
+    Address target;
+    RequestType type = RequestType::Read;
+    int connections = 16;
+    int keys = 1'000;
+    Duration duration = 3s;
+    double rate = 0; // requests/s of the open loop; 0: closed loop
+};
+
+struct LoadResult
+{
+    std::vector<Duration> latencies; // of answers with status 200, ascending
+    std::map<std::string, std::uint64_t> failures;
+    Duration elapsed{};
+
+    double throughput() const; // answers with status 200 per second
+
+    // Returns the smallest latency that the share of the answers does not exceed; 0 without any.
+    Duration quantile(double share) const;
+};
+
+// Runs the load and waits for the last answers.
+LoadResult runLoad(const LoadPlan &plan);
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/path_bench/idle.h
@@ -0,0 +1,54 @@
+// Measures what idle processes cost for control.
+#pragma once
+
+#include "base/time.h"
+#include "path_bench/cluster.h"
+#include "path_bench/cost.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+struct IdleOptions
+{
+    std::string directory;
+    std::string selfPath;
+    int processes = 10;
+    int endpoints = 10; // processes per service, as the users have them
+    Duration duration = 60s;
+};
+
+// Means per process, and the highest value of any process where that is named.
+struct IdleRow
+{
+    int processes = 0;
+    Duration elapsed{};
+    bool isQuiet = false; // the log had no new record for a while before
+    double coreShare = 0; // processor time over elapsed time
+    double maxCoreShare = 0;
+    double residentBytes = 0;
+    double maxResidentBytes = 0;
+    double sentMessages = 0; // per second, from GET /metrics
+    double receivedMessages = 0;
+    double sentBytes = 0; // payload per second
+    double receivedBytes = 0;
+    double framedBytes = 0;     // sent and received per second, estimated with all headers
+    double kernelMeshBytes = 0; // sent and received per second, counted by the kernel
+    double kernelLogBytes = 0;
+    double logReads = 0;   // of all processes per second
+    double logAppends = 0; // of all processes in the elapsed time
+    std::string loadAverage;
+};
+
+// Starts the processes, each with a session, and measures them without requests. Error: the
+// cluster did not start, or it needs more than half of the memory of the host.
+absl::StatusOr<IdleRow> measureIdle(const IdleOptions &options);
+
+std::string formatTable(const std::vector<IdleRow> &rows);
+std::string formatJson(const std::vector<IdleRow> &rows);
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/path_bench/path.cpp
@@ -0,0 +1,313 @@
+// Sections: measuring, output.
+#include "path_bench/path.h"
+
+#include "base/names.h"
+#include "path_bench/cluster.h"
+#include "path_bench/cost.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr NameTable<PathType, 3> pathNames{{{{PathType::Direct, "direct"},
+                                             {PathType::One, "one process"},
+                                             {PathType::Two, "two processes"}}}};
+constexpr NameTable<RequestType, 2> typeNames{
+        {{{RequestType::Read, "read"}, {RequestType::Write, "write"}}}};
+
+constexpr std::array allPaths{PathType::Direct, PathType::One, PathType::Two};
+constexpr std::array allTypes{RequestType::Read, RequestType::Write};
+constexpr std::array connectionCounts{16, 64};
+constexpr int openConnections = 64;
+constexpr int clusterNodes = 4;    // the owner and three peers keep the journal
+constexpr Duration quietTime = 5s; // peers settle 2 to 3 s after the joins
+constexpr Duration quietLimit = 40s;
+constexpr Duration warmUp = 1s; // before each closed-loop measurement
+constexpr Duration targetAddedP99 = 1ms;
+constexpr double targetPerCore = 0.4; // of direct
+constexpr double openShare = 0.5;     // of the closed-loop throughput
+constexpr double medianShare = 0.5;
+constexpr double p99Share = 0.99;
+constexpr double p999Share = 0.999;
+
+// --- measuring
+
+// What is read before and after a measurement.
+struct Costs
+{
+    Duration stage{};
+    Duration upstream{};
+    double meshMessages = 0;
+
+    static Costs read(const BenchCluster &cluster)
+    {
+        Costs costs;
+        for (const BenchNode &node : cluster.nodes) {
+            costs.stage += readProcessorTime(node.process->id());
+            costs.meshMessages +=
+                    findMetric(readMetrics(node.admin), "kumquat_mesh_sent_messages_total");
+        }
+        costs.upstream = readProcessorTime(cluster.upstreamProcess->id());
+        return costs;
+    }
+};
+
+double toMicroseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::micro>(duration).count();
+}
+
+Address targetOf(const BenchCluster &cluster, PathType path)
+{
+    // Node 0 is the only one with the measured service, so it owns all of its keys.
+    switch (path) {
+    case PathType::Direct:
+        return cluster.upstream;
+    case PathType::One:
+        return cluster.nodes[0].callers;
+    case PathType::Two:
+        break;
+    }
+    return cluster.nodes[1].callers;
+}
+
+ClosedRow measureClosed(const BenchCluster &cluster, LoadPlan plan, PathType path)
+{
+    plan.target = targetOf(cluster, path);
+    LoadPlan warmUpPlan = plan;
+    warmUpPlan.duration = warmUp;
+    runLoad(warmUpPlan);
+    ClosedRow row{.path = path,
+                  .type = plan.type,
+                  .connections = plan.connections,
+                  .load = {},
+                  .loadAverage = describeLoadAverage()};
+    const Costs before = Costs::read(cluster);
+    row.load = runLoad(plan);
+    const Costs after = Costs::read(cluster);
+    const double answers = std::max<double>(1, static_cast<double>(row.load.latencies.size()));
+    row.stageMicroseconds = toMicroseconds(after.stage - before.stage) / answers;
+    row.upstreamMicroseconds = toMicroseconds(after.upstream - before.upstream) / answers;
+    row.meshMessages = (after.meshMessages - before.meshMessages) / answers;
+    return row;
+}
+
+OpenRow measureOpen(const BenchCluster &cluster, LoadPlan plan, PathType path)
+{
+    OpenRow row{.path = path,
+                .type = plan.type,
+                .rate = plan.rate,
+                .load = {},
+                .direct = {},
+                .loadAverage = describeLoadAverage()};
+    plan.target = cluster.upstream;
+    row.direct = runLoad(plan);
+    if (path == PathType::Direct) {
+        row.load = row.direct;
+        return row;
+    }
+    plan.target = targetOf(cluster, path);
+    row.load = runLoad(plan);
+    return row;
+}
+
+void measureType(const BenchCluster &cluster, const LoadPlan &base, PathResult &result)
+{
+    for (const int connections : connectionCounts) {
+        for (const PathType path : allPaths) {
+            LoadPlan plan = base;
+            plan.connections = connections;
+            result.closed.push_back(measureClosed(cluster, plan, path));
+        }
+    }
+    const std::size_t first = result.closed.size() - allPaths.size();
+    for (std::size_t index = 0; index < allPaths.size(); ++index) {
+        LoadPlan plan = base;
+        plan.connections = openConnections;
+        plan.rate = result.closed[first + index].load.throughput() * openShare;
+        if (plan.rate > 0) {
+            result.open.push_back(measureOpen(cluster, plan, allPaths[index]));
+        }
+    }
+}
+
+// Returns the answers per core of the direct path under the same load, or 0.
+double directPerCore(const PathResult &result, const ClosedRow &row)
+{
+    for (const ClosedRow &other : result.closed) {
+        if (other.path == PathType::Direct && other.type == row.type
+            && other.connections == row.connections) {
+            return other.perCore();
+        }
+    }
+    return 0;
+}
+
+double shareOfDirect(const PathResult &result, const ClosedRow &row)
+{
+    const double direct = directPerCore(result, row);
+    return direct > 0 ? row.perCore() / direct : 0;
+}
+
+} // namespace
+
+double ClosedRow::perCore() const
+{
+    const double spent = this->stageMicroseconds + this->upstreamMicroseconds;
+    return spent > 0 ? 1e6 / spent : 0;
+}
+
+absl::StatusOr<PathResult> measurePath(const PathOptions &options)
+{
+    BenchCluster cluster({.directory = options.directory,
+                          .services = {"bench", "other-1", "other-2", "other-3"},
+                          .nodes = clusterNodes,
+                          .selfPath = options.selfPath});
+    if (absl::Status status = cluster.start(); !status.ok()) {
+        return status;
+    }
+    if (!cluster.waitUntilQuiet(quietTime, quietLimit)) {
+        return absl::DeadlineExceededError("the peers of the sessions did not settle");
+    }
+    PathResult result;
+    for (const RequestType type : allTypes) {
+        LoadPlan plan;
+        plan.type = type;
+        plan.duration = options.duration;
+        measureType(cluster, plan, result);
+    }
+    return result;
+}
+
+// --- output
+
+namespace {
+
+std::string describeFailures(const LoadResult &load)
+{
+    std::string text;
+    for (const auto &[reason, count] : load.failures) {
+        absl::StrAppend(&text, text.empty() ? "" : ", ", count, " x ", reason);
+    }
+    return text.empty() ? "-" : text;
+}
+
+void appendClosed(std::string &text, const PathResult &result)
+{
+    absl::StrAppendFormat(&text, "%-5s %-13s %5s %9s %8s %8s %10s %9s %10s %8s %7s  %-18s %s\n",
+                          "type", "path", "conns", "answers/s", "p50 us", "p99 us", "stage us",
+                          "upstr us", "per core", "of dir.", "msgs", "load average", "failures");
+    for (const ClosedRow &row : result.closed) {
+        absl::StrAppendFormat(
+                &text,
+                "%-5s %-13s %5d %9.0f %8.0f %8.0f %10.1f %9.1f %10.0f %7.1f%% %7.2f  %-18s %s\n",
+                std::string(typeNames.nameOf(row.type)), std::string(pathNames.nameOf(row.path)),
+                row.connections, row.load.throughput(),
+                toMicroseconds(row.load.quantile(medianShare)),
+                toMicroseconds(row.load.quantile(p99Share)), row.stageMicroseconds,
+                row.upstreamMicroseconds, row.perCore(), 100 * shareOfDirect(result, row),
+                row.meshMessages, row.loadAverage, describeFailures(row.load));
+    }
+}
+
+void appendOpen(std::string &text, const PathResult &result)
+{
+    absl::StrAppendFormat(&text, "%-5s %-13s %9s %8s %8s %9s %10s %10s %11s  %-18s %s\n", "type",
+                          "path", "rate/s", "p50 us", "p99 us", "p99.9 us", "dir. p99", "added p99",
+                          "added p99.9", "load average", "failures");
+    for (const OpenRow &row : result.open) {
+        absl::StrAppendFormat(
+                &text, "%-5s %-13s %9.0f %8.0f %8.0f %9.0f %10.0f %10.0f %11.0f  %-18s %s\n",
+                std::string(typeNames.nameOf(row.type)), std::string(pathNames.nameOf(row.path)),
+                row.rate, toMicroseconds(row.load.quantile(medianShare)),
+                toMicroseconds(row.load.quantile(p99Share)),
+                toMicroseconds(row.load.quantile(p999Share)),
+                toMicroseconds(row.direct.quantile(p99Share)), toMicroseconds(row.added(p99Share)),
+                toMicroseconds(row.added(p999Share)), row.loadAverage, describeFailures(row.load));
+    }
+}
+
+// Returns one line per target that is missed.
+std::string describeMisses(const PathResult &result)
+{
+    std::string text;
+    for (const ClosedRow &row : result.closed) {
+        if (shareOfDirect(result, row) < targetPerCore) {
+            absl::StrAppendFormat(&text, "missed: %s, %s, %d connections: %.1f%% per core\n",
+                                  std::string(typeNames.nameOf(row.type)),
+                                  std::string(pathNames.nameOf(row.path)), row.connections,
+                                  100 * shareOfDirect(result, row));
+        }
+    }
+    for (const OpenRow &row : result.open) {
+        if (row.added(p99Share) >= targetAddedP99) {
+            absl::StrAppendFormat(&text, "missed: %s, %s: added p99 %.0f us\n",
+                                  std::string(typeNames.nameOf(row.type)),
+                                  std::string(pathNames.nameOf(row.path)),
+                                  toMicroseconds(row.added(p99Share)));
+        }
+    }
+    return text.empty() ? "all targets met\n" : text;
+}
+
+Json makeJson(const LoadResult &load)
+{
+    return {{"answers", load.latencies.size()},
+            {"perSecond", load.throughput()},
+            {"p50Us", toMicroseconds(load.quantile(medianShare))},
+            {"p99Us", toMicroseconds(load.quantile(p99Share))},
+            {"p999Us", toMicroseconds(load.quantile(p999Share))},
+            {"failures", load.failures}};
+}
+
+} // namespace
+
+std::string formatTable(const PathResult &result)
+{
+    std::string text = "Closed loop; processor time per answer; share of direct per core: target "
+                       "40 % or more\n";
+    appendClosed(text, result);
+    text += "\nOpen loop at half of the closed-loop throughput with 64 connections; latency from "
+            "the intended send time; target: added p99 under 1,000 us\n";
+    appendOpen(text, result);
+    return text + "\n" + describeMisses(result);
+}
+
+std::string formatJson(const PathResult &result)
+{
+    Json closed = Json::array();
+    for (const ClosedRow &row : result.closed) {
+        closed.push_back({{"type", typeNames.nameOf(row.type)},
+                          {"path", pathNames.nameOf(row.path)},
+                          {"connections", row.connections},
+                          {"load", makeJson(row.load)},
+                          {"stageUs", row.stageMicroseconds},
+                          {"upstreamUs", row.upstreamMicroseconds},
+                          {"perCore", row.perCore()},
+                          {"shareOfDirect", shareOfDirect(result, row)},
+                          {"meshMessages", row.meshMessages},
+                          {"loadAverage", row.loadAverage}});
+    }
+    Json open = Json::array();
+    for (const OpenRow &row : result.open) {
+        open.push_back({{"type", typeNames.nameOf(row.type)},
+                        {"path", pathNames.nameOf(row.path)},
+                        {"rate", row.rate},
+                        {"load", makeJson(row.load)},
+                        {"direct", makeJson(row.direct)},
+                        {"addedP99Us", toMicroseconds(row.added(p99Share))},
+                        {"loadAverage", row.loadAverage}});
+    }
+    return Json{{"closed", closed}, {"open", open}}.dump(2) + "\n";
+}
+
+} // namespace kumquat
