--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -144,7 +144,7 @@
     }
 
 private:
-    static constexpr std::size_t readChunkBytes = 64 * 1024;
+    static constexpr std::size_t readChunkBytes = 64UL * 1024;
 
     bool serveOne()
     {
@@ -274,7 +274,7 @@
     });
 }
 
-void HttpServer::acceptNext(std::shared_ptr<Listener> opened)
+void HttpServer::acceptNext(const std::shared_ptr<Listener> &opened)
 {
     auto &acceptor = opened->acceptor;
     acceptor.async_accept(
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -54,7 +54,7 @@
     struct Listener;
 
     HttpServer(FiberThread &thread, HttpServerLimits limits, HttpServerHooks hooks);
-    void acceptNext(std::shared_ptr<Listener> listener);
+    void acceptNext(const std::shared_ptr<Listener> &opened);
 
     FiberThread &thread;
     HttpServerLimits limits;
--- a/packages/node/owner_path.cpp
+++ b/packages/node/owner_path.cpp
@@ -47,6 +47,7 @@
 std::vector<JournalPeerSet> toJournalSets(const std::vector<PeerSet> &sets)
 {
     std::vector<JournalPeerSet> result;
+    result.reserve(sets.size());
     for (const PeerSet &set : sets) {
         result.push_back({set.generation, set.peers});
     }
--- a/packages/node/process.cpp
+++ b/packages/node/process.cpp
@@ -199,7 +199,7 @@
     for (std::size_t worker = 0; worker < this->workers.size(); ++worker) {
         this->callerServers.push_back(
                 HttpServer::create(*this->workers[worker], limits, this->makeCallerHooks(worker)));
-        const absl::Status status =
+        absl::Status status =
                 this->callerServers.back()->listen(this->settings.listen.callers, true);
         if (!status.ok()) {
             return status;
