--- a/packages/ownership/tests/test_ownership.cpp
+++ b/packages/ownership/tests/test_ownership.cpp
@@ -227,11 +227,18 @@
 
 // Guards against fault injection that is too tame to notice a missing rule. The other guards need
 // rarer coincidences; directed schedules below show that they matter.
-TEST_CASE("random faults find that a restarted peer does not wait")
-{
-    Guards noWait;
-    noWait.waitAfterRestart = false;
-    REQUIRE(findViolation(noWait, randomLimit).has_value());
+TEST_CASE("random faults find that a guard is missing")
+{
+    const std::vector<bool Guards::*> guards{&Guards::noGrantAfterEnd,  &Guards::releaseAfterGrants,
+                                             &Guards::allPredecessors,  &Guards::allPeerSets,
+                                             &Guards::waitAfterRestart, &Guards::driftMargin};
+    for (std::size_t index = 0; index < guards.size(); ++index) {
+        Guards off;
+        off.*guards[index] = false;
+        const std::optional<int> run = findViolation(off, randomLimit);
+        std::cout << "guard " << index << " off: violation in run " << run.value_or(0) << "\n";
+        CHECK(run.has_value());
+    }
 }
 
 // ---- directed schedules ----
