--- a/packages/traffic/journal.h
+++ b/packages/traffic/journal.h
@@ -166,10 +166,11 @@
     {
         std::uint64_t incarnation = 0;
         PeerState state = PeerState::Absent;
-        WriteCount copyUpTo = 0;  // batches up to this count are part of the copy
-        WriteCount flagCount = 0; // count of the write with the flag
-        std::deque<std::vector<wire::JournalEntry>> copy; // parts that are not sent yet
-        std::set<WriteCount> copySent;                    // parts that are not acknowledged
+        WriteCount copyUpTo = 0;       // batches up to this count are part of the copy
+        WriteCount flagCount = 0;      // count of the write with the flag
+        std::uint64_t copyNext = 0;    // position of the next id of the copy
+        std::uint64_t copyEnd = 0;     // position after its last id
+        std::set<WriteCount> copySent; // its parts that are not acknowledged
         std::map<WriteCount, Sent> sent;
     };
 
@@ -190,6 +191,7 @@
     void flush(Time now);
     void startCopy(const std::string &node, Peer &peer, Time now);
     void continueCopy(const std::string &node, Peer &peer, Time now);
+    std::vector<wire::JournalEntry> takeCopyPart(Peer &peer) const;
     void finishCopy(const std::string &node, Peer &peer);
     void send(const std::string &node, Peer &peer, WriteCount count,
               std::vector<wire::JournalEntry> entries, bool complete, Time now);
@@ -210,7 +212,8 @@
     std::set<std::uint32_t> joined; // generations whose majority each dispatch needs
     std::map<std::string, Peer> peers;
     std::unordered_map<RequestId, Remembered, RequestIdHash> remembered;
-    std::deque<Expiry> expiries;           // ascending by due
+    std::deque<Expiry> expiries;           // ascending by due; names every remembered id
+    std::uint64_t expiredCount = 0;        // position of the first entry of expiries
     std::vector<wire::JournalEntry> queue; // not sent yet
     std::optional<Time> flushDue;
     std::map<WriteCount, Batch> batches;
--- a/packages/traffic/journal_writer.cpp
+++ b/packages/traffic/journal_writer.cpp
@@ -239,6 +239,7 @@
             this->remembered.erase(found);
         }
         this->expiries.pop_front();
+        ++this->expiredCount;
     }
     std::erase_if(this->batches, [now](const auto &batch) { return batch.second.expires <= now; });
 }
@@ -279,34 +280,43 @@
     this->flush(now); // so that the copy covers exactly the batches up to copyUpTo
     peer.state = PeerState::Copying;
     peer.copyUpTo = this->lastCount;
-    peer.copy.clear();
     peer.copySent.clear();
     peer.sent.clear();
-    std::vector<wire::JournalEntry> part;
-    for (const auto &[id, kept] : this->remembered) {
-        part.push_back(makeEntry(id, kept.keyHash));
-        if (part.size() == this->settings.batchIds) {
-            peer.copy.push_back(std::exchange(part, {}));
-        }
-    }
-    peer.copy.push_back(std::move(part));
+    peer.copyNext = this->expiredCount;
+    peer.copyEnd = this->expiredCount + this->expiries.size();
     this->continueCopy(node, peer, now);
 }
 
 void JournalWriter::continueCopy(const std::string &node, Peer &peer, Time now)
 {
-    while (peer.copy.size() > 1 && peer.copySent.size() < this->settings.copyParts) {
+    const auto isLastPart = [&] { return peer.copyNext + this->settings.batchIds >= peer.copyEnd; };
+    while (!isLastPart() && peer.copySent.size() < this->settings.copyParts) {
         const WriteCount count = ++this->lastCount;
         peer.copySent.insert(count);
-        this->send(node, peer, count, std::move(peer.copy.front()), false, now);
-        peer.copy.pop_front();
+        this->send(node, peer, count, this->takeCopyPart(peer), false, now);
     }
-    if (peer.copy.size() == 1 && peer.copySent.empty()) {
+    if (peer.state == PeerState::Copying && isLastPart() && peer.copySent.empty()) {
         peer.state = PeerState::Flagging;
         peer.flagCount = ++this->lastCount;
-        this->send(node, peer, peer.flagCount, std::move(peer.copy.front()), true, now);
-        peer.copy.pop_front();
+        this->send(node, peer, peer.flagCount, this->takeCopyPart(peer), true, now);
+    }
+}
+
+// Reads the next ids from the list of expiries, which names some ids twice. Collecting a large
+// memory at once would block the thread for a good part of a lease.
+std::vector<wire::JournalEntry> JournalWriter::takeCopyPart(Peer &peer) const
+{
+    std::vector<wire::JournalEntry> part;
+    peer.copyNext = std::max(peer.copyNext, this->expiredCount);
+    const std::uint64_t end = std::min(peer.copyEnd, peer.copyNext + this->settings.batchIds);
+    for (; peer.copyNext < end; ++peer.copyNext) {
+        const RequestId &id = this->expiries[peer.copyNext - this->expiredCount].id;
+        const auto kept = this->remembered.find(id);
+        if (kept != this->remembered.end()) { // not erased meanwhile
+            part.push_back(makeEntry(id, kept->second.keyHash));
+        }
     }
+    return part;
 }
 
 void JournalWriter::finishCopy(const std::string &node, Peer &peer)
@@ -346,7 +356,6 @@
     };
     if (std::any_of(peer.sent.begin(), peer.sent.end(), silent)) {
         peer.state = PeerState::Absent;
-        peer.copy.clear();
         peer.copySent.clear();
         peer.sent.clear();
         return;
@@ -390,9 +399,6 @@
     }
     std::erase_if(this->batches, [](const auto &batch) { return batch.second.entries.empty(); });
     for (auto &[node, peer] : this->peers) {
-        for (std::vector<wire::JournalEntry> &part : peer.copy) {
-            std::erase_if(part, gone);
-        }
         for (auto &[count, sent] : peer.sent) {
             auto *entries = sent.write.mutable_entries();
             entries->erase(std::remove_if(entries->begin(), entries->end(), gone), entries->end());
@@ -478,7 +484,6 @@
     this->flushDue.reset();
     for (auto &[node, peer] : this->peers) {
         peer.state = PeerState::Absent;
-        peer.copy.clear();
         peer.copySent.clear();
         peer.sent.clear();
     }
--- a/packages/traffic/tests/journal_model.cpp
+++ b/packages/traffic/tests/journal_model.cpp
@@ -88,7 +88,10 @@
     auto owner = std::make_unique<Owner>();
     owner->session = this->owners.size() + 1;
     owner->name = "s" + std::to_string(owner->session);
-    owner->writer = std::make_unique<JournalWriter>(owner->session);
+    JournalSettings small; // so that copies and writes have several parts
+    small.batchIds = 1 + owner->session % 2;
+    small.copyParts = 1 + owner->session % 3;
+    owner->writer = std::make_unique<JournalWriter>(owner->session, small);
     owner->lookup = std::make_unique<JournalLookup>(owner->session << 32);
     owner->sets = {{.generation = 0, .peers = this->choosePeers(choice)}};
     owner->writer->setPeerSets(owner->sets, this->now);
--- a/packages/traffic/tests/test_journal.cpp
+++ b/packages/traffic/tests/test_journal.cpp
@@ -78,7 +78,7 @@
     });
 }
 
-// Guards against a model so quiet that it proves nothing. 1,000 scenarios gave 2,495 runs, 134 of
+// Guards against a model so quiet that it proves nothing. 1,000 scenarios gave 2,493 runs, 145 of
 // them by an owner that had to ask the peers of a predecessor.
 TEST_CASE("random scenarios run ids before and after takeovers, none twice")
 {
