Keep a predecessor awaited until its ids are written

The new owner of a move ended between receiving the handover and writing its ids, and the next owner asked only the peers of the ended one. The process has to do the same: HandoverAck after the import ticket is written, and the log keeps the predecessor until then. Conclusion: a rule for the process, not only for the model.

--- a/packages/traffic/tests/journal_model.cpp
+++ b/packages/traffic/tests/journal_model.cpp
@@ -161,6 +161,7 @@
     for (const WriteTicket ticket : written.written) {
         if (owner.importing == ticket) {
             owner.importing.reset();
+            owner.awaited.clear(); // only now: until here a next owner needs the predecessor too
         } else if (owner.writes.contains(ticket)) {
             const RequestId id = owner.writes.at(ticket);
             owner.writes.erase(ticket);
@@ -370,15 +371,17 @@
 // Takes the handover of every predecessor that lives; the peers of the others are asked instead.
 void JournalModel::receiveHandover(Owner &owner)
 {
-    if (!owner.alive) {
+    if (!owner.alive || owner.importing) {
         return;
     }
-    for (const std::size_t index : std::exchange(owner.awaited, {})) {
+    const std::vector<std::size_t> awaited = owner.awaited;
+    for (const std::size_t index : awaited) {
         Owner &predecessor = *this->owners[index];
         if (predecessor.alive) {
             this->importFrom(owner, index);
             continue;
         }
+        owner.awaited.clear();
         predecessor.ended = true;
         owner.lineage.push_back({.session = predecessor.session, .peerSets = predecessor.sets});
     }
