placement: tell a stalled upstream from a busy one

Cause: a server a little above the mean of a service near its capacity is full without overload. It was taken for stalled and gave all its slots away. Change: an upstream counts as stalled only if most sampled sessions would serve its load at less than two thirds of its utilisation.

--- a/packages/placement/policy.cpp
+++ b/packages/placement/policy.cpp
@@ -23,6 +23,7 @@
 // An upstream is stalled if it has been full for this long. Short bursts fill it too.
 constexpr double fullShare = 0.98;
 constexpr Duration stallTime = 5s;
+constexpr double slowRatio = 1.5;  // in utilisation for the same load
 constexpr double spentRatio = 0.5; // a full session below this ratio to the mean is spent
 
 // A change of the own load by this share is a reason to ask again.
@@ -195,6 +196,7 @@
 void PlacementPolicy::closeRound(Time now)
 {
     this->roundOpen = false;
+    this->isSlow = this->isSlowerThanOthers(now);
     const LoadSample own = this->ownSample(now);
     double loads = this->isSpent(own) ? 0 : own.load;
     double known = this->isSpent(own) ? 0 : 1;
@@ -242,7 +244,7 @@
     if (this->isOverloaded(load) && age >= this->settings.askPeriod * (1 << this->fruitless)) {
         return PlacementReason::Overload;
     }
-    if (this->isStalled(now) && load > stalledRest * this->mean
+    if (this->isFull(now) && load > stalledRest * this->mean
         && age >= this->settings.askPeriod * (1 << this->fruitless)) {
         return PlacementReason::Stalled;
     }
@@ -334,11 +336,32 @@
     }
 }
 
+bool PlacementPolicy::isFull(Time now) const
+{
+    return this->fullSince && now - *this->fullSince >= stallTime;
+}
+
 bool PlacementPolicy::isStalled(Time now) const
 {
     // An owner that is full because it is overloaded moves slots by the normal rule.
-    return this->fullSince && now - *this->fullSince >= stallTime
-           && !this->isOverloaded(this->rates.load(now));
+    return this->isFull(now) && this->isSlow && !this->isOverloaded(this->rates.load(now));
+}
+
+// Returns whether the own upstream is full at a load that most of the others would serve easily.
+// Without this, a server a little above the mean of a busy service would give all its slots away.
+bool PlacementPolicy::isSlowerThanOthers(Time now) const
+{
+    const double load = this->rates.load(now);
+    int faster = 0;
+    int known = 0;
+    for (const auto &[id, entry] : this->heard) {
+        if (entry.at >= this->roundAt && entry.sample.load > 0) {
+            const double expected = entry.sample.utilisation * load / entry.sample.load;
+            faster += expected * slowRatio < this->utilisation ? 1 : 0;
+            ++known;
+        }
+    }
+    return known > 0 && 2 * faster > known;
 }
 
 // Returns whether a session is full with little load. It takes no part in the mean, because the
--- a/packages/placement/policy.h
+++ b/packages/placement/policy.h
@@ -231,7 +231,9 @@
     double exitRatio() const;
     bool isOverloaded(double load) const;
     void noteStall(Time now);
+    bool isFull(Time now) const;
     bool isStalled(Time now) const;
+    bool isSlowerThanOthers(Time now) const;
     bool isSpent(const LoadSample &sample) const;
 
     // Decisions at the end of a round (choice.cpp).
@@ -261,6 +263,7 @@
     bool logAvailable = true;
     double utilisation = 0;
     std::optional<Time> fullSince;          // the utilisation has been full since then
+    bool isSlow = false;                    // as found in the last round
     std::vector<SessionView> sessions;      // ascending by session
     std::vector<std::uint64_t> newSessions; // other sessions with few slots
     std::vector<BindingView> bindings;
