path_bench: wait for spread slots before idle runs, end children on signals

Cause: a first session passes its slots on in steps of 4 s, so 8 s without a new record did not mean a steady state: 50 processes appended 57 records in the measured 60 s. A stopped benchmark left its processes running.

Change: an idle run starts when each process owns slots and the log has been quiet for 12 s, after at most 200 s. SIGTERM and SIGINT end the children.

--- a/packages/path_bench/bench_path.cpp
+++ b/packages/path_bench/bench_path.cpp
@@ -11,9 +11,13 @@
 #include <docopt/docopt.h>
 
 #include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <iostream>
 #include <map>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
 
 namespace kumquat {
 namespace {
@@ -119,6 +123,27 @@
     return 0;
 }
 
+// Ends the started processes, by their ids, when this program is asked to stop. The signals are
+// blocked in all threads, and the started programs take them by sigwait themselves.
+void endChildrenOnSignal()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::thread([signals] {
+        int received = 0;
+        sigwait(&signals, &received);
+        std::istringstream children(readFile("/proc/self/task/" + std::to_string(getpid())
+                                             + "/children")); // of the main thread
+        for (int child = 0; children >> child;) {
+            kill(child, SIGKILL);
+        }
+        _exit(1);
+    }).detach();
+}
+
 } // namespace
 } // namespace kumquat
 
@@ -130,6 +155,7 @@
     if (arguments.at("upstream").asBool()) {
         return runUpstream(arguments);
     }
+    endChildrenOnSignal();
     const std::filesystem::path program = std::filesystem::read_symlink("/proc/self/exe");
     return arguments.at("idle").asBool() ? runIdle(arguments, program)
                                          : runPath(arguments, program);
--- a/packages/path_bench/cluster.cpp
+++ b/packages/path_bench/cluster.cpp
@@ -22,6 +22,7 @@
         "  # asked by bench_path\n";
 
 constexpr Duration pollInterval = 100ms;
+constexpr Duration spreadInterval = 1s;  // slots arrive in steps of 4 s
 constexpr Duration startInterval = 10ms; // between the starts of two processes
 constexpr Duration sessionLimit = 60s;   // for all processes to join
 constexpr Duration publishLimit = 20s;
@@ -186,6 +187,20 @@
     return true;
 }
 
+bool BenchCluster::waitUntilSpread(Duration longest) const
+{
+    const Time giveUp = readBootTime() + longest;
+    for (const BenchNode &node : this->nodes) {
+        while (findMetric(readMetrics(node.admin), "kumquat_slots") <= 0) {
+            if (readBootTime() >= giveUp) {
+                return false;
+            }
+            std::this_thread::sleep_for(spreadInterval);
+        }
+    }
+    return true;
+}
+
 LogCounters BenchCluster::readLog() const
 {
     const Json status = readJson(this->log, "/control/status");
--- a/packages/path_bench/cluster.h
+++ b/packages/path_bench/cluster.h
@@ -61,6 +61,9 @@
     // Waits until the log has had no new record for `quiet`. False after `longest`.
     bool waitUntilQuiet(Duration quiet, Duration longest);
 
+    // Waits until each process owns slots. False after `longest`.
+    bool waitUntilSpread(Duration longest) const;
+
     LogCounters readLog() const;
     std::set<int> processIds() const; // of the kumquatstage processes
     std::set<int> meshPorts() const;
--- a/packages/path_bench/idle.cpp
+++ b/packages/path_bench/idle.cpp
@@ -17,7 +17,7 @@
 constexpr int regions = 2;
 constexpr int dataCentres = 6;
 constexpr int endpointSlots = 10;
-constexpr Duration quietTime = 8s; // longer than the pauses between steps of a join
+constexpr Duration quietTime = 12s; // three times the pause between two moves of a process
 // A first session passes its slots on in steps, which takes about two minutes.
 constexpr Duration quietLimit = 200s;
 constexpr double limitCoreShare = 0.013;
@@ -143,7 +143,9 @@
     if (absl::Status status = cluster.start(); !status.ok()) {
         return status;
     }
-    const bool isQuiet = cluster.waitUntilQuiet(quietTime, quietLimit);
+    const Time giveUp = readBootTime() + quietLimit;
+    const bool isSpread = cluster.waitUntilSpread(quietLimit);
+    const bool isQuiet = isSpread && cluster.waitUntilQuiet(quietTime, giveUp - readBootTime());
     IdleRow memory;
     memory.processes = options.processes;
     addMemory(memory, cluster);
