--- a/packages/node/request.h
+++ b/packages/node/request.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace kumquat {
 
@@ -32,11 +33,11 @@
     std::uint64_t logOffset = 0; // next offset that the answering process will read
 };
 
-inline RoutedAnswer makeFailure(ErrorKind error, std::string message)
+inline RoutedAnswer makeFailure(ErrorKind error, std::string_view message)
 {
     RoutedAnswer answer;
     answer.error = error;
-    answer.message = std::move(message);
+    answer.message = message;
     return answer;
 }
 
--- a/packages/node/upstream.cpp
+++ b/packages/node/upstream.cpp
@@ -199,8 +199,7 @@
     auto response = this->clients[worker]->call(withGrant(request, grant), limit);
     RoutedAnswer answer;
     if (!response.ok()) {
-        answer = makeFailure(errorKindOf(response.status()),
-                             std::string(toStd(response.status().message())));
+        answer = makeFailure(errorKindOf(response.status()), toStd(response.status().message()));
     } else if (isRefusal(*response)) {
         answer = makeFailure(ErrorKind::UpstreamRefused, "the upstream refused the request");
     } else {
