placement: give slots to a returned session in any round

In a small service the others are all overloaded while one is away, and an overloaded owner never considered the new session, because the cost of a cold start outweighs the gain of a normal move. Work came back only when a random overload chose that session.

Change: a new session takes part in a round for any reason; an overloaded owner without another target gives to it; the steps are counted from the time it was first seen; resting slots may go to a session that joined within the hysteresis time.

Test: "a session that returns to a small service receives slots at once" got no slot within 8 s before.

Conclusion: a planned restart gives its work back in the next round.

--- a/packages/placement/choice.cpp
+++ b/packages/placement/choice.cpp
@@ -54,7 +54,10 @@
         this->giveToNewSession(now, load, decisions);
         return;
     }
-    if (this->bindHotKey(now, decisions) || this->moveAway(now, load, decisions)) {
+    // In a small service a restart overloads all others, so that the new session is the only one
+    // with room; by the cost of a cold start alone it would get nothing until it is warm.
+    if (this->bindHotKey(now, decisions) || this->moveAway(now, load, decisions)
+        || this->giveToNewSession(now, load, decisions)) {
         this->fruitless = 0;
         return;
     }
@@ -264,7 +267,10 @@
     MoveSlots chosen;
     chosen.reason = reason;
     chosen.target = target.session;
-    for (const SlotRate &entry : this->rates.movable(now)) {
+    // After a planned restart all slots of a small service have just moved, and the session that is
+    // back would get none if they had to rest.
+    const bool withResting = this->hasJustJoined(target.session, now);
+    for (const SlotRate &entry : this->rates.movable(now, withResting)) {
         if (chosen.slots.size() >= this->settings.slotsPerMove) {
             break;
         }
@@ -286,6 +292,12 @@
 
 // --- new sessions ---
 
+bool PlacementPolicy::hasJustJoined(std::uint64_t id, Time now) const
+{
+    const SessionView *view = this->findSession(id);
+    return view != nullptr && now - view->seenSince < this->settings.hysteresis;
+}
+
 void PlacementPolicy::findNewSessions()
 {
     this->newSessions.clear();
@@ -299,40 +311,49 @@
 
 // Returns a new session that this owner should give slots to in this step. All owners see the new
 // session in the log at once; the hash lets only a few of them act.
-std::optional<std::uint64_t> PlacementPolicy::chooseNewSession(Time now)
+std::optional<PlacementPolicy::Gift> PlacementPolicy::chooseNewSession(Time now) const
 {
     const auto others = static_cast<double>(std::max<std::size_t>(this->sessions.size(), 2) - 1);
-    const auto step = static_cast<std::uint64_t>(now / newSessionStep);
-    // One round a step: a session with a hot key has few slots for as long as the key is hot.
-    if (this->giftStep == step) {
-        return std::nullopt;
-    }
     for (const std::uint64_t id : this->newSessions) {
-        const std::uint64_t draw = hashPair(hashPair(id, this->session), step);
+        const Duration age = std::max<Duration>(now - this->findSession(id)->seenSince, 0s);
+        const Gift gift{id, static_cast<std::uint64_t>(age / newSessionStep)};
+        const std::uint64_t draw = hashPair(hashPair(id, this->session), gift.step);
         const double position = static_cast<double>(draw >> 11) * 0x1p-53;
-        if (position * others < newSessionDonors) {
-            this->giftStep = step;
-            return id;
+        if (position * others < newSessionDonors && this->isGiftDue(gift, now)) {
+            return gift;
         }
     }
     return std::nullopt;
 }
 
+// One round a step: a session with a hot key has few slots for as long as the key is hot. Several
+// such sessions take turns, but one that has just joined does not wait for its turn.
+bool PlacementPolicy::isGiftDue(const Gift &gift, Time now) const
+{
+    if (!this->lastGift) {
+        return true;
+    }
+    if (gift.session == this->lastGift->session) {
+        return gift.step != this->lastGift->step;
+    }
+    return this->hasJustJoined(gift.session, now) || now - this->lastGiftAt >= newSessionStep;
+}
+
 bool PlacementPolicy::giveToNewSession(Time now, double load, Decisions &decisions)
 {
-    const auto id = this->recipient;
-    if (!id || load < leastDonorRatio * this->mean) {
+    if (!this->recipient || load < leastDonorRatio * this->mean) {
         return false;
     }
-    const auto found = this->heard.find(*id);
-    const SessionView *view = this->findSession(*id);
+    const std::uint64_t id = this->recipient->session;
+    const auto found = this->heard.find(id);
+    const SessionView *view = this->findSession(id);
     if (found == this->heard.end() || found->second.at < this->roundAt || view == nullptr
         || found->second.sample.load >= newSessionShare * this->mean
         || found->second.sample.utilisation > fullUtilisation) {
         return false;
     }
     Target target;
-    target.session = *id;
+    target.session = id;
     target.load = this->expectedLoad(found->second, *view);
     target.amount = std::min({newSessionGift * this->mean,
                               this->roomOf(found->second, *view, now) / newSessionDonors,
--- a/packages/placement/policy.cpp
+++ b/packages/placement/policy.cpp
@@ -230,7 +230,6 @@
         || this->sessions.size() < 2) {
         return std::nullopt;
     }
-    this->recipient.reset();
     const double load = this->rates.load(now);
     const Duration age = now - this->roundAt;
     if (this->mean <= 0 || this->rounds == 0) {
@@ -248,8 +247,7 @@
         && age >= this->settings.askPeriod * (1 << this->fruitless)) {
         return PlacementReason::Stalled;
     }
-    this->recipient = this->chooseNewSession(now);
-    if (this->recipient) {
+    if (this->chooseNewSession(now)) {
         return PlacementReason::NewSession;
     }
     if (age >= this->settings.refreshPeriod) {
@@ -263,6 +261,13 @@
     ++this->rounds;
     this->roundOpen = true;
     this->roundAt = now;
+    // A new session takes part in a round for any reason, because a load that changes all the time
+    // gives another reason in each round.
+    this->recipient = this->chooseNewSession(now);
+    if (this->recipient) {
+        this->lastGift = this->recipient;
+        this->lastGiftAt = now;
+    }
     this->loadAtRound = this->rates.load(now);
     const std::uint64_t seed = hashPair(hashPair(this->settings.seed, this->session), this->rounds);
     // The jitter keeps owners that became overloaded at once from asking at once.
@@ -277,11 +282,11 @@
         }
     }
     const auto count = std::min<std::size_t>(this->settings.askCount, others.size());
-    if (reason == PlacementReason::NewSession) {
-        const auto wanted = std::find(others.begin(), others.end(), *this->recipient);
+    if (this->recipient) {
+        const auto wanted = std::find(others.begin(), others.end(), this->recipient->session);
         std::iter_swap(others.begin(), wanted);
     }
-    for (std::size_t at = reason == PlacementReason::NewSession ? 1 : 0; at < count; ++at) {
+    for (std::size_t at = this->recipient ? 1 : 0; at < count; ++at) {
         const std::size_t pick = at + hashPair(seed, at) % (others.size() - at);
         std::swap(others[at], others[pick]);
     }
--- a/packages/placement/policy.h
+++ b/packages/placement/policy.h
@@ -206,6 +206,13 @@
         double worth = 0;  // gain less cost, in shares of the mean
     };
 
+    // A new session and the step, counted from the time it was first seen, in which it is asked.
+    struct Gift
+    {
+        std::uint64_t session = 0;
+        std::uint64_t step = 0;
+    };
+
     struct KeyRate
     {
         std::uint64_t keyHash = 0;
@@ -254,7 +261,9 @@
     double expectedLoad(const Heard &heard, const SessionView &view) const;
     bool move(PlacementReason reason, const Target &target, Time now, Decisions &decisions);
     void findNewSessions();
-    std::optional<std::uint64_t> chooseNewSession(Time now);
+    bool hasJustJoined(std::uint64_t id, Time now) const;
+    bool isGiftDue(const Gift &gift, Time now) const;
+    std::optional<Gift> chooseNewSession(Time now) const;
     std::optional<Slot> findFreeDedicatedSlot(std::uint64_t keyHash) const;
 
     PlacementSettings settings;
@@ -282,12 +291,13 @@
     Time roundAt{};
     Time nextRound{};
     std::uint64_t rounds = 0;
-    std::optional<std::uint64_t> recipient; // new session that the current round is for
-    std::optional<std::uint64_t> giftStep;  // last step with such a round
-    std::uint32_t fruitless = 0;            // rounds in a row with overload but without a decision
-    double loadAtRound = 0;                 // own requests/s
-    double mean = 0;                        // requests/s, 0: unknown
-    std::deque<Time> moves;                 // decided within the last minute
+    std::optional<Gift> recipient; // new session that takes part in the current round
+    std::optional<Gift> lastGift;  // of the last round with a new session
+    Time lastGiftAt{};
+    std::uint32_t fruitless = 0; // rounds in a row with overload but without a decision
+    double loadAtRound = 0;      // own requests/s
+    double mean = 0;             // requests/s, 0: unknown
+    std::deque<Time> moves;      // decided within the last minute
 };
 
 } // namespace kumquat
--- a/packages/placement/rates.cpp
+++ b/packages/placement/rates.cpp
@@ -112,11 +112,12 @@
     return entry == nullptr || entry->seconds <= 0 ? 0 : entry->requests / entry->seconds;
 }
 
-std::vector<SlotRate> SlotRates::movable(Time now) const
+std::vector<SlotRate> SlotRates::movable(Time now, bool withResting) const
 {
     std::vector<SlotRate> result;
     for (const OwnSlot &entry : this->owned) {
-        if (entry.pendingUntil > now || entry.restsUntil > now || entry.seconds < leastSeconds) {
+        const bool rests = entry.restsUntil > now && !withResting;
+        if (entry.pendingUntil > now || rests || entry.seconds < leastSeconds) {
             continue;
         }
         result.push_back({entry.slot, this->estimate(entry)});
--- a/packages/placement/rates.h
+++ b/packages/placement/rates.h
@@ -66,9 +66,10 @@
     // Returns requests/s of one slot, 0 if it is not owned.
     double rateOf(Slot slot) const;
 
-    // Returns the slots that may move now, highest rate first. Rates are drawn to the average,
-    // because the highest of many short counts are high by chance.
-    std::vector<SlotRate> movable(Time now) const;
+    // Returns the slots that may move now, highest rate first; slots that still rest only on
+    // request. Rates are drawn to the average, because the highest of many short counts are high by
+    // chance.
+    std::vector<SlotRate> movable(Time now, bool withResting) const;
 
     const std::vector<OwnSlot> &slots() const { return this->owned; }
 
--- a/packages/placement/tests/test_placement.cpp
+++ b/packages/placement/tests/test_placement.cpp
@@ -216,6 +216,31 @@
     REQUIRE(service.loadOf(5) <= 1.15 * mean);
 }
 
+// Guards against a session that gets nothing after a restart: in a small service all others are
+// overloaded then, and all of their slots have just come by moves.
+TEST_CASE("a session that returns to a small service receives slots at once")
+{
+    SmallService service = makeService(3);
+    service.run(30);
+    for (std::size_t index = 0; index < 3; ++index) {
+        for (Slot slot = 0; slot < usedSlots; ++slot) {
+            if (service.owners[slot] == index) {
+                service.policies[index].loseSlot(slot);
+                service.policies[index].gainSlot(slot, SlotGain::Moved, service.now);
+            }
+        }
+    }
+    service.run(3);
+    service.addSession();
+    service.run(8);
+    const double mean = 10.0 * usedSlots / 4;
+    REQUIRE(service.loadOf(3) > 0);
+    REQUIRE(service.loadOf(3) < 0.8 * mean);
+    service.run(172);
+    REQUIRE(service.loadOf(3) > 0.7 * mean);
+    REQUIRE(service.loadOf(3) <= 1.15 * mean);
+}
+
 TEST_CASE("slots spread without any request")
 {
     SmallService service;
