traffic: run requests that are blamed for a crash one at a time

Cause: every request that runs while an upstream crashes is blamed.

Change: CrashGuard gives at most one blamed request at a time a permit to run; a complete answer clears it of the crashes so far, and the crash ids stay known so that a record from the log does not count again. The others wait until their deadline and end as not run.

Ruled out: blaming only the request whose connection broke first, because a crash breaks all connections together.

--- a/packages/node/owner_path.cpp
+++ b/packages/node/owner_path.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Duration ownershipPoll = 5ms; // between looks at a slot that waits for its proof
+constexpr Duration permitPoll = 5ms;    // between looks whether a blamed request may run
 constexpr int maxHeldRequests = 1'024;  // that wait for a handover or takeover
 
 } // namespace
@@ -139,7 +140,7 @@
     }
     target->noteFirstAttempt(readBootTime());
     for (int attempts = 1;; ++attempts) {
-        RoutedAnswer answer = this->dispatch(worker, *target, request, number, epoch);
+        RoutedAnswer answer = this->dispatchPermitted(worker, *target, request, number, epoch);
         mayStillRun = mayStillRun || errorInfo(answer.error).outcome == Outcome::Unknown;
         const RetryQuestion question{.error = answer.error,
                                      .idempotent = request.idempotent,
@@ -159,6 +160,26 @@
     }
 }
 
+RoutedAnswer OwnerPath::dispatchPermitted(std::size_t worker, Upstream &target,
+                                          const RoutedRequest &request, RequestNumber number,
+                                          Epoch epoch)
+{
+    const RunPermit permit = this->waitForPermit(this->workers[worker]->io(), request);
+    if (permit == RunPermit::Wait) {
+        return makeFailure(ErrorKind::DeadlineExceeded,
+                           "other requests that ran during a crash are tried first");
+    }
+    if (this->isQuarantined(request)) {
+        const std::lock_guard lock(this->upstreamMutex);
+        this->crashGuard.endRun(permit, request.fingerprint, false);
+        return makeFailure(ErrorKind::RequestQuarantined, "this request crashed upstreams before");
+    }
+    RoutedAnswer answer = this->dispatch(worker, target, request, number, epoch);
+    const std::lock_guard lock(this->upstreamMutex);
+    this->crashGuard.endRun(permit, request.fingerprint, answer.error == ErrorKind::None);
+    return answer;
+}
+
 RoutedAnswer OwnerPath::dispatch(std::size_t worker, Upstream &target, const RoutedRequest &request,
                                  RequestNumber number, Epoch epoch)
 {
@@ -233,6 +254,20 @@
     return this->crashGuard.isQuarantined(request.fingerprint, readBootTime());
 }
 
+RunPermit OwnerPath::waitForPermit(asio::io_context &io, const RoutedRequest &request)
+{
+    while (true) {
+        {
+            const std::lock_guard lock(this->upstreamMutex);
+            const RunPermit permit = this->crashGuard.startRun(request.fingerprint, readBootTime());
+            if (permit != RunPermit::Wait || readBootTime() + permitPoll >= request.deadline) {
+                return permit;
+            }
+        }
+        sleepFor(io, permitPoll);
+    }
+}
+
 void OwnerPath::reportCrashes()
 {
     std::optional<CrashReport> report;
--- a/packages/node/owner_path.h
+++ b/packages/node/owner_path.h
@@ -106,6 +106,8 @@
                                  RequestNumber number, bool &mayStillRun);
     RoutedAnswer dispatchWithRetries(std::size_t worker, const RoutedRequest &request,
                                      RequestNumber number, Epoch epoch, bool &mayStillRun);
+    RoutedAnswer dispatchPermitted(std::size_t worker, Upstream &target,
+                                   const RoutedRequest &request, RequestNumber number, Epoch epoch);
     RoutedAnswer dispatch(std::size_t worker, Upstream &target, const RoutedRequest &request,
                           RequestNumber number, Epoch epoch);
     ServeAnswer waitForOwnership(asio::io_context &io, const RoutedRequest &request);
@@ -123,6 +125,7 @@
     void advance(Time now);
     void blame(const std::vector<Fingerprint> &running);
     bool isQuarantined(const RoutedRequest &request) const;
+    RunPermit waitForPermit(asio::io_context &io, const RoutedRequest &request);
     void reportCrashes();
     void reportLost(const Upstream *lost);
 
--- a/packages/path_bench/cluster.cpp
+++ b/packages/path_bench/cluster.cpp
@@ -94,7 +94,7 @@
     if (absl::Status status = this->waitForSessions(sessionLimit); !status.ok()) {
         return status;
     }
-    return this->publishRules();
+    return this->publishRules().status();
 }
 
 absl::Status BenchCluster::startNode(BenchNode &node)
@@ -152,8 +152,9 @@
     return absl::OkStatus();
 }
 
-absl::Status BenchCluster::publishRules()
+absl::StatusOr<Duration> BenchCluster::publishRules()
 {
+    const Time start = readBootTime();
     const std::string file = this->options.directory + "/rules.txt";
     writeFile(file, rules);
     const auto publish = Child::start({binary("kumquatctl"), "publish", "--admin",
@@ -166,7 +167,7 @@
     if ((*publish)->waitForExit(publishLimit) != 0) {
         return absl::UnavailableError("kumquatctl publish failed: " + (*publish)->output());
     }
-    return absl::OkStatus();
+    return readBootTime() - start;
 }
 
 bool BenchCluster::waitUntilQuiet(Duration quiet, Duration longest)
--- a/packages/path_bench/cluster.h
+++ b/packages/path_bench/cluster.h
@@ -10,6 +10,7 @@
 #include "system/child.h"
 
 #include <absl/status/status.h>
+#include <absl/status/statusor.h>
 
 #include <cstddef>
 #include <memory>
@@ -58,6 +59,10 @@
     // Starts all processes, waits until each has a session and publishes the rules.
     absl::Status start();
 
+    // Publishes rules and returns after which time all processes have them in force, as kumquatctl
+    // finds out by asking each of them. Error: not in force everywhere within its limit.
+    absl::StatusOr<Duration> publishRules();
+
     // Waits until the log has had no new record for `quiet`. False after `longest`.
     bool waitUntilQuiet(Duration quiet, Duration longest);
 
@@ -78,7 +83,6 @@
     absl::Status startNode(BenchNode &node);
     absl::Status startUpstream();
     absl::Status waitForSessions(Duration longest);
-    absl::Status publishRules();
 
     BenchClusterOptions options;
 };
--- a/packages/path_bench/idle.cpp
+++ b/packages/path_bench/idle.cpp
@@ -23,6 +23,7 @@
 constexpr double limitCoreShare = 0.013;
 constexpr double limitBytes = 256e6;
 constexpr double limitBytesPerSecond = 4'000; // mesh and log, sent and received
+constexpr Duration limitRules = 4s;           // published rules are in force everywhere
 // ZeroMQ's frame header, and IPv4 and TCP headers of the segment and of its acknowledgement.
 constexpr double framingBytes = 2 + 2 * 52;
 
@@ -164,6 +165,11 @@
     readTraffic(cluster, after);
     IdleRow row = compare(cluster, before, after);
     row.isQuiet = isQuiet;
+    const absl::StatusOr<Duration> rules = cluster.publishRules();
+    if (!rules.ok()) {
+        return rules.status();
+    }
+    row.rules = *rules;
     row.loadAverage = loadAverage + " to " + describeLoadAverage();
     return row;
 }
@@ -187,6 +193,11 @@
     return row.kernelMeshBytes + row.kernelLogBytes;
 }
 
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 std::string describeMisses(const std::vector<IdleRow> &rows)
 {
     std::string text;
@@ -203,6 +214,10 @@
             absl::StrAppendFormat(&text, "missed: %d processes: %.0f B/s\n", row.processes,
                                   controlBytes(row));
         }
+        if (row.rules > limitRules) {
+            absl::StrAppendFormat(&text, "missed: %d processes: rules in force after %.1f s\n",
+                                  row.processes, toSeconds(row.rules));
+        }
     }
     return text.empty() ? "all limits met\n" : text;
 }
@@ -211,22 +226,23 @@
 
 std::string formatTable(const std::vector<IdleRow> &rows)
 {
-    std::string text = "Idle, per process; limits: 1.3 % of a core, 256 MB, 4,000 B/s\n";
-    absl::StrAppendFormat(&text, "%5s %5s %6s %7s %7s %7s %7s %7s %8s %8s %8s %8s %7s %9s  %s\n",
-                          "procs", "s", "quiet", "core %", "max %", "MB", "max MB", "msgs/s",
-                          "paylB/s", "estB/s", "meshB/s", "logB/s", "reads/s", "appends",
-                          "load average");
+    std::string text = "Idle, per process; limits: 1.3 % of a core, 256 MB, 4,000 B/s; rules in "
+                       "force everywhere within 4 s\n";
+    absl::StrAppendFormat(
+            &text, "%5s %5s %6s %7s %7s %7s %7s %7s %8s %8s %8s %8s %7s %9s %7s  %s\n", "procs",
+            "s", "quiet", "core %", "max %", "MB", "max MB", "msgs/s", "paylB/s", "estB/s",
+            "meshB/s", "logB/s", "reads/s", "appends", "rules s", "load average");
     for (const IdleRow &row : rows) {
         absl::StrAppendFormat(
                 &text,
                 "%5d %5.0f %6s %7.2f %7.2f %7.1f %7.1f %7.1f %8.0f %8.0f %8.0f %8.0f %7.1f %9.0f"
-                "  %s\n",
+                " %7.2f  %s\n",
                 row.processes, std::chrono::duration<double>(row.elapsed).count(),
                 row.isQuiet ? "yes" : "no", 100 * row.coreShare, 100 * row.maxCoreShare,
                 row.residentBytes / 1e6, row.maxResidentBytes / 1e6,
                 row.sentMessages + row.receivedMessages, row.sentBytes + row.receivedBytes,
                 row.framedBytes, row.kernelMeshBytes, row.kernelLogBytes, row.logReads,
-                row.logAppends, row.loadAverage);
+                row.logAppends, toSeconds(row.rules), row.loadAverage);
     }
     if (rows.size() > 1) {
         absl::StrAppendFormat(&text,
@@ -260,6 +276,7 @@
                         {"kernelLogBytesPerSecond", row.kernelLogBytes},
                         {"logReadsPerSecond", row.logReads},
                         {"logAppends", row.logAppends},
+                        {"rulesInForceSeconds", toSeconds(row.rules)},
                         {"loadAverage", row.loadAverage}});
     }
     return list.dump(2) + "\n";
--- a/packages/path_bench/idle.h
+++ b/packages/path_bench/idle.h
@@ -41,6 +41,7 @@
     double kernelLogBytes = 0;
     double logReads = 0;   // of all processes per second
     double logAppends = 0; // of all processes in the elapsed time
+    Duration rules{};      // until published rules were in force in all processes
     std::string loadAverage;
 };
 
--- a/packages/system/tests/test_requests.cpp
+++ b/packages/system/tests/test_requests.cpp
@@ -268,6 +268,41 @@
     REQUIRE(cluster.read(entry, "certdesk", "D-5").outcome == Outcome::Done);
 }
 
+// Guards against the refusal of a request that only ran beside a fatal one in two crashes.
+TEST_CASE("a request that ran during two crashes of another one is still served")
+{
+    Cluster cluster("bystander");
+    startServing(cluster);
+    const Host &entry = cluster.host("t1");
+    HttpRequest crash{
+            "GET", "/certdesk/D-5?crash=1", {{"X-Crash", "1"}, {"X-Token", "crash"}}, {}, {}};
+    HttpRequest bystander{"GET", "/certdesk/D-5", {{"X-Token", "bystander"}}, {}, {}};
+    Attempt attempt;
+    attempt.token = "crash";
+    for (std::size_t count = 1; count <= 2; ++count) {
+        cluster.read(entry, "certdesk", "D-5");
+        Host &owner = cluster.findOwner("certdesk", "D-5");
+        Cluster::controlUpstream(owner, "set?service_ms=200");
+        auto other = std::async(std::launch::async,
+                                [&] { return Cluster::send(entry.callers, bystander); });
+        std::this_thread::sleep_for(50ms);
+        readOutcome(Cluster::send(entry.callers, crash), attempt);
+        INFO(attempt.error);
+        CHECK(attempt.outcome == Outcome::Unknown);
+        REQUIRE(owner.upstream->waitForExit(2s) == 3);
+        REQUIRE(runsOf(cluster, "crash").size() == count);
+        other.get();
+        cluster.startUpstream(owner);
+        REQUIRE(waitUntilServed(cluster, entry, "certdesk", "D-5"));
+    }
+    readOutcome(Cluster::send(entry.callers, crash), attempt);
+    CHECK(attempt.error == "request-quarantined");
+    attempt.token = "bystander";
+    readOutcome(Cluster::send(entry.callers, bystander), attempt);
+    INFO(attempt.error);
+    REQUIRE(attempt.outcome == Outcome::Done);
+}
+
 TEST_CASE("of two rules files published on one base, exactly one is accepted")
 {
     Cluster cluster("publish");
--- a/packages/traffic/crash_guard.cpp
+++ b/packages/traffic/crash_guard.cpp
@@ -34,7 +34,7 @@
                              std::uint64_t lastCrashId, Time now)
 {
     const auto known = this->blamed.find(fingerprint);
-    if (crashes == 0 || (known != this->blamed.end() && known->second.crashes() >= crashes)) {
+    if (crashes == 0 || (known != this->blamed.end() && known->second.known() >= crashes)) {
         return;
     }
     Blamed &entry = this->blamed[fingerprint];
@@ -52,6 +52,34 @@
            && now - found->second.last < this->settings.quarantine;
 }
 
+RunPermit CrashGuard::startRun(Fingerprint fingerprint, Time now)
+{
+    const auto found = this->blamed.find(fingerprint);
+    const bool isBlamed = found != this->blamed.end() && found->second.crashes() > 0
+                          && now - found->second.last < this->settings.memory;
+    if (!isBlamed) {
+        return RunPermit::Free;
+    }
+    if (this->runsAlone) {
+        return RunPermit::Wait;
+    }
+    this->runsAlone = true;
+    return RunPermit::Alone;
+}
+
+void CrashGuard::endRun(RunPermit permit, Fingerprint fingerprint, bool isAnswered)
+{
+    if (permit != RunPermit::Alone) {
+        return;
+    }
+    this->runsAlone = false;
+    const auto found = this->blamed.find(fingerprint);
+    if (isAnswered && found != this->blamed.end()) {
+        // The crash ids stay, so that a record that is read later does not count them again.
+        found->second.cleared = found->second.known();
+    }
+}
+
 std::optional<CrashReport> CrashGuard::takeReport(Time now)
 {
     const std::optional<Time> due = this->nextReport();
@@ -72,11 +100,6 @@
     return this->lastReport ? *this->lastReport + this->settings.reportEvery : Time{};
 }
 
-std::size_t CrashGuard::Blamed::crashes() const
-{
-    return this->imported + this->crashIds.size();
-}
-
 void CrashGuard::count(Fingerprint fingerprint, std::uint64_t crashId, Time now)
 {
     Blamed &entry = this->blamed[fingerprint];
--- a/packages/traffic/crash_guard.h
+++ b/packages/traffic/crash_guard.h
@@ -3,6 +3,8 @@
 //   guard.blame(runningFingerprints, crashId, now);
 //   if (std::optional<CrashReport> report = guard.takeReport(now)) { ... append CrashSuspect ... }
 //   guard.isQuarantined(fingerprint, now); // answer request-quarantined
+//   RunPermit permit = guard.startRun(fingerprint, now);
+//   if (permit != RunPermit::Wait) { ... run it ...; guard.endRun(permit, fingerprint, answered); }
 #pragma once
 
 #include "base/time.h"
@@ -35,7 +37,17 @@
     std::size_t reports = 64; // crashes that wait to be reported; then the oldest is dropped
 };
 
-// Counts crashes from the own upstream and from the log. Not thread-safe.
+// Says whether a request may run at the upstream now.
+enum class RunPermit : std::uint8_t {
+    Free,  // it is blamed for nothing
+    Alone, // it is blamed for a crash, and no other blamed request runs
+    Wait,  // it is blamed for a crash, and another blamed request runs
+};
+
+// Counts crashes from the own upstream and from the log. Requests that are blamed for a crash run
+// one at a time, so that the next crash shows which of them is fatal; one that is answered
+// meanwhile is cleared. Without this, a frequent request that ran beside a fatal one in two crashes
+// would be refused as well. Not thread-safe.
 class CrashGuard
 {
 public:
@@ -54,6 +66,12 @@
 
     bool isQuarantined(Fingerprint fingerprint, Time now) const;
 
+    // Asks to run a request that is not quarantined. Every Free or Alone is ended with endRun.
+    RunPermit startRun(Fingerprint fingerprint, Time now);
+
+    // Ends a run. A complete answer clears a request that ran alone of the crashes so far.
+    void endRun(RunPermit permit, Fingerprint fingerprint, bool isAnswered);
+
     // Returns the next record to append, at most one in reportEvery.
     std::optional<CrashReport> takeReport(Time now);
 
@@ -70,9 +88,11 @@
     {
         std::vector<std::uint64_t> crashIds; // the latest different ones, oldest first
         std::size_t imported = 0;            // crashes before the first of crashIds
+        std::size_t cleared = 0;             // crashes that a later answer has cleared
         Time last{};
 
-        std::size_t crashes() const;
+        std::size_t known() const { return this->imported + this->crashIds.size(); }
+        std::size_t crashes() const { return this->known() - this->cleared; }
     };
 
     struct Expiry
@@ -89,6 +109,7 @@
     std::deque<Expiry> expiries; // ascending by due
     std::deque<CrashReport> reports;
     std::optional<Time> lastReport;
+    bool runsAlone = false; // a blamed request runs
 };
 
 } // namespace kumquat
--- a/packages/traffic/tests/test_traffic.cpp
+++ b/packages/traffic/tests/test_traffic.cpp
@@ -179,6 +179,26 @@
     REQUIRE(guard.isQuarantined(3, 2s));
 }
 
+// Guards against the refusal of a frequent request that only ran beside a fatal one.
+TEST_CASE("blamed requests run one at a time and are cleared by an answer")
+{
+    constexpr Fingerprint fatal = 1;
+    constexpr Fingerprint frequent = 2;
+    CrashGuard guard;
+    REQUIRE(guard.startRun(frequent, 1s) == RunPermit::Free);
+    guard.blame({fatal, frequent}, 100, 1s);
+    REQUIRE(guard.startRun(frequent, 2s) == RunPermit::Alone);
+    REQUIRE(guard.startRun(fatal, 2s) == RunPermit::Wait);
+    guard.endRun(RunPermit::Alone, frequent, true);
+    guard.applyRecord({fatal, frequent}, 100, 2s); // the own record comes back from the log
+    REQUIRE(guard.startRun(frequent, 3s) == RunPermit::Free);
+    REQUIRE(guard.startRun(fatal, 3s) == RunPermit::Alone);
+    guard.blame({fatal, frequent}, 101, 3s);
+    guard.endRun(RunPermit::Alone, fatal, false);
+    REQUIRE(guard.isQuarantined(fatal, 4s));
+    REQUIRE_FALSE(guard.isQuarantined(frequent, 4s));
+}
+
 // Guards against a log flooded by crashes, and against memory that grows with them.
 TEST_CASE("crash reports are limited in rate and number")
 {
