node: cuts between processes for tests

Cause: tests with real processes had no way to cut the mesh, so no case covered partitions. Change: MeshFaults drops received messages by the node that sent them. Conclusion: a process test can cut one direction between two processes.

--- a/packages/node/admin.cpp
+++ b/packages/node/admin.cpp
@@ -1,10 +1,11 @@
-// The admin interface of the process: status, owner of a key, rules, drain, announcements.
+// The admin interface of the process: status, owner of a key, rules, drain, announcements, faults.
 #include "base/log.h"
 #include "base/text.h"
 #include "node/process.h"
 #include "report/exposition.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -133,6 +134,9 @@
         this->startDrain();
         return jsonResponse({{"draining", true}});
     }
+    if (isPost && path == "/faults/drop" && this->settings.faultInjection) {
+        return this->dropMessages(request);
+    }
     return makeErrorResponse(ErrorKind::NoRule, "unknown admin path or method");
 }
 
@@ -274,4 +278,17 @@
     return jsonResponse({{"accepted", true}});
 }
 
+HttpResponse Process::dropMessages(const HttpRequest &request)
+{
+    const auto from = findParameter(request.target, "from");
+    const auto on = findParameter(request.target, "on");
+    if (!from || (on != "0" && on != "1")) {
+        return makeErrorResponse(ErrorKind::BadRequest, "expected ?from=NODE&on=0|1");
+    }
+    this->faults.setDropped(*from, on == "1");
+    logWarning(LogPart::Main, "fault injection: messages are dropped",
+               {{"from", absl::StrJoin(this->faults.dropped(), ",")}});
+    return jsonResponse({{"dropped", this->faults.dropped()}});
+}
+
 } // namespace kumquat
--- /dev/null
+++ b/packages/node/mesh_faults.h
@@ -0,0 +1,31 @@
+// Cuts between processes for tests: received mesh messages of chosen senders are dropped. A cut in
+// both directions is set at both processes.
+//
+//   MeshFaults faults;
+//   faults.setDropped("node-a", true);
+//   if (!faults.drops(message)) { ... }
+#pragma once
+
+#include "wire/mesh.pb.h"
+
+#include <set>
+#include <string>
+
+namespace kumquat {
+
+// Control thread only.
+class MeshFaults
+{
+public:
+    // Starts or stops dropping the messages that a node sends.
+    void setDropped(const std::string &node, bool isDropped);
+
+    bool drops(const wire::MeshMessage &message) const;
+
+    const std::set<std::string> &dropped() const { return this->nodes; }
+
+private:
+    std::set<std::string> nodes;
+};
+
+} // namespace kumquat
--- a/packages/node/process.cpp
+++ b/packages/node/process.cpp
@@ -82,7 +82,9 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     this->mesh = std::make_unique<Mesh>(this->control,
                                         MeshHooks{.receive = [this](wire::MeshMessage &&message) {
-                                            this->driver->receive(std::move(message));
+                                            if (!this->faults.drops(message)) {
+                                                this->driver->receive(std::move(message));
+                                            }
                                         }});
     this->owner = std::make_unique<OwnerPath>(
             OwnerPathSettings{
--- a/packages/node/process.h
+++ b/packages/node/process.h
@@ -9,6 +9,7 @@
 #include "net/mesh.h"
 #include "node/entry_path.h"
 #include "node/forwarder.h"
+#include "node/mesh_faults.h"
 #include "node/owner_path.h"
 #include "node/ownership_driver.h"
 #include "node/placement_driver.h"
@@ -60,6 +61,7 @@
     HttpResponse showMetrics();
     HttpResponse showReport();
     HttpResponse takeAnnouncement(const HttpRequest &request);
+    HttpResponse dropMessages(const HttpRequest &request);
     void advanceEverySecond();
     void watchUpstream();
     void loseUpstream();
@@ -86,6 +88,7 @@
     ReportCollector collector;
 
     // Control thread only.
+    MeshFaults faults; // stays empty without faultInjection in the settings
     std::optional<Time> lastAnnouncement;
     Time rejoinAfter{};     // announcements are ignored until then
     Duration rejoinDelay{}; // grows with each loss of the upstream
--- a/packages/settings/json.cpp
+++ b/packages/settings/json.cpp
@@ -221,6 +221,19 @@
     return found->get<double>();
 }
 
+bool JsonObject::takeBool(const std::string &member, bool fallback)
+{
+    const Json *found = this->takeOptional(member);
+    if (found == nullptr) {
+        return fallback;
+    }
+    if (!found->is_boolean()) {
+        this->fault(member, quote(*found), "true or false");
+        return fallback;
+    }
+    return found->get<bool>();
+}
+
 void JsonObject::reportUnknown()
 {
     if (this->value == nullptr) {
--- a/packages/settings/json.h
+++ b/packages/settings/json.h
@@ -67,6 +67,9 @@
     double takeNumber(const std::string &member, std::string_view expected,
                       const std::function<bool(double)> &allows, std::optional<double> fallback);
 
+    // Returns a boolean.
+    bool takeBool(const std::string &member, bool fallback);
+
     // Adds a fault for each member that no take function has named.
     void reportUnknown();
 
--- a/packages/settings/settings.cpp
+++ b/packages/settings/settings.cpp
@@ -212,6 +212,7 @@
                                                  isWeight, settings.weightUnavailable);
     settings.limits = takeLimits(root, faults);
     settings.objectives = takeObjectives(root, faults);
+    settings.faultInjection = root.takeBool("faultInjection", settings.faultInjection);
     root.reportUnknown();
     return settings;
 }
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -64,6 +64,7 @@
     double weightUnavailable = 0.5; // 0 to 1; the rest weighs imbalance
     LimitSettings limits;
     std::vector<Objective> objectives;
+    bool faultInjection = false; // for tests only: the admin port takes faults to inject
 };
 
 // --- loading ---
--- a/packages/settings/tests/test_settings.cpp
+++ b/packages/settings/tests/test_settings.cpp
@@ -32,14 +32,16 @@
     REQUIRE(small->drainLimit == 20s);
     REQUIRE(small->retention == 24h);
     REQUIRE(small->weightUnavailable == 0.5);
+    REQUIRE_FALSE(small->faultInjection);
     const auto full = parseSettings("{" + required + R"(, "logLevel": "debug", "workers": 64,
-        "drainLimitMs": 5, "retentionMs": 1000, "weightUnavailable": 1,
+        "drainLimitMs": 5, "retentionMs": 1000, "weightUnavailable": 1, "faultInjection": true,
         "limits": {"queueLength": 0, "initialConcurrency": 7, "maxBodyBytes": 1},
         "objectives": [{"name": "reads", "pathPrefix": "/testlog/", "availability": 0.999,
                         "latencyMs": 9, "latencyShare": 0.99}]})");
     REQUIRE(full.ok());
     REQUIRE(full->logLevel == LogLevel::Debug);
     REQUIRE(full->drainLimit == 5ms);
+    REQUIRE(full->faultInjection);
     REQUIRE(full->limits.initialConcurrency == 7);
     REQUIRE(full->objectives == std::vector<Objective>{{"reads", "/testlog/", 0.999, 9ms, 0.99}});
 }
@@ -50,7 +52,7 @@
     REQUIRE(faultsOf(R"({"listen": {"admin": "localhost:2", "mesh": "127.0.0.1:3", "x/y": 1},
         "log": [], "node": "a b", "region": 1, "workers": 65, "weightUnavailable": 1.5,
         "drainLimitMs": 2.5, "retentionMs": 18446744073709551615, "logLevel": "loud",
-        "limits": [], "objectives": {}, "colour": null})")
+        "limits": [], "objectives": {}, "faultInjection": 1, "colour": null})")
             == "/node: \"a b\"; expected 1 to 64 letters, digits, \"-\", \"_\" or \".\"\n"
                "/region: 1; expected 1 to 64 letters, digits, \"-\", \"_\" or \".\"\n"
                "/dataCentre: missing; expected 1 to 64 letters, digits, \"-\", \"_\" or \".\"\n"
@@ -66,8 +68,10 @@
                "/weightUnavailable: 1.5; expected a number from 0 to 1\n"
                "/limits: []; expected an object\n"
                "/objectives: wrong type; expected an array\n"
-               "/colour: unknown member; expected one of dataCentre, drainLimitMs, limits, listen, "
-               "log, logLevel, node, objectives, region, retentionMs, weightUnavailable, workers");
+               "/faultInjection: 1; expected true or false\n"
+               "/colour: unknown member; expected one of dataCentre, drainLimitMs, faultInjection, "
+               "limits, listen, log, logLevel, node, objectives, region, retentionMs, "
+               "weightUnavailable, workers");
     REQUIRE(faultsOf("[]") == "/: []; expected an object");
 }
 
