system: share the set-up steps of the process tests

Cluster gets regions (from the data centre's name), a retention time, cuts, readLog, findPeers (before: findProtected) and askOwner. Load goes to the services that the hosts have.

--- a/packages/system/cluster.cpp
+++ b/packages/system/cluster.cpp
@@ -1,8 +1,6 @@
 // Sections: hosts, rules, waiting, requests, records.
 #include "system/cluster.h"
 
-#include "wire/log.pb.h"
-
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <nlohmann/json.hpp>
@@ -30,7 +28,7 @@
 
 constexpr Duration pollInterval = 100ms;
 constexpr Duration ctlLimit = 15s;
-constexpr int usualPeers = 3;
+constexpr std::size_t usualPeers = 3;
 constexpr int keysToTry = 10;
 constexpr std::size_t shownLogBytes = 4'000;
 
@@ -78,6 +76,7 @@
 {
     auto host = std::make_unique<Host>();
     host->name = name;
+    host->region = dataCentre.substr(0, dataCentre.rfind('-'));
     host->dataCentre = dataCentre;
     host->service = service;
     host->callers = makeAddress();
@@ -106,13 +105,15 @@
 void Cluster::startProcess(Host &host)
 {
     const nlohmann::json settings{{"node", host.name},
-                                  {"region", "dakar"},
+                                  {"region", host.region},
                                   {"dataCentre", host.dataCentre},
                                   {"listen",
                                    {{"callers", host.callers.toString()},
                                     {"admin", host.admin.toString()},
                                     {"mesh", host.mesh.toString()}}},
-                                  {"log", {this->log.toString()}}};
+                                  {"log", {this->log.toString()}},
+                                  {"retentionMs", this->retention.count()},
+                                  {"faultInjection", true}};
     const std::string file = absl::StrCat(this->path, "/", host.name, ".json");
     writeFile(file, settings.dump(2));
     host.process = Child::start({binary("kumquatstage"), "--config", file},
@@ -191,31 +192,43 @@
     return true;
 }
 
-std::set<std::string> Cluster::findProtected() const
+std::vector<std::pair<std::uint64_t, wire::LogRecord>> Cluster::readLog() const
 {
     const HttpExchange exchange = send(this->log, {"GET", "/records?limit=100000", {}, {}, {}});
     wire::LogBatch batch;
     batch.ParseFromString(exchange.answer.body);
-    std::map<std::uint64_t, std::string> nodes;                      // by session
-    std::map<std::pair<std::uint64_t, std::uint32_t>, int> proposed; // peers by generation
-    std::set<std::string> result;
+    std::vector<std::pair<std::uint64_t, wire::LogRecord>> records;
     for (int index = 0; index < batch.records_size(); ++index) {
-        const std::uint64_t offset = batch.from() + static_cast<std::uint64_t>(index);
         wire::LogRecord record;
         record.ParseFromString(batch.records(index));
+        records.emplace_back(batch.from() + static_cast<std::uint64_t>(index), std::move(record));
+    }
+    return records;
+}
+
+std::map<std::string, std::vector<std::string>> Cluster::findPeers() const
+{
+    using Peers = std::vector<std::string>;
+    std::map<std::uint64_t, std::string> nodes;                        // by session
+    std::map<std::pair<std::uint64_t, std::uint32_t>, Peers> proposed; // by generation
+    std::map<std::string, Peers> result;
+    const auto settle = [&result](const std::string &node, const Peers &peers) {
+        if (peers.size() >= usualPeers) {
+            result[node] = peers;
+        }
+    };
+    for (const auto &[offset, record] : this->readLog()) {
         if (record.has_join()) {
-            nodes[offset] = record.join().node();
-            if (record.join().peers_size() >= usualPeers) {
-                result.insert(record.join().node());
-            }
+            const wire::Join &join = record.join();
+            nodes[offset] = join.node();
+            settle(join.node(), {join.peers().begin(), join.peers().end()});
         } else if (record.has_peers()) {
             const wire::Peers &peers = record.peers();
-            proposed[{peers.session(), peers.generation()}] = peers.peers_size();
+            proposed[{peers.session(), peers.generation()}] = {peers.peers().begin(),
+                                                               peers.peers().end()};
         } else if (record.has_peers_settled()) {
             const wire::PeersSettled &settled = record.peers_settled();
-            if (proposed[{settled.session(), settled.generation()}] >= usualPeers) {
-                result.insert(nodes[settled.session()]);
-            }
+            settle(nodes[settled.session()], proposed[{settled.session(), settled.generation()}]);
         }
     }
     return result;
@@ -224,7 +237,7 @@
 bool Cluster::waitUntilProtected(Duration longest)
 {
     const Time giveUp = readBootTime() + longest;
-    while (this->findProtected().size() < this->allHosts.size()) {
+    while (this->findPeers().size() < this->allHosts.size()) {
         if (readBootTime() >= giveUp) {
             return false;
         }
@@ -300,13 +313,17 @@
 LoadOptions Cluster::makeLoad(Duration duration, const Host *excluded) const
 {
     LoadOptions options;
-    options.services = {"testlog", "certdesk"};
     options.duration = duration;
     options.keys = 100;
     for (const auto &host : this->allHosts) {
         if (host.get() != excluded) {
             options.entries.push_back(host->callers);
         }
+        const bool isKnown =
+                std::count(options.services.begin(), options.services.end(), host->service) > 0;
+        if (!isKnown) {
+            options.services.push_back(host->service);
+        }
     }
     return options;
 }
@@ -329,6 +346,14 @@
     return attempt;
 }
 
+std::string Cluster::askOwner(const Host &asked, const std::string &service, const std::string &key)
+{
+    const std::string target = absl::StrCat("/owner?service=", service, "&key=", key);
+    const HttpExchange exchange = send(asked.admin, {"GET", target, {}, {}, {}});
+    const auto json = nlohmann::json::parse(exchange.answer.body, nullptr, false);
+    return json.is_object() ? json.value("node", "") : "";
+}
+
 void Cluster::controlLog(const std::string &target)
 {
     const HttpExchange exchange = send(this->log, {"POST", "/control/" + target, {}, {}, {}});
@@ -344,6 +369,14 @@
     static_cast<void>(exchange);
 }
 
+void Cluster::cutMessages(const Host &from, const Host &to, bool isCut)
+{
+    const std::string target = absl::StrCat("/faults/drop?from=", from.name, "&on=", isCut ? 1 : 0);
+    const HttpExchange exchange = send(to.admin, {"POST", target, {}, {}, {}});
+    assert(exchange.answer.status == 200 && "set faultInjection in the settings");
+    static_cast<void>(exchange);
+}
+
 // --- records
 
 Records Cluster::collectRecords() const
--- a/packages/system/cluster.h
+++ b/packages/system/cluster.h
@@ -14,10 +14,12 @@
 #include "standins/ledger.h"
 #include "standins/load.h"
 #include "system/child.h"
+#include "wire/log.pb.h"
 
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kumquat {
@@ -26,6 +28,7 @@
 struct Host
 {
     std::string name;
+    std::string region;
     std::string dataCentre;
     std::string service;
     Address callers;
@@ -48,7 +51,7 @@
     // Saves the records of the log as records.pb and ends all processes.
     ~Cluster();
 
-    // Adds a host and starts its processes.
+    // Adds a host and starts its processes. A data centre is named REGION-NUMBER.
     Host &startHost(const std::string &name, const std::string &dataCentre,
                     const std::string &service, std::vector<std::string> upstreamOptions = {});
 
@@ -67,6 +70,9 @@
     // Starts kumquatctl and returns at once.
     std::unique_ptr<Child> startCtl(const std::vector<std::string> &arguments);
 
+    // Sets how long the processes that are started next think that the log keeps records.
+    void setRetention(std::chrono::milliseconds time) { this->retention = time; }
+
     // Waits until every process answers on its admin port.
     bool waitUntilStarted(Duration longest);
 
@@ -74,6 +80,12 @@
     // is not tolerated: a session without peers can only be taken over by its own node.
     bool waitUntilProtected(Duration longest);
 
+    // Returns the peers of each node that has a session with 3 settled peers.
+    std::map<std::string, std::vector<std::string>> findPeers() const;
+
+    // Returns the records that the log keeps, with their offsets.
+    std::vector<std::pair<std::uint64_t, wire::LogRecord>> readLog() const;
+
     // Waits until every host answers reads of several keys of each service.
     bool waitUntilServed(Duration longest);
 
@@ -96,10 +108,17 @@
     // Reads a key through a host; the attempt states the outcome.
     Attempt read(const Host &host, const std::string &service, const std::string &key);
 
+    // Returns the node that owns the key as the host knows it, empty if it knows none.
+    static std::string askOwner(const Host &asked, const std::string &service,
+                                const std::string &key);
+
     // Calls an endpoint of the log stand-in.
     void controlLog(const std::string &target);
     static void controlUpstream(const Host &host, const std::string &target);
 
+    // Cuts the path of the messages of one process to another, or ends the cut.
+    static void cutMessages(const Host &from, const Host &to, bool isCut);
+
     // Returns the runs of all upstreams, also of those that were killed.
     Records collectRecords() const;
     std::vector<Run> collectRuns() const { return this->collectRecords().runs; }
@@ -114,11 +133,9 @@
     Host &host(const std::string &name);
 
 private:
-    // Returns the nodes that have a session with 3 settled peers.
-    std::set<std::string> findProtected() const;
-
     std::string path;
     Address log;
+    std::chrono::milliseconds retention = 24h;
     std::unique_ptr<Child> logProcess;
     std::vector<std::unique_ptr<Host>> allHosts;
     std::vector<std::string> ledgers;
--- /dev/null
+++ b/packages/system/tests/scenario.cpp
@@ -0,0 +1,118 @@
+#include "system/tests/scenario.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace kumquat {
+namespace {
+
+std::string nameKey(const std::string &service, const std::string &key)
+{
+    return absl::StrCat(service, "/", key);
+}
+
+} // namespace
+
+BackgroundLoad::BackgroundLoad(const LoadOptions &options)
+    : generator(options)
+    , attempts(std::async(std::launch::async, [this] { return this->generator.run(); }))
+{}
+
+void waitUntilServing(Cluster &cluster)
+{
+    const bool isStarted = cluster.waitUntilStarted(startLimit);
+    const int published = cluster.publishRules();
+    const bool isServed = cluster.waitUntilServed(startLimit);
+    const bool isProtected = cluster.waitUntilProtected(startLimit);
+    INFO(cluster.describeLogs());
+    REQUIRE(isStarted);
+    REQUIRE(published == 0);
+    REQUIRE(isServed);
+    REQUIRE(isProtected);
+}
+
+void startServing(Cluster &cluster, const std::vector<std::string> &upstreamOptions)
+{
+    cluster.startUsualHosts(upstreamOptions);
+    waitUntilServing(cluster);
+}
+
+Host &findBusyOwner(Cluster &cluster)
+{
+    const Time since = readBootTime();
+    LoadGenerator(cluster.makeLoad(1s)).run();
+    return cluster.findBusiest("testlog", since);
+}
+
+std::string describeFailures(const std::vector<Attempt> &attempts)
+{
+    constexpr int longestList = 20;
+    std::string text;
+    int count = 0;
+    for (const Attempt &attempt : attempts) {
+        if (attempt.outcome != Outcome::Done && ++count <= longestList) {
+            absl::StrAppend(&text, "failed: ", attempt.service, "/", attempt.key, " ",
+                            attempt.error, " token=", attempt.token, " attempt=", attempt.number,
+                            " id=", attempt.requestId, " due=", attempt.due.count(),
+                            " finished=", attempt.finished.count(), "\n");
+        }
+    }
+    return text;
+}
+
+int countRunsAfter(const Cluster &cluster, const std::string &upstream, Time time)
+{
+    int count = 0;
+    for (const Run &run : cluster.collectRuns()) {
+        count += run.upstream == upstream && run.start > time ? 1 : 0;
+    }
+    return count;
+}
+
+std::set<std::string> findOwnedKeys(const LoadOptions &load, const Host &asked, const Host &owner)
+{
+    std::set<std::string> keys;
+    for (const std::string &service : load.services) {
+        for (int number = 0; number < load.keys; ++number) {
+            const std::string key = absl::StrCat("D-", number);
+            if (Cluster::askOwner(asked, service, key) == owner.name) {
+                keys.insert(nameKey(service, key));
+            }
+        }
+    }
+    return keys;
+}
+
+std::set<std::string> findLastRunKeys(const Cluster &cluster, const Host &host)
+{
+    std::map<std::string, std::pair<Time, std::string>> latest;
+    for (const Run &run : cluster.collectRuns()) {
+        auto &last = latest[nameKey(run.service, run.key)];
+        last = std::max(last, {run.start, run.upstream});
+    }
+    std::set<std::string> keys;
+    for (const auto &[key, last] : latest) {
+        if (last.second == host.upstreamName) {
+            keys.insert(key);
+        }
+    }
+    return keys;
+}
+
+std::vector<Attempt> findFailuresOutside(const std::vector<Attempt> &attempts,
+                                         const std::set<std::string> &keys)
+{
+    std::vector<Attempt> failures;
+    for (const Attempt &attempt : attempts) {
+        if (attempt.outcome != Outcome::Done
+            && !keys.contains(nameKey(attempt.service, attempt.key))) {
+            failures.push_back(attempt);
+        }
+    }
+    return failures;
+}
+
+} // namespace kumquat
--- a/packages/system/tests/test_requests.cpp
+++ b/packages/system/tests/test_requests.cpp
@@ -1,5 +1,5 @@
 // Faulty and repeated requests, crashing requests and publishing, with the real programs.
-#include "system/cluster.h"
+#include "system/tests/scenario.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
@@ -15,24 +15,9 @@
 
 namespace {
 
-constexpr Duration startLimit = 12s;
 constexpr Duration recoveryLimit = 5s;
 constexpr std::size_t mebibyte = 1U << 20U;
 
-void startServing(Cluster &cluster)
-{
-    cluster.startUsualHosts();
-    const bool isStarted = cluster.waitUntilStarted(startLimit);
-    const int published = cluster.publishRules();
-    const bool isServed = cluster.waitUntilServed(startLimit);
-    const bool isProtected = cluster.waitUntilProtected(startLimit);
-    INFO(cluster.describeLogs());
-    REQUIRE(isStarted);
-    REQUIRE(published == 0);
-    REQUIRE(isServed);
-    REQUIRE(isProtected);
-}
-
 // Sends bytes over a new connection and returns what comes back within 2 s.
 std::string sendBytes(const Address &address, const std::string &bytes)
 {
--- a/packages/system/tests/test_system.cpp
+++ b/packages/system/tests/test_system.cpp
@@ -1,9 +1,7 @@
 // Losses, pauses, outages and drains under load, with the real programs. The ledgers of the
 // upstreams are the record of what ran; the bounds are the targets of docs/design.md.
-#include "standins/verdict.h"
-#include "system/cluster.h"
+#include "system/tests/scenario.h"
 
-#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 #include <csignal>
@@ -14,76 +12,8 @@
 
 namespace {
 
-constexpr Duration startLimit = 12s;
-constexpr Duration recoveryTarget = 2s; // a key is served again within 2 s of a loss
-constexpr Duration drainTarget = 3s;    // a leaving upstream receives no new work after 3 s
-constexpr Duration drainLimit = 20s;
 constexpr Duration returnLimit = 14s; // for the first slots of a session that has joined again
 
-// Load that runs while the test injects a fault.
-class BackgroundLoad
-{
-public:
-    explicit BackgroundLoad(const LoadOptions &options)
-        : generator(options)
-        , attempts(std::async(std::launch::async, [this] { return this->generator.run(); }))
-    {}
-
-    std::vector<Attempt> finish() { return this->attempts.get(); }
-
-private:
-    LoadGenerator generator;
-    std::future<std::vector<Attempt>> attempts;
-};
-
-void startServing(Cluster &cluster, const std::vector<std::string> &upstreamOptions = {})
-{
-    cluster.startUsualHosts(upstreamOptions);
-    const bool isStarted = cluster.waitUntilStarted(startLimit);
-    const int published = cluster.publishRules();
-    const bool isServed = cluster.waitUntilServed(startLimit);
-    const bool isProtected = cluster.waitUntilProtected(startLimit);
-    INFO(cluster.describeLogs());
-    REQUIRE(isStarted);
-    REQUIRE(published == 0);
-    REQUIRE(isServed);
-    REQUIRE(isProtected);
-}
-
-// Returns the testlog host that runs most of a short load.
-Host &findBusyOwner(Cluster &cluster)
-{
-    const Time since = readBootTime();
-    LoadGenerator(cluster.makeLoad(1s)).run();
-    return cluster.findBusiest("testlog", since);
-}
-
-// Lists the requests that were not done.
-std::string describeFailures(const std::vector<Attempt> &attempts)
-{
-    constexpr int longestList = 20;
-    std::string text;
-    int count = 0;
-    for (const Attempt &attempt : attempts) {
-        if (attempt.outcome != Outcome::Done && ++count <= longestList) {
-            absl::StrAppend(&text, "failed: ", attempt.service, "/", attempt.key, " ",
-                            attempt.error, " token=", attempt.token, " attempt=", attempt.number,
-                            " id=", attempt.requestId, " due=", attempt.due.count(),
-                            " finished=", attempt.finished.count(), "\n");
-        }
-    }
-    return text;
-}
-
-int countRunsAfter(const Cluster &cluster, const std::string &upstream, Time time)
-{
-    int count = 0;
-    for (const Run &run : cluster.collectRuns()) {
-        count += run.upstream == upstream && run.start > time ? 1 : 0;
-    }
-    return count;
-}
-
 } // namespace
 
 TEST_CASE("requests reach their owner through every process")
