net, node: read the records after a loaded checkpoint again

Cause: a process that starts after records have expired finds the checkpoint at a higher offset than the one that it covers. Change: LogClient::readFrom; the driver calls it when the engine wants a record that was already given. Figures: before, the new process had logOffset 18 while the others were at 26, no Join within 20 s, and 11 of 400 requests ended as not-owner.

--- a/packages/net/log_client.cpp
+++ b/packages/net/log_client.cpp
@@ -120,6 +120,9 @@
             record.Clear();
         }
         this->hooks.receive(recordOffset, std::move(record));
+        if (this->next != recordOffset + 1) {
+            return; // the hook chose another offset; what follows there is read anew
+        }
     }
     if (this->next >= batch.end()) {
         this->knowsEnd = true;
--- a/packages/net/log_client.h
+++ b/packages/net/log_client.h
@@ -47,6 +47,9 @@
     // Follows the log from an offset; call once.
     void startReading(std::uint64_t from);
 
+    // Goes on reading at another offset. Call from a hook or on the client's thread.
+    void readFrom(std::uint64_t offset) { this->next = offset; }
+
     // Appends one record in a fiber of its own; a failure is only counted. Any thread.
     void append(const wire::LogRecord &record);
 
--- a/packages/node/ownership_driver.cpp
+++ b/packages/node/ownership_driver.cpp
@@ -161,6 +161,11 @@
                 this->engine->onRecord(offset, record, now);
             },
             &event);
+    // A checkpoint that completes the state covers less than what was read to find it, so the
+    // records after the covered offset must be read again.
+    if (const Offset wanted = this->nextOffset(); wanted <= offset) {
+        this->log.readFrom(wanted);
+    }
     this->updateRules(version);
     for (const SessionId session : record.fence().sessions()) {
         this->hooks.reportFenced(session);
