wire: write the slots of a Move as runs, grouped by epoch

Each slot of a Move was a message of its own with its epoch, about 9 bytes, and every Move reaches every node.

A Move now lists groups of slots that share an epoch. A group holds runs of consecutive slots as gaps and lengths. The meaning is the same: a slot whose epoch or owner no longer matches is skipped. A record with a slot out of range, with more slots than a service has, or with a run without its length is void as a whole, so decoding is bounded.

--- a/packages/bench/bench_engine.cpp
+++ b/packages/bench/bench_engine.cpp
@@ -1,5 +1,6 @@
 // Micro-benchmark of ClusterState and OwnershipEngine: processor time and memory by session count.
 #include "ownership/engine.h"
+#include "ownership/slot_groups.h"
 
 #include <docopt/docopt.h>
 #include <malloc.h>
@@ -103,11 +104,11 @@
     move.set_from_session(from);
     move.set_to_session(to);
     move.set_settled(true);
+    std::vector<SlotEpoch> slots;
     for (Slot slot = first; slot < first + count; ++slot) {
-        wire::SlotEpoch &entry = *move.add_slots();
-        entry.set_slot(slot);
-        entry.set_epoch(state.findSlot(service, slot)->epoch);
+        slots.push_back({slot, state.findSlot(service, slot)->epoch});
     }
+    setSlots(move, std::move(slots));
     return record;
 }
 
--- a/packages/ownership/cluster_state.cpp
+++ b/packages/ownership/cluster_state.cpp
@@ -1,6 +1,7 @@
 // Sections: helpers, sessions, slots, peers, rules and crashes, apply.
 #include "ownership/cluster_state.h"
 
+#include "ownership/slot_groups.h"
 #include "wire/log.pb.h"
 
 #include <algorithm>
@@ -304,19 +305,20 @@
         return refuse(result, "no such pair of sessions");
     }
     ServiceState &state = this->services.find(move.service())->second;
-    for (const wire::SlotEpoch &moved : move.slots()) {
-        if (moved.slot() >= this->slotting.count()) {
-            continue;
-        }
-        SlotState &slot = state.slots[moved.slot()];
-        if (slot.owner != move.from_session() || slot.epoch != moved.epoch()) {
+    const auto slots = readSlots(move, this->slotting.count());
+    if (!slots) {
+        return refuse(result, "malformed");
+    }
+    for (const SlotEpoch &moved : *slots) {
+        SlotState &slot = state.slots[moved.slot];
+        if (slot.owner != move.from_session() || slot.epoch != moved.epoch) {
             continue;
         }
         if (move.settled()) {
             this->clearPredecessors(slot);
         }
         this->addPredecessor(slot, {slot.owner, slot.epoch});
-        this->assign(move.service(), state, moved.slot(), move.to_session(), result);
+        this->assign(move.service(), state, moved.slot, move.to_session(), result);
     }
     if (result.moved.empty()) {
         refuse(result, "no slot has this owner and epoch");
--- a/packages/ownership/membership.cpp
+++ b/packages/ownership/membership.cpp
@@ -2,6 +2,7 @@
 #include "ownership/membership.h"
 
 #include "ownership/peer_choice.h"
+#include "ownership/slot_groups.h"
 
 #include <algorithm>
 #include <set>
@@ -264,18 +265,18 @@
         move.set_from_session(own->id);
         move.set_to_session(target);
         move.set_settled(settled);
+        std::vector<SlotEpoch> moved;
         std::uint64_t mix = settled ? 1 : 0;
         for (const Slot slot : slots) {
             const SlotState *state = this->context.state.findSlot(own->service, slot);
             if (state != nullptr && state->owner == own->id
                 && this->takeover.isSettled(slot, state->epoch) == settled) {
-                wire::SlotEpoch &moved = *move.add_slots();
-                moved.set_slot(slot);
-                moved.set_epoch(state->epoch);
+                moved.push_back({slot, state->epoch});
                 mix = hashPair(mix, hashPair(slot, state->epoch));
             }
         }
-        if (move.slots_size() > 0) {
+        if (!moved.empty()) {
+            setSlots(move, std::move(moved));
             this->context.append({record.body_case(), target, mix}, record, now);
         }
     }
--- /dev/null
+++ b/packages/ownership/slot_groups.h
@@ -0,0 +1,33 @@
+// Compact form of the slots of a Move: runs of slots, grouped by epoch.
+#pragma once
+
+#include "ownership/cluster_state.h"
+
+#include <optional>
+#include <vector>
+
+namespace kumquat::wire {
+class Move;
+} // namespace kumquat::wire
+
+namespace kumquat {
+
+struct SlotEpoch
+{
+    Slot slot = 0;
+    Epoch epoch = 0;
+    bool operator==(const SlotEpoch &) const = default;
+};
+
+// Replaces the slots of a Move; no slot may be listed twice.
+//
+//   setSlots(move, {{7, epoch}, {8, epoch}});
+//   std::optional<std::vector<SlotEpoch>> slots = readSlots(move, layout.count());
+void setSlots(wire::Move &move, std::vector<SlotEpoch> slots);
+
+// Returns the slots of a Move, ascending. Returns nothing if a slot is not below `limit`, if
+// there are more than `limit` slots, or if a run lacks its length. Time and memory are bounded
+// by the size of the record and `limit`.
+std::optional<std::vector<SlotEpoch>> readSlots(const wire::Move &move, Slot limit);
+
+} // namespace kumquat
--- a/packages/ownership/tests/test_engine.cpp
+++ b/packages/ownership/tests/test_engine.cpp
@@ -1,6 +1,7 @@
 // Sections: helpers, checkpoints, drain, handover of many requests, peers.
 #include "harness.h"
 #include "ownership/peer_choice.h"
+#include "ownership/slot_groups.h"
 
 #include <catch2/catch.hpp>
 
@@ -81,8 +82,7 @@
     move.set_from_session(1);
     move.set_to_session(2);
     move.set_settled(true);
-    move.add_slots()->set_slot(0);
-    move.mutable_slots(0)->set_epoch(1);
+    setSlots(move, {{0, 1}});
     return record;
 }
 
--- a/packages/ownership/tests/test_state.cpp
+++ b/packages/ownership/tests/test_state.cpp
@@ -1,5 +1,6 @@
 // Sections: helpers, records, checkpoints, full size.
 #include "ownership/cluster_state.h"
+#include "ownership/slot_groups.h"
 #include "wire/log.pb.h"
 
 #include <catch2/catch.hpp>
@@ -49,8 +50,7 @@
     move.set_from_session(from);
     move.set_to_session(to);
     move.set_settled(settled);
-    move.add_slots()->set_slot(slot);
-    move.mutable_slots(0)->set_epoch(state.findSlot("testlog", slot)->epoch);
+    setSlots(move, {{slot, state.findSlot("testlog", slot)->epoch}});
     return record;
 }
 
