ownership: report the crash counts of a checkpoint

The engine restores crash counts from a checkpoint, but the process learns of crashes from CrashSuspect records only, and those that a checkpoint covers are never read. An optional hook now gives the counts when a checkpoint replaces the state.

--- a/packages/ownership/cluster_state.h
+++ b/packages/ownership/cluster_state.h
@@ -191,6 +191,8 @@
     std::uint64_t order = 0; // grows with each blame, for dropping the oldest
 };
 
+using CrashCounts = std::map<std::uint64_t, CrashState>; // by fingerprint
+
 // ---- ClusterState ----
 
 // Replays records in order of offset. Every process that replayed the same records has the same
@@ -244,6 +246,8 @@
     // Returns how often the fingerprint was blamed, or nullptr.
     const CrashState *findCrash(std::uint64_t fingerprint) const;
 
+    const CrashCounts &allCrashes() const { return this->crashes; }
+
     // Splits the whole state into records of at most 64 KiB each.
     std::vector<wire::Checkpoint> makeCheckpoint() const;
 
@@ -290,7 +294,7 @@
     std::map<std::string, SessionId, std::less<>> nodes; // newest session of each node
     std::map<std::string, ServiceState, std::less<>> services;
     RulesState currentRules;
-    std::map<std::uint64_t, CrashState> crashes; // by fingerprint
+    CrashCounts crashes;
     std::uint64_t crashOrder = 0;
 };
 
--- a/packages/ownership/engine.cpp
+++ b/packages/ownership/engine.cpp
@@ -206,6 +206,9 @@
     const LogFollower::Step step = p.follower.onRecord(offset, record, now);
     if (step.reloaded) {
         p.followAll(now);
+        if (p.context.hooks.importCrashes) {
+            p.context.hooks.importCrashes(p.context.state.allCrashes());
+        }
     }
     if (step.applied && step.applied->accepted) {
         p.changedPeers = record.has_peers() ? record.peers().session() : 0;
--- a/packages/ownership/engine_types.h
+++ b/packages/ownership/engine_types.h
@@ -93,6 +93,10 @@
     std::function<void(const std::string &service, const std::vector<wire::RememberedRequest> &)>
             importRemembered;
 
+    // Takes the crash counts of a checkpoint that replaced the state; may be empty. The records
+    // that a checkpoint covers are never read.
+    std::function<void(const CrashCounts &)> importCrashes;
+
     // Sees every input before the engine takes it; may be empty. Inputs that trace.proto has no
     // kind for (answering, upstream, drain, move, bind, journal) are seen as ticks.
     std::function<void(const wire::TraceEvent &)> trace;
