node: keep quarantines across a start from a checkpoint

CrashGuard::importCount was never called, so a process that started from a checkpoint ran requests whose fingerprints were quarantined. The owner path now imports the counts. A checkpoint states no times, so the quarantine begins anew with the import.

The new test fails without the import (the request is refused as draining, 11, in place of quarantined, 15). test_node passes.

--- a/packages/node/owner_path.cpp
+++ b/packages/node/owner_path.cpp
@@ -262,6 +262,15 @@
     this->crashGuard.applyRecord(fingerprints, suspect.crash_id(), readBootTime());
 }
 
+void OwnerPath::importCrashes(const CrashCounts &crashes)
+{
+    const Time now = readBootTime();
+    const std::lock_guard lock(this->upstreamMutex);
+    for (const auto &[fingerprint, crash] : crashes) {
+        this->crashGuard.importCount(fingerprint, crash.crashes, crash.lastCrashId, now);
+    }
+}
+
 double OwnerPath::utilisation() const
 {
     const UpstreamPtr target = this->findUpstream();
--- a/packages/node/owner_path.h
+++ b/packages/node/owner_path.h
@@ -91,6 +91,9 @@
 
     void applyCrash(const wire::CrashSuspect &suspect);
 
+    // Takes the crash counts of a checkpoint. It states no times, so that a quarantine begins anew.
+    void importCrashes(const CrashCounts &crashes);
+
     // Returns the number of requests that may run at the upstream or wait for it.
     std::size_t inFlightCount() const { return this->inFlight.count(); }
 
--- a/packages/node/process.cpp
+++ b/packages/node/process.cpp
@@ -166,6 +166,9 @@
                                     const std::vector<wire::RememberedRequest> &requests) {
         this->owner->importRemembered(requests);
     };
+    hooks.importCrashes = [this](const CrashCounts &crashes) {
+        this->owner->importCrashes(crashes);
+    };
     return hooks;
 }
 
--- a/packages/node/tests/test_node.cpp
+++ b/packages/node/tests/test_node.cpp
@@ -1,6 +1,7 @@
 #include "node/entry_path.h"
 #include "node/forwarder.h"
 #include "node/in_flight.h"
+#include "node/owner_path.h"
 
 #include <catch2/catch.hpp>
 
@@ -155,6 +156,42 @@
     REQUIRE(inFlight.count() == 0);
 }
 
+// Guards against a restarted process that forgets which requests crash upstreams, because it starts
+// from a checkpoint and never reads the CrashSuspect records before it.
+TEST_CASE("a process that starts from a checkpoint refuses quarantined requests")
+{
+    const RoutedRequest request = makeRequest();
+    ClusterState writer;
+    writer.apply(0, {});
+    for (const std::uint64_t crashId : {101, 102}) {
+        wire::LogRecord suspect;
+        suspect.mutable_crash_suspect()->add_fingerprints(request.fingerprint);
+        suspect.mutable_crash_suspect()->set_crash_id(crashId);
+        REQUIRE(writer.apply(writer.nextOffset(), suspect).accepted);
+    }
+    OwnerPath owner({.node = "n1", .incarnation = incarnation}, {});
+    owner.refuseFrom(Time(0)); // a request that is not quarantined is refused as well, as draining
+    EngineSettings settings;
+    settings.node = "n1";
+    settings.incarnation = incarnation;
+    EngineHooks hooks;
+    hooks.hasInFlight = [](const SlotKeys &) { return false; };
+    hooks.hasAnyInFlight = [](const std::string &) { return false; };
+    hooks.remembered = [](const SlotKeys &) { return std::vector<wire::RememberedRequest>(); };
+    hooks.importRemembered = [](const std::string &, const auto &) {};
+    hooks.importCrashes = [&owner](const CrashCounts &crashes) { owner.importCrashes(crashes); };
+    auto engine = OwnershipEngine::create(settings, std::move(hooks)).value();
+    engine->start(1s);
+    engine->onFirstKept(writer.nextOffset(), 1s);
+    for (const wire::Checkpoint &part : writer.makeCheckpoint()) {
+        wire::LogRecord record;
+        *record.mutable_checkpoint() = part;
+        engine->onRecord(engine->nextOffset(), record, 1s);
+    }
+    REQUIRE(engine->cluster().findCrash(request.fingerprint) != nullptr);
+    REQUIRE(owner.serve(0, request).error == ErrorKind::RequestQuarantined);
+}
+
 TEST_CASE("an error answer names kind, outcome and remedy")
 {
     const HttpResponse response = makeErrorResponse(ErrorKind::OwnerLost, "broken \xff text");
