ownership: record every input of the engine in the trace

Cause: announcements, drains, moves, bindings, complete journals, the first kept offset and the answering of the log were recorded as ticks, so a fault seen in a process could not always be replayed. The driver also built events of its own beside the engine's trace hook.

Change: trace.proto has a kind for each input; the engine shows them to the hook, and the driver writes what the hook shows. The two copies of the event code in the driver are gone.

Test: "a replayed engine answers like the recorded one" now compares the end of the lease in every answer; before it left out the time between two peer sets.

Conclusion: a recorded trace holds all inputs but the hooks' answers about requests in flight and remembered requests.

--- a/packages/node/ownership_driver.cpp
+++ b/packages/node/ownership_driver.cpp
@@ -35,24 +35,21 @@
                         EngineHooks engineHooks, LogClientSettings logSettings, DriverHooks hooks)
 {
     const std::string node = settings.node;
-    const std::uint64_t incarnation = settings.incarnation;
     auto engine = OwnershipEngine::create(std::move(settings), std::move(engineHooks));
     if (!engine.ok()) {
         return engine.status();
     }
-    return std::unique_ptr<OwnershipDriver>(
-            new OwnershipDriver(thread, mesh, *std::move(engine), node, incarnation,
-                                std::move(logSettings), std::move(hooks)));
+    return std::unique_ptr<OwnershipDriver>(new OwnershipDriver(
+            thread, mesh, *std::move(engine), node, std::move(logSettings), std::move(hooks)));
 }
 
 OwnershipDriver::OwnershipDriver(FiberThread &driverThread, Mesh &driverMesh,
                                  std::unique_ptr<OwnershipEngine> driverEngine,
-                                 std::string nodeName, std::uint64_t ownIncarnation,
-                                 LogClientSettings logSettings, DriverHooks driverHooks)
+                                 std::string nodeName, LogClientSettings logSettings,
+                                 DriverHooks driverHooks)
     : thread(driverThread)
     , mesh(driverMesh)
     , node(std::move(nodeName))
-    , incarnation(ownIncarnation)
     , hooks(std::move(driverHooks))
     , engine(std::move(driverEngine))
     , log(driverThread, std::move(logSettings),
@@ -60,11 +57,7 @@
                              wire::LogRecord &&record) { this->takeRecord(offset, record); },
            .reachEnd =
                    [this](std::uint64_t end, Time askedAt) {
-                       wire::TraceEvent event;
-                       event.mutable_log_end()->set_end(end);
-                       event.mutable_log_end()->set_asked_at_ns(askedAt.count());
-                       this->input([&](Time now) { this->engine->onLogEnd(end, askedAt, now); },
-                                   &event);
+                       this->input([&](Time now) { this->engine->onLogEnd(end, askedAt, now); });
                    },
            .skipGap =
                    [this](std::uint64_t firstKept) {
@@ -81,10 +74,7 @@
 void OwnershipDriver::start()
 {
     this->thread.post([this] {
-        wire::TraceEvent event;
-        event.mutable_start()->set_node(this->node);
-        event.mutable_start()->set_incarnation(this->incarnation);
-        this->input([this](Time now) { this->engine->start(now); }, &event);
+        this->input([this](Time now) { this->engine->start(now); });
         this->log.startReading(0);
     });
 }
@@ -97,29 +87,25 @@
     if (!this->trace) {
         return makeError(ErrorKind::SettingsInvalid, absl::StrCat("cannot write trace ", path));
     }
+    this->engine->setTrace([this](const wire::TraceEvent &event) { this->writeTrace(event); });
     return absl::OkStatus();
 }
 
-void OwnershipDriver::writeTrace(wire::TraceEvent &event, Time now)
+void OwnershipDriver::writeTrace(const wire::TraceEvent &event)
 {
-    event.set_time_ns(now.count());
     std::string bytes;
     appendTraceEvent(bytes, event);
     this->trace << bytes << std::flush;
 }
 
 template <typename Function>
-void OwnershipDriver::input(Function function, wire::TraceEvent *event)
+void OwnershipDriver::input(Function function)
 {
     EngineOutput output;
     OwnSession session;
     {
         const std::unique_lock lock(this->engineMutex);
-        const Time now = readBootTime();
-        if (event != nullptr && this->trace.is_open()) {
-            this->writeTrace(*event, now);
-        }
-        function(now);
+        function(readBootTime());
         output = this->engine->takeOutput();
         session = this->engine->ownSession();
     }
@@ -152,15 +138,10 @@
 void OwnershipDriver::takeRecord(std::uint64_t offset, const wire::LogRecord &record)
 {
     std::uint64_t version = 0;
-    wire::TraceEvent event;
-    event.mutable_record()->set_offset(offset);
-    *event.mutable_record()->mutable_record() = record;
-    this->input(
-            [&](Time now) {
-                version = this->engine->cluster().rules().version;
-                this->engine->onRecord(offset, record, now);
-            },
-            &event);
+    this->input([&](Time now) {
+        version = this->engine->cluster().rules().version;
+        this->engine->onRecord(offset, record, now);
+    });
     // A checkpoint that completes the state covers less than what was read to find it, so the
     // records after the covered offset must be read again.
     if (const Offset wanted = this->nextOffset(); wanted <= offset) {
@@ -204,11 +185,7 @@
         this->hooks.receiveOther(message);
         return;
     }
-    wire::TraceEvent event;
-    if (this->trace.is_open()) {
-        *event.mutable_message() = message;
-    }
-    this->input([&](Time now) { this->engine->onMessage(message, now); }, &event);
+    this->input([&](Time now) { this->engine->onMessage(message, now); });
 }
 
 void OwnershipDriver::setUpstream(const std::optional<UpstreamInfo> &upstream)
@@ -252,9 +229,7 @@
 
 void OwnershipDriver::advanceEngine()
 {
-    wire::TraceEvent event;
-    event.mutable_tick();
-    this->input([this](Time now) { this->engine->onTick(now); }, &event);
+    this->input([this](Time now) { this->engine->onTick(now); });
 }
 
 void OwnershipDriver::wake()
--- a/packages/node/ownership_driver.h
+++ b/packages/node/ownership_driver.h
@@ -121,12 +121,11 @@
 
 private:
     OwnershipDriver(FiberThread &thread, Mesh &mesh, std::unique_ptr<OwnershipEngine> engine,
-                    std::string node, std::uint64_t incarnation, LogClientSettings logSettings,
-                    DriverHooks hooks);
+                    std::string node, LogClientSettings logSettings, DriverHooks hooks);
 
     template <typename Function>
-    void input(Function function, wire::TraceEvent *event = nullptr);
-    void writeTrace(wire::TraceEvent &event, Time now);
+    void input(Function function);
+    void writeTrace(const wire::TraceEvent &event);
     void carryOut(EngineOutput &&output);
     void armTick();
     void advanceEngine();
@@ -136,7 +135,6 @@
     FiberThread &thread;
     Mesh &mesh;
     std::string node;
-    std::uint64_t incarnation;
     DriverHooks hooks;
     mutable std::shared_mutex engineMutex; // guards engine and trace
     std::ofstream trace;                   // open while inputs are recorded
--- a/packages/ownership/engine.cpp
+++ b/packages/ownership/engine.cpp
@@ -59,7 +59,7 @@
         return now;
     }
 
-    // Shows an input to the trace hook, as a tick unless `fill` says otherwise.
+    // Shows an input to the trace hook.
     template <typename Fill>
     void trace(Time now, Fill fill)
     {
@@ -68,18 +68,10 @@
         }
         wire::TraceEvent event;
         event.set_time_ns(now.count());
-        event.mutable_tick();
         fill(event);
         this->context.hooks.trace(event);
     }
 
-    // Takes the time of an input that the trace shows as a tick.
-    Time enterUntraced(Time now)
-    {
-        this->trace(now, [](wire::TraceEvent &) {});
-        return this->enter(now);
-    }
-
     void step(Time now)
     {
         this->follower.step(now);
@@ -181,6 +173,11 @@
 
 // ---- inputs ----
 
+void OwnershipEngine::setTrace(std::function<void(const wire::TraceEvent &)> hook)
+{
+    this->parts->context.hooks.trace = std::move(hook);
+}
+
 void OwnershipEngine::start(Time now)
 {
     Parts &p = *this->parts;
@@ -238,14 +235,20 @@
 
 void OwnershipEngine::onFirstKept(Offset firstKept, Time now)
 {
-    now = this->parts->enterUntraced(now);
+    this->parts->trace(now, [firstKept](wire::TraceEvent &event) {
+        event.mutable_first_kept()->set_offset(firstKept);
+    });
+    now = this->parts->enter(now);
     this->parts->follower.onFirstKept(firstKept);
     this->parts->step(now);
 }
 
 void OwnershipEngine::onLogAnswering(bool answering, Time now)
 {
-    now = this->parts->enterUntraced(now);
+    this->parts->trace(now, [answering](wire::TraceEvent &event) {
+        event.mutable_answering()->set_answering(answering);
+    });
+    now = this->parts->enter(now);
     this->parts->follower.onAnswering(answering, now);
     this->parts->context.answering = answering;
     this->parts->step(now);
@@ -291,49 +294,71 @@
 
 void OwnershipEngine::onTick(Time now)
 {
-    now = this->parts->enterUntraced(now);
+    this->parts->trace(now, [](wire::TraceEvent &event) { event.mutable_tick(); });
+    now = this->parts->enter(now);
     this->parts->prune(now);
     this->parts->step(now);
 }
 
 void OwnershipEngine::setUpstream(const std::optional<UpstreamInfo> &upstream, Time now)
 {
-    now = this->parts->enterUntraced(now);
+    this->parts->trace(now, [&upstream](wire::TraceEvent &event) {
+        const UpstreamInfo known = upstream.value_or(UpstreamInfo());
+        event.mutable_upstream()->set_service(known.service);
+        event.mutable_upstream()->set_checks_grants(known.checksGrants);
+    });
+    now = this->parts->enter(now);
     this->parts->membership.setUpstream(upstream);
     this->parts->step(now);
 }
 
 void OwnershipEngine::requestDrain(Time now)
 {
-    now = this->parts->enterUntraced(now);
+    this->parts->trace(now, [](wire::TraceEvent &event) { event.mutable_drain(); });
+    now = this->parts->enter(now);
     this->parts->membership.requestDrain(now);
     this->parts->step(now);
 }
 
 void OwnershipEngine::requestMove(const std::vector<Slot> &slots, SessionId target, Time now)
 {
-    now = this->parts->enterUntraced(now);
+    this->parts->trace(now, [&slots, target](wire::TraceEvent &event) {
+        event.mutable_move()->mutable_slots()->Add(slots.begin(), slots.end());
+        event.mutable_move()->set_target(target);
+    });
+    now = this->parts->enter(now);
     this->parts->membership.requestMove(slots, target, now);
     this->parts->step(now);
 }
 
 void OwnershipEngine::requestBind(std::uint64_t keyHash, Time now)
 {
-    now = this->parts->enterUntraced(now);
+    this->parts->trace(now, [keyHash](wire::TraceEvent &event) {
+        event.mutable_bind()->set_key_hash(keyHash);
+    });
+    now = this->parts->enter(now);
     this->parts->membership.requestBind(keyHash, now);
     this->parts->step(now);
 }
 
 void OwnershipEngine::requestUnbind(std::uint64_t keyHash, Time now)
 {
-    now = this->parts->enterUntraced(now);
+    this->parts->trace(now, [keyHash](wire::TraceEvent &event) {
+        event.mutable_bind()->set_key_hash(keyHash);
+        event.mutable_bind()->set_unbind(true);
+    });
+    now = this->parts->enter(now);
     this->parts->membership.requestUnbind(keyHash, now);
     this->parts->step(now);
 }
 
 void OwnershipEngine::setJournalComplete(std::string_view peer, std::uint64_t incarnation, Time now)
 {
-    now = this->parts->enterUntraced(now);
+    this->parts->trace(now, [peer, incarnation](wire::TraceEvent &event) {
+        event.mutable_journal()->set_peer(std::string(peer));
+        event.mutable_journal()->set_incarnation(incarnation);
+    });
+    now = this->parts->enter(now);
     this->parts->lease.setJournalComplete(std::string(peer), incarnation);
     this->parts->step(now);
 }
--- a/packages/ownership/engine.h
+++ b/packages/ownership/engine.h
@@ -5,6 +5,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -32,6 +33,9 @@
 
     // ---- inputs ----
 
+    // Sets the hook that sees every input; call before start().
+    void setTrace(std::function<void(const wire::TraceEvent &)> hook);
+
     // Starts the process; call once, first.
     void start(Time now);
 
--- a/packages/ownership/engine_types.h
+++ b/packages/ownership/engine_types.h
@@ -97,8 +97,7 @@
     // that a checkpoint covers are never read.
     std::function<void(const CrashCounts &)> importCrashes;
 
-    // Sees every input before the engine takes it; may be empty. Inputs that trace.proto has no
-    // kind for (answering, upstream, drain, move, bind, journal) are seen as ticks.
+    // Sees every input before the engine takes it; may be empty.
     std::function<void(const wire::TraceEvent &)> trace;
 };
 
--- a/packages/ownership/replay.cpp
+++ b/packages/ownership/replay.cpp
@@ -10,6 +10,28 @@
 
 namespace kumquat {
 
+namespace {
+
+void replayUpstream(OwnershipEngine &engine, const wire::TraceUpstream &upstream, Time now)
+{
+    if (upstream.service().empty()) {
+        engine.setUpstream(std::nullopt, now);
+    } else {
+        engine.setUpstream(UpstreamInfo{upstream.service(), upstream.checks_grants()}, now);
+    }
+}
+
+void replayBind(OwnershipEngine &engine, const wire::TraceBind &bind, Time now)
+{
+    if (bind.unbind()) {
+        engine.requestUnbind(bind.key_hash(), now);
+    } else {
+        engine.requestBind(bind.key_hash(), now);
+    }
+}
+
+} // namespace
+
 void appendTraceEvent(std::string &bytes, const wire::TraceEvent &event)
 {
     google::protobuf::io::StringOutputStream stream(&bytes);
@@ -76,6 +98,28 @@
     case wire::TraceEvent::kMessage:
         engine.onMessage(event.message(), now);
         break;
+    case wire::TraceEvent::kAnswering:
+        engine.onLogAnswering(event.answering().answering(), now);
+        break;
+    case wire::TraceEvent::kFirstKept:
+        engine.onFirstKept(event.first_kept().offset(), now);
+        break;
+    case wire::TraceEvent::kUpstream:
+        replayUpstream(engine, event.upstream(), now);
+        break;
+    case wire::TraceEvent::kDrain:
+        engine.requestDrain(now);
+        break;
+    case wire::TraceEvent::kMove:
+        engine.requestMove({event.move().slots().begin(), event.move().slots().end()},
+                           event.move().target(), now);
+        break;
+    case wire::TraceEvent::kBind:
+        replayBind(engine, event.bind(), now);
+        break;
+    case wire::TraceEvent::kJournal:
+        engine.setJournalComplete(event.journal().peer(), event.journal().incarnation(), now);
+        break;
     case wire::TraceEvent::kTick:
     case wire::TraceEvent::INPUT_NOT_SET:
         engine.onTick(now);
--- a/packages/ownership/replay.h
+++ b/packages/ownership/replay.h
@@ -1,7 +1,4 @@
 // Recorded inputs of an engine, and their replay into a fresh one.
-//
-// The trace has no kinds for the answering of the log and for complete journals. Between the append
-// of PeersSettled and its reading, a replayed lease may therefore end later than the recorded one.
 #pragma once
 
 #include "ownership/engine.h"
--- a/packages/ownership/tests/test_replay.cpp
+++ b/packages/ownership/tests/test_replay.cpp
@@ -85,10 +85,7 @@
                 (*engine)->mayServe(World::service, World::keyHash(known.key), known.at);
         REQUIRE(answer.error == known.answer.error);
         REQUIRE(answer.epoch == known.answer.epoch);
-        // The trace does not show when the old peer set stopped counting.
-        if ((*engine)->ownSession().sets.size() == 1) {
-            REQUIRE(answer.leaseEnd == known.answer.leaseEnd);
-        }
+        REQUIRE(answer.leaseEnd == known.answer.leaseEnd);
     }
 }
 
