--- a/packages/traffic/bench_limits.cpp
+++ b/packages/traffic/bench_limits.cpp
@@ -1,10 +1,16 @@
-// Measures the limits of an endpoint in virtual time: bench_limits [--json] [--seed N] [--variant
-// NAME]
+// Measures the limits of an endpoint in virtual time, or with --memory the memory of a remembered
+// request id: bench_limits [--json] [--seed N] [--variant NAME] [--memory]
+#include "base/hash.h"
+#include "traffic/journal.h"
 #include "traffic/limits_model.h"
+#include "traffic/request_memory.h"
 
 #include <cstdlib>
 #include <iomanip>
 #include <iostream>
+#include <malloc.h>
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -54,6 +60,124 @@
               << figures.recoverySeconds << "}";
 }
 
+// ---- memory ----
+
+constexpr std::size_t peerCount = 3;
+
+double heapBytes()
+{
+    const auto info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+RequestId makeId(std::size_t index)
+{
+    return {0x0190'0000'0000'7000 + index, hashPair(index, 1)};
+}
+
+struct MemoryFigures
+{
+    double memory = 0;         // bytes in a RequestMemory without answers
+    double memoryAnswered = 0; // bytes with answers of 256 bytes and one header
+    double writer = 0;         // bytes in a JournalWriter
+    double store = 0;          // bytes in the JournalStore of one peer
+};
+
+double measureRequestMemory(std::size_t ids, bool answered)
+{
+    const double before = heapBytes();
+    RequestMemory memory;
+    for (std::size_t index = 0; index < ids; ++index) {
+        memory.begin(makeId(index), index, 1s);
+        std::optional<StoredAnswer> answer;
+        if (answered) {
+            answer = StoredAnswer{200, {{"Content-Type", "text/plain"}}, std::string(256, 'a')};
+        }
+        memory.finish(makeId(index), std::move(answer), 1s);
+    }
+    return heapBytes() - before;
+}
+
+// Writes ids in batches of 16 to three peers that acknowledge at once.
+void measureJournal(std::size_t ids, MemoryFigures &figures)
+{
+    constexpr std::size_t batch = 16;
+    const double before = heapBytes();
+    auto writer = std::make_unique<JournalWriter>(1);
+    auto stores = std::make_unique<std::map<std::string, JournalStore>>();
+    JournalPeerSet set;
+    Time now = 1s;
+    for (std::size_t peer = 0; peer < peerCount; ++peer) {
+        set.peers.push_back("n" + std::to_string(peer));
+        stores->emplace(set.peers.back(), JournalStore(5));
+    }
+    writer->setPeerSets({set}, now);
+    for (const std::string &peer : set.peers) {
+        writer->notePeer(peer, 5, now);
+    }
+    const auto carry = [&] {
+        for (JournalOutput out = writer->takeOutput(); !out.messages.empty();
+             out = writer->takeOutput()) {
+            for (const JournalMessage &sent : out.messages) {
+                const auto ack = stores->at(sent.to).accept(sent.message.journal_write(), now);
+                if (ack) {
+                    writer->acknowledge(sent.to, *ack, now);
+                }
+            }
+        }
+    };
+    carry();
+    for (std::size_t index = 0; index < ids; index += batch) {
+        std::vector<JournalId> written;
+        for (std::size_t one = index; one < index + batch; ++one) {
+            written.push_back({makeId(one), one});
+        }
+        writer->write(written, now + 1s, now);
+        carry();
+        now += 1ms;
+        writer->advance(now);
+        carry();
+    }
+    const double withAll = heapBytes();
+    const std::size_t kept = stores->begin()->second.size();
+    if (writer->size() < ids || kept < ids) {
+        std::cerr << "only " << writer->size() << " and " << kept << " ids were kept\n";
+    }
+    stores.reset();
+    const double withWriter = heapBytes();
+    writer.reset();
+    figures.store = (withAll - withWriter) / static_cast<double>(peerCount);
+    figures.writer = withWriter - before;
+}
+
+MemoryFigures measureMemory(std::size_t ids)
+{
+    MemoryFigures figures;
+    figures.memory = measureRequestMemory(ids, false);
+    figures.memoryAnswered = measureRequestMemory(ids, true);
+    measureJournal(ids, figures);
+    return figures;
+}
+
+// Prints bytes per id as slopes between two sizes. Both sizes let a hash table grow to the same
+// load, and the answers of both stay below the limit of the memory.
+void printMemory()
+{
+    constexpr std::size_t few = 80'000;
+    constexpr std::size_t many = 160'000;
+    const MemoryFigures low = measureMemory(few);
+    const MemoryFigures high = measureMemory(many);
+    const auto print = [](const char *name, double from, double to) {
+        std::cout << std::left << std::setw(34) << name << std::right << std::fixed
+                  << std::setprecision(1) << std::setw(8)
+                  << (to - from) / static_cast<double>(many - few) << " bytes per id\n";
+    };
+    print("request memory", low.memory, high.memory);
+    print("request memory, answers of 256 B", low.memoryAnswered, high.memoryAnswered);
+    print("journal writer", low.writer, high.writer);
+    print("journal store, one peer", low.store, high.store);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -65,13 +189,16 @@
         const std::string word = argv[index];
         if (word == "--json") {
             json = true;
+        } else if (word == "--memory") {
+            printMemory();
+            return 0;
         } else if (word == "--seed" && index + 1 < argc) {
             seed = std::strtoull(argv[++index], nullptr, 10);
         } else if (word == "--variant" && index + 1 < argc
                    && limitVariantNames.valueOf(argv[index + 1])) {
             only = limitVariantNames.valueOf(argv[++index]);
         } else {
-            std::cerr << "usage: bench_limits [--json] [--seed N] [--variant NAME]\n";
+            std::cerr << "usage: bench_limits [--json] [--seed N] [--variant NAME] [--memory]\n";
             return 2;
         }
     }
