system: cuts, parted regions, a lost log for one process, expired records

Cause: partitions and a start from a checkpoint had no test with real processes. Change: test_cuts.cpp in test_faults. An owner is cut off from all processes and the log, only its messages are lost, or only it hears nobody, each for 4 s under load of its own callers too; an owner is cut off from one peer for longer than the 3 s after which it replaces it; two regions are parted for 5 s, one of them also from the log; one process is cut off from the log while rules are published; a process starts after the records before the checkpoint have expired. An owner that hears nobody, but is heard, keeps its keys unserved until the cut ends: no peer is silent for it.

--- /dev/null
+++ b/packages/system/tests/test_cuts.cpp
@@ -0,0 +1,339 @@
+// Cuts between processes, regions parted, a process cut off from the log, and expired records, with
+// the real programs. The bounds are the targets of docs/design.md.
+#include "system/tests/scenario.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <thread>
+
+using namespace kumquat;
+
+namespace {
+
+constexpr Duration lease = 1200ms;        // an owner that is cut off serves no longer than this
+constexpr Duration rulesTarget = 4s;      // rules are in force everywhere within 4 s
+constexpr Duration peerReplacement = 3s;  // an owner replaces a peer that is silent for so long
+constexpr Duration checkpointLimit = 40s; // each process waits up to 30 s before a checkpoint
+
+// The directions in which an owner is cut off from the others.
+struct Directions
+{
+    bool fromOwner = false;
+    bool toOwner = false;
+    bool log = false;
+};
+
+void cutOff(Cluster &cluster, const Host &owner, Directions directions, bool isCut)
+{
+    for (const auto &host : cluster.hosts()) {
+        if (host.get() != &owner && directions.fromOwner) {
+            Cluster::cutMessages(owner, *host, isCut);
+        }
+        if (host.get() != &owner && directions.toOwner) {
+            Cluster::cutMessages(*host, owner, isCut);
+        }
+    }
+    if (directions.log) {
+        cluster.controlLog(absl::StrCat("cut?node=", owner.name, "&on=", isCut ? 1 : 0));
+    }
+}
+
+// What callers of the other processes and of the owner saw while the owner was cut off.
+struct CutResult
+{
+    Verdict all;      // both loads, for the promises
+    Verdict others;   // callers of the other processes, for the times
+    int lateRuns = 0; // at the owner's upstream, after its lease had ended
+    std::string details;
+};
+
+// Cuts off the busiest owner for 4 s under load.
+CutResult cutOwner(Cluster &cluster, Directions directions)
+{
+    startServing(cluster, {"--service-ms", "20"});
+    Host &owner = findBusyOwner(cluster);
+    BackgroundLoad load(cluster.makeLoad(6s, &owner));
+    LoadOptions ownOptions = cluster.makeLoad(6s);
+    ownOptions.entries = {owner.callers};
+    ownOptions.rate = 50;
+    ownOptions.seed = 2;
+    ownOptions.probesFailedKeys = false;
+    BackgroundLoad ownLoad(ownOptions);
+    std::this_thread::sleep_for(500ms);
+    const Time cutAt = readBootTime();
+    cutOff(cluster, owner, directions, true);
+    const Time leaseEnd = readBootTime() + lease;
+    std::this_thread::sleep_for(4s);
+    const Time healedAt = readBootTime();
+    cutOff(cluster, owner, directions, false);
+    const std::vector<Attempt> attempts = load.finish();
+    std::vector<Attempt> all = ownLoad.finish();
+    all.insert(all.end(), attempts.begin(), attempts.end());
+    CutResult result;
+    result.all = judge(all, cluster.collectRecords());
+    result.others = judge(attempts, cluster.collectRecords(), cutAt);
+    result.lateRuns = countRunsAfter(cluster, owner.upstreamName, leaseEnd)
+                      - countRunsAfter(cluster, owner.upstreamName, healedAt);
+    result.details =
+            absl::StrCat(owner.name, " was cut off\n", result.all.toText(), result.others.toText(),
+                         describeFailures(attempts), cluster.describeLogs());
+    return result;
+}
+
+// Returns the keys that hosts of the region own, as the asked host knows it.
+std::set<std::string> findRegionKeys(Cluster &cluster, const LoadOptions &load,
+                                     const std::string &region, const Host &asked)
+{
+    std::set<std::string> keys;
+    for (const auto &host : cluster.hosts()) {
+        if (host->region == region) {
+            keys.merge(findOwnedKeys(load, asked, *host));
+        }
+    }
+    return keys;
+}
+
+// Lists the attempts that failed although their key is in the set.
+std::string describeFailuresOf(const std::vector<Attempt> &attempts,
+                               const std::set<std::string> &keys)
+{
+    std::vector<Attempt> chosen;
+    for (const Attempt &attempt : attempts) {
+        if (keys.contains(absl::StrCat(attempt.service, "/", attempt.key))) {
+            chosen.push_back(attempt);
+        }
+    }
+    return describeFailures(chosen);
+}
+
+} // namespace
+
+// Guards against an owner that acts after its lease has ended because it cannot learn of its end,
+// and against a loss that is not noticed.
+TEST_CASE("an owner that is cut off from all processes and the log is replaced within 2 s")
+{
+    Cluster cluster("cut-all");
+    const CutResult result = cutOwner(cluster, {.fromOwner = true, .toOwner = true, .log = true});
+    INFO(result.details);
+    REQUIRE(result.all.keepsPromises());
+    CHECK(result.lateRuns == 0);
+    CHECK(result.others.errors.size() > 0); // otherwise the cut had no effect
+    CHECK(result.others.keysNotServedAgain == 0);
+    CHECK(result.others.longestGap <= recoveryTarget);
+    CHECK(result.others.servedAgain <= recoveryTarget);
+}
+
+// Guards against an owner that takes silence of its own messages for a valid lease.
+TEST_CASE("an owner whose messages are lost is replaced within 2 s")
+{
+    Cluster cluster("cut-from");
+    const CutResult result = cutOwner(cluster, {.fromOwner = true});
+    INFO(result.details);
+    REQUIRE(result.all.keepsPromises());
+    CHECK(result.lateRuns == 0);
+    CHECK(result.others.errors.size() > 0);
+    CHECK(result.others.keysNotServedAgain == 0);
+    CHECK(result.others.longestGap <= recoveryTarget);
+    CHECK(result.others.servedAgain <= recoveryTarget);
+}
+
+// Guards against an owner that serves although no grant reaches it. Its peers still hear it, so its
+// keys stay with it.
+TEST_CASE("an owner that hears nobody stops serving until the cut ends")
+{
+    Cluster cluster("cut-to");
+    const CutResult result = cutOwner(cluster, {.toOwner = true});
+    INFO(result.details);
+    REQUIRE(result.all.keepsPromises());
+    CHECK(result.lateRuns == 0);
+    CHECK(result.others.errors.size() > 0);
+    CHECK(result.others.keysNotServedAgain == 0);
+}
+
+// Guards against an owner that ends, or is ended, for the silence of a single peer.
+TEST_CASE("an owner goes on while it is cut off from one of its peers")
+{
+    Cluster cluster("cut-peer");
+    startServing(cluster);
+    Host &owner = findBusyOwner(cluster);
+    const Host &peer = cluster.host(cluster.findPeers().at(owner.name).front());
+    // Requests between the two would have to cross the cut.
+    LoadOptions options = cluster.makeLoad(peerReplacement + 2s, &owner);
+    std::erase(options.entries, peer.callers);
+    BackgroundLoad load(options);
+    std::this_thread::sleep_for(500ms);
+    const auto records = cluster.readLog().size();
+    Cluster::cutMessages(owner, peer, true);
+    Cluster::cutMessages(peer, owner, true);
+    const std::vector<Attempt> attempts = load.finish();
+    const auto peers = cluster.findPeers().at(owner.name);
+    Cluster::cutMessages(owner, peer, false);
+    Cluster::cutMessages(peer, owner, false);
+    const Verdict verdict = judge(attempts, cluster.collectRecords());
+    INFO(owner.name << " was cut off from " << peer.name << "\n"
+                    << verdict.toText() << describeFailures(attempts) << cluster.describeLogs());
+    REQUIRE(verdict.keepsPromises());
+    CHECK(verdict.done == verdict.sent);
+    CHECK(cluster.readLog().size() > records);
+    CHECK(std::count(peers.begin(), peers.end(), peer.name) == 0); // otherwise it had no effect
+}
+
+// Guards against a region that stops, or takes over the keys of the other one, while the regions
+// cannot reach each other and one of them cannot reach the log.
+TEST_CASE("parted regions go on with their own keys")
+{
+    Cluster cluster("regions");
+    // The first host of a service gets all slots, so each region owns the keys of one service and
+    // has a host that could take over the other one.
+    cluster.startHost("d1", "dakar-1", "testlog");
+    cluster.startHost("t1", "thies-1", "certdesk");
+    REQUIRE(cluster.waitUntilStarted(startLimit));
+    REQUIRE(cluster.publishRules() == 0);
+    REQUIRE(cluster.waitUntilServed(settleLimit));
+    cluster.startHost("d2", "dakar-2", "testlog");
+    cluster.startHost("d3", "dakar-3", "certdesk");
+    cluster.startHost("t2", "thies-2", "certdesk");
+    cluster.startHost("t3", "thies-3", "testlog");
+    waitUntilServing(cluster);
+    LoadOptions options = cluster.makeLoad(5s);
+    options.probesFailedKeys = false;
+    options.rate = 100;
+    options.threads = 128; // requests for keys of the other region hold their threads
+    const Host &dakar = cluster.host("d1");
+    const Host &thies = cluster.host("t1");
+    const auto setParted = [&](bool isParted) {
+        for (const auto &a : cluster.hosts()) {
+            for (const auto &b : cluster.hosts()) {
+                if (a->region != b->region) {
+                    Cluster::cutMessages(*a, *b, isParted);
+                }
+            }
+            if (a->region == "thies") {
+                cluster.controlLog(absl::StrCat("cut?node=", a->name, "&on=", isParted ? 1 : 0));
+            }
+        }
+    };
+    setParted(true);
+    const std::set<std::string> dakarKeys = findRegionKeys(cluster, options, "dakar", dakar);
+    const std::set<std::string> thiesKeys = findRegionKeys(cluster, options, "thies", thies);
+    REQUIRE(!dakarKeys.empty());
+    REQUIRE(!thiesKeys.empty());
+    LoadOptions dakarOptions = options;
+    LoadOptions thiesOptions = options;
+    thiesOptions.seed = 2;
+    dakarOptions.entries.clear();
+    thiesOptions.entries.clear();
+    for (const auto &host : cluster.hosts()) {
+        (host->region == "dakar" ? dakarOptions : thiesOptions).entries.push_back(host->callers);
+    }
+    BackgroundLoad dakarLoad(dakarOptions);
+    BackgroundLoad thiesLoad(thiesOptions);
+    const std::vector<Attempt> dakarAttempts = dakarLoad.finish();
+    const std::vector<Attempt> thiesAttempts = thiesLoad.finish();
+    const std::set<std::string> stillDakar = findRegionKeys(cluster, options, "dakar", dakar);
+    setParted(false);
+    std::vector<Attempt> all = dakarAttempts;
+    all.insert(all.end(), thiesAttempts.begin(), thiesAttempts.end());
+    const Verdict verdict = judge(all, cluster.collectRecords());
+    INFO(dakarKeys.size() << " keys in dakar, " << thiesKeys.size() << " in thies\n"
+                          << verdict.toText() << cluster.describeLogs());
+    REQUIRE(verdict.keepsPromises());
+    CHECK(verdict.done < verdict.sent); // otherwise the cut had no effect
+    CHECK(describeFailuresOf(dakarAttempts, dakarKeys).empty());
+    CHECK(describeFailuresOf(thiesAttempts, thiesKeys).empty());
+    CHECK(stillDakar == dakarKeys);
+    CHECK(cluster.waitUntilServed(settleLimit));
+}
+
+// Guards against a process that stops, or draws slots that it cannot learn of, while it alone
+// cannot read the log, and against a publication that counts it as up to date.
+TEST_CASE("a process that is cut off from the log goes on and takes new rules afterwards")
+{
+    Cluster cluster("cut-log");
+    startServing(cluster);
+    const Host &lagging = cluster.host("t4");
+    const std::string extra = "route GET /extra/ service=testlog key=segment:2 idempotent=yes "
+                              "timeout=100ms  # asked by Awa Ndiaye\n";
+    writeFile(cluster.rulesPath() + "-a", readFile(cluster.rulesPath()) + extra);
+    cluster.controlLog("cut?node=t4&on=1");
+    BackgroundLoad load(cluster.makeLoad(5s));
+    std::string output;
+    const int status = cluster.runCtl({"publish", cluster.rulesPath() + "-a"}, &output);
+    const Attempt early = cluster.read(lagging, "extra", "D-1");
+    const std::vector<Attempt> attempts = load.finish();
+    const Verdict verdict = judge(attempts, cluster.collectRecords());
+    INFO(output << "\n"
+                << verdict.toText() << describeFailures(attempts) << cluster.describeLogs());
+    CHECK(status == 1);
+    CHECK(output.find("t4") != std::string::npos);
+    CHECK(output.find("t1") == std::string::npos);
+    CHECK(early.error == "no-rule");
+    CHECK(cluster.read(cluster.host("t1"), "extra", "D-1").outcome == Outcome::Done);
+    REQUIRE(verdict.keepsPromises());
+    CHECK(verdict.done == verdict.sent);
+
+    cluster.controlLog("cut?node=t4&on=0");
+    const Time healedAt = readBootTime();
+    while (cluster.read(lagging, "extra", "D-1").outcome != Outcome::Done
+           && readBootTime() - healedAt <= rulesTarget) {
+        std::this_thread::sleep_for(50ms);
+    }
+    CHECK(cluster.read(lagging, "extra", "D-1").outcome == Outcome::Done);
+}
+
+// Guards against a new process that lacks what the expired records said.
+TEST_CASE("a process that starts after records have expired joins from a checkpoint")
+{
+    Cluster cluster("expired");
+    cluster.setRetention(1s);
+    startServing(cluster);
+    const auto findCheckpoint = [&cluster] {
+        std::uint64_t rules = 0;
+        std::uint64_t first = 0;
+        for (const auto &[offset, record] : cluster.readLog()) {
+            rules = record.has_rules() ? offset : rules;
+            const bool isUsable = record.has_checkpoint() && record.checkpoint().part() == 0
+                                  && record.checkpoint().covers() > rules;
+            first = isUsable ? offset : first;
+        }
+        return first;
+    };
+    const Time giveUp = readBootTime() + checkpointLimit;
+    std::uint64_t checkpoint = findCheckpoint();
+    while (checkpoint == 0 && readBootTime() < giveUp) {
+        std::this_thread::sleep_for(100ms);
+        checkpoint = findCheckpoint();
+    }
+    REQUIRE(checkpoint > 0);
+    // Expires what came before the checkpoint and keeps everything after it.
+    const auto records = cluster.readLog();
+    const auto kept = records.back().first + 1 - checkpoint;
+    cluster.controlLog(absl::StrCat("retention?records=", kept));
+    cluster.controlLog("retention?records=1000000");
+    REQUIRE(cluster.readLog().front().first >= checkpoint);
+
+    Host &added = cluster.startHost("t5", "dakar-2", "testlog");
+    const bool isStarted = cluster.waitUntilStarted(startLimit);
+    const bool isServed = cluster.waitUntilServed(settleLimit);
+    INFO(added.process->output() << cluster.describeLogs());
+    REQUIRE(isStarted);
+    REQUIRE(isServed);
+    const std::vector<Attempt> attempts = LoadGenerator(cluster.makeLoad(2s)).run();
+    const Verdict verdict = judge(attempts, cluster.collectRecords());
+    INFO(verdict.toText() << describeFailures(attempts));
+    CHECK(verdict.keepsPromises());
+    CHECK(verdict.done == verdict.sent);
+    const auto hasJoined = [&cluster] {
+        const auto joined = cluster.readLog();
+        return std::any_of(joined.begin(), joined.end(), [](const auto &entry) {
+            return entry.second.has_join() && entry.second.join().node() == "t5";
+        });
+    };
+    const Time joinLimit = readBootTime() + settleLimit;
+    while (!hasJoined() && readBootTime() < joinLimit) {
+        std::this_thread::sleep_for(100ms);
+    }
+    CHECK(hasJoined());
+}
