system: kumquatctl drain under load, and an answer that is cut short

Cause: both had no test with real processes. Change: two cases of test_faults; the upstream stand-in closes the connection after half of the answer to a request with X-Cut-Answer. A linter finding in test_cuts.cpp is corrected (empty() in place of size()).

--- a/packages/standins/http.cpp
+++ b/packages/standins/http.cpp
@@ -144,9 +144,12 @@
     }
     message.body() = answer.body;
     message.prepare_payload();
+    if (answer.isCut) {
+        message.body().resize(answer.body.size() / 2); // the length field stays
+    }
     Error error;
     http::write(socket, message, error);
-    return !error;
+    return !error && !answer.isCut;
 }
 
 void HttpServer::State::serveConnection(Tcp::socket socket)
--- a/packages/standins/http.h
+++ b/packages/standins/http.h
@@ -56,8 +56,9 @@
     HttpFields fields;
     std::string body;
     bool isLost = false; // server: close the connection without an answer
+    bool isCut = false;  // server: close the connection after half of the body
 
-    static HttpAnswer lost() { return {0, {}, {}, true}; }
+    static HttpAnswer lost() { return {0, {}, {}, true, false}; }
 };
 
 // What became of one request of the client.
--- a/packages/standins/upstream.cpp
+++ b/packages/standins/upstream.cpp
@@ -165,7 +165,9 @@
         return HttpAnswer::lost();
     }
     body["padding"] = std::string(padding, 'x');
-    return {200, {{"Content-Type", "application/json"}}, body.dump()};
+    HttpAnswer answer{200, {{"Content-Type", "application/json"}}, body.dump()};
+    answer.isCut = findField(request.fields, "X-Cut-Answer").has_value();
+    return answer;
 }
 
 RunResult Upstream::work(const HttpRequest &request, Time expires, Time &end)
--- a/packages/standins/upstream_main.cpp
+++ b/packages/standins/upstream_main.cpp
@@ -35,7 +35,8 @@
 GET  /control/ledger
 POST /control/set?service_ms=&workers=&slots=&shed=PERCENT&draining=0|1&healthy=0|1&load_percent=
 POST /control/crash
-A request with the header X-Crash ends the process during its run.
+A request with the header X-Crash ends the process during its run. The connection of a request with
+the header X-Cut-Answer is closed after half of the answer.
 )";
 
 constexpr Duration announceInterval = 2s;
--- a/packages/system/tests/test_cuts.cpp
+++ b/packages/system/tests/test_cuts.cpp
@@ -119,7 +119,7 @@
     INFO(result.details);
     REQUIRE(result.all.keepsPromises());
     CHECK(result.lateRuns == 0);
-    CHECK(result.others.errors.size() > 0); // otherwise the cut had no effect
+    CHECK_FALSE(result.others.errors.empty()); // otherwise the cut had no effect
     CHECK(result.others.keysNotServedAgain == 0);
     CHECK(result.others.longestGap <= recoveryTarget);
     CHECK(result.others.servedAgain <= recoveryTarget);
@@ -133,7 +133,7 @@
     INFO(result.details);
     REQUIRE(result.all.keepsPromises());
     CHECK(result.lateRuns == 0);
-    CHECK(result.others.errors.size() > 0);
+    CHECK_FALSE(result.others.errors.empty());
     CHECK(result.others.keysNotServedAgain == 0);
     CHECK(result.others.longestGap <= recoveryTarget);
     CHECK(result.others.servedAgain <= recoveryTarget);
@@ -148,7 +148,7 @@
     INFO(result.details);
     REQUIRE(result.all.keepsPromises());
     CHECK(result.lateRuns == 0);
-    CHECK(result.others.errors.size() > 0);
+    CHECK_FALSE(result.others.errors.empty());
     CHECK(result.others.keysNotServedAgain == 0);
 }
 
--- a/packages/system/tests/test_faults.cpp
+++ b/packages/system/tests/test_faults.cpp
@@ -86,3 +86,67 @@
     CHECK(describeFailures(findFailuresOutside(attempts, affected)).empty());
     CHECK(owner.process->isRunning());
 }
+
+// Guards against a planned stop over the admin port that loses or interrupts requests.
+TEST_CASE("kumquatctl drains a process under load without interrupting a request")
+{
+    Cluster cluster("ctl-drain");
+    startServing(cluster, {"--service-ms", "20"});
+    Host &owner = findBusyOwner(cluster);
+    LoadOptions options = cluster.makeLoad(5s, &owner);
+    options.skew = 0; // hot keys would be bound first, which delays the moves
+    BackgroundLoad load(options);
+    std::this_thread::sleep_for(500ms);
+    const Time drainedAt = readBootTime();
+    REQUIRE(cluster.runCtl({"drain", owner.name}) == 0);
+    const auto status = owner.process->waitForExit(drainLimit);
+    const std::vector<Attempt> attempts = load.finish();
+    const Verdict verdict = judge(attempts, cluster.collectRecords(), drainedAt);
+    INFO(owner.name << " was drained\n"
+                    << verdict.toText() << describeFailures(attempts) << owner.process->output());
+    CHECK(status == 0);
+    REQUIRE(verdict.keepsPromises());
+    CHECK(verdict.unknown == 0);
+    CHECK(verdict.keysNotServedAgain == 0);
+    CHECK(countRunsAfter(cluster, owner.upstreamName, drainedAt + drainTarget) == 0);
+}
+
+// Guards against the first part of an answer that is passed on as a complete one, and against a
+// second run of the request.
+TEST_CASE("an answer that is cut short has an unknown outcome")
+{
+    Cluster cluster("cut-answer");
+    startServing(cluster);
+    std::mt19937_64 random(std::random_device{}());
+    for (const auto &host : cluster.hosts()) {
+        Attempt write;
+        write.service = "certdesk";
+        write.key = "D-3";
+        write.token = "cut-" + host->name;
+        write.requestId = makeRequestId(readWallTime(), random);
+        for (HttpRequest request : {makeRead(write), makeWrite(write)}) {
+            request.target += "&padding=100000";
+            request.fields.push_back({"X-Cut-Answer", "1"});
+            const HttpExchange exchange = Cluster::send(host->callers, request);
+            Attempt attempt = write;
+            readOutcome(exchange, attempt);
+            INFO(host->name << " " << request.method << " " << attempt.error);
+            CHECK(attempt.outcome == Outcome::Unknown);
+            CHECK(attempt.error == "upstream-lost");
+            CHECK(attempt.httpStatus == 502);
+            CHECK(exchange.answer.body.find("xxxx") == std::string::npos);
+        }
+        // The same id again, now with a whole answer: it ran, so it does not run again.
+        Attempt again = write;
+        readOutcome(Cluster::send(host->callers, makeWrite(write)), again);
+        CHECK(again.error == "duplicate-request");
+    }
+    for (const auto &host : cluster.hosts()) {
+        int writes = 0;
+        for (const Run &run : cluster.collectRuns()) {
+            writes += run.token == "cut-" + host->name && !run.requestId.empty() ? 1 : 0;
+        }
+        CHECK(writes == 1);
+    }
+    CHECK(cluster.read(*cluster.hosts().front(), "certdesk", "D-3").outcome == Outcome::Done);
+}
