--- a/packages/system/tests/test_cuts.cpp
+++ b/packages/system/tests/test_cuts.cpp
@@ -247,8 +247,8 @@
     CHECK(cluster.waitUntilServed(settleLimit));
 }
 
-// Guards against a process that stops, or draws slots that it cannot learn of, while it alone
-// cannot read the log, and against a publication that counts it as up to date.
+// Guards against a process that stops while it alone cannot read the log, and against a publication
+// that counts it as up to date.
 TEST_CASE("a process that is cut off from the log goes on and takes new rules afterwards")
 {
     Cluster cluster("cut-log");
