net: send mesh replies back on the connection of the request

Cause: each direction between two processes was a PUSH connection of its own, so every message cost a TCP acknowledgement without data (52 B), and each message repeated the sender's node name. Renew and Grant carried a log offset that no receiver reads.

Change: one ROUTER socket a process. Requests go out on connections that the sender made. Replies (Grant, ReleaseReply, JournalAck, JournalReply, HandoverAck, ForwardReply, LoadReply) go back on the connection that the destination's requests come in on; without one, or after it closed, they are sent like requests. The routing id of a connection is a random number, the mesh address and the node name, so `from` is filled in by the receiver. Each connection has its own random number: a restarted process gets no reply to its earlier incarnation, and no other process can take the id over. Full queues and closed connections are reported by ZeroMQ and counted as dropped. Mesh::bind takes the node name; Forwarder needs it no longer.

The receive loop ends at a receive that finds nothing instead of asking for ZMQ_EVENTS before each message.

--- a/packages/bench/bench_engine.cpp
+++ b/packages/bench/bench_engine.cpp
@@ -225,7 +225,6 @@
                 grant.set_session(message.message.renew().session());
                 grant.set_sequence(message.message.renew().sequence());
                 grant.set_incarnation(1);
-                grant.set_log_offset(engine->nextOffset());
                 engine->onMessage(answer, now);
             }
         }
@@ -239,7 +238,6 @@
             message.set_from(nodeName(owner));
             message.mutable_renew()->set_session(static_cast<SessionId>(owner));
             message.mutable_renew()->set_sequence(sequence);
-            message.mutable_renew()->set_log_offset(engine->nextOffset());
             engine->onMessage(message, now);
         }
         engine->onTick(now);
--- a/packages/net/mesh.cpp
+++ b/packages/net/mesh.cpp
@@ -9,6 +9,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <optional>
+#include <random>
 #include <unordered_map>
 
 namespace kumquat {
@@ -19,58 +21,180 @@
 // A connection whose data is not acknowledged for this time is made anew. ZeroMQ's heartbeats would
 // find a vanished host too, but cost 33 KB/s at 550 processes, against 4 KB/s for all control.
 constexpr int unacknowledgedMs = 3'000;
-constexpr int maxSockets = 4'096;          // ZeroMQ's default of 1,023 is near 550 processes
-constexpr Duration idleSocketLimit = 5min; // hosts are replaced daily, their addresses never return
+constexpr int maxSockets = 4'096;         // ZeroMQ's default of 1,023 is near 550 processes
+constexpr Duration idleRouteLimit = 5min; // hosts are replaced daily, their addresses never return
 constexpr int reconnectMs = 20;
 constexpr int maxReconnectMs = 500;
 
+// Replies lose nothing when their connection closes: the request is repeated or has a deadline.
+bool isReply(const wire::MeshMessage &message)
+{
+    switch (message.body_case()) {
+    case wire::MeshMessage::kGrant:
+    case wire::MeshMessage::kReleaseReply:
+    case wire::MeshMessage::kJournalAck:
+    case wire::MeshMessage::kJournalReply:
+    case wire::MeshMessage::kHandoverAck:
+    case wire::MeshMessage::kForwardReply:
+    case wire::MeshMessage::kLoadReply:
+        return true;
+    default:
+        return false;
+    }
+}
+
+// What a process says about itself, once a connection: "<random number> <mesh address> <node>".
+// The address and the node take no bytes in each message then.
+struct Identity
+{
+    std::string_view address;
+    std::string_view node;
+
+    static std::optional<Identity> parse(std::string_view text)
+    {
+        const std::size_t first = text.find(' ');
+        const std::size_t second = text.find(' ', first + 1);
+        if (first == std::string_view::npos || second == std::string_view::npos) {
+            return std::nullopt;
+        }
+        return Identity{text.substr(first + 1, second - first - 1), text.substr(second + 1)};
+    }
+};
+
 } // namespace
 
 struct Mesh::Sockets
 {
+    // A way to a process: a connection that this process made, or that the other one made.
+    struct Route
+    {
+        std::string id; // of the connection, within the socket
+        Time lastUsed{};
+    };
+    using Routes = std::unordered_map<std::string, Route>; // by mesh address
+
     explicit Sockets(asio::io_context &io)
         : context(1, maxSockets)
-        , input(this->context, zmq::socket_type::pull)
-        , inputReady(io)
-    {}
+        , socket(this->context, zmq::socket_type::router)
+        , ready(io)
+    {
+        this->socket.set(zmq::sockopt::linger, 0);
+        this->socket.set(zmq::sockopt::ipv6, true);
+        this->socket.set(zmq::sockopt::sndhwm, queuedMessages);
+        this->socket.set(zmq::sockopt::maxmsgsize, maxMessageBytes);
+        this->socket.set(zmq::sockopt::reconnect_ivl, reconnectMs);
+        this->socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectMs);
+        this->socket.set(zmq::sockopt::tcp_maxrt, unacknowledgedMs);
+        // Report a full queue or a closed connection instead of dropping without a trace.
+        this->socket.set(zmq::sockopt::router_mandatory, true);
+        // A connection that is made anew replaces its predecessor, which may not be closed yet.
+        this->socket.set(zmq::sockopt::router_handover, true);
+    }
+
+    // Returns a number that no other process can guess: ZeroMQ ends this process if a connection
+    // that it makes gets the id of an existing one, and hands the place of an incoming one over to
+    // another with the same identity.
+    std::string makeNumber()
+    {
+        const std::uint64_t number = std::uint64_t{this->random()} << 32 | this->random();
+        return absl::StrCat(absl::Hex(number, absl::kZeroPad16));
+    }
 
-    zmq::socket_t &output(const std::string &address, Time now)
+    // Sets the identity of the connections that are made next.
+    void identify()
     {
-        const auto found = this->outputs.find(address);
-        if (found != this->outputs.end()) {
+        this->socket.set(zmq::sockopt::routing_id, absl::StrCat(this->makeNumber(), this->name));
+    }
+
+    const std::string &connectTo(const std::string &address, Time now)
+    {
+        const auto found = this->outgoing.find(address);
+        if (found != this->outgoing.end()) {
             found->second.lastUsed = now;
-            return found->second.socket;
+            return found->second.id;
         }
         this->closeIdle(now);
-        zmq::socket_t socket(this->context, zmq::socket_type::push);
-        socket.set(zmq::sockopt::linger, 0);
-        socket.set(zmq::sockopt::sndhwm, queuedMessages);
-        socket.set(zmq::sockopt::reconnect_ivl, reconnectMs);
-        socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectMs);
-        socket.set(zmq::sockopt::tcp_maxrt, unacknowledgedMs);
-        socket.set(zmq::sockopt::ipv6, true);
-        socket.connect("tcp://" + address);
-        const auto added = this->outputs.emplace(address, Output{std::move(socket), now});
-        return added.first->second.socket;
+        Route route{this->makeNumber(), now};
+        this->identify();
+        this->socket.set(zmq::sockopt::connect_routing_id, route.id);
+        this->socket.connect("tcp://" + address);
+        return this->outgoing.emplace(address, std::move(route)).first->second.id;
     }
 
     void closeIdle(Time now)
     {
-        std::erase_if(this->outputs, [now](const auto &entry) {
-            return now - entry.second.lastUsed > idleSocketLimit;
+        const auto isIdle = [now](const auto &entry) {
+            return now - entry.second.lastUsed > idleRouteLimit;
+        };
+        std::erase_if(this->incoming, isIdle);
+        std::erase_if(this->outgoing, [&](const auto &entry) {
+            if (isIdle(entry)) {
+                this->disconnect(entry.first);
+            }
+            return isIdle(entry);
         });
     }
 
-    struct Output
+    void disconnect(const std::string &address)
     {
-        zmq::socket_t socket;
-        Time lastUsed{};
-    };
+        try {
+            this->socket.disconnect("tcp://" + address);
+        } catch (const zmq::error_t &error) {
+            logWarning(LogPart::Mesh, "cannot disconnect",
+                       {{"address", address}, {"reason", error.what()}});
+        }
+    }
+
+    // Notes the connection on which replies reach a process. It holds until the next message from
+    // there: a restarted process gets no reply to its earlier incarnation.
+    void noteIncoming(std::string_view address, std::string_view id, Time now)
+    {
+        this->key.assign(address);
+        Route &route = this->incoming[this->key];
+        route.lastUsed = now;
+        if (route.id != id) {
+            route.id.assign(id);
+        }
+    }
+
+    // Error: EAGAIN as false; EHOSTUNREACH and others as zmq::error_t.
+    bool send(const std::string &routeId, const std::string &bytes)
+    {
+        const auto flags = zmq::send_flags::dontwait | zmq::send_flags::sndmore;
+        return this->socket.send(zmq::buffer(routeId), flags).has_value()
+               && this->socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+    }
+
+    // Returns nothing if the destination has no connection to this process, or no longer.
+    std::optional<bool> sendReply(const std::string &address, const std::string &bytes)
+    {
+        const auto found = this->incoming.find(address);
+        if (found == this->incoming.end()) {
+            return std::nullopt;
+        }
+        try {
+            return this->send(found->second.id, bytes);
+        } catch (const zmq::error_t &) {
+            this->incoming.erase(found);
+            return std::nullopt;
+        }
+    }
+
+    // Takes the rest of a message of several frames.
+    void skipFrames(zmq::message_t &frame)
+    {
+        while (frame.more() && this->socket.recv(frame, zmq::recv_flags::dontwait)) {
+        }
+    }
 
     zmq::context_t context;
-    zmq::socket_t input;
-    asio::posix::stream_descriptor inputReady;
-    std::unordered_map<std::string, Output> outputs; // by address
+    zmq::socket_t socket;
+    asio::posix::stream_descriptor ready;
+    std::random_device random;
+    std::string name; // the part of the identity after the number
+    Routes outgoing;
+    Routes incoming;
+    std::string key; // reused for look-ups
 };
 
 Mesh::Mesh(FiberThread &meshThread, MeshHooks meshHooks)
@@ -82,17 +206,16 @@
 Mesh::~Mesh()
 {
     // The descriptor belongs to ZeroMQ, which closes it.
-    this->sockets->inputReady.release();
+    this->sockets->ready.release();
 }
 
-absl::Status Mesh::bind(const Address &address)
+absl::Status Mesh::bind(const Address &address, std::string_view node)
 {
     try {
-        zmq::socket_t &input = this->sockets->input;
-        input.set(zmq::sockopt::ipv6, true);
-        input.set(zmq::sockopt::maxmsgsize, maxMessageBytes);
-        input.bind("tcp://" + address.toString());
-        this->sockets->inputReady.assign(input.get(zmq::sockopt::fd));
+        this->sockets->name = absl::StrCat(" ", address.toString(), " ", std::string(node));
+        this->sockets->identify();
+        this->sockets->socket.bind("tcp://" + address.toString());
+        this->sockets->ready.assign(this->sockets->socket.get(zmq::sockopt::fd));
     } catch (const std::exception &error) {
         return makeError(
                 ErrorKind::SettingsInvalid,
@@ -107,7 +230,7 @@
 
 void Mesh::send(const std::string &meshAddress, const wire::MeshMessage &message)
 {
-    Outgoing outgoing{meshAddress, message.SerializeAsString()};
+    Outgoing outgoing{meshAddress, message.SerializeAsString(), isReply(message)};
     const std::lock_guard<std::mutex> lock(this->queueMutex);
     this->queue.push_back(std::move(outgoing));
     if (!this->sendScheduled) {
@@ -125,23 +248,29 @@
         this->sendScheduled = false;
     }
     const Time now = readBootTime();
-    for (Outgoing &outgoing : batch) {
-        const std::size_t bytes = outgoing.bytes.size();
+    for (const Outgoing &outgoing : batch) {
         if (this->sendOne(outgoing, now)) {
             ++this->statistics.sent;
-            this->statistics.sentBytes += bytes;
+            this->statistics.sentBytes += outgoing.bytes.size();
         } else {
             ++this->statistics.dropped;
         }
     }
+    // Sending may consume the edge of ZMQ_FD that announced input.
+    this->receiveAll();
 }
 
 // Addresses come from other processes, so one that ZeroMQ refuses must not end this one.
 bool Mesh::sendOne(const Outgoing &outgoing, Time now)
 {
     try {
-        zmq::socket_t &socket = this->sockets->output(outgoing.address, now);
-        return socket.send(zmq::buffer(outgoing.bytes), zmq::send_flags::dontwait).has_value();
+        std::optional<bool> isSent;
+        if (outgoing.isReply) {
+            isSent = this->sockets->sendReply(outgoing.address, outgoing.bytes);
+        }
+        return isSent ? *isSent
+                      : this->sockets->send(this->sockets->connectTo(outgoing.address, now),
+                                            outgoing.bytes);
     } catch (const zmq::error_t &error) {
         logWarning(LogPart::Mesh, "cannot send",
                    {{"address", outgoing.address}, {"reason", error.what()}});
@@ -151,37 +280,57 @@
 
 void Mesh::waitForInput()
 {
-    this->sockets->inputReady.async_wait(asio::posix::stream_descriptor::wait_read,
-                                         [this](const ErrorCode &error) {
-                                             if (error) {
-                                                 return;
-                                             }
-                                             this->receiveAll();
-                                             this->waitForInput();
-                                         });
+    this->sockets->ready.async_wait(asio::posix::stream_descriptor::wait_read,
+                                    [this](const ErrorCode &error) {
+                                        if (error) {
+                                            return;
+                                        }
+                                        this->receiveAll();
+                                        this->waitForInput();
+                                    });
 }
 
 void Mesh::receiveAll()
 {
-    // ZMQ_FD is edge-triggered: everything that is there must be taken before the next wait.
-    zmq::socket_t &input = this->sockets->input;
-    while ((input.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
-        zmq::message_t frame;
-        if (!input.recv(frame, zmq::recv_flags::dontwait)) {
-            break;
-        }
-        ++this->statistics.received;
-        this->statistics.receivedBytes += frame.size();
-        wire::MeshMessage message;
-        const bool isWhole = !frame.more()
-                             && message.ParseFromArray(frame.data(), static_cast<int>(frame.size()))
-                             && message.body_case() != wire::MeshMessage::BODY_NOT_SET;
-        if (!isWhole) {
-            ++this->statistics.invalid;
-            continue;
+    // ZMQ_FD is edge-triggered: everything that is there must be taken before the next wait. A
+    // receive that finds nothing has looked at all of ZeroMQ's notices, as ZMQ_EVENTS would.
+    zmq::message_t route;
+    while (this->sockets->socket.recv(route, zmq::recv_flags::dontwait)) {
+        if (route.more()) {
+            this->receiveOne(route.to_string_view());
         }
-        this->hooks.receive(std::move(message));
     }
 }
 
+void Mesh::receiveOne(std::string_view route)
+{
+    zmq::message_t frame;
+    if (!this->sockets->socket.recv(frame, zmq::recv_flags::dontwait)) {
+        return;
+    }
+    ++this->statistics.received;
+    this->statistics.receivedBytes += frame.size();
+    if (frame.more()) {
+        ++this->statistics.invalid;
+        this->sockets->skipFrames(frame);
+        return;
+    }
+    // Null if the other side speaks an old version of the protocol.
+    const char *identityText = zmq_msg_gets(frame.handle(), "Identity");
+    const auto sender = Identity::parse(identityText == nullptr ? "" : identityText);
+    wire::MeshMessage message;
+    const bool isValid = sender
+                         && message.ParseFromArray(frame.data(), static_cast<int>(frame.size()))
+                         && message.body_case() != wire::MeshMessage::BODY_NOT_SET;
+    if (!isValid) {
+        ++this->statistics.invalid;
+        return;
+    }
+    if (route == identityText) {
+        this->sockets->noteIncoming(sender->address, route, readBootTime());
+    }
+    message.set_from(std::string(sender->node));
+    this->hooks.receive(std::move(message));
+}
+
 } // namespace kumquat
--- a/packages/net/mesh.h
+++ b/packages/net/mesh.h
@@ -1,9 +1,9 @@
-// Messages between kumquatstage processes: a ZeroMQ PULL socket receives, one PUSH socket per
-// destination sends. Both directions between two processes are separate connections, so an answer
-// is addressed like any other message.
+// Messages between kumquatstage processes over one ZeroMQ ROUTER socket a process. A request goes
+// out on the connection to its destination. A reply goes back on the connection that the
+// destination's requests come in on, so that it also carries their TCP acknowledgement.
 //
 //   Mesh mesh(controlThread, {.receive = [](wire::MeshMessage &&message) { ... }});
-//   absl::Status status = mesh.bind(address);
+//   absl::Status status = mesh.bind(address, "node-1");
 //   mesh.send("127.0.0.1:7001", message);
 #pragma once
 
@@ -20,12 +20,14 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 namespace kumquat {
 
 struct MeshHooks
 {
-    std::function<void(wire::MeshMessage &&message)> receive; // on the mesh's thread
+    // Takes a message whose `from` is the sender's node name; on the mesh's thread.
+    std::function<void(wire::MeshMessage &&message)> receive;
 };
 
 // Counters since the start.
@@ -36,7 +38,7 @@
     std::atomic<std::uint64_t> received{0};
     std::atomic<std::uint64_t> receivedBytes{0};
     std::atomic<std::uint64_t> dropped{0}; // the destination's queue was full
-    std::atomic<std::uint64_t> invalid{0}; // not a MeshMessage
+    std::atomic<std::uint64_t> invalid{0}; // not a MeshMessage, or from no mesh
 };
 
 class Mesh
@@ -45,11 +47,11 @@
     Mesh(FiberThread &thread, MeshHooks hooks);
     ~Mesh();
 
-    // Binds the receiving socket. Error: SettingsInvalid.
-    absl::Status bind(const Address &address);
+    // Binds the socket and names this process to all others. Error: SettingsInvalid.
+    absl::Status bind(const Address &address, std::string_view node = {});
 
     // Sends a message without waiting; it is lost if the destination cannot be reached for long.
-    // Callable from any thread.
+    // `from` need not be set: each connection carries it once. Callable from any thread.
     void send(const std::string &meshAddress, const wire::MeshMessage &message);
 
     const MeshCounters &counters() const { return this->statistics; }
@@ -60,10 +62,12 @@
     {
         std::string address;
         std::string bytes;
+        bool isReply = false;
     };
 
     void waitForInput();
     void receiveAll();
+    void receiveOne(std::string_view route);
     void sendQueued();
     bool sendOne(const Outgoing &outgoing, Time now);
 
--- a/packages/net/tests/test_net.cpp
+++ b/packages/net/tests/test_net.cpp
@@ -4,9 +4,14 @@
 #include "net/http_server.h"
 #include "net/mesh.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <zmq.hpp>
 
+#include <deque>
 #include <future>
+#include <mutex>
 
 using namespace kumquat;
 
@@ -43,6 +48,88 @@
     return result.get();
 }
 
+// A mesh that keeps what it receives.
+struct MeshNode
+{
+    explicit MeshNode(const Address &address, const std::string &name)
+        : thread("test")
+        , mesh(thread, {.receive = [this](wire::MeshMessage &&message) {
+                   const std::lock_guard lock(this->mutex);
+                   this->received.push_back(std::move(message));
+               }})
+    {
+        REQUIRE(this->mesh.bind(address, name).ok());
+        this->thread.start();
+    }
+
+    ~MeshNode() { this->thread.stop(); }
+
+    std::size_t count()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->received.size();
+    }
+
+    FiberThread thread;
+    std::mutex mutex; // guards received
+    std::deque<wire::MeshMessage> received;
+    Mesh mesh;
+};
+
+// The connection of a process whose own port does not listen.
+struct MeshClient
+{
+    MeshClient(const Address &server, const std::string &identity)
+        : socket(context, zmq::socket_type::dealer)
+    {
+        this->socket.set(zmq::sockopt::linger, 0);
+        this->socket.set(zmq::sockopt::rcvtimeo, 2'000);
+        if (!identity.empty()) {
+            this->socket.set(zmq::sockopt::routing_id, identity);
+        }
+        this->socket.connect("tcp://" + server.toString());
+    }
+
+    void send(const std::string &bytes) { this->socket.send(zmq::buffer(bytes)); }
+
+    wire::MeshMessage receive()
+    {
+        wire::MeshMessage message;
+        zmq::message_t frame;
+        if (this->socket.recv(frame)) {
+            message.ParseFromArray(frame.data(), static_cast<int>(frame.size()));
+        }
+        return message;
+    }
+
+    zmq::context_t context;
+    zmq::socket_t socket;
+};
+
+wire::MeshMessage makeRenew()
+{
+    wire::MeshMessage message;
+    message.mutable_renew()->set_session(1);
+    return message;
+}
+
+wire::MeshMessage makeGrant(std::uint64_t sequence)
+{
+    wire::MeshMessage message;
+    message.mutable_grant()->set_sequence(sequence);
+    return message;
+}
+
+template <typename Condition>
+bool waitUntil(Condition condition)
+{
+    const Time limit = readBootTime() + 5s;
+    while (!condition() && readBootTime() < limit) {
+        std::this_thread::sleep_for(1ms);
+    }
+    return condition();
+}
+
 } // namespace
 
 TEST_CASE("client and server exchange whole messages and refuse oversized ones")
@@ -77,10 +164,9 @@
     Mesh mesh(thread, {.receive = [&](wire::MeshMessage &&message) {
                   received.set_value(message.from());
               }});
-    REQUIRE(mesh.bind(meshAddress).ok());
+    REQUIRE(mesh.bind(meshAddress, "node-1").ok());
     thread.start();
     wire::MeshMessage message;
-    message.set_from("node-1");
     message.mutable_renew()->set_session(1);
     mesh.send(meshAddress.toString(), message);
     auto future = received.get_future();
@@ -89,6 +175,98 @@
     thread.stop();
 }
 
+// Guards against replies on a second connection, whose acknowledgements cost 1.7 KB/s a node, and
+// against replies to an earlier incarnation at the same address.
+TEST_CASE("a mesh reply takes the connection of the latest request")
+{
+    MeshNode node(meshAddress, "node-1");
+    const std::string caller = "127.0.0.1:18499";
+    const std::string renew = makeRenew().SerializeAsString();
+    {
+        MeshClient first(meshAddress, "01 " + caller + " node-2");
+        first.send(renew);
+        REQUIRE(waitUntil([&] { return node.count() == 1; }));
+        REQUIRE(node.received[0].from() == "node-2");
+        node.mesh.send(caller, makeGrant(1));
+        REQUIRE(first.receive().grant().sequence() == 1);
+    }
+    MeshClient second(meshAddress, "02 " + caller + " node-2");
+    second.send(renew);
+    REQUIRE(waitUntil([&] { return node.count() == 2; }));
+    node.mesh.send(caller, makeGrant(2));
+    REQUIRE(second.receive().grant().sequence() == 2);
+}
+
+// Guards against a reply that is lost or blocks when the connection of its request has closed.
+TEST_CASE("a mesh reply without a connection goes to the address")
+{
+    const Address otherAddress{"127.0.0.1", firstPort + 2};
+    MeshNode node(meshAddress, "node-1");
+    {
+        MeshClient gone(meshAddress, "01 " + otherAddress.toString() + " node-2");
+        gone.send(makeRenew().SerializeAsString());
+        REQUIRE(waitUntil([&] { return node.count() == 1; }));
+    }
+    std::this_thread::sleep_for(100ms); // until the close is noticed
+    MeshNode other(otherAddress, "node-2");
+    node.mesh.send(otherAddress.toString(), makeGrant(7));
+    REQUIRE(waitUntil([&] { return other.count() == 1; }));
+    REQUIRE(other.received[0].from() == "node-1");
+    REQUIRE(other.received[0].grant().sequence() == 7);
+}
+
+// Guards against senders that are no mesh and take, end or disturb the traffic of others.
+TEST_CASE("the mesh counts garbage and goes on")
+{
+    MeshNode node(meshAddress, "node-1");
+    const std::string renew = makeRenew().SerializeAsString();
+    MeshClient good(meshAddress, "01 127.0.0.1:18499 node-2");
+    good.send(renew);
+    REQUIRE(waitUntil([&] { return node.count() == 1; }));
+
+    MeshClient unnamed(meshAddress, "");
+    unnamed.send(renew);
+    MeshClient garbage(meshAddress, "02 127.0.0.1:18499 node-2");
+    garbage.send("no message");
+    garbage.send("");
+    garbage.socket.send(zmq::buffer(renew), zmq::send_flags::sndmore);
+    garbage.socket.send(zmq::buffer(renew), zmq::send_flags::sndmore);
+    garbage.send(renew);
+    REQUIRE(waitUntil([&] { return node.mesh.counters().invalid == 4; }));
+    MeshClient oversized(meshAddress, "03 127.0.0.1:18498 node-3");
+    oversized.send(std::string(5 << 20, 'x'));
+    asio::io_context io;
+    asio::ip::tcp::socket stranger(io);
+    stranger.connect({asio::ip::make_address(meshAddress.ip), meshAddress.port});
+    asio::write(stranger, asio::buffer("GET / HTTP/1.1\r\n\r\n" + std::string(300, '\1')));
+    std::this_thread::sleep_for(100ms); // until both were read
+
+    REQUIRE(node.count() == 1);
+    node.mesh.send("127.0.0.1:18499", makeGrant(1));
+    REQUIRE(good.receive().grant().sequence() == 1);
+    good.send(renew);
+    REQUIRE(waitUntil([&] { return node.count() == 2; }));
+    REQUIRE(node.mesh.counters().invalid == 4);
+}
+
+// Guards against one destination that delays or drops the messages to all others.
+TEST_CASE("an unreachable mesh destination does not block")
+{
+    const Address otherAddress{"127.0.0.1", firstPort + 2};
+    MeshNode node(meshAddress, "node-1");
+    MeshNode other(otherAddress, "node-2");
+    const Time start = readBootTime();
+    for (int count = 0; count < 5'000; ++count) {
+        node.mesh.send("127.0.0.1:18499", makeRenew());
+    }
+    node.mesh.send("not an address", makeRenew());
+    node.mesh.send(otherAddress.toString(), makeRenew());
+    REQUIRE(waitUntil([&] { return other.count() == 1; }));
+    REQUIRE(readBootTime() - start < 1s);
+    REQUIRE(node.mesh.counters().dropped > 0);
+    REQUIRE(node.mesh.counters().dropped < 1'100); // 4,000 are queued for the next start
+}
+
 // Guards against a lost wake-up between a thread that answers and a fiber that waits.
 TEST_CASE("an event wakes its fiber from another thread or times out")
 {
--- a/packages/node/forwarder.cpp
+++ b/packages/node/forwarder.cpp
@@ -91,10 +91,8 @@
 
 // ---- Forwarder ----
 
-Forwarder::Forwarder(Mesh &ownMesh, std::string nodeName, std::uint64_t ownIncarnation,
-                     std::string ownAddress)
+Forwarder::Forwarder(Mesh &ownMesh, std::uint64_t ownIncarnation, std::string ownAddress)
     : mesh(ownMesh)
-    , node(std::move(nodeName))
     , incarnation(ownIncarnation)
     , replyAddress(std::move(ownAddress))
 {}
@@ -112,7 +110,6 @@
     }
     const Time now = readBootTime();
     wire::MeshMessage message;
-    message.set_from(this->node);
     wire::Forward *forward = message.mutable_forward();
     *forward = toForward(request, now);
     forward->mutable_forward_id()->set_high(this->incarnation);
--- a/packages/node/forwarder.h
+++ b/packages/node/forwarder.h
@@ -23,7 +23,7 @@
 public:
     // `incarnation` is random and new at each start of the process: an answer to an earlier
     // incarnation matches no forward of this one. `replyAddress` is the own mesh address.
-    Forwarder(Mesh &mesh, std::string node, std::uint64_t incarnation, std::string replyAddress);
+    Forwarder(Mesh &mesh, std::uint64_t incarnation, std::string replyAddress);
 
     // Sends a request to the owner and waits for the answer, in the calling fiber.
     // Error: OwnerLost if no answer came before the deadline.
@@ -51,7 +51,6 @@
     };
 
     Mesh &mesh;
-    std::string node;
     std::uint64_t incarnation;
     std::string replyAddress;
     std::atomic<std::uint64_t> lastNumber{0};
--- a/packages/node/ownership_driver.cpp
+++ b/packages/node/ownership_driver.cpp
@@ -131,7 +131,7 @@
 void OwnershipDriver::carryOut(EngineOutput &&output)
 {
     for (OutgoingMessage &outgoing : output.messages) {
-        outgoing.message.set_from(this->node);
+        outgoing.message.clear_from(); // each connection carries it once
         this->mesh.send(outgoing.meshAddress, outgoing.message);
     }
     for (const wire::LogRecord &record : output.records) {
--- a/packages/node/process.cpp
+++ b/packages/node/process.cpp
@@ -128,9 +128,8 @@
                                 this->sendTo(node, std::move(message));
                             },
                     .readUtilisation = [this] { return this->owner->utilisation(); }});
-    this->forwarder =
-            std::make_unique<Forwarder>(*this->mesh, this->settings.node, this->incarnation,
-                                        this->settings.listen.mesh.toString());
+    this->forwarder = std::make_unique<Forwarder>(*this->mesh, this->incarnation,
+                                                  this->settings.listen.mesh.toString());
     this->entry = std::make_unique<EntryPath>(*this->driver, *this->owner, *this->forwarder,
                                               [this](const RequestSample &request, Time now) {
                                                   const std::lock_guard lock(this->reportMutex);
@@ -192,7 +191,8 @@
 {
     // The mesh port is bound without sharing: holding it proves that no earlier incarnation of
     // this node still runs.
-    if (absl::Status status = this->mesh->bind(this->settings.listen.mesh); !status.ok()) {
+    if (absl::Status status = this->mesh->bind(this->settings.listen.mesh, this->settings.node);
+        !status.ok()) {
         return status;
     }
     HttpServerLimits limits;
@@ -220,7 +220,6 @@
 {
     const std::string address = this->driver->meshAddressOf(node);
     if (!address.empty()) {
-        message.set_from(this->settings.node);
         this->mesh->send(address, message);
     }
 }
@@ -244,7 +243,6 @@
     thread.spawn([this, worker, &thread, forward = message.forward()] {
         const RoutedAnswer answer = this->entry->handleForward(worker, thread.io(), forward);
         wire::MeshMessage reply;
-        reply.set_from(this->settings.node);
         *reply.mutable_forward_reply() = toForwardReply(answer);
         *reply.mutable_forward_reply()->mutable_forward_id() = forward.forward_id();
         this->mesh->send(forward.reply_address(), reply);
--- a/packages/node/tests/test_node.cpp
+++ b/packages/node/tests/test_node.cpp
@@ -38,7 +38,7 @@
                                         this->forwarder.complete(message.forward_reply());
                                     }
                                 }})
-        , forwarder(mesh, "n1", incarnation, address.toString())
+        , forwarder(mesh, incarnation, address.toString())
     {
         REQUIRE(this->mesh.bind(this->address).ok());
         this->thread.start();
--- a/packages/ownership/owner_lease.cpp
+++ b/packages/ownership/owner_lease.cpp
@@ -201,7 +201,6 @@
         wire::Renew &renew = *message.mutable_renew();
         renew.set_session(this->session);
         renew.set_sequence(this->sequence);
-        renew.set_log_offset(this->context.state.nextOffset());
         this->context.send(peer, std::move(message));
     }
 }
--- a/packages/ownership/peer_role.cpp
+++ b/packages/ownership/peer_role.cpp
@@ -74,7 +74,6 @@
     grant.set_session(renew.session());
     grant.set_sequence(renew.sequence());
     grant.set_incarnation(this->context.settings.incarnation);
-    grant.set_log_offset(this->context.state.nextOffset());
     this->context.send(from, std::move(message));
 }
 
--- a/packages/traffic/journal.h
+++ b/packages/traffic/journal.h
@@ -43,7 +43,7 @@
 struct JournalMessage
 {
     std::string to;            // node name
-    wire::MeshMessage message; // the process fills in `from`
+    wire::MeshMessage message; // the mesh fills in `from`
 };
 
 struct JournalSettings
