ownership: an owner that lost its lease ends its own session

Cause: the new process test of one-way cuts showed that an owner which hears nobody, but is still heard, stops serving when its lease ends and keeps its keys until the cut ends: its peers get its renewals, so nobody suspects it (longest gap 3.9 s in a cut of 4 s).

Change: an owner whose lease ended 250 ms ago, and which has run and read the log meanwhile, appends a Fence of its own session if the service has another one. It reads the record, appends Released at once because its last lease is over, and joins again. A Leave was tried first: other processes then wait for the answers to forwards that it never heard, and keys were served again after 2.3 s.

Tests: the process test now demands that the keys are served again within 2 s, as for the other cuts; before it had no bound. The directed schedule "every peer set must have released" starts from an owner that lost its lease and goes on, which now happens only when the service has no other session or the append fails; it switches the new rule off to reach that state, with the same faults and checks.

--- a/packages/ownership/engine_types.h
+++ b/packages/ownership/engine_types.h
@@ -39,6 +39,7 @@
     Duration rejoinDelay = 1s;     // between the Joins of a session that was fenced at once
     Duration joinWithoutUpstream = 3s; // until a process without upstream joins
     Duration releasedTurn = 500ms;     // between the Released of the first and the second new owner
+    Duration lostLease = 250ms;        // after its lease until an owner ends its own session
     Duration peersSpread = 60ms; // for each ended session: survivors spread Peers over this time
     Duration keepOldPeers = 2s;  // Renew to a replaced set, for peers that read PeersSettled late
     Duration retention = 24h;    // of the log's records
--- a/packages/ownership/membership.cpp
+++ b/packages/ownership/membership.cpp
@@ -276,6 +276,38 @@
                     && (last == nullptr || last->released || this->superseded);
 }
 
+// Returns whether the session had a lease and could not renew it, although the process ran and the
+// log answered meanwhile.
+bool Membership::hasLostLease(const Session &own, Time now) const
+{
+    const Time leaseEnd = this->lease.leaseEnd(now);
+    const Duration margin = this->context.timings().lostLease;
+    return leaseEnd > this->lease.sessionReadAt() && now >= leaseEnd + margin
+           && now >= this->context.resumed + this->context.timings().lease + margin
+           && this->context.caughtUp && this->context.answering && own.slots > 0;
+}
+
+// An owner that hears no majority of its peers may still be heard by them, and then nobody suspects
+// it. It ends its session itself, so that others serve its slots. The only session of a service
+// stays, because nobody else could serve.
+void Membership::leaveWithoutLease(Time now)
+{
+    const Session *own = this->context.ownSession();
+    if (own == nullptr || this->draining || !this->hasLostLease(*own, now)) {
+        return;
+    }
+    const auto members = this->context.state.members();
+    const bool hasOther = std::any_of(members.begin(), members.end(), [own](const Session *other) {
+        return other->id != own->id && other->service == own->service;
+    });
+    if (hasOther) {
+        // A Fence, unlike a Leave, makes other processes give up the forwards that wait here.
+        wire::LogRecord record;
+        record.mutable_fence()->add_sessions(own->id);
+        this->context.append({record.body_case(), own->id, 0}, record, now);
+    }
+}
+
 // ---- requested records ----
 
 void Membership::requestMove(const std::vector<Slot> &slots, SessionId target, Time now)
@@ -368,6 +400,7 @@
     this->replacePeers(now);
     this->releaseOwn(now);
     this->drain(now);
+    this->leaveWithoutLease(now);
 }
 
 Time Membership::nextDue(Time now) const
@@ -376,6 +409,10 @@
     if (this->draining) {
         return std::min(due, now + this->context.timings().fenceBatch);
     }
+    const Time lost = this->lease.leaseEnd(now) + this->context.timings().lostLease;
+    if (lost > now) {
+        due = std::min(due, lost);
+    }
     if (this->joinDue() > now) {
         due = std::min(due, this->joinDue());
     }
--- a/packages/ownership/membership.h
+++ b/packages/ownership/membership.h
@@ -53,6 +53,8 @@
                       const std::vector<std::string> &silent, Time now);
     void releaseOwn(Time now);
     void drain(Time now);
+    bool hasLostLease(const Session &own, Time now) const;
+    void leaveWithoutLease(Time now);
 
     EngineContext &context;
     OwnerLease &lease;
--- a/packages/ownership/tests/harness.cpp
+++ b/packages/ownership/tests/harness.cpp
@@ -127,6 +127,7 @@
     settings.dataCentre = "d" + std::to_string(node % options.dataCentres);
     settings.layout = layout;
     settings.guards = options.guards;
+    settings.timings.lostLease = options.lostLease;
     return settings;
 }
 
--- a/packages/ownership/tests/harness.h
+++ b/packages/ownership/tests/harness.h
@@ -67,7 +67,8 @@
 struct WorldOptions
 {
     Guards guards;
-    Duration length = 8s;         // of the whole run
+    Duration length = 8s; // of the whole run
+    Duration lostLease = LeaseTimings().lostLease;
     Duration calls = 40ms;        // between the calls that each node tries to run for each key
     Duration longestCall = 900ms; // deadline of a call
     Duration journal{0};          // until a new peer holds the complete journal
--- a/packages/ownership/tests/test_ownership.cpp
+++ b/packages/ownership/tests/test_ownership.cpp
@@ -292,7 +292,9 @@
 }
 
 // No grants reach the owner for a while, so it names new peers; it does not read that record, and
-// goes on with the old peers when it hears them again. The new ones never granted and fence it.
+// goes on with the old peers when it hears them again. The new ones never granted and fence it. An
+// owner without a lease would end its session before, unless the service has no other one or the
+// append fails, so that is switched off here.
 TEST_CASE("directed: every peer set must have released")
 {
     std::vector<Fault> faults{makeFault(FaultKind::LogLag, 0, 5500ms, 8s)};
@@ -301,6 +303,7 @@
     }
     WorldOptions options;
     options.length = 10s;
+    options.lostLease = 1h;
     const auto [without, with] = compareGuard(&Guards::allPeerSets, faults, options, 6);
     REQUIRE(without > 0);
     REQUIRE(with == 0);
--- a/packages/system/tests/test_cuts.cpp
+++ b/packages/system/tests/test_cuts.cpp
@@ -139,9 +139,9 @@
     CHECK(result.others.servedAgain <= recoveryTarget);
 }
 
-// Guards against an owner that serves although no grant reaches it. Its peers still hear it, so its
-// keys stay with it.
-TEST_CASE("an owner that hears nobody stops serving until the cut ends")
+// Guards against an owner that serves although no grant reaches it, and against keys that stay with
+// it because its peers still hear it.
+TEST_CASE("an owner that hears nobody is replaced within 2 s")
 {
     Cluster cluster("cut-to");
     const CutResult result = cutOwner(cluster, {.toOwner = true});
@@ -150,6 +150,8 @@
     CHECK(result.lateRuns == 0);
     CHECK_FALSE(result.others.errors.empty());
     CHECK(result.others.keysNotServedAgain == 0);
+    CHECK(result.others.longestGap <= recoveryTarget);
+    CHECK(result.others.servedAgain <= recoveryTarget);
 }
 
 // Guards against an owner that ends, or is ended, for the silence of a single peer.
