--- a/packages/path_bench/bench_path.cpp
+++ b/packages/path_bench/bench_path.cpp
@@ -25,7 +25,7 @@
 constexpr const char *usage = R"(Benchmark of the path and of the idle cost with real processes.
 
 Usage:
-  bench_path path [--seconds N] [--json FILE]
+  bench_path path [--seconds N] [--paths LIST] [--types LIST] [--json FILE]
   bench_path idle [--processes LIST] [--endpoints N] [--seconds N] [--json FILE]
   bench_path upstream --listen ADDRESS --announce FILE [--slots N]
   bench_path --help
@@ -35,6 +35,8 @@
 
 Options:
   --seconds N       Length of one measurement; default 3 for path and 60 for idle.
+  --paths LIST      Of direct, one and two (processes) [default: direct,one,two].
+  --types LIST      Of read and write [default: read,write].
   --processes LIST  Numbers of processes, measured one after the other [default: 10].
   --endpoints N     Processes per service [default: 10].
   --json FILE       Also write the results to this file.
@@ -82,11 +84,34 @@
     return status.ok() ? 0 : fail(status);
 }
 
+// Returns the values that a comma-separated list names; empty if it has an unknown name.
+template <typename Enum, std::size_t Count>
+std::vector<Enum> parseList(const NameTable<Enum, Count> &table, const std::string &list)
+{
+    std::vector<Enum> values;
+    for (const auto name : absl::StrSplit(list, ',')) {
+        const auto value = table.valueOf(toStd(name));
+        if (!value) {
+            std::cerr << "unknown name: " << name << '\n';
+            return {};
+        }
+        values.push_back(*value);
+    }
+    return values;
+}
+
 int runPath(const Arguments &arguments, const std::filesystem::path &program)
 {
+    const auto paths = parseList(pathNames, arguments.at("--paths").asString());
+    const auto types = parseList(typeNames, arguments.at("--types").asString());
+    if (paths.empty() || types.empty()) {
+        return 2;
+    }
     const auto result = measurePath({.directory = program.parent_path() / "../path_bench/path",
                                      .selfPath = program,
-                                     .duration = secondsOf(arguments, pathSeconds)});
+                                     .duration = secondsOf(arguments, pathSeconds),
+                                     .paths = paths,
+                                     .types = types});
     if (!result.ok()) {
         return fail(result.status());
     }
--- a/packages/path_bench/path.cpp
+++ b/packages/path_bench/path.cpp
@@ -1,7 +1,6 @@
 // Sections: measuring, output.
 #include "path_bench/path.h"
 
-#include "base/names.h"
 #include "path_bench/cluster.h"
 #include "path_bench/cost.h"
 
@@ -18,14 +17,6 @@
 
 using Json = nlohmann::json;
 
-constexpr NameTable<PathType, 3> pathNames{{{{PathType::Direct, "direct"},
-                                             {PathType::One, "one process"},
-                                             {PathType::Two, "two processes"}}}};
-constexpr NameTable<RequestType, 2> typeNames{
-        {{{RequestType::Read, "read"}, {RequestType::Write, "write"}}}};
-
-constexpr std::array allPaths{PathType::Direct, PathType::One, PathType::Two};
-constexpr std::array allTypes{RequestType::Read, RequestType::Write};
 constexpr std::array connectionCounts{16, 64};
 constexpr int openConnections = 64;
 constexpr int clusterNodes = 4;    // the owner and three peers keep the journal
@@ -120,22 +111,23 @@
     return row;
 }
 
-void measureType(const BenchCluster &cluster, const LoadPlan &base, PathResult &result)
+void measureType(const BenchCluster &cluster, const LoadPlan &base,
+                 const std::vector<PathType> &paths, PathResult &result)
 {
     for (const int connections : connectionCounts) {
-        for (const PathType path : allPaths) {
+        for (const PathType path : paths) {
             LoadPlan plan = base;
             plan.connections = connections;
             result.closed.push_back(measureClosed(cluster, plan, path));
         }
     }
-    const std::size_t first = result.closed.size() - allPaths.size();
-    for (std::size_t index = 0; index < allPaths.size(); ++index) {
+    const std::size_t first = result.closed.size() - paths.size();
+    for (std::size_t index = 0; index < paths.size(); ++index) {
         LoadPlan plan = base;
         plan.connections = openConnections;
         plan.rate = result.closed[first + index].load.throughput() * openShare;
         if (plan.rate > 0) {
-            result.open.push_back(measureOpen(cluster, plan, allPaths[index]));
+            result.open.push_back(measureOpen(cluster, plan, paths[index]));
         }
     }
 }
@@ -179,11 +171,11 @@
         return absl::DeadlineExceededError("the peers of the sessions did not settle");
     }
     PathResult result;
-    for (const RequestType type : allTypes) {
+    for (const RequestType type : options.types) {
         LoadPlan plan;
         plan.type = type;
         plan.duration = options.duration;
-        measureType(cluster, plan, result);
+        measureType(cluster, plan, options.paths, result);
     }
     return result;
 }
--- a/packages/path_bench/path.h
+++ b/packages/path_bench/path.h
@@ -1,6 +1,7 @@
 // Measures the path of requests: direct, through one process and through two.
 #pragma once
 
+#include "base/names.h"
 #include "base/time.h"
 #include "path_bench/caller.h"
 
@@ -18,8 +19,16 @@
     std::string directory;
     std::string selfPath;
     Duration duration = 3s; // of each measurement
+    std::vector<PathType> paths{PathType::Direct, PathType::One, PathType::Two};
+    std::vector<RequestType> types{RequestType::Read, RequestType::Write};
 };
 
+// Names of paths and types on the command line, in the order of the enumerations.
+inline constexpr NameTable<PathType, 3> pathNames{
+        {{{PathType::Direct, "direct"}, {PathType::One, "one"}, {PathType::Two, "two"}}}};
+inline constexpr NameTable<RequestType, 2> typeNames{
+        {{{RequestType::Read, "read"}, {RequestType::Write, "write"}}}};
+
 // Closed loop with a number of connections.
 struct ClosedRow
 {
