net: set the options of a connection once

Cause: making a socket non-blocking is an ioctl in Asio, and HttpStream did it before each write: 2 of about 7 system calls per answer. Change: the options are set when the connection is made.

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -236,8 +236,6 @@
             return;
         }
         if (!error && self->connections.load() < self->limits.maxConnections) {
-            ErrorCode ignored;
-            accepted.set_option(Tcp::no_delay(true), ignored);
             auto socket = std::make_shared<HttpStream::Socket>(std::move(accepted));
             ++self->connections;
             self->thread.spawn([self, socket] {
--- a/packages/net/http_stream.cpp
+++ b/packages/net/http_stream.cpp
@@ -108,6 +108,17 @@
     , buffer(maxBuffer)
 {
     this->buffer.reserve(std::min(firstBufferBytes, maxBuffer));
+    if (this->connection.is_open()) {
+        this->setOptions();
+    }
+}
+
+void HttpStream::setOptions()
+{
+    ErrorCode ignored;
+    this->connection.set_option(Tcp::no_delay(true), ignored);
+    // For write(); each call is a system call, so it is made once a connection.
+    this->connection.non_blocking(true, ignored);
 }
 
 void HttpStream::expireAfter(Duration limit)
@@ -156,8 +167,7 @@
     const OperationResult result = awaitOperation(
             [&](auto done) { this->connection.async_connect(endpoint, std::move(done)); });
     if (!result.error) {
-        ErrorCode ignored;
-        this->connection.set_option(Tcp::no_delay(true), ignored);
+        this->setOptions();
     }
     return this->resultOf(result.error);
 }
@@ -211,8 +221,6 @@
 
 ErrorCode HttpStream::write(std::string_view data)
 {
-    ErrorCode ignored;
-    this->connection.non_blocking(true, ignored);
     while (!data.empty()) {
         ErrorCode error;
         std::size_t sent =
--- a/packages/net/http_stream.h
+++ b/packages/net/http_stream.h
@@ -166,6 +166,7 @@
     using Timer = asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, Executor>;
 
     HttpStream(Socket socket, std::size_t maxBuffer);
+    void setOptions();
     void arm();
     void onTimer();
     ErrorCode resultOf(const ErrorCode &error) const;
