node: take the upstream's lock twice per request instead of six times

Cause: admission, the retry budget, the list of running requests (twice), the signs of failure and the limiter each took the lock and read the clock on their own; two workers share it. Change: admit() and the end of call() do all of it in one piece. A request is listed as running from its admission; it is sent without a wait in between, but for a new connection, which was listed before too. The check for a waiting handover asks mayServe(), which copies no names, and the log offset is read for failures only.

--- a/packages/node/entry_path.cpp
+++ b/packages/node/entry_path.cpp
@@ -184,7 +184,9 @@
     }
     if (target.own) {
         RoutedAnswer answer = this->owner.serve(worker, request);
-        answer.logOffset = this->driver.nextOffset();
+        if (answer.error != ErrorKind::None) {
+            answer.logOffset = this->driver.nextOffset();
+        }
         return answer;
     }
     return this->forwarder.forward(io, target, request, this->driver.nextOffset());
--- a/packages/node/owner_path.cpp
+++ b/packages/node/owner_path.cpp
@@ -94,7 +94,8 @@
     bool mayStillRun = false;
     RoutedAnswer answer = this->serveRegistered(worker, request, number, mayStillRun);
     this->inFlight.end(number, mayStillRun);
-    if (!this->driver->route(request.service, request.keyHash).own) {
+    const ErrorKind owned = this->driver->mayServe(request.service, request.keyHash).error;
+    if (owned == ErrorKind::NotOwner || owned == ErrorKind::NoOwner) {
         this->driver->wake(); // a handover may wait for this request
     }
     return answer;
@@ -137,18 +138,18 @@
     if (!target) {
         return makeFailure(ErrorKind::UpstreamUnreachable, "no upstream has announced itself");
     }
-    target->noteFirstAttempt(readBootTime());
     for (int attempts = 1;; ++attempts) {
-        RoutedAnswer answer = this->dispatch(worker, *target, request, number, epoch);
+        RoutedAnswer answer =
+                this->dispatch(worker, *target, request, number, epoch, attempts == 1);
+        if (answer.error == ErrorKind::None) {
+            return answer;
+        }
         mayStillRun = mayStillRun || errorInfo(answer.error).outcome == Outcome::Unknown;
         const RetryQuestion question{.error = answer.error,
                                      .idempotent = request.idempotent,
                                      .attempts = attempts,
                                      .remaining = request.deadline - readBootTime(),
                                      .needed = target->serviceTime()};
-        if (answer.error == ErrorKind::None) {
-            return answer;
-        }
         if (this->isQuarantined(request) || !target->mayRetry(question)) {
             // An earlier attempt may have run, so the last refusal must not say "not run".
             const bool hidesRun = mayStillRun && errorInfo(answer.error).outcome == Outcome::NotRun;
@@ -160,10 +161,10 @@
 }
 
 RoutedAnswer OwnerPath::dispatch(std::size_t worker, Upstream &target, const RoutedRequest &request,
-                                 RequestNumber number, Epoch epoch)
+                                 RequestNumber number, Epoch epoch, bool isFirstAttempt)
 {
     asio::io_context &io = this->workers[worker]->io();
-    const ErrorKind refused = target.admit(io, number, request.deadline);
+    const ErrorKind refused = target.admit(io, number, request, isFirstAttempt);
     if (refused != ErrorKind::None) {
         return makeFailure(refused, "the upstream has no room for the request");
     }
--- a/packages/node/upstream.cpp
+++ b/packages/node/upstream.cpp
@@ -122,15 +122,21 @@
 
 // ---- Admission ----
 
-ErrorKind Upstream::admit(asio::io_context &io, RequestNumber number, Time deadline)
+ErrorKind Upstream::admit(asio::io_context &io, RequestNumber number, const RoutedRequest &request,
+                          bool isFirstAttempt)
 {
     std::shared_ptr<Waiter> waiter;
     {
         const std::lock_guard lock(this->mutex);
-        this->limiter.advance(readBootTime());
+        const Time now = readBootTime();
+        if (isFirstAttempt) {
+            this->retryBudget.noteFirstAttempt(now);
+        }
+        this->limiter.advance(now);
         this->wakeAdmitted();
-        const Admission admission = this->limiter.admit(number, deadline, readBootTime());
+        const Admission admission = this->limiter.admit(number, request.deadline, now);
         if (admission.action == AdmitAction::Dispatch) {
+            this->running.emplace(number, request.fingerprint);
             return ErrorKind::None;
         }
         if (admission.action == AdmitAction::Refuse) {
@@ -139,10 +145,13 @@
         waiter = std::make_shared<Waiter>(io);
         this->waiters.emplace(number, waiter);
     }
-    waiter->event.waitFor(std::max(deadline - readBootTime(), Duration::zero()));
+    waiter->event.waitFor(std::max(request.deadline - readBootTime(), Duration::zero()));
     const std::lock_guard lock(this->mutex);
     this->waiters.erase(number);
     if (waiter->decided) {
+        if (waiter->error == ErrorKind::None) {
+            this->running.emplace(number, request.fingerprint);
+        }
         return waiter->error;
     }
     this->limiter.cancelWaiting(number, readBootTime());
@@ -152,7 +161,13 @@
 void Upstream::finish(RequestNumber number, CallEnd end)
 {
     const std::lock_guard lock(this->mutex);
-    this->limiter.finish(number, end, readBootTime());
+    this->finishLocked(number, end, readBootTime());
+}
+
+void Upstream::finishLocked(RequestNumber number, CallEnd end, Time now)
+{
+    this->running.erase(number);
+    this->limiter.finish(number, end, now);
     this->wakeAdmitted();
 }
 
@@ -185,10 +200,6 @@
         this->finish(number, CallEnd::Cancelled);
         return makeFailure(ErrorKind::DeadlineExceeded, "no time is left for the upstream");
     }
-    {
-        const std::lock_guard lock(this->mutex);
-        this->running.emplace(number, request.fingerprint);
-    }
     auto response =
             this->clients[worker]->call(request.http, limit, makeGrantFields(request, grant));
     RoutedAnswer answer;
@@ -199,40 +210,42 @@
     } else {
         answer.http = *std::move(response);
     }
-    this->noteEnd(worker, endOf(answer.error));
-    {
-        const std::lock_guard lock(this->mutex);
-        this->running.erase(number);
+    const CallEnd end = endOf(answer.error);
+    if (end == CallEnd::Lost) {
+        // The request counts as running until the probe has taken those to blame for a crash.
+        this->startProbe(worker, true);
+        this->waitForFirstProbe(worker);
     }
-    this->finish(number, endOf(answer.error));
-    return answer;
-}
-
-void Upstream::noteEnd(std::size_t worker, CallEnd end)
-{
     bool isFrozen = false;
     {
         const std::lock_guard lock(this->mutex);
         const Time now = readBootTime();
-        if (end == CallEnd::Answered || end == CallEnd::Refused) {
-            this->timeoutsInARow = 0;
-            this->lastAnswer = now;
-        } else if (end == CallEnd::TimedOut) {
-            ++this->timeoutsInARow;
-            isFrozen = !this->lost && this->timeoutsInARow >= frozenTimeouts
-                       && now - this->lastAnswer > frozenAfter;
-            this->lost = this->lost || isFrozen;
-        }
-    }
-    if (end == CallEnd::Lost) {
-        this->startProbe(worker, true);
-        this->waitForFirstProbe(worker);
+        isFrozen = this->noteEndLocked(end, now);
+        this->finishLocked(number, end, now);
     }
     if (isFrozen) {
         logWarning(LogPart::Upstream, "upstream does not answer",
                    {{"address", this->info.address.toString()}});
         this->hooks.reportLost(this);
     }
+    return answer;
+}
+
+// Returns whether the upstream is found to be frozen by this end.
+bool Upstream::noteEndLocked(CallEnd end, Time now)
+{
+    if (end == CallEnd::Answered || end == CallEnd::Refused) {
+        this->timeoutsInARow = 0;
+        this->lastAnswer = now;
+    }
+    if (end != CallEnd::TimedOut) {
+        return false;
+    }
+    ++this->timeoutsInARow;
+    const bool isFrozen = !this->lost && this->timeoutsInARow >= frozenTimeouts
+                          && now - this->lastAnswer > frozenAfter;
+    this->lost = this->lost || isFrozen;
+    return isFrozen;
 }
 
 // ---- Probe after a lost connection ----
@@ -313,12 +326,6 @@
 
 // ---- Retry and load ----
 
-void Upstream::noteFirstAttempt(Time now)
-{
-    const std::lock_guard lock(this->mutex);
-    this->retryBudget.noteFirstAttempt(now);
-}
-
 bool Upstream::mayRetry(const RetryQuestion &question)
 {
     const std::lock_guard lock(this->mutex);
