--- a/packages/node/entry_path.cpp
+++ b/packages/node/entry_path.cpp
@@ -184,9 +184,7 @@
     }
     if (target.own) {
         RoutedAnswer answer = this->owner.serve(worker, request);
-        if (answer.error != ErrorKind::None) {
-            answer.logOffset = this->driver.nextOffset();
-        }
+        answer.logOffset = this->driver.nextOffset();
         return answer;
     }
     return this->forwarder.forward(io, target, request, this->driver.nextOffset());
--- a/packages/node/owner_path.cpp
+++ b/packages/node/owner_path.cpp
@@ -94,8 +94,7 @@
     bool mayStillRun = false;
     RoutedAnswer answer = this->serveRegistered(worker, request, number, mayStillRun);
     this->inFlight.end(number, mayStillRun);
-    const ErrorKind owned = this->driver->mayServe(request.service, request.keyHash).error;
-    if (owned == ErrorKind::NotOwner || owned == ErrorKind::NoOwner) {
+    if (!this->driver->route(request.service, request.keyHash).own) {
         this->driver->wake(); // a handover may wait for this request
     }
     return answer;
@@ -138,18 +137,18 @@
     if (!target) {
         return makeFailure(ErrorKind::UpstreamUnreachable, "no upstream has announced itself");
     }
+    target->noteFirstAttempt(readBootTime());
     for (int attempts = 1;; ++attempts) {
-        RoutedAnswer answer =
-                this->dispatch(worker, *target, request, number, epoch, attempts == 1);
-        if (answer.error == ErrorKind::None) {
-            return answer;
-        }
+        RoutedAnswer answer = this->dispatch(worker, *target, request, number, epoch);
         mayStillRun = mayStillRun || errorInfo(answer.error).outcome == Outcome::Unknown;
         const RetryQuestion question{.error = answer.error,
                                      .idempotent = request.idempotent,
                                      .attempts = attempts,
                                      .remaining = request.deadline - readBootTime(),
                                      .needed = target->serviceTime()};
+        if (answer.error == ErrorKind::None) {
+            return answer;
+        }
         if (this->isQuarantined(request) || !target->mayRetry(question)) {
             // An earlier attempt may have run, so the last refusal must not say "not run".
             const bool hidesRun = mayStillRun && errorInfo(answer.error).outcome == Outcome::NotRun;
@@ -161,10 +160,10 @@
 }
 
 RoutedAnswer OwnerPath::dispatch(std::size_t worker, Upstream &target, const RoutedRequest &request,
-                                 RequestNumber number, Epoch epoch, bool isFirstAttempt)
+                                 RequestNumber number, Epoch epoch)
 {
     asio::io_context &io = this->workers[worker]->io();
-    const ErrorKind refused = target.admit(io, number, request, isFirstAttempt);
+    const ErrorKind refused = target.admit(io, number, request.deadline);
     if (refused != ErrorKind::None) {
         return makeFailure(refused, "the upstream has no room for the request");
     }
--- a/packages/node/owner_path.h
+++ b/packages/node/owner_path.h
@@ -107,7 +107,7 @@
     RoutedAnswer dispatchWithRetries(std::size_t worker, const RoutedRequest &request,
                                      RequestNumber number, Epoch epoch, bool &mayStillRun);
     RoutedAnswer dispatch(std::size_t worker, Upstream &target, const RoutedRequest &request,
-                          RequestNumber number, Epoch epoch, bool isFirstAttempt);
+                          RequestNumber number, Epoch epoch);
     ServeAnswer waitForOwnership(asio::io_context &io, const RoutedRequest &request);
     std::optional<RoutedAnswer> answerFromMemory(const RoutedRequest &request);
     ErrorKind proveNew(asio::io_context &io, const RoutedRequest &request, Slot slot);
--- a/packages/node/upstream.cpp
+++ b/packages/node/upstream.cpp
@@ -122,21 +122,15 @@
 
 // ---- Admission ----
 
-ErrorKind Upstream::admit(asio::io_context &io, RequestNumber number, const RoutedRequest &request,
-                          bool isFirstAttempt)
+ErrorKind Upstream::admit(asio::io_context &io, RequestNumber number, Time deadline)
 {
     std::shared_ptr<Waiter> waiter;
     {
         const std::lock_guard lock(this->mutex);
-        const Time now = readBootTime();
-        if (isFirstAttempt) {
-            this->retryBudget.noteFirstAttempt(now);
-        }
-        this->limiter.advance(now);
+        this->limiter.advance(readBootTime());
         this->wakeAdmitted();
-        const Admission admission = this->limiter.admit(number, request.deadline, now);
+        const Admission admission = this->limiter.admit(number, deadline, readBootTime());
         if (admission.action == AdmitAction::Dispatch) {
-            this->running.emplace(number, request.fingerprint);
             return ErrorKind::None;
         }
         if (admission.action == AdmitAction::Refuse) {
@@ -145,13 +139,10 @@
         waiter = std::make_shared<Waiter>(io);
         this->waiters.emplace(number, waiter);
     }
-    waiter->event.waitFor(std::max(request.deadline - readBootTime(), Duration::zero()));
+    waiter->event.waitFor(std::max(deadline - readBootTime(), Duration::zero()));
     const std::lock_guard lock(this->mutex);
     this->waiters.erase(number);
     if (waiter->decided) {
-        if (waiter->error == ErrorKind::None) {
-            this->running.emplace(number, request.fingerprint);
-        }
         return waiter->error;
     }
     this->limiter.cancelWaiting(number, readBootTime());
@@ -161,13 +152,7 @@
 void Upstream::finish(RequestNumber number, CallEnd end)
 {
     const std::lock_guard lock(this->mutex);
-    this->finishLocked(number, end, readBootTime());
-}
-
-void Upstream::finishLocked(RequestNumber number, CallEnd end, Time now)
-{
-    this->running.erase(number);
-    this->limiter.finish(number, end, now);
+    this->limiter.finish(number, end, readBootTime());
     this->wakeAdmitted();
 }
 
@@ -200,6 +185,10 @@
         this->finish(number, CallEnd::Cancelled);
         return makeFailure(ErrorKind::DeadlineExceeded, "no time is left for the upstream");
     }
+    {
+        const std::lock_guard lock(this->mutex);
+        this->running.emplace(number, request.fingerprint);
+    }
     auto response =
             this->clients[worker]->call(request.http, limit, makeGrantFields(request, grant));
     RoutedAnswer answer;
@@ -210,42 +199,40 @@
     } else {
         answer.http = *std::move(response);
     }
-    const CallEnd end = endOf(answer.error);
-    if (end == CallEnd::Lost) {
-        // The request counts as running until the probe has taken those to blame for a crash.
-        this->startProbe(worker, true);
-        this->waitForFirstProbe(worker);
+    this->noteEnd(worker, endOf(answer.error));
+    {
+        const std::lock_guard lock(this->mutex);
+        this->running.erase(number);
     }
+    this->finish(number, endOf(answer.error));
+    return answer;
+}
+
+void Upstream::noteEnd(std::size_t worker, CallEnd end)
+{
     bool isFrozen = false;
     {
         const std::lock_guard lock(this->mutex);
         const Time now = readBootTime();
-        isFrozen = this->noteEndLocked(end, now);
-        this->finishLocked(number, end, now);
+        if (end == CallEnd::Answered || end == CallEnd::Refused) {
+            this->timeoutsInARow = 0;
+            this->lastAnswer = now;
+        } else if (end == CallEnd::TimedOut) {
+            ++this->timeoutsInARow;
+            isFrozen = !this->lost && this->timeoutsInARow >= frozenTimeouts
+                       && now - this->lastAnswer > frozenAfter;
+            this->lost = this->lost || isFrozen;
+        }
+    }
+    if (end == CallEnd::Lost) {
+        this->startProbe(worker, true);
+        this->waitForFirstProbe(worker);
     }
     if (isFrozen) {
         logWarning(LogPart::Upstream, "upstream does not answer",
                    {{"address", this->info.address.toString()}});
         this->hooks.reportLost(this);
     }
-    return answer;
-}
-
-// Returns whether the upstream is found to be frozen by this end.
-bool Upstream::noteEndLocked(CallEnd end, Time now)
-{
-    if (end == CallEnd::Answered || end == CallEnd::Refused) {
-        this->timeoutsInARow = 0;
-        this->lastAnswer = now;
-    }
-    if (end != CallEnd::TimedOut) {
-        return false;
-    }
-    ++this->timeoutsInARow;
-    const bool isFrozen = !this->lost && this->timeoutsInARow >= frozenTimeouts
-                          && now - this->lastAnswer > frozenAfter;
-    this->lost = this->lost || isFrozen;
-    return isFrozen;
 }
 
 // ---- Probe after a lost connection ----
@@ -326,6 +313,12 @@
 
 // ---- Retry and load ----
 
+void Upstream::noteFirstAttempt(Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->retryBudget.noteFirstAttempt(now);
+}
+
 bool Upstream::mayRetry(const RetryQuestion &question)
 {
     const std::lock_guard lock(this->mutex);
--- a/packages/node/upstream.h
+++ b/packages/node/upstream.h
@@ -71,9 +71,8 @@
     void announce(const Announcement &announcement);
 
     // Waits for room. Returns None, or why the request is not dispatched. After None, end the
-    // request by call() or finish(). The first attempt of a request earns credit for retries.
-    ErrorKind admit(asio::io_context &io, RequestNumber number, const RoutedRequest &request,
-                    bool isFirstAttempt);
+    // request by call() or finish().
+    ErrorKind admit(asio::io_context &io, RequestNumber number, Time deadline);
 
     // Sends an admitted request and returns the answer.
     RoutedAnswer call(std::size_t worker, RequestNumber number, const RoutedRequest &request,
@@ -82,6 +81,7 @@
     // Ends an admitted request that was not sent.
     void finish(RequestNumber number, CallEnd end);
 
+    void noteFirstAttempt(Time now);
     bool mayRetry(const RetryQuestion &question);
     Duration serviceTime() const;
     double utilisation() const;
@@ -92,8 +92,7 @@
     Upstream(const Announcement &announcement, UpstreamSettings settings,
              const std::vector<FiberThread *> &workers, UpstreamHooks hooks);
     void wakeAdmitted();
-    void finishLocked(RequestNumber number, CallEnd end, Time now);
-    bool noteEndLocked(CallEnd end, Time now);
+    void noteEnd(std::size_t worker, CallEnd end);
     void startProbe(std::size_t worker, bool blameRunning);
     void probe(std::size_t worker, std::vector<Fingerprint> running);
     void waitForFirstProbe(std::size_t worker);
@@ -106,7 +105,7 @@
     EndpointLimiter limiter;
     RetryBudget retryBudget;
     std::unordered_map<RequestNumber, std::shared_ptr<Waiter>> waiters;
-    std::unordered_map<RequestNumber, Fingerprint> running; // admitted
+    std::unordered_map<RequestNumber, Fingerprint> running;
     int timeoutsInARow = 0;
     Time lastAnswer{};
     bool probing = false;
