net: refuse answers whose end cannot be told

Cause: an answer without Content-Length and without chunks ends with the connection. One that was cut by a crash of the upstream passed as complete (found by reading). Figures: the new check in "an answer that is cut short or does not come is an error" got status 200 with half a body without the change, and passes with it.

--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -131,6 +131,10 @@
     if (const ErrorCode error = stream.read(parser)) {
         return failureAfterSend(error);
     }
+    if (parser.need_eof()) {
+        return makeError(ErrorKind::UpstreamLost,
+                         "the answer has neither a length nor chunks, so it may be cut short");
+    }
     stream.expireNever();
     mayKeep = parser.keep_alive() && stream.buffered() == 0;
     std::erase_if(parser.message.fields,
--- a/packages/net/tests/test_net.cpp
+++ b/packages/net/tests/test_net.cpp
@@ -269,6 +269,8 @@
     CHECK(call(firstPort + 3, header + "12345", false) == ErrorKind::UpstreamTimeout);
     const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     CHECK(call(firstPort + 4, chunked + "5\r\nabcde\r\n", true) == ErrorKind::UpstreamLost);
+    const std::string endless = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n12345";
+    CHECK(call(firstPort + 14, endless, true) == ErrorKind::UpstreamLost);
     CHECK(call(firstPort + 5, "HTTP/1.1 2", true) == ErrorKind::UpstreamLost);
     CHECK(call(firstPort + 6, "", true) == ErrorKind::UpstreamLost);
 }
