placement: a session that cannot read the log takes no slots

Cause: a process that is cut off from the log still answered load queries, so slots could move to it; it would not learn that it owns them until the cut ends (found by reading). Change: such a session does not answer load queries, so no owner chooses it as a target. Conclusion: slots move only to sessions that read the log.

--- a/packages/node/placement_driver.cpp
+++ b/packages/node/placement_driver.cpp
@@ -183,7 +183,8 @@
 bool PlacementDriver::receive(const wire::MeshMessage &message, Time now)
 {
     if (message.has_load_query()) {
-        if (this->policy && message.load_query().service() == this->service) {
+        if (this->policy && this->policy->answersQueries()
+            && message.load_query().service() == this->service) {
             const LoadSample sample = this->policy->ownSample(now);
             wire::MeshMessage reply;
             wire::LoadReply *load = reply.mutable_load_reply();
--- a/packages/placement/policy.h
+++ b/packages/placement/policy.h
@@ -181,6 +181,10 @@
     // is taken as failed.
     std::vector<PlacementDecision> decide(Time now);
 
+    // Returns whether to answer a LoadQuery. A session that cannot read the log would not learn
+    // that it owns slots which move to it, so it must not be chosen as a target.
+    bool answersQueries() const { return this->logAvailable; }
+
     // Returns the answer to a LoadQuery.
     LoadSample ownSample(Time now) const;
 
--- a/packages/placement/tests/test_placement.cpp
+++ b/packages/placement/tests/test_placement.cpp
@@ -104,6 +104,9 @@
             for (const PlacementDecision &decision : policy.decide(this->now)) {
                 if (const auto *ask = std::get_if<AskLoad>(&decision)) {
                     for (const std::uint64_t id : ask->sessions) {
+                        if (!this->policies[id - 1].answersQueries()) {
+                            continue;
+                        }
                         heard[id] = this->policies[id - 1].ownSample(this->now).load;
                         policy.takeSample(this->policies[id - 1].ownSample(this->now), this->now);
                     }
@@ -293,6 +296,20 @@
     }
 }
 
+// Guards against slots that wait at a session which does not read that it owns them.
+TEST_CASE("a session without the log receives no slots")
+{
+    SmallService service = makeService(4);
+    service.run(30);
+    service.addSession();
+    service.policies[4].setLogAvailable(false);
+    service.run(60);
+    REQUIRE(service.loadOf(4) == 0);
+    service.policies[4].setLogAvailable(true);
+    service.run(60);
+    REQUIRE(service.loadOf(4) > 0);
+}
+
 // Guards against a remote that fills the table or poisons the estimate.
 TEST_CASE("samples that nobody asked for or that are no numbers are ignored")
 {
