traffic: one question decides whether a blamed request may run

Cause: a read as a newcomer: the owner asked for a permit and then for the quarantine, and ended the permit in two places. Change: startRun also answers Quarantined. Conclusion: a lock and a special case less on the path of each request.

--- a/packages/node/owner_path.cpp
+++ b/packages/node/owner_path.cpp
@@ -169,9 +169,7 @@
         return makeFailure(ErrorKind::DeadlineExceeded,
                            "other requests that ran during a crash are tried first");
     }
-    if (this->isQuarantined(request)) {
-        const std::lock_guard lock(this->upstreamMutex);
-        this->crashGuard.endRun(permit, request.fingerprint, false);
+    if (permit == RunPermit::Quarantined) {
         return makeFailure(ErrorKind::RequestQuarantined, "this request crashed upstreams before");
     }
     RoutedAnswer answer = this->dispatch(worker, target, request, number, epoch);
--- a/packages/traffic/crash_guard.cpp
+++ b/packages/traffic/crash_guard.cpp
@@ -54,6 +54,9 @@
 
 RunPermit CrashGuard::startRun(Fingerprint fingerprint, Time now)
 {
+    if (this->isQuarantined(fingerprint, now)) {
+        return RunPermit::Quarantined;
+    }
     const auto found = this->blamed.find(fingerprint);
     const bool isBlamed = found != this->blamed.end() && found->second.crashes() > 0
                           && now - found->second.last < this->settings.memory;
--- a/packages/traffic/crash_guard.h
+++ b/packages/traffic/crash_guard.h
@@ -4,7 +4,8 @@
 //   if (std::optional<CrashReport> report = guard.takeReport(now)) { ... append CrashSuspect ... }
 //   guard.isQuarantined(fingerprint, now); // answer request-quarantined
 //   RunPermit permit = guard.startRun(fingerprint, now);
-//   if (permit != RunPermit::Wait) { ... run it ...; guard.endRun(permit, fingerprint, answered); }
+//   // Free or Alone: ... run it ...
+//   guard.endRun(permit, fingerprint, answered);
 #pragma once
 
 #include "base/time.h"
@@ -39,9 +40,10 @@
 
 // Says whether a request may run at the upstream now.
 enum class RunPermit : std::uint8_t {
-    Free,  // it is blamed for nothing
-    Alone, // it is blamed for a crash, and no other blamed request runs
-    Wait,  // it is blamed for a crash, and another blamed request runs
+    Free,        // it is blamed for nothing
+    Alone,       // it is blamed for a crash, and no other blamed request runs
+    Wait,        // it is blamed for a crash, and another blamed request runs
+    Quarantined, // it must not run
 };
 
 // Counts crashes from the own upstream and from the log. Requests that are blamed for a crash run
@@ -66,7 +68,7 @@
 
     bool isQuarantined(Fingerprint fingerprint, Time now) const;
 
-    // Asks to run a request that is not quarantined. Every Free or Alone is ended with endRun.
+    // Asks to run a request. Every Free or Alone is ended with endRun.
     RunPermit startRun(Fingerprint fingerprint, Time now);
 
     // Ends a run. A complete answer clears a request that ran alone of the crashes so far.
--- a/packages/traffic/tests/test_traffic.cpp
+++ b/packages/traffic/tests/test_traffic.cpp
@@ -196,6 +196,7 @@
     guard.blame({fatal, frequent}, 101, 3s);
     guard.endRun(RunPermit::Alone, fatal, false);
     REQUIRE(guard.isQuarantined(fatal, 4s));
+    REQUIRE(guard.startRun(fatal, 4s) == RunPermit::Quarantined);
     REQUIRE_FALSE(guard.isQuarantined(frequent, 4s));
 }
 
