system: one set of checks for an owner that must be replaced

Cause: three cut cases repeated the same seven checks. Change: checkReplaced holds them; no check is left out. Conclusion: a new kind of cut needs one line of checks.

--- a/packages/system/tests/test_cuts.cpp
+++ b/packages/system/tests/test_cuts.cpp
@@ -82,6 +82,17 @@
     return result;
 }
 
+void checkReplaced(const CutResult &result)
+{
+    INFO(result.details);
+    REQUIRE(result.all.keepsPromises());
+    CHECK(result.lateRuns == 0);
+    CHECK_FALSE(result.others.errors.empty()); // otherwise the cut had no effect
+    CHECK(result.others.keysNotServedAgain == 0);
+    CHECK(result.others.longestGap <= recoveryTarget);
+    CHECK(result.others.servedAgain <= recoveryTarget);
+}
+
 // Returns the keys that hosts of the region own, as the asked host knows it.
 std::set<std::string> findRegionKeys(Cluster &cluster, const LoadOptions &load,
                                      const std::string &region, const Host &asked)
@@ -116,13 +127,7 @@
 {
     Cluster cluster("cut-all");
     const CutResult result = cutOwner(cluster, {.fromOwner = true, .toOwner = true, .log = true});
-    INFO(result.details);
-    REQUIRE(result.all.keepsPromises());
-    CHECK(result.lateRuns == 0);
-    CHECK_FALSE(result.others.errors.empty()); // otherwise the cut had no effect
-    CHECK(result.others.keysNotServedAgain == 0);
-    CHECK(result.others.longestGap <= recoveryTarget);
-    CHECK(result.others.servedAgain <= recoveryTarget);
+    checkReplaced(result);
 }
 
 // Guards against an owner that takes silence of its own messages for a valid lease.
@@ -130,13 +135,7 @@
 {
     Cluster cluster("cut-from");
     const CutResult result = cutOwner(cluster, {.fromOwner = true});
-    INFO(result.details);
-    REQUIRE(result.all.keepsPromises());
-    CHECK(result.lateRuns == 0);
-    CHECK_FALSE(result.others.errors.empty());
-    CHECK(result.others.keysNotServedAgain == 0);
-    CHECK(result.others.longestGap <= recoveryTarget);
-    CHECK(result.others.servedAgain <= recoveryTarget);
+    checkReplaced(result);
 }
 
 // Guards against an owner that serves although no grant reaches it, and against keys that stay with
@@ -145,13 +144,7 @@
 {
     Cluster cluster("cut-to");
     const CutResult result = cutOwner(cluster, {.toOwner = true});
-    INFO(result.details);
-    REQUIRE(result.all.keepsPromises());
-    CHECK(result.lateRuns == 0);
-    CHECK_FALSE(result.others.errors.empty());
-    CHECK(result.others.keysNotServedAgain == 0);
-    CHECK(result.others.longestGap <= recoveryTarget);
-    CHECK(result.others.servedAgain <= recoveryTarget);
+    checkReplaced(result);
 }
 
 // Guards against an owner that ends, or is ended, for the silence of a single peer.
