placement: name the choice of resting slots

Cause: movable(now, false) did not say what the flag means. Change: an enumeration, Resting::Stay or Resting::Move. Conclusion: the calls say what they ask for.

--- a/packages/placement/rates.cpp
+++ b/packages/placement/rates.cpp
@@ -112,11 +112,11 @@
     return entry == nullptr || entry->seconds <= 0 ? 0 : entry->requests / entry->seconds;
 }
 
-std::vector<SlotRate> SlotRates::movable(Time now, bool withResting) const
+std::vector<SlotRate> SlotRates::movable(Time now, Resting resting) const
 {
     std::vector<SlotRate> result;
     for (const OwnSlot &entry : this->owned) {
-        const bool rests = entry.restsUntil > now && !withResting;
+        const bool rests = entry.restsUntil > now && resting == Resting::Stay;
         if (entry.pendingUntil > now || rests || entry.seconds < leastSeconds) {
             continue;
         }
--- a/packages/placement/rates.h
+++ b/packages/placement/rates.h
@@ -29,6 +29,9 @@
     double rate = 0; // requests/s
 };
 
+// Whether slots that came by a move a short time ago may move on.
+enum class Resting : std::uint8_t { Stay, Move };
+
 // Owned slots with their rates, ordered by slot.
 class SlotRates
 {
@@ -66,10 +69,9 @@
     // Returns requests/s of one slot, 0 if it is not owned.
     double rateOf(Slot slot) const;
 
-    // Returns the slots that may move now, highest rate first; slots that still rest only on
-    // request. Rates are drawn to the average, because the highest of many short counts are high by
-    // chance.
-    std::vector<SlotRate> movable(Time now, bool withResting) const;
+    // Returns the slots that may move now, highest rate first. Rates are drawn to the average,
+    // because the highest of many short counts are high by chance.
+    std::vector<SlotRate> movable(Time now, Resting resting) const;
 
     const std::vector<OwnSlot> &slots() const { return this->owned; }
 
