ownership: one place turns a Join into a session

Cause: applying a Join and loading a checkpoint copied the same nine fields, so a new field could be forgotten in one of them. Change: Session::fromJoin.

--- a/packages/ownership/cluster_snapshot.cpp
+++ b/packages/ownership/cluster_snapshot.cpp
@@ -179,18 +179,7 @@
 
 void ClusterState::restoreSession(const wire::SessionSnapshot &snapshot)
 {
-    const wire::Join &join = snapshot.join();
-    Session session;
-    session.id = snapshot.session();
-    session.node = join.node();
-    session.incarnation = join.incarnation();
-    session.meshAddress = join.mesh_address();
-    session.callerAddress = join.caller_address();
-    session.adminAddress = join.admin_address();
-    session.region = join.region();
-    session.dataCentre = join.data_centre();
-    session.service = join.service();
-    session.checksGrants = join.checks_grants();
+    Session session = Session::fromJoin(snapshot.session(), snapshot.join());
     session.ended = snapshot.ended();
     session.released = snapshot.released();
     session.generation = snapshot.generation();
--- a/packages/ownership/cluster_state.cpp
+++ b/packages/ownership/cluster_state.cpp
@@ -143,6 +143,22 @@
 
 // ---- sessions ----
 
+Session Session::fromJoin(SessionId id, const wire::Join &join)
+{
+    Session session;
+    session.id = id;
+    session.node = join.node();
+    session.incarnation = join.incarnation();
+    session.meshAddress = join.mesh_address();
+    session.callerAddress = join.caller_address();
+    session.adminAddress = join.admin_address();
+    session.region = join.region();
+    session.dataCentre = join.data_centre();
+    session.service = join.service();
+    session.checksGrants = join.checks_grants();
+    return session;
+}
+
 void ClusterState::applyJoin(const wire::LogRecord &record, ApplyResult &result)
 {
     const wire::Join &join = record.join();
@@ -156,17 +172,7 @@
     if ((newest == nullptr ? 0 : newest->id) != join.supersedes()) {
         return refuse(result, "the node has another newest session");
     }
-    Session session;
-    session.id = this->next;
-    session.node = join.node();
-    session.incarnation = join.incarnation();
-    session.meshAddress = join.mesh_address();
-    session.callerAddress = join.caller_address();
-    session.adminAddress = join.admin_address();
-    session.region = join.region();
-    session.dataCentre = join.data_centre();
-    session.service = join.service();
-    session.checksGrants = join.checks_grants();
+    Session session = Session::fromJoin(this->next, join);
     session.peerSets.push_back({0, {join.peers().begin(), join.peers().end()}});
     result.started = session.id;
     this->nodes[join.node()] = session.id;
--- a/packages/ownership/cluster_state.h
+++ b/packages/ownership/cluster_state.h
@@ -66,6 +66,9 @@
     std::vector<PeerSet> peerSets; // since the last settled one, oldest first
     std::uint32_t slots = 0;       // number of slots owned
     std::uint32_t references = 0;  // entries in predecessor lists and lineages
+
+    // Returns the session that a Join starts, without its peers.
+    static Session fromJoin(SessionId id, const wire::Join &join);
 };
 
 // ---- slots ----
