node: a refusal names the new owner, and the sender asks it at once

All entered at the process that was cut off, for keys that had moved since. It asked the former owner, was told that its table was behind, and waited 50 ms three times for records that it could not read.

Change: not-owner and draining answers carry the owner that the answering process knows. A sender that has read less than the answering process forwards there at once, with that process's offset, without a wait for its own log. The hint only names whom to ask; ownership is checked there.

Measured: a new test drains the busiest upstream while another process cannot read the log and takes all requests.

Conclusion: requests follow keys that moved to other processes.

--- a/packages/node/entry_path.cpp
+++ b/packages/node/entry_path.cpp
@@ -154,8 +154,8 @@
         this->retryBudget.noteFirstAttempt(readBootTime());
     }
     bool mayHaveRun = false;
+    RoutedAnswer answer = this->attempt(worker, io, request);
     for (int attempts = 1;; ++attempts) {
-        RoutedAnswer answer = this->attempt(worker, io, request);
         const ErrorKind kind = answer.error;
         const bool isUnknown = errorInfo(kind).outcome == Outcome::Unknown;
         mayHaveRun = mayHaveRun || (kind != ErrorKind::None && isUnknown);
@@ -166,15 +166,30 @@
                             : std::move(answer);
         }
         const bool isBehind = answer.logOffset > this->driver.nextOffset();
+        if (isBehind && answer.owner.session != 0) {
+            answer = this->forwardToHint(io, answer, request);
+            continue;
+        }
         const Duration left = request.deadline - readBootTime();
         if (isBehind) {
             this->waitForLog(io, answer.logOffset, std::min(left, logWaitLimit));
         } else {
             sleepFor(io, std::min(left, routeBackoff));
         }
+        answer = this->attempt(worker, io, request);
     }
 }
 
+RoutedAnswer EntryPath::forwardToHint(asio::io_context &io, const RoutedAnswer &refusal,
+                                      const RoutedRequest &request)
+{
+    RouteAnswer target;
+    target.node = refusal.owner.node;
+    target.meshAddress = refusal.owner.meshAddress;
+    target.session = refusal.owner.session;
+    return this->forwarder.forward(io, target, request, refusal.logOffset);
+}
+
 RoutedAnswer EntryPath::attempt(std::size_t worker, asio::io_context &io,
                                 const RoutedRequest &request)
 {
@@ -210,10 +225,23 @@
                          std::min<Duration>(request.deadline - readBootTime(), logWaitLimit));
     }
     RoutedAnswer answer = this->owner.serve(worker, request);
+    answer.owner = this->findOwnerHint(request, answer.error);
     answer.logOffset = this->driver.nextOffset();
     return answer;
 }
 
+OwnerHint EntryPath::findOwnerHint(const RoutedRequest &request, ErrorKind refusal) const
+{
+    if (refusal != ErrorKind::NotOwner && refusal != ErrorKind::Draining) {
+        return {};
+    }
+    const RouteAnswer route = this->driver.route(request.service, request.keyHash);
+    if (route.own || route.node.empty()) {
+        return {};
+    }
+    return {route.session, route.node, route.meshAddress};
+}
+
 void EntryPath::waitForLog(asio::io_context &io, Offset offset, Duration limit)
 {
     const Time until = readBootTime() + limit;
--- a/packages/node/request.h
+++ b/packages/node/request.h
@@ -24,6 +24,14 @@
     HttpRequest http;
 };
 
+// The owner that another process named when it refused a request.
+struct OwnerHint
+{
+    std::uint64_t session = 0; // 0: none was named
+    std::string node;
+    std::string meshAddress;
+};
+
 // The answer to one attempt.
 struct RoutedAnswer
 {
@@ -31,6 +39,7 @@
     std::string message;               // for a person, if there is an error
     HttpResponse http;
     std::uint64_t logOffset = 0; // next offset that the answering process will read
+    OwnerHint owner;             // with a refusal; as of `logOffset`
 };
 
 inline RoutedAnswer makeFailure(ErrorKind error, std::string_view message)
--- a/packages/system/tests/test_cuts.cpp
+++ b/packages/system/tests/test_cuts.cpp
@@ -278,6 +278,36 @@
     CHECK(cluster.read(lagging, "extra", "D-1").outcome == Outcome::Done);
 }
 
+// Guards against a process with an old table that refuses the requests of keys that have moved: it
+// did not ask the new owner, but waited for a log that it could not read.
+TEST_CASE("a process that is cut off from the log finds keys that have moved since")
+{
+    Cluster cluster("cut-moved");
+    startServing(cluster);
+    const Host &leaving = findBusyOwner(cluster);
+    const Host &lagging = cluster.host(leaving.name == "t4" ? "t3" : "t4");
+    const Host &witness = cluster.host(leaving.name == "t1" ? "t2" : "t1");
+    LoadOptions options = cluster.makeLoad(6s);
+    options.entries = {lagging.callers};
+    const std::set<std::string> before = findOwnedKeys(options, lagging, leaving);
+    REQUIRE_FALSE(before.empty());
+    cluster.controlLog(absl::StrCat("cut?node=", lagging.name, "&on=1"));
+    BackgroundLoad load(options);
+    Cluster::controlUpstream(leaving, "set?draining=1");
+    const std::vector<Attempt> attempts = load.finish();
+    const Verdict verdict = judge(attempts, cluster.collectRecords());
+    INFO(verdict.toText() << describeFailures(attempts) << cluster.describeLogs());
+    REQUIRE(verdict.keepsPromises());
+    CHECK(findOwnedKeys(options, witness, leaving).empty());
+    CHECK(findOwnedKeys(options, lagging, leaving) == before); // otherwise it had read of the moves
+    const std::set<std::string> own = findOwnedKeys(options, witness, lagging);
+    std::set<std::string> moved;
+    std::set_difference(before.begin(), before.end(), own.begin(), own.end(),
+                        std::inserter(moved, moved.end()));
+    CHECK_FALSE(moved.empty());
+    CHECK(describeFailuresOf(attempts, moved).empty());
+}
+
 // Guards against a new process that lacks what the expired records said.
 TEST_CASE("a process that starts after records have expired joins from a checkpoint")
 {
