node: processes pass log records on to one that cannot read the log

Cause: a process whose way to the log alone was cut off did not learn of keys that moved to it, so nobody served them, and did not take new rules. The cut was silent: its long poll stayed open, and it reported the log as answering for up to 12 s more.

Change: Grant (within 5 s of a record), Forward and ForwardReply carry the next offset that their sender will read. A process that is behind for 50 ms asks the sender for the records (RelayQuery, RelayReply) and applies them in order. Up to 4,096 records or 4 MiB are kept. The end of the log and whether it answers are still learned from the log alone, so a restarted peer grants nothing sooner.

Conclusion: one process without the log follows moves and rules.

--- a/packages/net/log_client.cpp
+++ b/packages/net/log_client.cpp
@@ -85,7 +85,7 @@
     const Time askedAt = readBootTime();
     // Without a known end the read must answer at once: start-up and restarted peers wait for it.
     const Duration wait =
-            this->knowsEnd && this->answering ? this->settings.pollWait : Duration::zero();
+            this->hasReachedEnd && this->answering ? this->settings.pollWait : Duration::zero();
     HttpRequest request;
     request.target =
             absl::StrCat("/records?from=", this->next, "&limit=", this->settings.recordsPerRead,
@@ -125,7 +125,7 @@
         }
     }
     if (this->next >= batch.end()) {
-        this->knowsEnd = true;
+        this->hasReachedEnd = true;
         this->hooks.reachEnd(batch.end(), askedAt);
     }
 }
--- a/packages/net/log_client.h
+++ b/packages/net/log_client.h
@@ -50,6 +50,9 @@
     // Goes on reading at another offset. Call from a hook or on the client's thread.
     void readFrom(std::uint64_t offset) { this->next = offset; }
 
+    // Returns whether the end of the log was reached at least once.
+    bool knowsEnd() const { return this->hasReachedEnd; }
+
     // Appends one record in a fiber of its own; a failure is only counted. Any thread.
     void append(const wire::LogRecord &record);
 
@@ -69,7 +72,7 @@
     std::vector<std::unique_ptr<HttpClient>> readers; // one per address
     std::size_t current = 0;                          // address in use
     std::uint64_t next = 0;                           // offset of the next record to read
-    bool knowsEnd = false;                            // the end was reached at least once
+    bool hasReachedEnd = false;                       // the end was reached at least once
     bool answering = false;
     bool reported = false;
     std::atomic<std::uint64_t> appendFailures{0};
--- a/packages/node/entry_path.cpp
+++ b/packages/node/entry_path.cpp
@@ -166,7 +166,8 @@
                             : std::move(answer);
         }
         const bool isBehind = answer.logOffset > this->driver.nextOffset();
-        if (isBehind && answer.owner.session != 0) {
+        const bool isOther = answer.owner.session != this->driver.session();
+        if (isBehind && answer.owner.session != 0 && isOther) {
             answer = this->forwardToHint(io, answer, request);
             continue;
         }
--- a/packages/node/ownership_driver.cpp
+++ b/packages/node/ownership_driver.cpp
@@ -69,6 +69,7 @@
                        this->input([&](Time now) { this->engine->onLogAnswering(answering, now); });
                    }})
     , tick(driverThread, [this](Time) { this->advanceEngine(); })
+    , relayTick(driverThread, [this](Time now) { this->advanceRelay(now); })
 {}
 
 void OwnershipDriver::start()
@@ -118,6 +119,9 @@
 {
     for (OutgoingMessage &outgoing : output.messages) {
         outgoing.message.clear_from(); // each connection carries it once
+        if (outgoing.message.has_grant() && this->relay.isRecent(readBootTime())) {
+            outgoing.message.mutable_grant()->set_log_offset(this->relay.next());
+        }
         this->mesh.send(outgoing.meshAddress, outgoing.message);
     }
     for (const wire::LogRecord &record : output.records) {
@@ -147,6 +151,7 @@
     if (const Offset wanted = this->nextOffset(); wanted <= offset) {
         this->log.readFrom(wanted);
     }
+    this->relay.keep(offset, record, readBootTime());
     this->updateRules(version);
     for (const SessionId session : record.fence().sessions()) {
         this->hooks.reportFenced(session);
@@ -181,8 +186,11 @@
 
 void OwnershipDriver::receive(wire::MeshMessage &&message)
 {
+    this->noteOffset(message);
     if (!isEngineMessage(message)) {
-        this->hooks.receiveOther(message);
+        if (!this->receiveRelay(message)) {
+            this->hooks.receiveOther(message);
+        }
         return;
     }
     this->input([&](Time now) { this->engine->onMessage(message, now); });
@@ -243,6 +251,74 @@
     });
 }
 
+// ---- Records from other processes ----
+
+void OwnershipDriver::noteOffset(const wire::MeshMessage &message)
+{
+    Offset offset = 0;
+    if (message.has_grant()) {
+        offset = message.grant().log_offset();
+    } else if (message.has_forward()) {
+        offset = message.forward().log_offset();
+    } else if (message.has_forward_reply()) {
+        offset = message.forward_reply().log_offset();
+    }
+    if (offset > this->relay.next()) {
+        this->relay.noteOffset(offset, message.from(), readBootTime());
+        this->relayTick.arm(this->relay.nextDue());
+    }
+}
+
+bool OwnershipDriver::receiveRelay(const wire::MeshMessage &message)
+{
+    if (message.has_relay_query()) {
+        wire::MeshMessage reply;
+        *reply.mutable_relay_reply() = this->relay.answer(message.relay_query().from());
+        this->sendTo(message.from(), reply);
+        return true;
+    }
+    if (message.has_relay_reply()) {
+        this->takeRelayed(message.relay_reply());
+        return true;
+    }
+    return false;
+}
+
+void OwnershipDriver::takeRelayed(const wire::RelayReply &reply)
+{
+    // Before the first end of the log, records may belong to a state that a checkpoint replaces.
+    if (!this->log.knowsEnd()) {
+        return;
+    }
+    Offset offset = reply.from();
+    for (const std::string &bytes : reply.records()) {
+        wire::LogRecord record;
+        if (offset == this->nextOffset() && record.ParseFromString(bytes)) {
+            this->log.readFrom(offset + 1);
+            this->takeRecord(offset, record);
+        }
+        ++offset;
+    }
+}
+
+void OwnershipDriver::advanceRelay(Time now)
+{
+    if (this->relay.takeQuery(now)) {
+        wire::MeshMessage message;
+        *message.mutable_relay_query() = this->relay.makeQuery();
+        this->sendTo(this->relay.source(), message);
+    }
+    this->relayTick.arm(this->relay.nextDue());
+}
+
+void OwnershipDriver::sendTo(const std::string &receiver, const wire::MeshMessage &message)
+{
+    const std::string address = this->meshAddressOf(receiver);
+    if (!address.empty()) {
+        this->mesh.send(address, message);
+    }
+}
+
 // ---- Queries ----
 
 ServeAnswer OwnershipDriver::mayServe(std::string_view service, std::uint64_t keyHash) const
--- a/packages/node/ownership_driver.h
+++ b/packages/node/ownership_driver.h
@@ -8,6 +8,7 @@
 #include "net/log_client.h"
 #include "net/mesh.h"
 #include "node/due_timer.h"
+#include "node/log_relay.h"
 #include "ownership/engine.h"
 #include "rules/rules.h"
 #include "traffic/journal.h"
@@ -131,6 +132,11 @@
     void advanceEngine();
     void takeRecord(std::uint64_t offset, const wire::LogRecord &record);
     void updateRules(std::uint64_t previousVersion);
+    void noteOffset(const wire::MeshMessage &message);
+    bool receiveRelay(const wire::MeshMessage &message);
+    void takeRelayed(const wire::RelayReply &reply);
+    void advanceRelay(Time now);
+    void sendTo(const std::string &receiver, const wire::MeshMessage &message);
 
     FiberThread &thread;
     Mesh &mesh;
@@ -141,6 +147,8 @@
     std::unique_ptr<OwnershipEngine> engine;
     LogClient log;
     DueTimer tick;
+    LogRelay relay;
+    DueTimer relayTick;
     std::atomic<bool> wakePosted{false};
     std::atomic<bool> logAnswering{false};
     mutable std::shared_mutex rulesMutex; // guards currentRules
--- a/packages/node/tests/test_node.cpp
+++ b/packages/node/tests/test_node.cpp
@@ -1,6 +1,7 @@
 #include "node/entry_path.h"
 #include "node/forwarder.h"
 #include "node/in_flight.h"
+#include "node/log_relay.h"
 #include "node/owner_path.h"
 
 #include <catch2/catch.hpp>
@@ -203,3 +204,52 @@
     REQUIRE(response.field("kumquat-error") == "owner-lost");
     REQUIRE(response.body.find("remedy") != std::string::npos);
 }
+
+// Guards against a process that stays behind others when its own way to the log is cut off, and
+// against queries for records that its own log brings in time.
+TEST_CASE("a process asks for records that another one has read")
+{
+    wire::LogRecord record;
+    record.mutable_released()->set_session(7);
+    LogRelay ahead;
+    LogRelay behind;
+    const Time start = readBootTime();
+    for (Offset offset = 1; offset <= 4; ++offset) {
+        ahead.keep(offset, record, start);
+    }
+    behind.keep(1, record, start);
+    behind.noteOffset(2, "t1", start);
+    REQUIRE_FALSE(behind.nextDue()); // nothing is missing
+    behind.noteOffset(5, "t2", start);
+    REQUIRE_FALSE(behind.takeQuery(start));
+    REQUIRE(behind.takeQuery(start + LogRelay::patience));
+    REQUIRE(behind.source() == "t2");
+    REQUIRE_FALSE(behind.takeQuery(start + LogRelay::patience));
+    const wire::RelayReply reply = ahead.answer(behind.makeQuery().from());
+    REQUIRE(reply.from() == 2);
+    REQUIRE(reply.records_size() == 3);
+    REQUIRE(reply.records(2) == record.SerializeAsString());
+    for (Offset offset = 2; offset <= 4; ++offset) {
+        REQUIRE(behind.nextDue());
+        behind.keep(offset, record, start);
+    }
+    REQUIRE_FALSE(behind.nextDue());
+}
+
+// Guards against a reply with a gap, which would pass as the records that were asked for.
+TEST_CASE("a process passes on only records without gaps")
+{
+    wire::LogRecord record;
+    record.mutable_released()->set_session(7);
+    LogRelay relay;
+    relay.keep(3, record, readBootTime());
+    relay.keep(9, record, readBootTime());
+    REQUIRE(relay.answer(3).records_size() == 0);
+    REQUIRE(relay.answer(9).records_size() == 1);
+    REQUIRE(relay.answer(10).records_size() == 0);
+    for (Offset offset = 10; offset < 10 + LogRelay::mostRecords; ++offset) {
+        relay.keep(offset, record, readBootTime());
+    }
+    REQUIRE(relay.answer(9).records_size() == 0);
+    REQUIRE(relay.answer(10).records_size() > 0);
+}
