node: an upstream counts as frozen only while calls go unanswered

Cause: "an owner whose messages are lost is replaced within 2 s" failed at load average 15 with a gap of 2,578 ms (served again after 2,870 ms). The new owner's upstream had been idle, so its last answer was long ago. The held requests arrived at once with little time left, five of them timed out, and the upstream was reported as frozen 400 ms after the takeover: the session ended and the keys moved a second time.

Change: the second without an answer counts from the first call since the last answer, not from the last answer. A lost connection leaves the decision to the probe.

Measured: a unit test with a burst of 10 calls of 20 ms at an upstream that was idle for 1.1 s fails before (reported as lost) and passes now; it also requires the report once a second has passed.

Conclusion: a takeover by an idle upstream no longer ends in a second one.

--- a/packages/node/tests/test_node.cpp
+++ b/packages/node/tests/test_node.cpp
@@ -3,10 +3,13 @@
 #include "node/in_flight.h"
 #include "node/log_relay.h"
 #include "node/owner_path.h"
+#include "node/upstream.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <thread>
 
 using namespace kumquat;
 
@@ -253,3 +256,50 @@
     REQUIRE(relay.answer(9).records_size() == 0);
     REQUIRE(relay.answer(10).records_size() > 0);
 }
+
+// Guards against a burst of requests with little time left, as after a takeover, that makes an
+// upstream without earlier requests count as frozen: its session ended and its keys moved again.
+TEST_CASE("an upstream counts as frozen only after a second without an answer")
+{
+    FiberThread thread("test");
+    thread.start();
+    asio::io_context io;
+    asio::ip::tcp::acceptor silent(io, {asio::ip::make_address("127.0.0.1"), 0}); // never accepts
+    Announcement announcement;
+    announcement.address = {"127.0.0.1", silent.local_endpoint().port()};
+    std::atomic<int> lost{0};
+    const auto upstream = Upstream::create(
+            announcement, {}, {&thread},
+            {.reportCrash = [](const auto &) {}, .reportLost = [&lost](const auto *) { ++lost; }});
+    RequestNumber number = 0;
+    const auto callAtOnce = [&](int calls, Duration limit) {
+        std::vector<std::future<ErrorKind>> errors;
+        for (int call = 0; call < calls; ++call) {
+            const auto promise = std::make_shared<std::promise<ErrorKind>>();
+            errors.push_back(promise->get_future());
+            thread.spawn([&, promise, own = ++number] {
+                RoutedRequest request = makeRequest();
+                request.deadline = readBootTime() + limit;
+                const ErrorKind refused = upstream->admit(thread.io(), own, request.deadline);
+                const UpstreamGrant grant{.expires = request.deadline};
+                promise->set_value(refused == ErrorKind::None
+                                           ? upstream->call(0, own, request, grant).error
+                                           : refused);
+            });
+        }
+        int timeouts = 0;
+        for (std::future<ErrorKind> &error : errors) {
+            timeouts += error.get() == ErrorKind::UpstreamTimeout ? 1 : 0;
+        }
+        return timeouts;
+    };
+    std::this_thread::sleep_for(1100ms);
+    REQUIRE(callAtOnce(10, 20ms) >= 5);
+    REQUIRE(lost == 0);
+    const Time giveUp = readBootTime() + 5s;
+    while (lost == 0 && readBootTime() < giveUp) {
+        callAtOnce(10, 200ms);
+    }
+    REQUIRE(lost == 1);
+    thread.stop();
+}
--- a/packages/node/upstream.cpp
+++ b/packages/node/upstream.cpp
@@ -16,7 +16,7 @@
 constexpr Duration probePoll = 1ms;    // between looks whether the first probe has ended
 constexpr Duration lostAfter = 500ms;  // of refused connections
 constexpr int frozenTimeouts = 5;      // in a row, without any answer between them
-constexpr Duration frozenAfter = 1s;   // without an answer
+constexpr Duration frozenAfter = 1s;   // without an answer while calls run
 constexpr Duration minCallTime = 1ms;  // a shorter rest of the deadline is not worth a call
 
 LimiterSettings limiterSettings(const UpstreamSettings &settings)
@@ -95,7 +95,6 @@
     , workers(threads)
     , limiter(firstLimit(announcement, settings), announcement.connections, true, readBootTime(),
               limiterSettings(settings))
-    , lastAnswer(readBootTime())
 {
     const int idlePerWorker =
             std::max<int>(1, static_cast<int>(announcement.connections / threads.size()));
@@ -188,6 +187,7 @@
     {
         const std::lock_guard lock(this->mutex);
         this->running.emplace(number, request.fingerprint);
+        this->silentSince = this->silentSince.value_or(readBootTime());
     }
     auto response =
             this->clients[worker]->call(request.http, limit, makeGrantFields(request, grant));
@@ -216,11 +216,16 @@
         const Time now = readBootTime();
         if (end == CallEnd::Answered || end == CallEnd::Refused) {
             this->timeoutsInARow = 0;
-            this->lastAnswer = now;
+            this->silentSince = now; // of the calls that still run
+            if (this->running.size() <= 1) {
+                this->silentSince.reset();
+            }
+        } else if (end == CallEnd::Lost) {
+            this->silentSince.reset(); // the probe decides whether it is gone
         } else if (end == CallEnd::TimedOut) {
             ++this->timeoutsInARow;
-            isFrozen = !this->lost && this->timeoutsInARow >= frozenTimeouts
-                       && now - this->lastAnswer > frozenAfter;
+            isFrozen = !this->lost && this->timeoutsInARow >= frozenTimeouts && this->silentSince
+                       && now - *this->silentSince > frozenAfter;
             this->lost = this->lost || isFrozen;
         }
     }
--- a/packages/node/upstream.h
+++ b/packages/node/upstream.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -107,7 +108,7 @@
     std::unordered_map<RequestNumber, std::shared_ptr<Waiter>> waiters;
     std::unordered_map<RequestNumber, Fingerprint> running;
     int timeoutsInARow = 0;
-    Time lastAnswer{};
+    std::optional<Time> silentSince; // start of the first call since the last answer
     bool probing = false;
     bool probedOnce = false; // since the probe started
     bool lost = false;
