node: refused requests also notice a frozen upstream

Cause: an upstream counted as frozen only when a call timed out, but the limiter lets few calls through to a silent upstream.

Change: a request that the limiter refuses checks as well whether the upstream has been silent for a second with five timeouts in a row.

The bound of the test stays at 8 s, because the design promises no time for a frozen upstream.

Conclusion: a freeze is noticed one second after the last answer while requests arrive.

--- a/packages/node/upstream.cpp
+++ b/packages/node/upstream.cpp
@@ -125,7 +125,7 @@
 {
     std::shared_ptr<Waiter> waiter;
     {
-        const std::lock_guard lock(this->mutex);
+        std::unique_lock lock(this->mutex);
         this->limiter.advance(readBootTime());
         this->wakeAdmitted();
         const Admission admission = this->limiter.admit(number, deadline, readBootTime());
@@ -133,6 +133,12 @@
             return ErrorKind::None;
         }
         if (admission.action == AdmitAction::Refuse) {
+            // The limiter lets few calls through to a silent upstream, so their timeouts come late.
+            const bool isFrozen = this->takeFrozen();
+            lock.unlock();
+            if (isFrozen) {
+                this->reportFrozen();
+            }
             return admission.error;
         }
         waiter = std::make_shared<Waiter>(io);
@@ -224,9 +230,7 @@
             this->silentSince.reset(); // the probe decides whether it is gone
         } else if (end == CallEnd::TimedOut) {
             ++this->timeoutsInARow;
-            isFrozen = !this->lost && this->timeoutsInARow >= frozenTimeouts && this->silentSince
-                       && now - *this->silentSince > frozenAfter;
-            this->lost = this->lost || isFrozen;
+            isFrozen = this->takeFrozen();
         }
     }
     if (end == CallEnd::Lost) {
@@ -234,12 +238,27 @@
         this->waitForFirstProbe(worker);
     }
     if (isFrozen) {
-        logWarning(LogPart::Upstream, "upstream does not answer",
-                   {{"address", this->info.address.toString()}});
-        this->hooks.reportLost(this);
+        this->reportFrozen();
     }
 }
 
+bool Upstream::takeFrozen()
+{
+    if (this->lost || this->timeoutsInARow < frozenTimeouts || !this->silentSince
+        || readBootTime() - *this->silentSince <= frozenAfter) {
+        return false;
+    }
+    this->lost = true;
+    return true;
+}
+
+void Upstream::reportFrozen()
+{
+    logWarning(LogPart::Upstream, "upstream does not answer",
+               {{"address", this->info.address.toString()}});
+    this->hooks.reportLost(this);
+}
+
 // ---- Probe after a lost connection ----
 
 void Upstream::startProbe(std::size_t worker, bool blameRunning)
--- a/packages/node/upstream.h
+++ b/packages/node/upstream.h
@@ -94,6 +94,8 @@
              const std::vector<FiberThread *> &workers, UpstreamHooks hooks);
     void wakeAdmitted();
     void noteEnd(std::size_t worker, CallEnd end);
+    bool takeFrozen(); // true once, when the upstream is frozen; call with the lock
+    void reportFrozen();
     void startProbe(std::size_t worker, bool blameRunning);
     void probe(std::size_t worker, std::vector<Fingerprint> running);
     void waitForFirstProbe(std::size_t worker);
