ownership: tests for dedicated slots that are taken back

Cause: an Unbind record was only tested for being void when repeated.

Change: tests of the record (the key's slot, the owner of both slots, the epoch, the lineage that the hashed slot takes over) and of the request (it waits until the earlier owners of the dedicated slot have stopped).

--- a/packages/ownership/tests/test_engine.cpp
+++ b/packages/ownership/tests/test_engine.cpp
@@ -1,4 +1,5 @@
-// Sections: helpers, checkpoints, drain, handover of many requests, peers, loss of many sessions.
+// Sections: helpers, checkpoints, drain, handover of many requests, bound keys, peers, loss of many
+// sessions.
 #include "harness.h"
 #include "ownership/peer_choice.h"
 #include "ownership/slot_groups.h"
@@ -73,19 +74,30 @@
     return record;
 }
 
-// Moves slot 0 from session 1 to session 2.
-wire::LogRecord makeMove()
+// Moves a slot that has this epoch.
+wire::LogRecord makeMove(SessionId from = 1, SessionId to = 2, SlotEpoch slot = {0, 1})
 {
     wire::LogRecord record;
     wire::Move &move = *record.mutable_move();
     move.set_service(std::string(World::service));
-    move.set_from_session(1);
-    move.set_to_session(2);
+    move.set_from_session(from);
+    move.set_to_session(to);
     move.set_settled(true);
-    setSlots(move, {{0, 1}});
+    setSlots(move, {slot});
     return record;
 }
 
+// Returns the Bind or Unbind that the engine has appended, or nothing.
+std::optional<wire::LogRecord> takeBinding(OwnershipEngine &engine)
+{
+    for (const wire::LogRecord &record : engine.takeOutput().records) {
+        if (record.has_bind() || record.has_unbind()) {
+            return record;
+        }
+    }
+    return std::nullopt;
+}
+
 std::vector<wire::LogRecord> takeCheckpoint(Lone &lone)
 {
     std::vector<wire::LogRecord> parts;
@@ -251,6 +263,50 @@
     REQUIRE(to.engine->journalSessions(World::service, 0).empty());
 }
 
+// ---- bound keys ----
+
+// Guards against an Unbind while an earlier owner of the dedicated slot may still serve it: the
+// hashed slot does not list that owner, so nothing would wait for it.
+TEST_CASE("an owner takes a dedicated slot back once all earlier owners have stopped")
+{
+    constexpr std::uint64_t keyHash = 5;
+    Lone lone(1);
+    OwnershipEngine &engine = *lone.engine;
+    std::vector<wire::LogRecord> log{makePadding(), makeJoin(1), makeJoin(2)};
+    lone.read(log, 2s);
+    const Slot hashed = engine.route(World::service, keyHash).slot;
+    engine.requestBind(keyHash, 3s);
+    const auto bind = takeBinding(engine);
+    REQUIRE(bind);
+    log.push_back(*bind);
+    lone.read(log, 3s);
+    const RouteAnswer bound = engine.route(World::service, keyHash);
+    REQUIRE(bound.slot != hashed);
+    log.push_back(makeMove(1, 2, {bound.slot, bound.epoch}));
+    log.push_back(makeMove(2, 1, {bound.slot, log.size() - 1}));
+    lone.read(log, 4s);
+    REQUIRE(engine.route(World::service, keyHash).own);
+    REQUIRE(engine.mayServe(World::service, keyHash, 4s).waiting);
+    engine.requestUnbind(keyHash, 4s);
+    REQUIRE_FALSE(takeBinding(engine));
+    wire::MeshMessage message;
+    message.set_from("n2");
+    wire::Handover &handover = *message.mutable_handover();
+    handover.set_service(std::string(World::service));
+    handover.set_session(2);
+    handover.add_slots()->set_slot(bound.slot);
+    handover.mutable_slots(0)->set_epoch(log.size() - 2);
+    engine.onMessage(message, 5s);
+    REQUIRE(engine.mayServe(World::service, keyHash, 5s).error == ErrorKind::None);
+    engine.requestUnbind(keyHash, 5s);
+    const auto unbind = takeBinding(engine);
+    REQUIRE(unbind);
+    log.push_back(*unbind);
+    lone.read(log, 5s);
+    REQUIRE(engine.route(World::service, keyHash).slot == hashed);
+    REQUIRE(engine.mayServe(World::service, keyHash, 5s).error == ErrorKind::None);
+}
+
 // ---- peers ----
 
 // Guards against a data centre whose loss takes an owner and two of its peers.
--- a/packages/ownership/tests/test_state.cpp
+++ b/packages/ownership/tests/test_state.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
 
@@ -54,6 +55,37 @@
     return record;
 }
 
+// Binds a key whose hashed slot the session owns.
+wire::LogRecord makeBind(const ClusterState &state, SessionId session, std::uint64_t keyHash,
+                         Slot dedicated)
+{
+    wire::LogRecord record;
+    wire::Bind &bind = *record.mutable_bind();
+    bind.set_service("testlog");
+    bind.set_key_hash(keyHash);
+    bind.set_dedicated_slot(dedicated);
+    bind.set_epoch(state.findSlot("testlog", state.layout().slotOf(keyHash))->epoch);
+    bind.set_session(session);
+    return record;
+}
+
+wire::LogRecord makeUnbind(const ClusterState &state, SessionId session, Slot dedicated)
+{
+    wire::LogRecord record;
+    wire::Unbind &unbind = *record.mutable_unbind();
+    unbind.set_service("testlog");
+    unbind.set_dedicated_slot(dedicated);
+    unbind.set_epoch(state.findSlot("testlog", dedicated)->epoch);
+    unbind.set_session(session);
+    return record;
+}
+
+bool hasInLineage(const ClusterState &state, Slot slot, SessionId session)
+{
+    const Lineage &lineage = state.findSlot("testlog", slot)->lineage;
+    return std::find(lineage.begin(), lineage.end(), session) != lineage.end();
+}
+
 wire::LogRecord makeRules(std::uint64_t base)
 {
     wire::LogRecord record;
@@ -204,6 +236,62 @@
     REQUIRE(state.findFreeDedicatedSlot("testlog") == 8);
 }
 
+// Guards against a key that has no slot, or two, after its dedicated slot is taken back.
+TEST_CASE("a key that is unbound maps to its hashed slot alone")
+{
+    ClusterState state = makeState();
+    REQUIRE(apply(state, makeBind(state, 1, 13, 9)).accepted);
+    REQUIRE(apply(state, makeUnbind(state, 1, 9)).accepted);
+    REQUIRE(state.find("testlog", 13)->slot == 5);
+    REQUIRE(state.keysOf("testlog", 5).contains(13));
+    REQUIRE_FALSE(state.keysOf("testlog", 9).contains(13));
+    REQUIRE(apply(state, makeBind(state, 1, 21, 9)).accepted);
+    REQUIRE(state.find("testlog", 21)->slot == 9);
+    REQUIRE(state.find("testlog", 13)->slot == 5);
+}
+
+// Guards against an Unbind that gives the key to another owner without a handover.
+TEST_CASE("only the owner of both slots takes a dedicated slot back")
+{
+    ClusterState state = makeState();
+    REQUIRE(apply(state, makeBind(state, 1, 13, 9)).accepted);
+    REQUIRE(apply(state, makeMove(state, 1, 2, 5, true)).accepted);
+    REQUIRE_FALSE(apply(state, makeUnbind(state, 1, 9)).accepted); // 2 owns the hashed slot
+    REQUIRE_FALSE(apply(state, makeUnbind(state, 2, 9)).accepted); // 1 owns the dedicated one
+    REQUIRE_FALSE(apply(state, makeUnbind(state, 1, 5)).accepted); // not a dedicated slot
+    REQUIRE(state.find("testlog", 13)->slot == 9);
+    wire::LogRecord outdated = makeUnbind(state, 2, 9);
+    REQUIRE(apply(state, makeMove(state, 1, 2, 9, true)).accepted);
+    REQUIRE_FALSE(apply(state, outdated).accepted); // its epoch is of the earlier owner
+    REQUIRE(apply(state, makeUnbind(state, 2, 9)).accepted);
+    REQUIRE(state.find("testlog", 13)->owner->id == 2);
+}
+
+// Guards against a second run of a request: the owner asks the journals of the sessions in the
+// lineage, and the ids of the bound key are with those that lost the dedicated slot.
+TEST_CASE("a hashed slot takes over the lineage of the dedicated slot that is taken back")
+{
+    ClusterState state = makeState();
+    REQUIRE(apply(state, makeBind(state, 1, 13, 9)).accepted);
+    REQUIRE(apply(state, makeMove(state, 1, 2, 9, true)).accepted);
+    SECTION("of an owner that was fenced")
+    {
+        REQUIRE(apply(state, makeFence({2})).accepted);
+        const SessionId next = state.findSlot("testlog", 9)->owner;
+        if (next != 1) {
+            REQUIRE(apply(state, makeMove(state, next, 1, 9, true)).accepted);
+        }
+    }
+    SECTION("of an earlier owner that ended before its handover was known")
+    {
+        REQUIRE(apply(state, makeMove(state, 2, 1, 9, true)).accepted);
+        REQUIRE(apply(state, makeFence({2})).accepted);
+    }
+    REQUIRE_FALSE(hasInLineage(state, 5, 2));
+    REQUIRE(apply(state, makeUnbind(state, 1, 9)).accepted);
+    REQUIRE(hasInLineage(state, 5, 2));
+}
+
 // ---- checkpoints ----
 
 // Guards against a process that starts from a checkpoint and decides otherwise than the others.
