placement: tests for slots that rest after a move

Cause: the rest of slots was only tested by a random property, which does not notice a rest that never ends. The choice of resting and pending slots had no test of its own.

Change: a test of the choice of slots by rest and by pending decisions, and one of an overloaded owner whose slots all rest.

--- a/packages/placement/tests/test_placement.cpp
+++ b/packages/placement/tests/test_placement.cpp
@@ -244,6 +244,48 @@
     REQUIRE(service.loadOf(3) <= 1.15 * mean);
 }
 
+// Guards against slots that go back and forth: each move costs a handover.
+TEST_CASE("slots that came by a move rest before they move on")
+{
+    SlotRates rates(10s);
+    rates.gain(1, 0s, 0s);
+    rates.gain(2, 0s, 120s);
+    rates.add({0, 50, 50}, 5s);
+    const auto movable = [&rates](Time now, Resting resting) {
+        std::vector<Slot> slots;
+        for (const SlotRate &entry : rates.movable(now, resting)) {
+            slots.push_back(entry.slot);
+        }
+        return slots;
+    };
+    REQUIRE(movable(5s, Resting::Stay) == std::vector<Slot>{1});
+    REQUIRE(movable(5s, Resting::Move) == std::vector<Slot>{1, 2});
+    REQUIRE(movable(120s, Resting::Stay) == std::vector<Slot>{1, 2});
+    rates.setPending({1, 2}, 130s);
+    REQUIRE(movable(120s, Resting::Move).empty());
+}
+
+// Guards against an overloaded owner that moves resting slots to a session that has not just
+// joined, and against one that never moves them.
+TEST_CASE("an overloaded owner keeps resting slots until their rest has ended")
+{
+    SmallService service = makeService(3);
+    service.run(30);
+    for (Slot slot = 0; slot < usedSlots; ++slot) {
+        if (service.owners[slot] == 0) {
+            service.policies[0].loseSlot(slot);
+            service.policies[0].gainSlot(slot, SlotGain::Moved, service.now);
+            service.rates[slot] = 20;
+        }
+    }
+    service.run(115); // the rest is 120 s
+    REQUIRE(service.moves.empty());
+    service.run(180);
+    REQUIRE_FALSE(service.moves.empty());
+    const double mean = (service.loadOf(0) + service.loadOf(1) + service.loadOf(2)) / 3;
+    REQUIRE(service.loadOf(0) <= 1.15 * mean);
+}
+
 TEST_CASE("slots spread without any request")
 {
     SmallService service;
