system: pauses past the lease fail without the lease and its expiry

The resumed owner reads of its end within milliseconds, and no request waited at its upstream.

Change: the test also counts runs at the paused owner's upstream that began after the lease under a grant from before the resumption. Two new cases: the owner resumes without the log and callers ask it directly; and requests wait at the upstream, which is slow, while the owner is paused and cannot cancel them.

--- a/packages/system/tests/scenario.cpp
+++ b/packages/system/tests/scenario.cpp
@@ -1,5 +1,6 @@
 #include "system/tests/scenario.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
@@ -72,6 +73,19 @@
     return count;
 }
 
+int countRunsOfOldGrants(const Cluster &cluster, const std::string &upstream, Time time,
+                         std::uint64_t offset)
+{
+    int count = 0;
+    for (const Run &run : cluster.collectRuns()) {
+        std::uint64_t epoch = 0;
+        const bool isNumber = absl::SimpleAtoi(run.fence.substr(run.fence.rfind(' ') + 1), &epoch);
+        const bool isOld = !isNumber || epoch < offset;
+        count += run.upstream == upstream && run.start > time && isOld ? 1 : 0;
+    }
+    return count;
+}
+
 std::set<std::string> findOwnedKeys(const LoadOptions &load, const Host &asked, const Host &owner)
 {
     std::set<std::string> keys;
--- a/packages/system/tests/scenario.h
+++ b/packages/system/tests/scenario.h
@@ -21,6 +21,7 @@
 // For conditions without a target: far above what an idle machine needs.
 constexpr Duration settleLimit = 15s;
 constexpr Duration recoveryTarget = 2s; // a key is served again within 2 s of a loss
+constexpr Duration lease = 1200ms;      // an owner serves no longer than this without renewals
 constexpr Duration drainTarget = 3s;    // a leaving upstream receives no new work after 3 s
 constexpr Duration drainLimit = 20s;
 
@@ -52,6 +53,11 @@
 // Returns the number of runs at an upstream that began after the time.
 int countRunsAfter(const Cluster &cluster, const std::string &upstream, Time time);
 
+// Returns the number of runs at an upstream that began after the time under a grant whose record
+// is below the offset of the log.
+int countRunsOfOldGrants(const Cluster &cluster, const std::string &upstream, Time time,
+                         std::uint64_t offset);
+
 // Returns the keys of the load, as SERVICE/KEY, that the host owns as another host knows it.
 std::set<std::string> findOwnedKeys(const LoadOptions &load, const Host &asked, const Host &owner);
 
--- a/packages/system/tests/test_cuts.cpp
+++ b/packages/system/tests/test_cuts.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr Duration lease = 1200ms;        // an owner that is cut off serves no longer than this
 constexpr Duration rulesTarget = 4s;      // rules are in force everywhere within 4 s
 constexpr Duration peerReplacement = 3s;  // an owner replaces a peer that is silent for so long
 constexpr Duration checkpointLimit = 40s; // each process waits up to 30 s before a checkpoint
--- a/packages/system/tests/test_system.cpp
+++ b/packages/system/tests/test_system.cpp
@@ -2,6 +2,7 @@
 // upstreams are the record of what ran; the bounds are the targets of docs/design.md.
 #include "system/tests/scenario.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 #include <csignal>
@@ -58,11 +59,13 @@
     const Time pausedAt = readBootTime();
     owner.process->signal(SIGSTOP);
     std::this_thread::sleep_for(4s);
+    const std::uint64_t logEnd = cluster.readLog().back().first + 1;
     owner.process->signal(SIGCONT);
     const std::vector<Attempt> attempts = load.finish();
     const Verdict verdict = judge(attempts, cluster.collectRecords(), pausedAt);
     INFO(owner.name << " was paused\n" << verdict.toText() << describeFailures(attempts));
     REQUIRE(verdict.keepsPromises());
+    REQUIRE(countRunsOfOldGrants(cluster, owner.upstreamName, pausedAt + lease, logEnd) == 0);
     REQUIRE(verdict.keysNotServedAgain == 0);
     REQUIRE(verdict.longestGap <= recoveryTarget);
     REQUIRE(verdict.servedAgain <= recoveryTarget);
@@ -70,6 +73,72 @@
     REQUIRE(cluster.read(owner, "testlog", "D-1").outcome == Outcome::Done);
 }
 
+// Guards against an owner that serves under its old session because it cannot read, when it
+// resumes, that the session has ended.
+TEST_CASE("an owner that is paused and resumes without the log runs nothing for its old session")
+{
+    Cluster cluster("pause-log");
+    startServing(cluster, {"--service-ms", "20"});
+    Host &owner = findBusyOwner(cluster);
+    BackgroundLoad load(cluster.makeLoad(7s, &owner));
+    std::this_thread::sleep_for(1s);
+    const Time pausedAt = readBootTime();
+    owner.process->signal(SIGSTOP);
+    cluster.controlLog(absl::StrCat("cut?node=", owner.name, "&on=1"));
+    std::this_thread::sleep_for(3s);
+    const std::uint64_t logEnd = cluster.readLog().back().first + 1;
+    owner.process->signal(SIGCONT);
+    LoadOptions ownOptions = cluster.makeLoad(2s);
+    ownOptions.entries = {owner.callers};
+    ownOptions.rate = 100;
+    ownOptions.seed = 2;
+    ownOptions.probesFailedKeys = false;
+    const std::vector<Attempt> ownAttempts = LoadGenerator(ownOptions).run();
+    cluster.controlLog(absl::StrCat("cut?node=", owner.name, "&on=0"));
+    const std::vector<Attempt> attempts = load.finish();
+    std::vector<Attempt> all = ownAttempts;
+    all.insert(all.end(), attempts.begin(), attempts.end());
+    const Verdict verdict = judge(all, cluster.collectRecords());
+    const Verdict others = judge(attempts, cluster.collectRecords(), pausedAt);
+    INFO(owner.name << " was paused\n"
+                    << verdict.toText() << others.toText() << describeFailures(all)
+                    << cluster.describeLogs());
+    REQUIRE(verdict.keepsPromises());
+    CHECK(countRunsOfOldGrants(cluster, owner.upstreamName, pausedAt + lease, logEnd) == 0);
+    CHECK_FALSE(describeFailures(ownAttempts).empty()); // otherwise it could read the log
+    CHECK(others.keysNotServedAgain == 0);
+    CHECK(others.longestGap <= recoveryTarget);
+    CHECK(others.servedAgain <= recoveryTarget);
+    CHECK(cluster.waitUntilServed(settleLimit));
+}
+
+// Guards against requests that wait at the upstream of a paused owner, which cannot cancel them,
+// and run when others own their keys.
+TEST_CASE("requests that wait at the upstream of a paused owner do not run after its lease")
+{
+    Cluster cluster("pause-queue");
+    startServing(cluster, {"--service-ms", "20"});
+    Host &owner = findBusyOwner(cluster);
+    BackgroundLoad load(cluster.makeLoad(5s, &owner));
+    std::this_thread::sleep_for(500ms);
+    Cluster::controlUpstream(owner, "set?workers=1&service_ms=400");
+    std::this_thread::sleep_for(200ms);
+    const Time pausedAt = readBootTime();
+    owner.process->signal(SIGSTOP);
+    std::this_thread::sleep_for(4s);
+    const std::uint64_t logEnd = cluster.readLog().back().first + 1;
+    const int pausedRuns = countRunsAfter(cluster, owner.upstreamName, pausedAt);
+    Cluster::controlUpstream(owner, "set?workers=10&service_ms=20");
+    owner.process->signal(SIGCONT);
+    const std::vector<Attempt> attempts = load.finish();
+    const Verdict verdict = judge(attempts, cluster.collectRecords());
+    INFO(owner.name << " was paused\n" << verdict.toText() << describeFailures(attempts));
+    REQUIRE(verdict.keepsPromises());
+    CHECK(pausedRuns > 0); // otherwise no request waited there
+    CHECK(countRunsOfOldGrants(cluster, owner.upstreamName, pausedAt + lease, logEnd) == 0);
+    CHECK(cluster.waitUntilServed(settleLimit));
+}
+
 TEST_CASE("owners go on serving while the log service is down")
 {
     Cluster cluster("outage");
