system: an owner whose messages are lost and that cannot read the log

What the case proves is that the loss is noticed: by the fence of the peers or by the owner's own fence.

Change: the comment says what the case guards against. A new case cuts the owner off from the log as well, so that only the lease can stop it, while it still receives forwards and requests of callers.

--- a/packages/system/tests/test_cuts.cpp
+++ b/packages/system/tests/test_cuts.cpp
@@ -129,7 +129,7 @@
     checkReplaced(result);
 }
 
-// Guards against an owner that takes silence of its own messages for a valid lease.
+// Guards against a loss that is not noticed because the owner itself hears everybody.
 TEST_CASE("an owner whose messages are lost is replaced within 2 s")
 {
     Cluster cluster("cut-from");
@@ -137,6 +137,15 @@
     checkReplaced(result);
 }
 
+// Guards against an owner that takes what it hears for a valid lease. With the log it would read of
+// its end, so the lease alone has to stop it here.
+TEST_CASE("an owner whose messages are lost and that cannot read the log is replaced within 2 s")
+{
+    Cluster cluster("cut-from-log");
+    const CutResult result = cutOwner(cluster, {.fromOwner = true, .log = true});
+    checkReplaced(result);
+}
+
 // Guards against an owner that serves although no grant reaches it, and against keys that stay with
 // it because its peers still hear it.
 TEST_CASE("an owner that hears nobody is replaced within 2 s")
