path_bench: measure idle processes after the first slots have spread

Cause: a first session passes its slots on for two to three minutes and pauses when it has used up its 12 moves of a minute. The benchmark took 12 s without records for the end of the moves and so began within that pause.

Change: the log must be quiet for 30 s, above the longest pause of 27 s.

--- a/packages/path_bench/idle.cpp
+++ b/packages/path_bench/idle.cpp
@@ -17,9 +17,11 @@
 constexpr int regions = 2;
 constexpr int dataCentres = 6;
 constexpr int endpointSlots = 10;
-constexpr Duration quietTime = 12s; // three times the pause between two moves of a process
-// A first session passes its slots on in steps, which takes about two minutes.
-constexpr Duration quietLimit = 200s;
+// A first session passes its slots on in steps, which takes two to three minutes. When it has used
+// up its 12 moves of a minute, it pauses for up to 27 s; a shorter quiet time would take this pause
+// for the end of the moves.
+constexpr Duration quietTime = 30s;
+constexpr Duration quietLimit = 300s;
 constexpr double limitCoreShare = 0.013;
 constexpr double limitBytes = 256e6;
 constexpr double limitBytesPerSecond = 4'000; // mesh and log, sent and received
