--- a/packages/bench/model.h
+++ b/packages/bench/model.h
@@ -41,6 +41,18 @@
     double recordBytes = 60;     // rest of a record
 };
 
+// Time above the target ratio outside of the time to settle, by what kept load at the peak server.
+struct MissedTime
+{
+    double total = 0;      // s
+    double withoutLog = 0; // s; its owner could not append a move
+    double oneKey = 0;     // s; one of its keys alone is above the fair share
+    double hotKeys = 0;    // s; its hot keys together are above the target, without other load
+
+    // Returns the parts that are not 0, in words.
+    std::string describe() const;
+};
+
 // Measures of one run, without the warm-up.
 struct Result
 {
@@ -61,7 +73,8 @@
     double logAppends = 0;
     double controlBytes = 0;    // per node and second: load queries and log records
     double largestKeyShare = 0; // largest rate of one key in a server's fair shares
-    std::vector<float> series;  // peak over mean per step, for the plot
+    MissedTime missed;
+    std::vector<float> series; // peak over mean per step, for the plot
 
     // Returns whether the targets of section 8 apply and are met, in words.
     std::string verdict() const;
@@ -110,6 +123,14 @@
         std::vector<HotPhase> phases;
     };
 
+    // The server with the highest load, and the mean of the servers that share load with it.
+    struct Peak
+    {
+        double ratio = 1; // peak over mean
+        double mean = 0;  // requests/s
+        int node = noNode;
+    };
+
     // Setting up (model.cpp).
     void makeLoad();
     void startNodes();
@@ -139,7 +160,9 @@
     void applyUnbind(const UnbindKey &unbind);
     void runNaive();
     void measure();
-    double imbalanceNow();
+    Peak findPeak();
+    bool isSettling(double at) const;
+    void noteMiss(const Peak &peak);
     void measureRequests(const Node &node);
     double unservedRequests(const Node &node);
     double loadOf(const Node &node) const;
--- a/packages/bench/step.cpp
+++ b/packages/bench/step.cpp
@@ -15,6 +15,7 @@
 constexpr double targetTime = 180;   // s after a shift
 constexpr double targetChurn = 0.02; // share of the keys an hour
 constexpr double settledFor = 10;    // s at the target that count as settled
+constexpr double hotKeyShare = 0.1;  // of the mean; the policy binds keys from here on
 
 double rateInPhase(const HotPhase &phase, double time)
 {
@@ -316,11 +317,14 @@
                     key.rate;
         }
     }
-    const double imbalance = this->imbalanceNow();
+    const Peak peak = this->findPeak();
     if (!this->isMeasured()) {
         return;
     }
-    this->result.series.push_back(static_cast<float>(imbalance));
+    this->result.series.push_back(static_cast<float>(peak.ratio));
+    if (peak.ratio > targetRatio && !this->isSettling(this->time)) {
+        this->noteMiss(peak);
+    }
     for (const Key &key : this->keys) {
         this->result.largestKeyShare =
                 std::max(this->result.largestKeyShare, key.rate / this->mean);
@@ -330,20 +334,23 @@
     }
 }
 
-// Returns peak over mean of the servers whose upstream runs. While regions are cut off from each
-// other, each side has its own mean and the worse side counts, because no load can cross the cut.
-double Simulation::imbalanceNow()
+// Returns the peak of the servers whose upstream runs. While regions are cut off from each other,
+// each side has its own mean and the worse side counts, because no load can cross the cut.
+Simulation::Peak Simulation::findPeak()
 {
-    double worst = 1;
+    Peak worst;
     double total = 0;
     double alive = 0;
     for (std::uint32_t side = 0; side < regionCount; ++side) {
         double peak = 0;
         double sum = 0;
         double count = 0;
-        for (const Node &node : this->nodes) {
+        int peakNode = noNode;
+        for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+            const Node &node = this->nodes[index];
             const double load = this->loadOf(node);
             if (node.isAlive && !node.isFrozen && this->reaches(side, node.region)) {
+                peakNode = load > peak ? static_cast<int>(index) : peakNode;
                 peak = std::max(peak, load);
                 sum += load;
                 count += 1;
@@ -353,12 +360,44 @@
                 alive += 1;
             }
         }
-        worst = sum > 0 ? std::max(worst, peak * count / sum) : worst;
+        if (sum > 0 && peak * count / sum > worst.ratio) {
+            worst = {peak * count / sum, sum / count, peakNode};
+        }
     }
     this->mean = total / alive;
     return worst;
 }
 
+bool Simulation::isSettling(double at) const
+{
+    return std::any_of(this->trace.shifts.begin(), this->trace.shifts.end(),
+                       [at](double shift) { return at >= shift && at < shift + targetTime; });
+}
+
+// Adds one step above the target ratio to the measures, with its reason if there is one.
+void Simulation::noteMiss(const Peak &peak)
+{
+    const Node &node = this->nodes[static_cast<std::size_t>(peak.node)];
+    double largest = 0;
+    double hot = 0;
+    for (const Key &key : this->keys) {
+        if (this->owners[key.slot] != peak.node || !this->reaches(key.region, node.region)) {
+            continue;
+        }
+        largest = std::max(largest, key.rate);
+        hot += key.rate >= hotKeyShare * peak.mean ? key.rate : 0;
+    }
+    MissedTime &missed = this->result.missed;
+    missed.total += this->trace.step;
+    if (!this->hasLog(node)) {
+        missed.withoutLog += this->trace.step;
+    } else if (largest > peak.mean) {
+        missed.oneKey += this->trace.step;
+    } else if (hot > targetRatio * peak.mean) {
+        missed.hotKeys += this->trace.step;
+    }
+}
+
 // Returns the requests/s that reach a node.
 double Simulation::loadOf(const Node &node) const
 {
@@ -449,10 +488,7 @@
     }
     for (std::size_t index = 0; index < sums.series.size(); ++index) {
         const double at = this->trace.warmUp + static_cast<double>(index) * this->trace.step;
-        const bool isSettling =
-                std::any_of(this->trace.shifts.begin(), this->trace.shifts.end(),
-                            [at](double shift) { return at >= shift && at < shift + targetTime; });
-        if (!isSettling) {
+        if (!this->isSettling(at)) {
             sums.settledWorst = std::max<double>(sums.settledWorst, sums.series[index]);
         }
     }
@@ -467,6 +503,23 @@
     return isBalanced && isSteady;
 }
 
+std::string MissedTime::describe() const
+{
+    const std::pair<double, const char *> parts[] = {
+            {this->withoutLog, "the peak's owner had no log"},
+            {this->oneKey, "one key exceeds a fair share"},
+            {this->hotKeys, "the peak's hot keys exceed the target together"},
+    };
+    std::string text;
+    for (const auto &[seconds, reason] : parts) {
+        if (seconds > 0) {
+            text += "; " + std::string(reason) + " in " + std::to_string(std::lround(seconds))
+                    + " of " + std::to_string(std::lround(this->total)) + " s";
+        }
+    }
+    return text;
+}
+
 std::string Result::verdict() const
 {
     if (this->meetsTargets()) {
@@ -485,7 +538,7 @@
     if (this->trace == "steady-day" && this->churnPerHour > targetChurn) {
         reasons += " churn";
     }
-    return reasons;
+    return reasons + this->missed.describe();
 }
 
 } // namespace kumquat::bench
--- a/packages/bench/table.cpp
+++ b/packages/bench/table.cpp
@@ -85,6 +85,10 @@
     entry["strategy"] = strategyNames.nameOf(result.strategy);
     entry["seed"] = result.seed;
     entry["targets"] = result.verdict();
+    entry["missed_seconds"] = result.missed.total;
+    entry["missed_seconds_without_log"] = result.missed.withoutLog;
+    entry["missed_seconds_one_key"] = result.missed.oneKey;
+    entry["missed_seconds_hot_keys"] = result.missed.hotKeys;
     for (const Column &column : columns) {
         entry[column.name] = result.*column.value;
     }
--- a/packages/bench/tests/test_bench.cpp
+++ b/packages/bench/tests/test_bench.cpp
@@ -15,9 +15,9 @@
     return Simulation(trace, strategy, PlacementSettings{}, ModelTimes{}).run();
 }
 
-Trace findTrace(const std::string &name, const std::string &service)
+Trace findTrace(const std::string &name, const std::string &service, std::uint64_t traceSeed = seed)
 {
-    for (const Trace &trace : makeTraces(seed, true)) {
+    for (const Trace &trace : makeTraces(traceSeed, true)) {
         if (trace.name == name && trace.service == service) {
             return trace;
         }
@@ -48,6 +48,23 @@
             replay(findTrace("steady-day", "testlog"), Strategy::NoHysteresis).meetsTargets());
 }
 
+// Guards against a row that blames the policy for load which no move could take away, and against
+// a reason that is printed without a cause.
+TEST_CASE("a missed target names the reason that the run shows")
+{
+    Result cut = replay(findTrace("region-cut", "certdesk", 1), Strategy::Policy);
+    CHECK(cut.missed.total > 0);
+    CHECK(cut.missed.withoutLog == cut.missed.total);
+    CHECK(cut.verdict().find("had no log") != std::string::npos);
+    cut.missed = {};
+    CHECK(cut.verdict() == "missed: imbalance");
+    const Result plain = replay(findTrace("shutdown-week", "testlog"), Strategy::Rendezvous);
+    CHECK(plain.missed.withoutLog == 0);
+    CHECK(plain.verdict().find("had no log") == std::string::npos);
+    const Result met = replay(findTrace("shutdown-week", "testlog"), Strategy::Policy);
+    CHECK(met.verdict() == "met");
+}
+
 TEST_CASE("a run can be repeated exactly and compared with an earlier one")
 {
     const Trace trace = findTrace("shutdown-week", "certdesk");
