path_bench: mark open-loop rounds in which the machine had no free core

The stalls of the open loop come from threads that wait for a core. The upstream has two threads; while other programs hold their cores, its throughput falls below half of the undisturbed one, and all 64 connections fill with late requests.

bench_path now measures the open loop in five rounds of a direct and a path load, each with a warm-up for the start of threads and connections, also at 5,000 requests/s. It prints the caller's own lag, stolen time and idle cores, and takes the median of the rounds in which these were within limits. A row without any such round is printed as not valid.

--- a/packages/path_bench/caller.h
+++ b/packages/path_bench/caller.h
@@ -80,6 +80,7 @@
     RequestType type = RequestType::Read;
     int connections = 16;
     int keys = 1'000;
+    Duration warmUp{}; // before `duration`; its answers are not in the result
     Duration duration = 3s;
     double rate = 0; // requests/s of the open loop; 0: closed loop
 };
@@ -87,16 +88,23 @@
 struct LoadResult
 {
     std::vector<Duration> latencies; // of answers with status 200, ascending
+    // From the time when a request was due and its thread had its last answer to the send,
+    // ascending. Latencies of the open loop contain it, but it is not due to the path.
+    std::vector<Duration> lags;
     std::map<std::string, std::uint64_t> failures;
     Duration elapsed{};
+    Duration stolen{};    // of all cores of the machine, see MachineTimes
+    double idleCores = 0; // of the machine, on average
 
-    double throughput() const; // answers with status 200 per second
-
-    // Returns the smallest latency that the share of the answers does not exceed; 0 without any.
-    Duration quantile(double share) const;
+    double throughput() const;                // answers with status 200 per second
+    Duration quantile(double share) const;    // of the latencies
+    Duration lagQuantile(double share) const; // of the lags
 };
 
-// Runs the load and waits for the last answers.
+// Returns the smallest value that the share of the ascending values does not exceed; 0 without any.
+Duration findQuantile(const std::vector<Duration> &values, double share);
+
+// Opens all connections, runs the load and waits for the last answers.
 LoadResult runLoad(const LoadPlan &plan);
 
 } // namespace kumquat
--- a/packages/path_bench/cost.cpp
+++ b/packages/path_bench/cost.cpp
@@ -17,6 +17,8 @@
 
 constexpr int userTimeField = 11; // of /proc/PID/stat, counted after the name
 constexpr int systemTimeField = 12;
+constexpr int idleField = 3; // of the first line of /proc/stat, counted after the name
+constexpr int stolenField = 7;
 constexpr std::uint64_t headerBytes = 20 + 32; // IPv4, and TCP with time stamps
 constexpr std::size_t pipeBytes = 65'536;
 constexpr int localField = 3; // of a line of ss
@@ -59,6 +61,29 @@
     return parseProcessorTime(readFile(absl::StrCat("/proc/", processId, "/stat")));
 }
 
+MachineTimes parseMachineTimes(const std::string &text)
+{
+    std::istringstream fields(text);
+    std::string field;
+    fields >> field; // the name "cpu"
+    MachineTimes times;
+    for (int index = 0; index <= stolenField && fields >> field; ++index) {
+        const Duration time =
+                Duration(1s) * std::strtoll(field.c_str(), nullptr, 10) / sysconf(_SC_CLK_TCK);
+        if (index == idleField) {
+            times.idle = time;
+        } else if (index == stolenField) {
+            times.stolen = time;
+        }
+    }
+    return times;
+}
+
+MachineTimes readMachineTimes()
+{
+    return parseMachineTimes(readFile("/proc/stat"));
+}
+
 std::uint64_t readResidentBytes(int processId)
 {
     std::istringstream fields(readFile(absl::StrCat("/proc/", processId, "/statm")));
--- a/packages/path_bench/cost.h
+++ b/packages/path_bench/cost.h
@@ -16,6 +16,17 @@
 Duration parseProcessorTime(const std::string &text);
 Duration readProcessorTime(int processId);
 
+// Times of the whole machine so far, summed over its cores; steps of 10 ms.
+struct MachineTimes
+{
+    Duration idle{};
+    Duration stolen{}; // the hypervisor kept a core from running although it had work
+};
+
+// Returns the times from the text of /proc/stat.
+MachineTimes parseMachineTimes(const std::string &text);
+MachineTimes readMachineTimes();
+
 // Returns the resident memory of a process in bytes.
 std::uint64_t readResidentBytes(int processId);
 
--- a/packages/path_bench/path.h
+++ b/packages/path_bench/path.h
@@ -18,9 +18,10 @@
 {
     std::string directory;
     std::string selfPath;
-    Duration duration = 3s; // of each measurement
+    Duration duration = 3s; // of each measurement; the rounds of an open loop share it
     std::vector<PathType> paths{PathType::Direct, PathType::One, PathType::Two};
     std::vector<RequestType> types{RequestType::Read, RequestType::Write};
+    double fixedRate = 5'000; // requests/s of the second open loop
 };
 
 // Names of paths and types on the command line, in the order of the enumerations.
@@ -45,20 +46,34 @@
     double perCore() const;
 };
 
-// Open loop at half of a closed-loop throughput, on the path and directly at the same rate.
-struct OpenRow
+// One open loop on the path and one directly at the same rate, just before.
+struct OpenRound
 {
-    PathType path = PathType::Direct;
-    RequestType type = RequestType::Read;
-    double rate = 0; // requests/s
     LoadResult load;
-    LoadResult direct; // the upstream alone at this rate, measured just before
-    std::string loadAverage;
+    LoadResult direct;
 
     Duration added(double share) const
     {
         return this->load.quantile(share) - this->direct.quantile(share);
     }
+
+    // Returns why the latencies say little about the path; empty if they do not.
+    std::string describeDisturbance() const;
+};
+
+// Open loop at half of the path's own closed-loop throughput or at the fixed rate.
+struct OpenRow
+{
+    PathType path = PathType::Direct;
+    RequestType type = RequestType::Read;
+    double rate = 0; // requests/s
+    std::vector<OpenRound> rounds;
+    std::string loadAverage;
+
+    int validRounds() const; // without a disturbance
+
+    // Returns the round with the median added p99 of the valid rounds, or of all if none is valid.
+    const OpenRound &median() const;
 };
 
 struct PathResult
--- a/packages/path_bench/tests/test_path_bench.cpp
+++ b/packages/path_bench/tests/test_path_bench.cpp
@@ -1,9 +1,14 @@
+#include "net/http_server.h"
 #include "path_bench/caller.h"
 #include "path_bench/cluster.h"
 #include "path_bench/cost.h"
+#include "path_bench/path.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <memory>
+
 using namespace kumquat;
 
 TEST_CASE("an answer is complete only with its header and its whole body")
@@ -36,12 +41,114 @@
     CHECK(load.quantile(1) == Duration(1000));
 }
 
+namespace {
+
+// Answers each request after a delay.
+struct SlowServer
+{
+    explicit SlowServer(Duration delay)
+        : server(HttpServer::create(this->thread, {},
+                                    {.handle =
+                                             [this, delay](const HttpRequest &) {
+                                                 sleepFor(this->thread.io(), delay);
+                                                 return HttpResponse{};
+                                             },
+                                     .refuse =
+                                             [](ErrorKind) {
+                                                 return HttpResponse{
+                                                         .status = 400, .fields = {}, .body = {}};
+                                             },
+                                     .isClosing = [] { return false; }}))
+    {
+        REQUIRE(this->server->listen(this->address, true).ok());
+        this->thread.start();
+    }
+
+    FiberThread thread{"slow-server"};
+    Address address{"127.0.0.1", findFreePort()};
+    std::shared_ptr<HttpServer> server;
+};
+
+OpenRound makeRound(Duration latency)
+{
+    OpenRound round;
+    for (LoadResult *load : {&round.load, &round.direct}) {
+        load->latencies.assign(1000, 200us);
+        load->lags.assign(1000, 20us);
+        load->elapsed = 2s;
+        load->idleCores = 3;
+    }
+    round.load.latencies.assign(1000, latency);
+    return round;
+}
+
+} // namespace
+
+TEST_CASE("waiting for a free connection counts as latency, not as the caller's own lag")
+{
+    const SlowServer slow(20ms);
+    const LoadResult load = runLoad(
+            {.target = slow.address, .connections = 1, .keys = 1, .duration = 500ms, .rate = 200});
+    CHECK(load.quantile(0.5) > 200ms); // the last of 100 requests waits for 100 times 15 ms
+    CHECK(load.lagQuantile(0.5) < 10ms);
+    CHECK(load.lags.size() == 100);
+}
+
+TEST_CASE("answers of the warm-up are not in the result")
+{
+    const SlowServer slow(0ms);
+    const LoadResult load = runLoad({.target = slow.address,
+                                     .connections = 2,
+                                     .keys = 1,
+                                     .warmUp = 300ms,
+                                     .duration = 200ms,
+                                     .rate = 100});
+    CHECK(load.latencies.size() == 20);
+    CHECK(load.elapsed < 450ms);
+}
+
+TEST_CASE("a round is not valid if the caller was late or the machine had no free core")
+{
+    CHECK(makeRound(300us).describeDisturbance().empty());
+    OpenRound late = makeRound(300us);
+    std::fill(late.direct.lags.end() - 20, late.direct.lags.end(), 2ms);
+    CHECK(late.describeDisturbance() == "direct: caller late by 2000 us");
+    OpenRound stolen = makeRound(300us);
+    stolen.load.stolen = 50ms;
+    CHECK(stolen.describeDisturbance() == "path: 50 ms stolen");
+    OpenRound busy = makeRound(300us);
+    busy.load.idleCores = 0.5;
+    CHECK(busy.describeDisturbance() == "path: 0.5 cores idle");
+}
+
+TEST_CASE(
+        "the figure of an open-loop row comes from a valid round, and from the slower half of them")
+{
+    OpenRound fast = makeRound(200us);
+    fast.load.stolen = 50ms;
+    OpenRow row;
+    row.rounds = {makeRound(900us), fast, makeRound(400us)};
+    CHECK(row.validRounds() == 2);
+    CHECK(row.median().added(0.99) == 700us);
+    row.rounds = {fast};
+    CHECK(row.validRounds() == 0);
+    CHECK(row.median().added(0.99) == 0us);
+}
+
 TEST_CASE("processor time is found behind a name with spaces and parentheses")
 {
     const std::string stat = "7 (a b) c) S 1 7 7 0 -1 4 5 0 0 0 150 50 0 0 20 0 3 0 1 2 3";
     CHECK(parseProcessorTime(stat) == 2s);
 }
 
+TEST_CASE("stolen time is not taken for the time of interrupts or guests")
+{
+    const std::string stat = "cpu  1 2 3 4 5 6 7 150 9 10\ncpu0 1 2 3 4 5 6 7 8 9 10\n";
+    CHECK(parseMachineTimes(stat).stolen == 1500ms);
+    CHECK(parseMachineTimes(stat).idle == 40ms);
+    CHECK(parseMachineTimes("cpu  1 2 3").stolen == Duration::zero());
+}
+
 TEST_CASE("only sockets of the given processes and ports are counted")
 {
     const std::string mesh = "ESTAB 0 0 127.0.0.1:20001 127.0.0.1:50000 "
