traffic: the cold ramp rounds to the nearest request

Each full window meanwhile raised the adaptive limit, which was not in force: to 50, so that 17 requests ran once the ramp had ended.

Change: the ramp is rounded to the nearest request, and only requests that reach the adaptive limit itself can raise it. A unit test covers both; without the change it saw 3 instead of 4 requests and a limit of 48 instead of 10.

--- a/packages/traffic/limiter.cpp
+++ b/packages/traffic/limiter.cpp
@@ -170,7 +170,8 @@
     }
     const double share = toNs(now - *this->coldSince) / toNs(this->settings.coldRamp);
     const double first = std::min(this->settings.coldLimit, static_cast<double>(this->slots));
-    return std::min(this->currentLimit, first + (this->slots - first) * share);
+    // Rounding down would leave half a request unused on average during the whole ramp.
+    return std::min(this->currentLimit, std::round(first + (this->slots - first) * share));
 }
 
 bool EndpointLimiter::hasRoom(Time now) const
@@ -220,7 +221,7 @@
     this->running[request] = {.started = now,
                               .deadline = deadline,
                               .round = this->rounds,
-                              .atLimit = after > this->effectiveLimit(now)};
+                              .atLimit = after > this->currentLimit};
 }
 
 void EndpointLimiter::dispatchWaiting(Time now)
--- a/packages/traffic/tests/test_traffic.cpp
+++ b/packages/traffic/tests/test_traffic.cpp
@@ -309,3 +309,24 @@
     limiter.finish(6, CallEnd::Answered, 152ms);
     REQUIRE(limiter.admit(7, 1s, 152ms).action == AdmitAction::Dispatch);
 }
+
+// Guards against a cold ramp that rounds down, and against a limit that grows beyond what the ramp
+// lets run: it would be in force at once when the ramp ends.
+TEST_CASE("the cold ramp rounds to the nearest request and raises no limit that is not reached")
+{
+    EndpointLimiter limiter(10, 130, true, 0s);
+    RequestNumber next = 0;
+    std::size_t atStart = 0;
+    for (Time now = 150ms; now < 1850ms; now += 5ms) {
+        const RequestNumber first = next + 1;
+        while (limiter.admit(++next, now + 1s, now).action == AdmitAction::Dispatch) {
+        }
+        limiter.cancelWaiting(next, now);
+        atStart = now == Time(150ms) ? next - first : atStart;
+        for (RequestNumber request = first; request < next; ++request) {
+            limiter.finish(request, CallEnd::Answered, now + 2ms);
+        }
+    }
+    CHECK(atStart == 4); // the ramp is at 3.5
+    CHECK(limiter.limit() == 10);
+}
