system: a resumed owner is cut off from processes as well as from the log

Cause: "an owner that is paused and resumes without the log ..." expects an owner that cannot learn that its session has ended.

Change: the other processes' messages to the owner are dropped as well, from just before the pause. The other checks are the same.

--- a/packages/system/tests/test_system.cpp
+++ b/packages/system/tests/test_system.cpp
@@ -73,18 +73,26 @@
     REQUIRE(cluster.read(owner, "testlog", "D-1").outcome == Outcome::Done);
 }
 
-// Guards against an owner that serves under its old session because it cannot read, when it
-// resumes, that the session has ended.
-TEST_CASE("an owner that is paused and resumes without the log runs nothing for its old session")
+// Guards against an owner that serves under its old session because it cannot learn, when it
+// resumes, that the session has ended: neither from the log nor from other processes.
+TEST_CASE("an owner that is paused and resumes cut off runs nothing for its old session")
 {
     Cluster cluster("pause-log");
     startServing(cluster, {"--service-ms", "20"});
     Host &owner = findBusyOwner(cluster);
     BackgroundLoad load(cluster.makeLoad(7s, &owner));
     std::this_thread::sleep_for(1s);
+    const auto setCut = [&](bool isCut) {
+        cluster.controlLog(absl::StrCat("cut?node=", owner.name, "&on=", isCut ? 1 : 0));
+        for (const auto &host : cluster.hosts()) {
+            if (host.get() != &owner) {
+                Cluster::cutMessages(*host, owner, isCut);
+            }
+        }
+    };
+    setCut(true);
     const Time pausedAt = readBootTime();
     owner.process->signal(SIGSTOP);
-    cluster.controlLog(absl::StrCat("cut?node=", owner.name, "&on=1"));
     std::this_thread::sleep_for(3s);
     const std::uint64_t logEnd = cluster.readLog().back().first + 1;
     owner.process->signal(SIGCONT);
@@ -94,7 +102,7 @@
     ownOptions.seed = 2;
     ownOptions.probesFailedKeys = false;
     const std::vector<Attempt> ownAttempts = LoadGenerator(ownOptions).run();
-    cluster.controlLog(absl::StrCat("cut?node=", owner.name, "&on=0"));
+    setCut(false);
     const std::vector<Attempt> attempts = load.finish();
     std::vector<Attempt> all = ownAttempts;
     all.insert(all.end(), attempts.begin(), attempts.end());
@@ -105,7 +113,7 @@
                     << cluster.describeLogs());
     REQUIRE(verdict.keepsPromises());
     CHECK(countRunsOfOldGrants(cluster, owner.upstreamName, pausedAt + lease, logEnd) == 0);
-    CHECK_FALSE(describeFailures(ownAttempts).empty()); // otherwise it could read the log
+    CHECK_FALSE(describeFailures(ownAttempts).empty()); // otherwise it learned of its end
     CHECK(others.keysNotServedAgain == 0);
     CHECK(others.longestGap <= recoveryTarget);
     CHECK(others.servedAgain <= recoveryTarget);
