--- a/packages/bench/model.h
+++ b/packages/bench/model.h
@@ -151,6 +151,8 @@
     void updateRates();
     void updateBackground();
     void drawCounts();
+    double reachingRate(Slot slot) const;
+    bool reachesOwner(std::uint32_t region, Slot slot) const;
     void runPolicies();
     void publishViews();
     void askLoads(int asker, const AskLoad &ask);
--- a/packages/bench/step.cpp
+++ b/packages/bench/step.cpp
@@ -62,12 +62,33 @@
 
 void Simulation::drawCounts()
 {
+    const bool hasCut =
+            std::find(this->isCut.begin(), this->isCut.end(), true) != this->isCut.end();
     for (Slot slot = 0; slot < hashedSlotCount; ++slot) {
-        this->counts[slot] = this->random.poisson(this->arrivals[slot]);
+        const double expected = hasCut ? this->reachingRate(slot) * this->trace.step : 0;
+        this->counts[slot] =
+                this->random.poisson(hasCut ? Poisson::of(expected) : this->arrivals[slot]);
     }
     std::fill(this->counts.begin() + hashedSlotCount, this->counts.end(), 0);
 }
 
+// Returns the requests/s of a slot's callers that reach its owner, without the followed keys.
+double Simulation::reachingRate(Slot slot) const
+{
+    double rate = 0;
+    for (std::uint32_t region = 0; region < regionCount; ++region) {
+        rate += this->reachesOwner(region, slot) ? this->background[region][slot] : 0;
+    }
+    return rate;
+}
+
+bool Simulation::reachesOwner(std::uint32_t region, Slot slot) const
+{
+    const int owner = this->owners[slot];
+    return owner != noNode
+           && this->reaches(region, this->nodes[static_cast<std::size_t>(owner)].region);
+}
+
 // --- decisions ---
 
 void Simulation::publishViews()
@@ -97,7 +118,7 @@
     }
     std::vector<std::vector<const Key *>> keysOf(this->nodes.size());
     for (Key &key : this->keys) {
-        if (key.rate > 0 && this->owners[key.slot] != noNode) {
+        if (key.rate > 0 && this->reachesOwner(key.region, key.slot)) {
             keysOf[static_cast<std::size_t>(this->owners[key.slot])].push_back(&key);
         }
     }
@@ -232,7 +253,8 @@
 {
     this->ownersChanged = false;
     for (const Key &key : this->keys) {
-        this->counts[key.slot] += this->random.poisson(Poisson::of(key.rate * this->trace.step));
+        const double rate = this->reachesOwner(key.region, key.slot) ? key.rate : 0;
+        this->counts[key.slot] += this->random.poisson(Poisson::of(rate * this->trace.step));
     }
     std::vector<double> loads(this->nodes.size());
     double sum = 0;
