node: move requests and answers along the path instead of copying them

Cause: a forwarded request was copied from the mesh message into the fiber, from there into the routed request, and at the entry from the parsed message; its answer was copied twice as well.

--- a/packages/node/ownership_driver.cpp
+++ b/packages/node/ownership_driver.cpp
@@ -182,7 +182,7 @@
 void OwnershipDriver::receive(wire::MeshMessage &&message)
 {
     if (!isEngineMessage(message)) {
-        this->hooks.receiveOther(message);
+        this->hooks.receiveOther(std::move(message));
         return;
     }
     this->input([&](Time now) { this->engine->onMessage(message, now); });
