path_bench: the warm-up test compares with the whole time of the load

Cause: the check that the measured time lacks the warm-up compared with 450 ms, so a machine that withholds a core for 250 ms failed it. Such stalls of up to a second were seen today.

Change: the measured time must be at least the warm-up shorter than the call itself, which holds on any machine.

--- a/packages/path_bench/tests/test_path_bench.cpp
+++ b/packages/path_bench/tests/test_path_bench.cpp
@@ -97,6 +97,7 @@
 TEST_CASE("answers of the warm-up are not in the result")
 {
     const SlowServer slow(0ms);
+    const Time start = readBootTime();
     const LoadResult load = runLoad({.target = slow.address,
                                      .connections = 2,
                                      .keys = 1,
@@ -104,7 +105,7 @@
                                      .duration = 200ms,
                                      .rate = 100});
     CHECK(load.latencies.size() == 20);
-    CHECK(load.elapsed < 450ms);
+    CHECK(load.elapsed <= readBootTime() - start - 300ms);
 }
 
 TEST_CASE("a round is not valid if the caller was late or the machine had no free core")
