node: one function makes another attempt after a refusal

Cause: the loop over attempts chose between a named owner, a wait for the log and a back-off in the middle of the budget's decision.

Change: EntryPath::retry() holds the choice.

--- a/packages/node/entry_path.cpp
+++ b/packages/node/entry_path.cpp
@@ -165,30 +165,27 @@
             return hidesRun ? makeFailure(ErrorKind::OwnerLost, "an earlier attempt may have run")
                             : std::move(answer);
         }
-        const bool isBehind = answer.logOffset > this->driver.nextOffset();
-        const bool isOther = answer.owner.session != this->driver.session();
-        if (isBehind && answer.owner.session != 0 && isOther) {
-            answer = this->forwardToHint(io, answer, request);
-            continue;
-        }
-        const Duration left = request.deadline - readBootTime();
-        if (isBehind) {
-            this->waitForLog(io, answer.logOffset, std::min(left, logWaitLimit));
-        } else {
-            sleepFor(io, std::min(left, routeBackoff));
-        }
-        answer = this->attempt(worker, io, request);
+        answer = this->retry(worker, io, request, answer);
     }
 }
 
-RoutedAnswer EntryPath::forwardToHint(asio::io_context &io, const RoutedAnswer &refusal,
-                                      const RoutedRequest &request)
+RoutedAnswer EntryPath::retry(std::size_t worker, asio::io_context &io,
+                              const RoutedRequest &request, const RoutedAnswer &refusal)
 {
-    RouteAnswer target;
-    target.node = refusal.owner.node;
-    target.meshAddress = refusal.owner.meshAddress;
-    target.session = refusal.owner.session;
-    return this->forwarder.forward(io, target, request, refusal.logOffset);
+    const Duration left = request.deadline - readBootTime();
+    if (refusal.logOffset <= this->driver.nextOffset()) {
+        sleepFor(io, std::min(left, routeBackoff));
+        return this->attempt(worker, io, request);
+    }
+    if (refusal.owner.session != 0 && refusal.owner.session != this->driver.session()) {
+        RouteAnswer target;
+        target.node = refusal.owner.node;
+        target.meshAddress = refusal.owner.meshAddress;
+        target.session = refusal.owner.session;
+        return this->forwarder.forward(io, target, request, refusal.logOffset);
+    }
+    this->waitForLog(io, refusal.logOffset, std::min(left, logWaitLimit));
+    return this->attempt(worker, io, request);
 }
 
 RoutedAnswer EntryPath::attempt(std::size_t worker, asio::io_context &io,
--- a/packages/node/entry_path.h
+++ b/packages/node/entry_path.h
@@ -38,11 +38,10 @@
 private:
     RoutedAnswer route(std::size_t worker, asio::io_context &io, const RoutedRequest &request);
     RoutedAnswer attempt(std::size_t worker, asio::io_context &io, const RoutedRequest &request);
-    // Follows an owner that has read more of the log, without a wait for the own log: the log may
-    // be unreachable from here. A hint only names where to ask; the process there checks its
-    // ownership.
-    RoutedAnswer forwardToHint(asio::io_context &io, const RoutedAnswer &refusal,
-                               const RoutedRequest &request);
+    // Makes another attempt after a refusal. A refusing process that has read more of the log names
+    // the owner, which is asked without a wait for the own log: it may be unreachable from here.
+    RoutedAnswer retry(std::size_t worker, asio::io_context &io, const RoutedRequest &request,
+                       const RoutedAnswer &refusal);
     OwnerHint findOwnerHint(const RoutedRequest &request, ErrorKind refusal) const;
     bool mayRetry(const RoutedRequest &request, const RoutedAnswer &answer, int attempts);
     void waitForLog(asio::io_context &io, Offset offset, Duration limit);
