--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -121,17 +121,15 @@
         parser.body_limit(this->limits.maxBodyBytes);
         if (const ErrorCode error = this->read(parser)) {
             if (isProtocolError(error)) {
-                this->write(this->hooks.refuse(kindOfReadError(error)), parser.version, false,
-                            parser.message.method == "HEAD");
+                this->write(this->hooks.refuse(kindOfReadError(error)), parser, false);
                 this->drainInput();
             }
             return false;
         }
         const bool keepAlive = parser.keep_alive();
-        const bool isHead = parser.message.method == "HEAD";
-        const HttpResponse response = this->hooks.handle(std::move(parser.message));
+        const HttpResponse response = this->hooks.handle(parser.message);
         const bool keepOpen = keepAlive && !this->hooks.isClosing();
-        return this->write(response, parser.version, keepOpen, isHead) && keepOpen;
+        return this->write(response, parser, keepOpen) && keepOpen;
     }
 
     ErrorCode read(HttpRequestParser &parser)
@@ -148,11 +146,12 @@
         return error;
     }
 
-    bool write(const HttpResponse &response, int version, bool keepAlive, bool isHead)
+    bool write(const HttpResponse &response, const HttpRequestParser &parser, bool keepAlive)
     {
         std::string &output = this->stream->output;
         output.clear();
-        appendResponse(output, response, version, keepAlive, isHead);
+        appendResponse(output, response, parser.version, keepAlive,
+                       parser.message.method == "HEAD");
         this->stream->expireAfter(this->limits.messageLimit);
         return !this->stream->write(output);
     }
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -29,9 +29,9 @@
 
 struct HttpServerHooks
 {
-    std::function<HttpResponse(HttpRequest &&)> handle; // runs in a fiber, may wait
-    std::function<HttpResponse(ErrorKind)> refuse;      // answer to a request that is not HTTP
-    std::function<bool()> isClosing;                    // true: close after this answer
+    std::function<HttpResponse(const HttpRequest &)> handle; // runs in a fiber, may wait
+    std::function<HttpResponse(ErrorKind)> refuse;           // answer to a request that is not HTTP
+    std::function<bool()> isClosing;                         // true: close after this answer
 };
 
 class HttpServer : public std::enable_shared_from_this<HttpServer>
--- a/packages/node/entry_path.cpp
+++ b/packages/node/entry_path.cpp
@@ -35,7 +35,7 @@
     return prepared;
 }
 
-PreparedRequest prepare(const Rule &rule, HttpRequest &&http, Time now)
+PreparedRequest prepare(const Rule &rule, const HttpRequest &http, Time now)
 {
     const auto findHeader = [&http](std::string_view name) -> std::optional<std::string_view> {
         for (const HttpField &field : http.fields) {
@@ -63,7 +63,7 @@
         }
         request.id = *id;
     }
-    request.http = std::move(http);
+    request.http = http;
     std::erase_if(request.http.fields,
                   [](const HttpField &field) { return isConnectionField(field.name); });
     return prepared;
@@ -113,7 +113,7 @@
     , report(std::move(reportHook))
 {}
 
-HttpResponse EntryPath::handle(std::size_t worker, asio::io_context &io, HttpRequest &&request)
+HttpResponse EntryPath::handle(std::size_t worker, asio::io_context &io, const HttpRequest &request)
 {
     ++this->open;
     const Time start = readBootTime();
@@ -125,7 +125,7 @@
     } else if (rule == nullptr) {
         answer = makeFailure(ErrorKind::NoRule, "no rule matches this method and path");
     } else {
-        const PreparedRequest prepared = prepare(*rule, std::move(request), start);
+        const PreparedRequest prepared = prepare(*rule, request, start);
         answer = prepared.error == ErrorKind::None ? this->route(worker, io, prepared.request)
                                                    : makeFailure(prepared.error, prepared.message);
     }
@@ -215,12 +215,11 @@
 }
 
 RoutedAnswer EntryPath::handleForward(std::size_t worker, asio::io_context &io,
-                                      wire::Forward &&forward)
+                                      const wire::Forward &forward)
 {
-    const Offset offset = forward.log_offset();
-    const RoutedRequest request = fromForward(std::move(forward), readBootTime());
-    if (offset > this->driver.nextOffset()) {
-        this->waitForLog(io, offset,
+    const RoutedRequest request = fromForward(forward, readBootTime());
+    if (forward.log_offset() > this->driver.nextOffset()) {
+        this->waitForLog(io, forward.log_offset(),
                          std::min<Duration>(request.deadline - readBootTime(), logWaitLimit));
     }
     RoutedAnswer answer = this->owner.serve(worker, request);
--- a/packages/node/entry_path.h
+++ b/packages/node/entry_path.h
@@ -24,10 +24,11 @@
               std::function<void(const RequestSample &request, Time now)> report);
 
     // Answers a caller's request, in a fiber of the worker.
-    HttpResponse handle(std::size_t worker, asio::io_context &io, HttpRequest &&request);
+    HttpResponse handle(std::size_t worker, asio::io_context &io, const HttpRequest &request);
 
     // Serves a request that another process forwarded, in a fiber of the worker.
-    RoutedAnswer handleForward(std::size_t worker, asio::io_context &io, wire::Forward &&forward);
+    RoutedAnswer handleForward(std::size_t worker, asio::io_context &io,
+                               const wire::Forward &forward);
 
     // Answers what could not be read as a request.
     HttpResponse refuse(ErrorKind kind);
--- a/packages/node/forwarder.cpp
+++ b/packages/node/forwarder.cpp
@@ -40,31 +40,29 @@
     return forward;
 }
 
-RoutedRequest fromForward(wire::Forward &&forward, Time now)
+RoutedRequest fromForward(const wire::Forward &forward, Time now)
 {
     RoutedRequest request;
-    request.service = std::move(*forward.mutable_service());
+    request.service = forward.service();
     request.keyHash = forward.key_hash();
     request.deadline = now + std::chrono::microseconds(forward.timeout_us());
     request.idempotent = forward.idempotent();
     request.id = fromWire(forward.request_id());
     request.fingerprint = forward.fingerprint();
-    request.http.method = std::move(*forward.mutable_method());
-    request.http.target = std::move(*forward.mutable_target());
-    request.http.body = std::move(*forward.mutable_body());
-    request.http.fields.reserve(static_cast<std::size_t>(forward.headers_size()));
-    for (wire::HeaderField &header : *forward.mutable_headers()) {
-        request.http.fields.push_back(
-                {std::move(*header.mutable_name()), std::move(*header.mutable_value())});
+    request.http.method = forward.method();
+    request.http.target = forward.target();
+    request.http.body = forward.body();
+    for (const wire::HeaderField &header : forward.headers()) {
+        request.http.fields.push_back({header.name(), header.value()});
     }
     return request;
 }
 
-wire::ForwardReply toForwardReply(RoutedAnswer &&answer)
+wire::ForwardReply toForwardReply(const RoutedAnswer &answer)
 {
     wire::ForwardReply reply;
     reply.set_error_kind(static_cast<std::uint32_t>(answer.error));
-    reply.set_error_message(std::move(answer.message));
+    reply.set_error_message(answer.message);
     reply.set_log_offset(answer.logOffset);
     if (answer.owner.session != 0) {
         reply.set_owner_session(answer.owner.session);
@@ -72,29 +70,27 @@
         reply.set_owner_mesh_address(answer.owner.meshAddress);
     }
     reply.set_http_status(static_cast<std::uint32_t>(answer.http.status));
-    reply.set_body(std::move(answer.http.body));
-    for (HttpField &field : answer.http.fields) {
+    reply.set_body(answer.http.body);
+    for (const HttpField &field : answer.http.fields) {
         wire::HeaderField *header = reply.add_headers();
-        header->set_name(std::move(field.name));
-        header->set_value(std::move(field.value));
+        header->set_name(field.name);
+        header->set_value(field.value);
     }
     return reply;
 }
 
-RoutedAnswer fromForwardReply(wire::ForwardReply &&reply)
+RoutedAnswer fromForwardReply(const wire::ForwardReply &reply)
 {
     RoutedAnswer answer;
     const bool isKnown = reply.error_kind() < static_cast<std::uint32_t>(errorKindCount);
     answer.error = isKnown ? static_cast<ErrorKind>(reply.error_kind()) : ErrorKind::Internal;
-    answer.message = std::move(*reply.mutable_error_message());
+    answer.message = reply.error_message();
     answer.logOffset = reply.log_offset();
     answer.owner = {reply.owner_session(), reply.owner_node(), reply.owner_mesh_address()};
     answer.http.status = static_cast<int>(reply.http_status());
-    answer.http.body = std::move(*reply.mutable_body());
-    answer.http.fields.reserve(static_cast<std::size_t>(reply.headers_size()));
-    for (wire::HeaderField &header : *reply.mutable_headers()) {
-        answer.http.fields.push_back(
-                {std::move(*header.mutable_name()), std::move(*header.mutable_value())});
+    answer.http.body = reply.body();
+    for (const wire::HeaderField &header : reply.headers()) {
+        answer.http.fields.push_back({header.name(), header.value()});
     }
     return answer;
 }
@@ -143,7 +139,7 @@
     }
 }
 
-void Forwarder::complete(wire::ForwardReply &&reply)
+void Forwarder::complete(const wire::ForwardReply &reply)
 {
     std::shared_ptr<Pending> waiting;
     {
@@ -155,7 +151,7 @@
         }
         waiting = found->second;
         this->pending.erase(found);
-        waiting->answer = fromForwardReply(std::move(reply));
+        waiting->answer = fromForwardReply(reply);
     }
     waiting->event.notify();
 }
--- a/packages/node/forwarder.h
+++ b/packages/node/forwarder.h
@@ -35,7 +35,7 @@
     void abandon(SessionId session);
 
     // Takes an answer; one without a waiting request is dropped and counted. Any thread.
-    void complete(wire::ForwardReply &&reply);
+    void complete(const wire::ForwardReply &reply);
 
     std::uint64_t unmatchedReplies() const { return this->unmatched.load(); }
 
@@ -61,8 +61,8 @@
 
 // Converts between a routed request or answer and its message. The deadline travels as time left.
 wire::Forward toForward(const RoutedRequest &request, Time now);
-RoutedRequest fromForward(wire::Forward &&forward, Time now);
-wire::ForwardReply toForwardReply(RoutedAnswer &&answer);
-RoutedAnswer fromForwardReply(wire::ForwardReply &&reply);
+RoutedRequest fromForward(const wire::Forward &forward, Time now);
+wire::ForwardReply toForwardReply(const RoutedAnswer &answer);
+RoutedAnswer fromForwardReply(const wire::ForwardReply &reply);
 
 } // namespace kumquat
--- a/packages/node/ownership_driver.cpp
+++ b/packages/node/ownership_driver.cpp
@@ -189,7 +189,7 @@
     this->noteOffset(message);
     if (!isEngineMessage(message)) {
         if (!this->receiveRelay(message)) {
-            this->hooks.receiveOther(std::move(message));
+            this->hooks.receiveOther(message);
         }
         return;
     }
--- a/packages/node/ownership_driver.h
+++ b/packages/node/ownership_driver.h
@@ -27,8 +27,8 @@
 // Called on the control thread, without the engine lock unless stated.
 struct DriverHooks
 {
-    std::function<void(wire::MeshMessage &&message)> receiveOther; // not an engine message
-    std::function<void(const OwnSession &session)> reportSession;  // after each input
+    std::function<void(const wire::MeshMessage &message)> receiveOther; // not an engine message
+    std::function<void(const OwnSession &session)> reportSession;       // after each input
     std::function<void(const wire::CrashSuspect &suspect)> reportCrash;
     std::function<void(SessionId session)> reportFenced;
 };
--- a/packages/node/process.cpp
+++ b/packages/node/process.cpp
@@ -109,7 +109,7 @@
     auto created = OwnershipDriver::create(
             this->control, *this->mesh, this->makeEngineSettings(), this->makeEngineHooks(),
             this->makeLogSettings(),
-            {.receiveOther = [this](wire::MeshMessage &&m) { this->receiveOther(std::move(m)); },
+            {.receiveOther = [this](const wire::MeshMessage &m) { this->receiveOther(m); },
              .reportSession = [this](const OwnSession &s) { this->owner->followSession(s); },
              .reportCrash = [this](const wire::CrashSuspect &s) { this->owner->applyCrash(s); },
              .reportFenced = [this](SessionId session) { this->forwarder->abandon(session); }});
@@ -185,8 +185,8 @@
 {
     asio::io_context &io = this->workers[worker]->io();
     return {.handle =
-                    [this, worker, &io](HttpRequest &&request) {
-                        return this->entry->handle(worker, io, std::move(request));
+                    [this, worker, &io](const HttpRequest &request) {
+                        return this->entry->handle(worker, io, request);
                     },
             .refuse = [this](ErrorKind kind) { return this->entry->refuse(kind); },
             .isClosing = [this] { return this->closing.load(); }};
@@ -229,30 +229,28 @@
     }
 }
 
-void Process::receiveOther(wire::MeshMessage &&message)
+void Process::receiveOther(const wire::MeshMessage &message)
 {
     if (this->owner->receive(message) || this->placement->receive(message, readBootTime())) {
         return;
     }
     if (message.has_forward()) {
-        this->receiveForward(std::move(*message.mutable_forward()));
+        this->receiveForward(message);
     } else if (message.has_forward_reply()) {
-        this->forwarder->complete(std::move(*message.mutable_forward_reply()));
+        this->forwarder->complete(message.forward_reply());
     }
 }
 
-void Process::receiveForward(wire::Forward &&message)
+void Process::receiveForward(const wire::MeshMessage &message)
 {
     const std::size_t worker = this->nextWorker++ % this->workers.size();
     FiberThread &thread = *this->workers[worker];
-    thread.spawn([this, worker, &thread, forward = std::move(message)]() mutable {
-        const wire::RequestId id = forward.forward_id();
-        const std::string replyAddress = std::move(*forward.mutable_reply_address());
+    thread.spawn([this, worker, &thread, forward = message.forward()] {
+        const RoutedAnswer answer = this->entry->handleForward(worker, thread.io(), forward);
         wire::MeshMessage reply;
-        *reply.mutable_forward_reply() =
-                toForwardReply(this->entry->handleForward(worker, thread.io(), std::move(forward)));
-        *reply.mutable_forward_reply()->mutable_forward_id() = id;
-        this->mesh->send(replyAddress, reply);
+        *reply.mutable_forward_reply() = toForwardReply(answer);
+        *reply.mutable_forward_reply()->mutable_forward_id() = forward.forward_id();
+        this->mesh->send(forward.reply_address(), reply);
     });
 }
 
--- a/packages/node/process.h
+++ b/packages/node/process.h
@@ -51,8 +51,8 @@
     LogClientSettings makeLogSettings() const;
     HttpServerHooks makeCallerHooks(std::size_t worker);
     void sendTo(const std::string &node, wire::MeshMessage &&message);
-    void receiveOther(wire::MeshMessage &&message);
-    void receiveForward(wire::Forward &&message);
+    void receiveOther(const wire::MeshMessage &message);
+    void receiveForward(const wire::MeshMessage &message);
 
     HttpResponse handleAdmin(const HttpRequest &request);
     HttpResponse showStatus() const;
--- a/packages/node/tests/test_node.cpp
+++ b/packages/node/tests/test_node.cpp
@@ -40,8 +40,7 @@
                                     if (message.has_forward()) {
                                         onForward(*this, message.forward());
                                     } else {
-                                        this->forwarder.complete(
-                                                std::move(*message.mutable_forward_reply()));
+                                        this->forwarder.complete(message.forward_reply());
                                     }
                                 }})
         , forwarder(mesh, incarnation, address.toString())
@@ -94,14 +93,14 @@
     RoutedAnswer answer = makeFailure(ErrorKind::NotOwner, "moved");
     answer.logOffset = 12;
     answer.owner = {5, "t2", "127.0.0.1:9"};
-    const RoutedAnswer back = fromForwardReply(toForwardReply(std::move(answer)));
+    const RoutedAnswer back = fromForwardReply(toForwardReply(answer));
     REQUIRE(back.error == ErrorKind::NotOwner);
     REQUIRE(back.logOffset == 12);
     REQUIRE(back.owner.session == 5);
     REQUIRE(back.owner.meshAddress == "127.0.0.1:9");
     wire::ForwardReply unknown;
     unknown.set_error_kind(1'000);
-    REQUIRE(fromForwardReply(std::move(unknown)).error == ErrorKind::Internal);
+    REQUIRE(fromForwardReply(unknown).error == ErrorKind::Internal);
 }
 
 // Guards against an answer to an earlier incarnation or to another request reaching a caller.
