node: the named owner is only a session and an address

Cause: refusals carried the owner's node name as well, but the sender uses the mesh address and the session alone.

Change: OwnerHint and ForwardReply lose the name.

--- a/packages/node/entry_path.cpp
+++ b/packages/node/entry_path.cpp
@@ -179,7 +179,6 @@
     }
     if (refusal.owner.session != 0 && refusal.owner.session != this->driver.session()) {
         RouteAnswer target;
-        target.node = refusal.owner.node;
         target.meshAddress = refusal.owner.meshAddress;
         target.session = refusal.owner.session;
         return this->forwarder.forward(io, target, request, refusal.logOffset);
@@ -237,7 +236,7 @@
     if (route.own || route.node.empty()) {
         return {};
     }
-    return {route.session, route.node, route.meshAddress};
+    return {route.session, route.meshAddress};
 }
 
 void EntryPath::waitForLog(asio::io_context &io, Offset offset, Duration limit)
--- a/packages/node/forwarder.cpp
+++ b/packages/node/forwarder.cpp
@@ -66,7 +66,6 @@
     reply.set_log_offset(answer.logOffset);
     if (answer.owner.session != 0) {
         reply.set_owner_session(answer.owner.session);
-        reply.set_owner_node(answer.owner.node);
         reply.set_owner_mesh_address(answer.owner.meshAddress);
     }
     reply.set_http_status(static_cast<std::uint32_t>(answer.http.status));
@@ -86,7 +85,7 @@
     answer.error = isKnown ? static_cast<ErrorKind>(reply.error_kind()) : ErrorKind::Internal;
     answer.message = reply.error_message();
     answer.logOffset = reply.log_offset();
-    answer.owner = {reply.owner_session(), reply.owner_node(), reply.owner_mesh_address()};
+    answer.owner = {reply.owner_session(), reply.owner_mesh_address()};
     answer.http.status = static_cast<int>(reply.http_status());
     answer.http.body = reply.body();
     for (const wire::HeaderField &header : reply.headers()) {
--- a/packages/node/request.h
+++ b/packages/node/request.h
@@ -28,7 +28,6 @@
 struct OwnerHint
 {
     std::uint64_t session = 0; // 0: none was named
-    std::string node;
     std::string meshAddress;
 };
 
--- a/packages/node/tests/test_node.cpp
+++ b/packages/node/tests/test_node.cpp
@@ -92,7 +92,7 @@
     REQUIRE(copy.http.field("detector") == "D-1");
     RoutedAnswer answer = makeFailure(ErrorKind::NotOwner, "moved");
     answer.logOffset = 12;
-    answer.owner = {5, "t2", "127.0.0.1:9"};
+    answer.owner = {5, "127.0.0.1:9"};
     const RoutedAnswer back = fromForwardReply(toForwardReply(answer));
     REQUIRE(back.error == ErrorKind::NotOwner);
     REQUIRE(back.logOffset == 12);
