node: one function sends a message to a node by name

Cause: the process and the ownership driver both looked up the address of a node and sent to it.

Change: OwnershipDriver::sendTo() serves both.

--- a/packages/node/ownership_driver.h
+++ b/packages/node/ownership_driver.h
@@ -85,6 +85,9 @@
     // Lets the engine look at what ended. Callable from any thread.
     void wake();
 
+    // Sends a message to a node; one to an unknown node is dropped. Callable from any thread.
+    void sendTo(const std::string &receiver, const wire::MeshMessage &message);
+
     // ---- queries, from any thread ----
 
     ServeAnswer mayServe(std::string_view service, std::uint64_t keyHash) const;
@@ -136,7 +139,6 @@
     bool receiveRelay(const wire::MeshMessage &message);
     void takeRelayed(const wire::RelayReply &reply);
     void advanceRelay(Time now);
-    void sendTo(const std::string &receiver, const wire::MeshMessage &message);
 
     FiberThread &thread;
     Mesh &mesh;
--- a/packages/node/process.cpp
+++ b/packages/node/process.cpp
@@ -96,7 +96,7 @@
             OwnerPathHooks{
                     .send =
                             [this](const std::string &node, wire::MeshMessage &&message) {
-                                this->sendTo(node, std::move(message));
+                                this->driver->sendTo(node, message);
                             },
                     .append =
                             [this](const wire::LogRecord &record) { this->driver->append(record); },
@@ -127,7 +127,7 @@
             PlacementDriverHooks{
                     .send =
                             [this](const std::string &node, wire::MeshMessage &&message) {
-                                this->sendTo(node, std::move(message));
+                                this->driver->sendTo(node, message);
                             },
                     .readUtilisation = [this] { return this->owner->utilisation(); }});
     this->forwarder = std::make_unique<Forwarder>(*this->mesh, this->incarnation,
@@ -221,14 +221,6 @@
 
 // ---- Messages ----
 
-void Process::sendTo(const std::string &node, wire::MeshMessage &&message)
-{
-    const std::string address = this->driver->meshAddressOf(node);
-    if (!address.empty()) {
-        this->mesh->send(address, message);
-    }
-}
-
 void Process::receiveOther(const wire::MeshMessage &message)
 {
     if (this->owner->receive(message) || this->placement->receive(message, readBootTime())) {
--- a/packages/node/process.h
+++ b/packages/node/process.h
@@ -50,7 +50,6 @@
     EngineHooks makeEngineHooks();
     LogClientSettings makeLogSettings() const;
     HttpServerHooks makeCallerHooks(std::size_t worker);
-    void sendTo(const std::string &node, wire::MeshMessage &&message);
     void receiveOther(const wire::MeshMessage &message);
     void receiveForward(const wire::MeshMessage &message);
 
