--- a/packages/node/log_relay.h
+++ b/packages/node/log_relay.h
@@ -5,7 +5,7 @@
 // here.
 //
 //   LogRelay relay;
-//   relay.keep(offset, record);                 // each record, however it was read
+//   relay.keep(offset, record, now);            // each record, however it was read
 //   relay.noteOffset(offset, node, now);        // next offset of another process
 //   if (relay.takeQuery(now)) {                 // when nextDue() has come
 //       send(relay.source(), relay.makeQuery());
--- a/packages/placement/rates.cpp
+++ b/packages/placement/rates.cpp
@@ -47,8 +47,8 @@
     }
     if (this->damping > 0 && at->seconds >= leastSeconds) {
         const double likely = (this->estimate(*at) - this->extraRate) * at->seconds;
-        this->chance.requests += this->damping * std::max(0.0, at->requests - likely);
-        this->chance.seconds = std::max(this->chance.seconds, at->seconds);
+        this->excess.requests += this->damping * std::max(0.0, at->requests - likely);
+        this->excess.seconds = std::max(this->excess.seconds, at->seconds);
     }
     this->owned.erase(at);
 }
@@ -67,7 +67,7 @@
         entry.seconds = entry.seconds * decay + toSeconds(step);
         entry.countedTo += step;
     };
-    extend(this->chance, 0);
+    extend(this->excess, 0);
     for (OwnSlot &entry : this->owned) {
         extend(entry, requests[entry.slot]);
     }
@@ -120,8 +120,8 @@
         }
         sum += entry.seconds < leastSeconds ? this->average : entry.requests / entry.seconds + base;
     }
-    const bool isKnown = this->chance.seconds >= leastSeconds;
-    return isKnown ? sum + this->chance.requests / this->chance.seconds : sum;
+    const bool isKnown = this->excess.seconds >= leastSeconds;
+    return isKnown ? sum + this->excess.requests / this->excess.seconds : sum;
 }
 
 double SlotRates::rateOf(Slot slot) const
--- a/packages/placement/rates.h
+++ b/packages/placement/rates.h
@@ -95,7 +95,7 @@
     Duration window;
     double damping = 0;         // 0 to 1
     double extraRate = 0;       // requests/s of each slot, by damping
-    OwnSlot chance;             // requests of lost slots above their estimates
+    OwnSlot excess;             // requests of lost slots above their estimates
     std::vector<OwnSlot> owned; // ascending by slot
     std::size_t observed = 0;   // slots that were observed long enough
     double average = baseRate;  // requests/s of the slots that were observed long enough
