--- a/packages/base/log.cpp
+++ b/packages/base/log.cpp
@@ -5,6 +5,10 @@
 #include <absl/strings/str_cat.h>
 #include <easylogging++.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <atomic>
 #include <iostream>
 
@@ -37,6 +41,45 @@
     return quoted + "\"";
 }
 
+// Lines that wait for flushLog.
+struct GatheredLines
+{
+    std::string text;
+    std::size_t lines = 0;      // since the last flush
+    std::uint64_t dropped = 0;  // in all
+    std::uint64_t reported = 0; // of these
+};
+
+GatheredLines &gathered()
+{
+    static GatheredLines lines;
+    return lines;
+}
+
+constexpr std::size_t flushBytes = 16UL * 1024; // gathered before a line is written without a flush
+constexpr std::size_t mostLines = 60;           // between two flushes, 300 a second
+
+// Gathers lines for standard output.
+class StandardOutputCallback : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        const el::LogMessage *message = data->logMessage();
+        GatheredLines &lines = gathered();
+        if (++lines.lines > mostLines) {
+            ++lines.dropped;
+            return;
+        }
+        lines.text += message->logger()->logBuilder()->build(message, true);
+        if (lines.text.size() >= flushBytes) {
+            const std::size_t count = lines.lines;
+            flushLog();
+            lines.lines = count;
+        }
+    }
+};
+
 // Writes each line to standard error; easylogging++ itself writes to standard output or files.
 class StandardErrorCallback : public el::LogDispatchCallback
 {
@@ -51,7 +94,7 @@
 
 } // namespace
 
-void setUpLogging(LogLevel level)
+void setUpLogging(LogLevel level, LogTarget target)
 {
     lowestLevel = level;
     el::Loggers::addFlag(el::LoggingFlag::DisableApplicationAbortOnFatalLog);
@@ -65,7 +108,33 @@
     el::Loggers::reconfigureAllLoggers(configuration);
     el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
             "DefaultLogDispatchCallback");
-    el::Helpers::installLogDispatchCallback<StandardErrorCallback>("StandardErrorCallback");
+    if (target == LogTarget::StandardOutput) {
+        const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        el::Helpers::installLogDispatchCallback<StandardOutputCallback>("StandardOutputCallback");
+    } else {
+        el::Helpers::installLogDispatchCallback<StandardErrorCallback>("StandardErrorCallback");
+    }
+}
+
+void flushLog()
+{
+    GatheredLines &lines = gathered();
+    if (lines.dropped > lines.reported) {
+        lines.text += absl::StrCat("main: log lines dropped total=", lines.dropped, "\n");
+        lines.reported = lines.dropped;
+    }
+    lines.lines = 0;
+    std::string_view rest = lines.text;
+    while (!rest.empty()) {
+        const ssize_t written = write(STDOUT_FILENO, rest.data(), rest.size());
+        if (written <= 0) {
+            lines.dropped += static_cast<std::uint64_t>(std::count(rest.begin(), rest.end(), '\n'));
+            break;
+        }
+        rest.remove_prefix(static_cast<std::size_t>(written));
+    }
+    lines.text.clear();
 }
 
 std::string formatLogLine(LogPart part, std::string_view sentence, const LogFields &fields)
--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -1,4 +1,4 @@
-// Log lines to standard error: time, level, prefix of the part, a short sentence, key=value fields.
+// Log lines: time, level, prefix of the part, a short sentence, key=value fields.
 //
 //   logInfo(LogPart::Lease, "lease granted", {{"session", "42"}});
 #pragma once
@@ -54,9 +54,19 @@
 
 using LogFields = std::vector<LogField>;
 
-// Configures the library: standard error only, no files, lines below the level are dropped.
-// Call once before the first line.
-void setUpLogging(LogLevel level);
+enum class LogTarget : std::uint8_t {
+    StandardError,
+    // Lines are gathered and written by flushLog or when many have come. What standard output does
+    // not take at once is dropped and counted, so that logging never blocks.
+    StandardOutput,
+};
+
+// Configures the library: no files, lines below the level are dropped. Call once before the first
+// line.
+void setUpLogging(LogLevel level, LogTarget target = LogTarget::StandardError);
+
+// Writes what StandardOutput has gathered, and how many lines were dropped since the last call.
+void flushLog();
 
 void logDebug(LogPart part, std::string_view sentence, const LogFields &fields = {});
 void logInfo(LogPart part, std::string_view sentence, const LogFields &fields = {});
--- /dev/null
+++ b/packages/keyspace/range_holder.cpp
@@ -0,0 +1,355 @@
+#include "keyspace/range_holder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+// Successors ask for a handover within the time of a takeover; later it is of no use.
+constexpr Duration handoverKept = 10s;
+
+// Longest time after which the sender of an order gives up on its answer.
+constexpr Duration answerLimit = 1s;
+
+// Returns the parts of `span` that none of the ranges with the same fence covers.
+template <typename Ranges>
+std::vector<KeySpan> uncovered(KeySpan span, std::uint64_t fence, const Ranges &ranges)
+{
+    std::vector<KeySpan> parts{span};
+    for (const auto &entry : ranges) {
+        if (entry.range.fence != fence) {
+            continue;
+        }
+        const KeySpan cover = entry.range.span;
+        std::vector<KeySpan> rest;
+        for (const KeySpan &part : parts) {
+            if (!part.overlaps(cover)) {
+                rest.push_back(part);
+                continue;
+            }
+            if (part.first < cover.first) {
+                rest.push_back({.first = part.first, .last = cover.first - 1});
+            }
+            if (part.last > cover.last) {
+                rest.push_back({.first = cover.last + 1, .last = part.last});
+            }
+        }
+        parts = std::move(rest);
+    }
+    return parts;
+}
+
+} // namespace
+
+RangeHolder::RangeHolder(HolderSettings holderSettings, Time started)
+    : settings(holderSettings)
+    , startedAt(started)
+{}
+
+Duration RangeHolder::stretched(Duration hold) const
+{
+    return std::chrono::duration_cast<Duration>(hold * (1 + this->settings.clockDrift));
+}
+
+// ---- Table ----
+
+void RangeHolder::assign(const KeyTable &table, std::uint64_t newSession, Time now)
+{
+    const std::vector<Owned> before = std::exchange(this->owned, {});
+    for (const KeyRange &range : table.ranges) {
+        if (newSession != 0 && range.owner == newSession) {
+            this->owned.push_back(this->inherit(range, before));
+        }
+    }
+    this->stopLost(before, now);
+}
+
+// Returns the state of a range; a part of a range keeps what is known of the whole.
+RangeHolder::Owned RangeHolder::inherit(const KeyRange &range,
+                                        const std::vector<Owned> &before) const
+{
+    for (const Owned &old : before) {
+        if (old.range.fence == range.fence && old.range.span.contains(range.span)) {
+            Owned kept = old;
+            kept.range.span = range.span;
+            return kept;
+        }
+    }
+    return {.range = range, .mayHoldUntil = this->earlierGrantsEnd()};
+}
+
+// Returns when the grants of an earlier process of this host are over.
+Time RangeHolder::earlierGrantsEnd() const
+{
+    return this->startedAt + this->stretched(this->settings.longestHold);
+}
+
+void RangeHolder::stopLost(const std::vector<Owned> &before, Time now)
+{
+    for (const Owned &old : before) {
+        for (const KeySpan &lost : uncovered(old.range.span, old.range.fence, this->owned)) {
+            this->addStopping(lost, old.range.fence, old.mayHoldUntil, now);
+        }
+    }
+}
+
+void RangeHolder::addStopping(const KeySpan &span, std::uint64_t fence, Time mayHoldUntil, Time now)
+{
+    Stopping added{.span = span, .fence = fence, .mayHoldUntil = mayHoldUntil, .since = now};
+    for (const PendingGrant &grant : this->grants) {
+        if (grant.fence == fence && grant.span.overlaps(span)) {
+            const Time end = grant.isOverdue ? grant.until
+                                             : now + answerLimit + this->stretched(grant.hold);
+            added.mayHoldUntil = std::max(added.mayHoldUntil, end);
+        }
+    }
+    added.isUnanswered = this->mayBeGrantedLate(span, fence, now);
+    this->stopping.push_back(added);
+}
+
+bool RangeHolder::mayBeGrantedLate(const KeySpan &span, std::uint64_t fence, Time now) const
+{
+    if (now < this->earlierGrantsEnd()) {
+        return true;
+    }
+    return std::any_of(this->grants.begin(), this->grants.end(), [&](const PendingGrant &grant) {
+        return grant.fence == fence && grant.span.overlaps(span)
+               && (!grant.isOverdue || grant.until > now);
+    });
+}
+
+void RangeHolder::noteUpstreamEnded()
+{
+    this->grants.clear();
+    this->owned.clear();
+    for (Stopping &entry : this->stopping) {
+        entry.isReleased = true;
+        entry.isUnanswered = false;
+        entry.mayHoldUntil = Time::zero();
+    }
+}
+
+// ---- Orders ----
+
+std::vector<HoldOrder> RangeHolder::takeOrders(Time now)
+{
+    std::vector<HoldOrder> orders;
+    this->forgetOld(now);
+    for (Stopping &entry : this->stopping) {
+        this->orderRelease(entry, now, orders);
+    }
+    for (Owned &entry : this->owned) {
+        this->orderGrant(entry, now, orders);
+    }
+    return orders;
+}
+
+void RangeHolder::orderGrant(Owned &entry, Time now, std::vector<HoldOrder> &orders)
+{
+    if (!entry.isSettled() || entry.order != 0 || now < entry.nextGrant) {
+        return;
+    }
+    const Duration left = this->leaseUntil == Time::max() ? this->settings.longestHold
+                                                          : this->leaseUntil - now;
+    const auto byLease = std::chrono::duration_cast<Duration>(
+            left / (1 + 2 * this->settings.clockDrift));
+    const Duration hold = std::min(this->settings.longestHold, byLease);
+    if (hold < this->settings.leastHold) {
+        return;
+    }
+    const std::uint64_t number = ++this->lastOrder;
+    entry.order = number;
+    entry.nextGrant = now + this->settings.renewEvery;
+    this->grants.push_back({.number = number,
+                            .span = entry.range.span,
+                            .fence = entry.range.fence,
+                            .hold = hold,
+                            .sentAt = now});
+    orders.push_back({.kind = HoldOrderKind::Grant,
+                      .number = number,
+                      .span = entry.range.span,
+                      .fence = entry.range.fence,
+                      .hold = hold,
+                      .handover = entry.handover});
+}
+
+void RangeHolder::orderRelease(Stopping &entry, Time now, std::vector<HoldOrder> &orders)
+{
+    if (entry.isReleased || entry.order != 0 || now < entry.nextRelease
+        || now >= entry.mayHoldUntil) {
+        return;
+    }
+    entry.order = ++this->lastOrder;
+    orders.push_back({.kind = HoldOrderKind::Release,
+                      .number = entry.order,
+                      .span = entry.span,
+                      .fence = entry.fence});
+}
+
+void RangeHolder::noteGrant(std::uint64_t number, GrantEnd end, Time now)
+{
+    const auto found =
+            std::find_if(this->grants.begin(), this->grants.end(),
+                         [number](const PendingGrant &grant) { return grant.number == number; });
+    if (found == this->grants.end()) {
+        return;
+    }
+    const PendingGrant grant = *found;
+    const Time mayHold = now + this->stretched(grant.hold);
+    if (end == GrantEnd::Unknown) {
+        found->isOverdue = true;
+        found->until = mayHold;
+    } else {
+        this->grants.erase(found);
+    }
+    const bool mayHoldIt = end == GrantEnd::Accepted || end == GrantEnd::Unknown;
+    for (Owned &entry : this->owned) {
+        if (entry.range.fence != grant.fence || !grant.span.contains(entry.range.span)) {
+            continue;
+        }
+        entry.order = entry.order == number ? 0 : entry.order;
+        if (mayHoldIt) {
+            entry.mayHoldUntil = std::max(entry.mayHoldUntil, mayHold);
+        }
+        if (end == GrantEnd::Accepted) {
+            entry.servesUntil = std::max(entry.servesUntil, grant.sentAt + grant.hold);
+            entry.handover.clear();
+        } else {
+            entry.nextGrant = std::min(entry.nextGrant, now + this->settings.retryAfter);
+        }
+        if (end == GrantEnd::FencedOff) {
+            entry.servesUntil = Time::zero();
+            entry.nextGrant = now + this->settings.renewEvery;
+        }
+    }
+    for (Stopping &entry : this->stopping) {
+        if (entry.fence == grant.fence && entry.span.overlaps(grant.span)) {
+            if (mayHoldIt) {
+                entry.mayHoldUntil = std::max(entry.mayHoldUntil, mayHold);
+                entry.isReleased = false; // the grant may have come after the release
+            }
+            entry.isUnanswered = this->mayBeGrantedLate(entry.span, entry.fence, now);
+        }
+    }
+}
+
+void RangeHolder::noteRelease(std::uint64_t number, bool isAnswered, const std::string &handover,
+                              Time now)
+{
+    const auto found =
+            std::find_if(this->stopping.begin(), this->stopping.end(),
+                         [number](const Stopping &entry) { return entry.order == number; });
+    if (found == this->stopping.end()) {
+        return;
+    }
+    found->order = 0;
+    found->nextRelease = now + this->settings.retryAfter;
+    found->isReleased = isAnswered;
+    if (isAnswered) {
+        found->handover = handover;
+    }
+}
+
+void RangeHolder::notePredecessorStopped(const FormerOwner &predecessor, const KeySpan &span,
+                                         const std::string &handover)
+{
+    for (Owned &entry : this->owned) {
+        if (!span.contains(entry.range.span)) {
+            continue;
+        }
+        auto &waitingFor = entry.range.predecessors;
+        const auto removed = std::erase(waitingFor, predecessor);
+        if (removed > 0 && !handover.empty()) {
+            entry.handover = handover;
+        }
+    }
+}
+
+// ---- Questions ----
+
+KeyAccess RangeHolder::access(ShardKey key, Time now) const
+{
+    for (const Owned &entry : this->owned) {
+        if (entry.range.span.contains(key)) {
+            const bool held = entry.isSettled() && now < entry.servesUntil;
+            return held ? KeyAccess::Held : KeyAccess::Pending;
+        }
+    }
+    return KeyAccess::Elsewhere;
+}
+
+std::vector<MissingProof> RangeHolder::missingProofs() const
+{
+    std::vector<MissingProof> missing;
+    for (const Owned &entry : this->owned) {
+        for (const FormerOwner &predecessor : entry.range.predecessors) {
+            missing.push_back({.predecessor = predecessor, .span = entry.range.span});
+        }
+    }
+    return missing;
+}
+
+std::vector<std::uint64_t> RangeHolder::unsettledFences() const
+{
+    std::vector<std::uint64_t> fences;
+    for (const Owned &entry : this->owned) {
+        if (!entry.isSettled()
+            && std::find(fences.begin(), fences.end(), entry.range.fence) == fences.end()) {
+            fences.push_back(entry.range.fence);
+        }
+    }
+    return fences;
+}
+
+StopAnswer RangeHolder::answerStop(const KeySpan &span, std::uint64_t fence, Time now)
+{
+    const bool stillOwned =
+            std::any_of(this->owned.begin(), this->owned.end(), [&](const Owned &entry) {
+                return entry.range.span.overlaps(span);
+            });
+    if (stillOwned) {
+        return {};
+    }
+    StopAnswer answer{.stopped = true};
+    std::uint32_t covered = 0;
+    for (const Stopping &entry : this->stopping) {
+        if (entry.fence != fence || !entry.span.overlaps(span)) {
+            continue;
+        }
+        covered += std::min(entry.span.last, span.last) - std::max(entry.span.first, span.first) + 1;
+        answer.stopped = answer.stopped && entry.isStopped(now);
+        answer.handover = entry.handover.empty() ? answer.handover : entry.handover;
+    }
+    if (covered < span.size()) {
+        // An earlier process of this host may have granted them.
+        this->addStopping(span, fence, this->earlierGrantsEnd(), now);
+        answer.stopped = answer.stopped && this->stopping.back().isStopped(now);
+    }
+    return answer.stopped ? answer : StopAnswer{};
+}
+
+bool RangeHolder::holdsNothing(Time now) const
+{
+    const bool noneOwned =
+            std::all_of(this->owned.begin(), this->owned.end(),
+                        [now](const Owned &entry) { return now >= entry.mayHoldUntil; });
+    return noneOwned
+           && std::all_of(this->stopping.begin(), this->stopping.end(),
+                          [now](const Stopping &entry) { return entry.isStopped(now); });
+}
+
+void RangeHolder::forgetOld(Time now)
+{
+    std::erase_if(this->grants, [now](const PendingGrant &grant) {
+        return grant.isOverdue && now >= grant.until;
+    });
+    for (Stopping &entry : this->stopping) {
+        entry.isUnanswered = entry.isUnanswered && now < entry.mayHoldUntil;
+    }
+    std::erase_if(this->stopping, [now](const Stopping &entry) {
+        return entry.isStopped(now) && now > entry.since + handoverKept;
+    });
+}
+
+} // namespace kumquat
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <charconv>
 #include <optional>
 
 namespace kumquat {
@@ -15,6 +16,30 @@
 
 constexpr std::size_t maxReadAhead = 1024UL * 1024; // bytes before the parser takes them
 
+// Part of the server's keep-alive time after which a connection is not used again: the server may
+// close it while the next request is on its way.
+constexpr double keepAliveShare = 0.7;
+
+// Late answers that are skipped before the connection counts as broken.
+constexpr int mostSkipped = 3;
+
+// Returns the time for which the server keeps an idle connection, or the longest one if it does not
+// say. Zero if the field has a fraction or cannot be read.
+Duration keepAliveTime(const HttpResponse &response)
+{
+    const std::string_view field = response.field("Keep-Alive");
+    constexpr std::string_view name = "timeout=";
+    const std::size_t at = field.find(name);
+    if (at == std::string_view::npos) {
+        return Duration::max();
+    }
+    std::int64_t seconds = 0;
+    const std::string_view digits = field.substr(at + name.size());
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    constexpr std::int64_t longest = 3600;
+    return std::chrono::seconds(std::clamp<std::int64_t>(seconds, 0, longest));
+}
+
 absl::Status failureAfterSend(const ErrorCode &error)
 {
     if (error == boost::beast::error::timeout) {
@@ -42,8 +67,18 @@
     }
 
     std::shared_ptr<HttpStream> stream;
+    std::chrono::steady_clock::time_point idleSince;
+    Duration keepAlive = Duration::max(); // the server closes an idle connection after it
 };
 
+void HttpCallHandle::cancel()
+{
+    this->cancelled = true;
+    if (const auto open = this->stream.lock()) {
+        open->close();
+    }
+}
+
 HttpClient::HttpClient(asio::io_context &context, Address address, HttpClientLimits clientLimits)
     : io(context)
     , server(std::move(address))
@@ -56,24 +91,35 @@
 absl::StatusOr<HttpResponse> HttpClient::call(const HttpRequest &request, Duration limit,
                                               const std::vector<HttpField> &extra)
 {
-    const auto deadline = std::chrono::steady_clock::now() + limit;
-    ConnectionPtr connection = this->takeIdle();
+    return this->call(request, HttpCallOptions{.limit = limit}, extra);
+}
+
+absl::StatusOr<HttpResponse> HttpClient::call(const HttpRequest &request,
+                                              const HttpCallOptions &options,
+                                              const std::vector<HttpField> &extra)
+{
+    const auto deadline = std::chrono::steady_clock::now() + options.limit;
+    const auto handle = options.handle ? options.handle : std::make_shared<HttpCallHandle>();
+    ConnectionPtr connection = this->takeIdle(options.maxIdle);
     if (!connection) {
-        auto connected = this->connect(std::min(limit, this->limits.connectLimit));
+        auto connected =
+                this->connect(std::min(options.limit, this->limits.connectLimit), *handle);
         if (!connected.ok()) {
             return connected.status();
         }
         connection = *std::move(connected);
     }
     const auto left = deadline - std::chrono::steady_clock::now();
-    if (left <= Duration::zero()) {
+    if (left <= Duration::zero() || handle->isCancelled()) {
         return makeError(ErrorKind::UpstreamUnreachable, "connecting took too long");
     }
+    handle->stream = connection->stream;
     this->busy.insert(connection.get());
     bool mayKeep = false;
-    auto answer = this->exchange(*connection, request, extra, left, mayKeep);
+    auto answer = this->exchange(*connection, request, extra, options, left, mayKeep);
     this->busy.erase(connection.get());
     if (mayKeep && static_cast<int>(this->idle.size()) < this->limits.maxIdle) {
+        connection->idleSince = std::chrono::steady_clock::now();
         this->idle.push_back(std::move(connection));
     }
     return answer;
@@ -87,24 +133,34 @@
     this->idle.clear();
 }
 
-HttpClient::ConnectionPtr HttpClient::takeIdle()
+HttpClient::ConnectionPtr HttpClient::takeIdle(Duration maxIdle)
 {
+    const auto now = std::chrono::steady_clock::now();
     while (!this->idle.empty()) {
+        if (now - this->idle.back()->idleSince > maxIdle) {
+            return nullptr; // the others were idle for longer still
+        }
         ConnectionPtr connection = std::move(this->idle.back());
         this->idle.pop_back();
-        if (!connection->isStale()) {
+        const bool isKept = connection->keepAlive == Duration::max()
+                            || now - connection->idleSince
+                                       < connection->keepAlive * keepAliveShare;
+        if (isKept && !connection->isStale()) {
             return connection;
         }
     }
     return nullptr;
 }
 
-absl::StatusOr<HttpClient::ConnectionPtr> HttpClient::connect(Duration limit)
+absl::StatusOr<HttpClient::ConnectionPtr> HttpClient::connect(Duration limit,
+                                                              HttpCallHandle &handle)
 {
     auto connection = std::make_shared<Connection>(this->io);
+    handle.stream = connection->stream;
     connection->stream->expireAfter(limit);
     const ErrorCode error = connection->stream->connect(
             {asio::ip::make_address(this->server.ip), this->server.port});
+    handle.refused = error == asio::error::connection_refused;
     if (error) {
         return makeError(
                 ErrorKind::UpstreamUnreachable,
@@ -116,7 +172,8 @@
 absl::StatusOr<HttpResponse> HttpClient::exchange(Connection &connection,
                                                   const HttpRequest &request,
                                                   const std::vector<HttpField> &extra,
-                                                  Duration limit, bool &mayKeep)
+                                                  const HttpCallOptions &options, Duration limit,
+                                                  bool &mayKeep)
 {
     HttpStream &stream = *connection.stream;
     stream.expireAfter(limit);
@@ -125,21 +182,29 @@
     if (const ErrorCode error = stream.write(stream.output)) {
         return failureAfterSend(error);
     }
-    HttpResponseParser parser;
-    parser.body_limit(this->limits.maxBodyBytes);
-    parser.skip(request.method == "HEAD");
-    if (const ErrorCode error = stream.read(parser)) {
-        return failureAfterSend(error);
-    }
-    if (parser.need_eof()) {
-        return makeError(ErrorKind::UpstreamLost,
-                         "the answer has neither a length nor chunks, so it may be cut short");
+    for (int skipped = 0; skipped <= mostSkipped; ++skipped) {
+        HttpResponseParser parser;
+        parser.body_limit(this->limits.maxBodyBytes);
+        parser.skip(request.method == "HEAD");
+        if (const ErrorCode error = stream.read(parser)) {
+            return failureAfterSend(error);
+        }
+        if (options.belongs && !options.belongs(parser.message)) {
+            continue;
+        }
+        if (parser.need_eof() && !options.mayEndWithConnection) {
+            return makeError(
+                    ErrorKind::UpstreamLost,
+                    "the answer has neither a length nor chunks, so it may be cut short");
+        }
+        stream.expireNever();
+        connection.keepAlive = keepAliveTime(parser.message);
+        mayKeep = parser.keep_alive() && stream.buffered() == 0 && skipped == 0;
+        std::erase_if(parser.message.fields,
+                      [](const HttpField &field) { return isConnectionField(field.name); });
+        return std::move(parser.message);
     }
-    stream.expireNever();
-    mayKeep = parser.keep_alive() && stream.buffered() == 0;
-    std::erase_if(parser.message.fields,
-                  [](const HttpField &field) { return isConnectionField(field.name); });
-    return std::move(parser.message);
+    return makeError(ErrorKind::UpstreamLost, "only answers to other requests came");
 }
 
 } // namespace kumquat
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -26,6 +27,40 @@
     Duration connectLimit = 500ms;
 };
 
+// One call under way, for its caller to cancel it and to ask how far it came.
+class HttpCallHandle
+{
+public:
+    // Closes the connection of the call, which then ends with UpstreamLost. Call on the client's
+    // thread.
+    void cancel();
+
+    bool isCancelled() const { return this->cancelled; }
+
+    // Says whether the server's host answered that nothing listens on the address.
+    bool wasRefused() const { return this->refused; }
+
+private:
+    friend class HttpClient;
+
+    std::weak_ptr<class HttpStream> stream;
+    bool cancelled = false;
+    bool refused = false;
+};
+
+struct HttpCallOptions
+{
+    Duration limit{}; // of the whole call
+
+    // Says whether an answer belongs to this request; one that does not is a late second answer to
+    // an earlier request on the connection and is skipped. Not set: every answer does.
+    std::function<bool(const HttpResponse &)> belongs;
+
+    Duration maxIdle = Duration::max(); // connections that were idle for longer are not used
+    bool mayEndWithConnection = false;  // takes an answer without length that ends by a clean close
+    std::shared_ptr<HttpCallHandle> handle; // not set: the call can't be cancelled
+};
+
 class HttpClient
 {
 public:
@@ -39,6 +74,12 @@
     absl::StatusOr<HttpResponse> call(const HttpRequest &request, Duration limit,
                                       const std::vector<HttpField> &extra = {});
 
+    absl::StatusOr<HttpResponse> call(const HttpRequest &request, const HttpCallOptions &options,
+                                      const std::vector<HttpField> &extra = {});
+
+    // Closes the connections that no call uses, after a sign that they may be dead.
+    void dropIdle() { this->idle.clear(); }
+
     // Closes all connections; running calls end with UpstreamLost. Call on the client's thread.
     void cancelAll();
 
@@ -48,10 +89,11 @@
     struct Connection;
     using ConnectionPtr = std::shared_ptr<Connection>;
 
-    ConnectionPtr takeIdle();
-    absl::StatusOr<ConnectionPtr> connect(Duration limit);
+    ConnectionPtr takeIdle(Duration maxIdle);
+    absl::StatusOr<ConnectionPtr> connect(Duration limit, HttpCallHandle &handle);
     absl::StatusOr<HttpResponse> exchange(Connection &connection, const HttpRequest &request,
-                                          const std::vector<HttpField> &extra, Duration limit,
+                                          const std::vector<HttpField> &extra,
+                                          const HttpCallOptions &options, Duration limit,
                                           bool &mayKeep);
 
     asio::io_context &io;
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -11,6 +11,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <array>
+#include <utility>
 
 namespace kumquat {
 namespace {
@@ -91,6 +92,55 @@
 
 namespace {
 
+// Watches the socket of a connection while its request is handled.
+class SocketWatch : public CallerWatch
+{
+public:
+    explicit SocketWatch(HttpStream &watched)
+        : stream(watched)
+        , state(std::make_shared<State>())
+    {}
+
+    ~SocketWatch() override
+    {
+        if (this->state->hook) {
+            this->state->hook = nullptr;
+            ErrorCode ignored;
+            this->stream.socket().cancel(ignored);
+        }
+    }
+
+    void onGone(std::function<void()> hook) override
+    {
+        this->state->hook = std::move(hook);
+        this->stream.socket().async_wait(
+                Tcp::socket::wait_read,
+                [watched = this->state, open = this->stream.shared_from_this()](
+                        const ErrorCode &error) {
+                    if (watched->hook && (error || isClosed(*open))) {
+                        std::exchange(watched->hook, nullptr)();
+                    }
+                });
+    }
+
+private:
+    struct State
+    {
+        std::function<void()> hook;
+    };
+
+    static bool isClosed(HttpStream &stream)
+    {
+        char byte = 0;
+        const ssize_t count =
+                recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
+    HttpStream &stream;
+    std::shared_ptr<State> state;
+};
+
 // Serves one connection until it closes.
 class Connection
 {
@@ -127,11 +177,20 @@
             return false;
         }
         const bool keepAlive = parser.keep_alive();
-        const HttpResponse response = this->hooks.handle(parser.message);
+        const HttpResponse response = this->handle(parser.message);
         const bool keepOpen = keepAlive && !this->hooks.isClosing();
         return this->write(response, parser, keepOpen) && keepOpen;
     }
 
+    HttpResponse handle(HttpRequest &request)
+    {
+        if (!this->hooks.handleWatched) {
+            return this->hooks.handle(request);
+        }
+        SocketWatch watch(*this->stream);
+        return this->hooks.handleWatched(request, watch);
+    }
+
     ErrorCode read(HttpRequestParser &parser)
     {
         if (this->stream->buffered() == 0) {
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -27,9 +27,21 @@
     Duration messageLimit = 10s; // for one whole request to arrive, or answer to leave
 };
 
+// Tells the handler of a request when its caller closes the connection.
+class CallerWatch
+{
+public:
+    virtual ~CallerWatch() = default;
+
+    // Calls the hook at most once, until the handler returns.
+    virtual void onGone(std::function<void()> hook) = 0;
+};
+
 struct HttpServerHooks
 {
     std::function<HttpResponse(const HttpRequest &)> handle; // runs in a fiber, may wait
+    // Takes the place of `handle` if set.
+    std::function<HttpResponse(HttpRequest &, CallerWatch &)> handleWatched;
     std::function<HttpResponse(ErrorKind)> refuse;           // answer to a request that is not HTTP
     std::function<bool()> isClosing;                         // true: close after this answer
 };
@@ -44,6 +56,9 @@
     // kernel spreads connections over them. Error: SettingsInvalid if the address cannot be bound.
     absl::Status listen(const Address &address, bool shared);
 
+    // Replaces the limits; requests that are being read keep the old ones.
+    void setLimits(HttpServerLimits newLimits) { this->limits = newLimits; }
+
     // Closes the listening socket; open connections go on. Callable from any thread.
     void stopAccepting();
 
--- a/packages/node/main.cpp
+++ b/packages/node/main.cpp
@@ -2,7 +2,10 @@
 #include "base/log.h"
 #include "base/text.h"
 #include "node/process.h"
+#include "platform/names.h"
 #include "settings/settings.h"
+#include "stage/settings.h"
+#include "stage/stage.h"
 
 #include <docopt/docopt.h>
 
@@ -22,6 +25,7 @@
 Usage:
   kumquatstage --config FILE [--trace FILE]
   kumquatstage --check-config FILE
+  kumquatstage --platform [FILE]
   kumquatstage --version
   kumquatstage --help
 
@@ -29,6 +33,8 @@
   --config FILE        Run with these settings (JSON).
   --trace FILE         Record the inputs of the ownership decisions, for replay.
   --check-config FILE  Check the settings and exit; all faults are printed.
+  --platform           Run on the users' platform, with the settings FILE or those that the
+                       platform names.
   --version            Print the version.
   --help               Print this text.
 
@@ -71,6 +77,33 @@
     std::quick_exit(exitDone);
 }
 
+int runStage(const std::string &path)
+{
+    auto settings = kumquat::loadStageSettings(path);
+    if (!settings.ok()) {
+        std::cerr << settings.status().message() << "\n";
+        return exitRefused;
+    }
+    kumquat::setUpLogging(kumquat::LogLevel::Info, kumquat::LogTarget::StandardOutput);
+    auto stage = kumquat::Stage::create(*std::move(settings), path);
+    if (!stage.ok()) {
+        kumquat::logError(kumquat::LogPart::Main, kumquat::toStd(stage.status().message()));
+        kumquat::flushLog();
+        return exitRefused;
+    }
+    (*stage)->run();
+    return exitDone;
+}
+
+std::string stagePath(const docopt::value &given)
+{
+    const char *named = std::getenv(kumquat::platform::settingsVariable);
+    if (given.isString()) {
+        return given.asString();
+    }
+    return named == nullptr ? "" : named;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -91,6 +124,9 @@
     if (options["--check-config"].isString()) {
         return checkConfig(options["--check-config"].asString());
     }
+    if (options["--platform"].asBool()) {
+        return runStage(stagePath(options["FILE"]));
+    }
     const docopt::value &trace = options["--trace"];
     return runProcess(options["--config"].asString(), trace.isString() ? trace.asString() : "");
 }
--- /dev/null
+++ b/packages/routing/host_picker.cpp
@@ -0,0 +1,103 @@
+#include "routing/host_picker.h"
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+// Added for a host to avoid; larger than any expected time, so it is the last choice.
+constexpr double avoidCost = 10;
+
+} // namespace
+
+HostPicker::HostPicker(HostPickerSettings pickerSettings)
+    : settings(pickerSettings)
+{}
+
+void HostPicker::noteLoad(const std::string &node, const HostLoad &load, Time now)
+{
+    State &state = this->states[node];
+    state.load = load;
+    state.reported = now;
+}
+
+void HostPicker::noteSent(const std::string &node)
+{
+    ++this->states[node].sent;
+}
+
+void HostPicker::noteEnd(const std::string &node, CallEnd end, Time now)
+{
+    State &state = this->states[node];
+    state.sent -= std::min(1U, state.sent);
+    switch (end) {
+    case CallEnd::Answered:
+        state.failures = 0;
+        break;
+    case CallEnd::Lost:
+    case CallEnd::TimedOut: {
+        constexpr std::uint32_t mostDoublings = 4;
+        const auto factor = 1 << std::min(state.failures, mostDoublings);
+        ++state.failures;
+        state.avoidUntil = now
+                           + std::min(this->settings.longestAvoid,
+                                      this->settings.avoidAfterFailure * factor);
+        break;
+    }
+    case CallEnd::Refused:
+    case CallEnd::Cancelled:
+        break;
+    }
+}
+
+double HostPicker::cost(const HostCandidate &candidate, Time now) const
+{
+    double distance = 0;
+    if (candidate.distance == HostDistance::SameRegion) {
+        distance = seconds(this->settings.otherCentreCost);
+    } else if (candidate.distance == HostDistance::OtherRegion) {
+        distance = seconds(this->settings.otherRegionCost);
+    }
+    const auto found = this->states.find(candidate.node);
+    if (found == this->states.end()) {
+        return distance + this->settings.assumedServiceSeconds;
+    }
+    const State &state = found->second;
+    const bool isFresh = now - state.reported < this->settings.loadMemory;
+    const double service = state.load.serviceSeconds > 0 ? state.load.serviceSeconds
+                                                         : this->settings.assumedServiceSeconds;
+    const std::uint32_t inFlight = std::max(isFresh ? state.load.inFlight : 0, state.sent);
+    const double slots = std::max(1U, state.load.slots);
+    // Up to the last slot a request starts at once; beyond, it waits for others.
+    const double waiting = std::max(0.0, inFlight + 1 - slots) / slots;
+    const double share = inFlight / slots; // spreads requests before slots are full
+    const double avoid = now < state.avoidUntil ? avoidCost : 0;
+    const double unusable = isFresh && !state.load.isUsable ? avoidCost : 0;
+    return distance + service * (1 + waiting + share / 2) + avoid + unusable;
+}
+
+std::optional<std::string> HostPicker::pick(const std::vector<HostCandidate> &candidates, Time now)
+{
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    ++this->turn;
+    std::size_t best = 0;
+    double bestCost = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const std::size_t index = (i + this->turn) % candidates.size();
+        const double cost = this->cost(candidates[index], now);
+        if (i == 0 || cost < bestCost) {
+            best = index;
+            bestCost = cost;
+        }
+    }
+    return candidates[best].node;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/cluster_view.cpp
@@ -0,0 +1,176 @@
+#include "stage/cluster_view.h"
+
+#include "base/log.h"
+#include "base/text.h"
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+UpstreamPhase decodePhase(wire::UpstreamPhase phase)
+{
+    switch (phase) {
+    case wire::UPSTREAM_READY:
+        return UpstreamPhase::Ready;
+    case wire::UPSTREAM_DRAINING:
+        return UpstreamPhase::Draining;
+    case wire::UPSTREAM_ENDED:
+        return UpstreamPhase::Ended;
+    default:
+        return UpstreamPhase::Absent;
+    }
+}
+
+HostInfo decodeHost(const wire::HostRecord &record)
+{
+    return {.node = record.node(),
+            .dataCentre = record.data_centre(),
+            .region = record.region(),
+            .service = record.service(),
+            .life = {.id = record.upstream_id(), .bornMs = record.born_ms()},
+            .slots = std::max(1U, record.slots()),
+            .phase = decodePhase(record.phase())};
+}
+
+} // namespace
+
+void ClusterView::applyConfiguration(Configuration newer, std::string bytes)
+{
+    if (this->current && newer.version <= this->current->version) {
+        return;
+    }
+    logInfo(LogPart::Rules, "configuration in force",
+            {{"version", std::to_string(newer.version)},
+             {"before", std::to_string(this->current ? this->current->version : 0)},
+             {"routes", std::to_string(newer.routes.size())}});
+    this->current = std::make_shared<const Configuration>(std::move(newer));
+    this->currentBytes = std::move(bytes);
+    if (this->hooks.configurationChanged) {
+        this->hooks.configurationChanged();
+    }
+}
+
+void ClusterView::applyHost(const std::string &node, std::uint64_t offset, const std::string &bytes)
+{
+    const auto found = this->hostsByNode.find(node);
+    if (found != this->hostsByNode.end() && found->second.offset >= offset) {
+        return;
+    }
+    wire::HostRecord record;
+    const bool isReadable = record.ParseFromString(bytes) && record.node() == node;
+    const auto address = Address::parse(record.address());
+    if (!isReadable || !address.ok()) {
+        logWarning(LogPart::Log, "record of a host ignored because it cannot be read",
+                   {{"node", node}, {"offset", std::to_string(offset)}});
+        return;
+    }
+    KnownHost &host = this->hostsByNode[node];
+    host = {.info = decodeHost(record),
+            .address = *address,
+            .incarnation = record.incarnation(),
+            .offset = offset,
+            .bytes = bytes};
+    this->noteHostsEnd(offset + 1);
+    logInfo(LogPart::Log, "host known",
+            {{"node", node},
+             {"upstream", host.info.life.id},
+             {"phase", std::string(upstreamPhaseNames.nameOf(host.info.phase))},
+             {"offset", std::to_string(offset)}});
+    if (this->hooks.hostChanged) {
+        this->hooks.hostChanged(host);
+    }
+}
+
+void ClusterView::applyTable(const std::string &service, std::uint64_t offset,
+                             const std::string &bytes)
+{
+    const auto found = this->tables.find(service);
+    if (found != this->tables.end() && found->second.table.end >= offset + 1) {
+        return;
+    }
+    auto table = KeyTable::decode(bytes, offset + 1);
+    if (!table.ok()) {
+        logError(LogPart::Slots, "key table ignored because it cannot be read",
+                 {{"service", service},
+                  {"offset", std::to_string(offset)},
+                  {"reason", std::string(toStd(table.status().message()))}});
+        return;
+    }
+    logInfo(LogPart::Slots, "key table read",
+            {{"service", service},
+             {"end", std::to_string(table->end)},
+             {"sessions", std::to_string(table->sessions.size())},
+             {"ranges", std::to_string(table->ranges.size())},
+             {"writer", table->writer}});
+    this->tables[service] = {.table = *std::move(table), .bytes = bytes};
+    this->noteTablesEnd(offset + 1);
+    if (this->hooks.tableChanged) {
+        this->hooks.tableChanged(service);
+    }
+}
+
+void ClusterView::noteHostsEnd(std::uint64_t end)
+{
+    this->readHosts = std::max(this->readHosts, end);
+}
+
+void ClusterView::noteTablesEnd(std::uint64_t end)
+{
+    this->readTables = std::max(this->readTables, end);
+}
+
+const KnownHost *ClusterView::host(const std::string &node) const
+{
+    const auto found = this->hostsByNode.find(node);
+    return found == this->hostsByNode.end() ? nullptr : &found->second;
+}
+
+const KeyTable *ClusterView::table(const std::string &service) const
+{
+    const auto found = this->tables.find(service);
+    return found == this->tables.end() ? nullptr : &found->second.table;
+}
+
+wire::Known ClusterView::known() const
+{
+    wire::Known known;
+    known.set_config_version(this->current ? this->current->version : 0);
+    known.set_hosts_end(this->readHosts);
+    known.set_tables_end(this->readTables);
+    return known;
+}
+
+bool ClusterView::isBehind(const wire::Known &other) const
+{
+    return other.config_version() > (this->current ? this->current->version : 0)
+           || other.hosts_end() > this->readHosts || other.tables_end() > this->readTables;
+}
+
+wire::StateReply ClusterView::stateSince(const wire::Known &other) const
+{
+    wire::StateReply state;
+    *state.mutable_known() = this->known();
+    if (this->current && this->current->version > other.config_version()) {
+        state.set_config(this->currentBytes);
+    }
+    for (const auto &[node, host] : this->hostsByNode) {
+        if (host.offset + 1 > other.hosts_end()) {
+            wire::StateItem &item = *state.add_hosts();
+            item.set_key(node);
+            item.set_offset(host.offset);
+            item.set_value(host.bytes);
+        }
+    }
+    for (const auto &[service, known] : this->tables) {
+        if (known.table.end > other.tables_end()) {
+            wire::StateItem &item = *state.add_tables();
+            item.set_key(service);
+            item.set_offset(known.table.end - 1);
+            item.set_value(known.bytes);
+        }
+    }
+    return state;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/coordinator.cpp
@@ -0,0 +1,209 @@
+#include "stage/coordinator.h"
+
+#include "base/hash.h"
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+using platform::AppendEnd;
+using platform::AppendResult;
+using platform::StoreTopic;
+
+Coordinator::Coordinator(FiberThread &coordinatorThread, const std::string &ownNode,
+                         const std::string &ownService, ClusterView &clusterView,
+                         LinkPool &linkPool, platform::StoreClient &storeClient,
+                         Metrics &stageMetrics, CoordinatorHooks coordinatorHooks,
+                         CoordinatorSettings coordinatorSettings)
+    : thread(coordinatorThread)
+    , node(ownNode)
+    , service(ownService)
+    , view(clusterView)
+    , links(linkPool)
+    , store(storeClient)
+    , metrics(stageMetrics)
+    , hooks(std::move(coordinatorHooks))
+    , settings(coordinatorSettings)
+    , load(coordinatorSettings.loadMemory)
+{}
+
+void Coordinator::advance(Time now)
+{
+    const ConfigurationPtr configuration = this->view.configuration();
+    const ServiceInfo *info = configuration ? configuration->service(this->service) : nullptr;
+    if (info == nullptr || !info->hasKeys) {
+        return;
+    }
+    const std::string acting = this->actingNode(now);
+    const bool acts = acting == this->node;
+    if (acts != this->isActing) {
+        this->isActing = acts;
+        this->actingSince = now;
+        logInfo(LogPart::Slots, acts ? "this host writes the key table" : "another host writes it",
+                {{"service", this->service}, {"node", acting}});
+    }
+    if (now - this->reportedAt >= this->settings.reportEvery) {
+        this->reportedAt = now;
+        this->report(acting, now);
+    }
+    if (acts && !this->isWriting && now - this->plannedAt >= this->settings.planEvery) {
+        this->plannedAt = now;
+        this->plan(now);
+    }
+}
+
+std::string Coordinator::actingNode(Time now) const
+{
+    std::string best = this->node;
+    std::uint64_t bestOrder = hashPair(hashBytes(this->service), hashBytes(this->node));
+    for (const auto &[name, host] : this->view.hosts()) {
+        const auto suspect = this->suspectUntil.find(name);
+        const bool isSuspect = suspect != this->suspectUntil.end() && now < suspect->second;
+        if (host.info.service != this->service || name == this->node || isSuspect) {
+            continue;
+        }
+        const std::uint64_t order = hashPair(hashBytes(this->service), hashBytes(name));
+        if (order < bestOrder) {
+            best = name;
+            bestOrder = order;
+        }
+    }
+    return best;
+}
+
+void Coordinator::report(const std::string &acting, Time now)
+{
+    wire::LinkFrame frame;
+    wire::LoadReport &report = *frame.mutable_load_report();
+    report = this->hooks.makeReport();
+    for (const auto &[key, count] : this->hooks.takeKeyCounts()) {
+        wire::KeyCount &added = *report.add_counts();
+        added.set_key(key);
+        added.set_count(count);
+    }
+    if (acting == this->node) {
+        this->noteReport(this->node, report, now);
+        return;
+    }
+    this->links.call(acting, frame, {}, this->settings.reportLimit,
+                     [this, acting](LinkEnd end, const LinkMessage &answer) {
+                         if (end == LinkEnd::Answered) {
+                             this->hooks.known(acting, answer.head.load_ack().known());
+                         } else {
+                             this->suspectUntil[acting] =
+                                     readBootTime() + this->settings.suspectFor;
+                         }
+                     });
+}
+
+void Coordinator::noteReport(const std::string &reporter, const wire::LoadReport &report, Time now)
+{
+    for (const wire::KeyCount &count : report.counts()) {
+        this->load.add(count.key(), count.count(), now);
+    }
+    this->suspectUntil.erase(reporter);
+    if (report.session() == 0) {
+        return;
+    }
+    constexpr double millisecondsPerSecond = 1000;
+    Report &kept = this->reports[report.session()];
+    kept.at = now;
+    kept.content = {.isFailing = report.failing(),
+                    .isStopping = report.stopping(),
+                    .serviceSeconds = report.service_ms() / millisecondsPerSecond,
+                    .tablesEnd = report.known().tables_end(),
+                    .unsettled = {report.unsettled().begin(), report.unsettled().end()}};
+}
+
+PlanInput Coordinator::makeInput(const KeyTable &table, Time now) const
+{
+    PlanInput input{.table = &table,
+                    .newEnd = this->view.tablesEnd() + 1,
+                    .node = this->node,
+                    .load = &this->load,
+                    .mayBalance = now - this->balancedAt >= this->settings.balanceEvery,
+                    .planningFor = now - this->actingSince,
+                    .now = now};
+    for (const auto &[name, host] : this->view.hosts()) {
+        input.hosts.push_back(host.info);
+        const Duration unheard = now - this->links.lastHeard(name);
+        const bool isDown = this->links.isDown(name, now) && unheard > this->settings.suspectFor;
+        input.hosts.back().isReachable = name == this->node || !isDown;
+    }
+    for (const auto &[session, report] : this->reports) {
+        SessionReport &added = input.reports[session];
+        added = report.content;
+        added.silence = now - report.at;
+    }
+    return input;
+}
+
+void Coordinator::plan(Time now)
+{
+    const KeyTable *known = this->view.table(this->service);
+    const Duration settled = now - std::max(this->hostsChangedAt, this->actingSince);
+    if (known == nullptr && settled < this->settings.settle) {
+        return; // hosts start at almost the same time
+    }
+    const KeyTable empty = KeyTable::createEmpty(this->service);
+    const PlanInput input = this->makeInput(known != nullptr ? *known : empty, now);
+    std::optional<KeyTable> next = planKeyTable(input, this->settings.planner);
+    if (input.mayBalance) {
+        this->balancedAt = now;
+    }
+    if (next) {
+        this->write(*std::move(next));
+    }
+}
+
+void Coordinator::write(KeyTable table)
+{
+    this->isWriting = true;
+    this->thread.spawn([this, table = std::move(table)] {
+        const std::uint64_t expectedEnd = table.end - 1;
+        const std::string bytes = table.encode();
+        const AppendResult result =
+                this->store.append(StoreTopic::Tables, this->service, bytes, expectedEnd);
+        this->isWriting = false;
+        logInfo(LogPart::Slots, "key table written",
+                {{"service", this->service},
+                 {"end", std::to_string(table.end)},
+                 {"outcome", std::string(platform::appendEndNames.nameOf(result.end))},
+                 {"sessions", std::to_string(table.sessions.size())},
+                 {"ranges", std::to_string(table.ranges.size())}});
+        switch (result.end) {
+        case AppendEnd::Done:
+            this->metrics.count(Metric::TablesWritten);
+            this->view.applyTable(this->service, expectedEnd, bytes);
+            this->push(bytes, table.end);
+            break;
+        case AppendEnd::Conflict:
+            this->metrics.count(Metric::TableConflicts);
+            break;
+        case AppendEnd::NotDone:
+        case AppendEnd::Unknown:
+            break; // the next plan starts from what the follower has read by then
+        }
+    });
+}
+
+// Tells the hosts of the service at once, as some wait for their turn to read the store.
+void Coordinator::push(const std::string &bytes, std::uint64_t end)
+{
+    wire::LinkFrame frame;
+    wire::StateReply &state = *frame.mutable_state_reply();
+    *state.mutable_known() = this->view.known();
+    wire::StateItem &item = *state.add_tables();
+    item.set_key(this->service);
+    item.set_offset(end - 1);
+    item.set_value(bytes);
+    for (const auto &[name, host] : this->view.hosts()) {
+        if (name != this->node && host.info.service == this->service) {
+            this->links.call(name, frame, {}, this->settings.reportLimit,
+                             [](LinkEnd, const LinkMessage &) {});
+        }
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/coordinator.h
@@ -0,0 +1,96 @@
+// Writes the key table of one service. Every host of the service runs one; the first reachable one
+// in a hashed order acts, the others report to it. Two that act at once do no harm, as the store
+// takes a table only if it was made from the newest one.
+//
+// Sections: hooks, Coordinator.
+#pragma once
+
+#include "keyspace/range_planner.h"
+#include "platform/store.h"
+#include "stage/cluster_view.h"
+#include "stage/link.h"
+#include "stage/metrics.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace kumquat {
+
+// ---- Hooks ----
+
+struct CoordinatorHooks
+{
+    std::function<wire::LoadReport()> makeReport; // of this host, without the key counts
+    std::function<std::map<ShardKey, std::uint32_t>()> takeKeyCounts;
+    std::function<void(const std::string &node, const wire::Known &known)> known;
+};
+
+struct CoordinatorSettings
+{
+    Duration reportEvery = 400ms;
+    Duration planEvery = 200ms;
+    Duration balanceEvery = 1s;
+    Duration reportLimit = 900ms;    // for the answer; then the next host in the order takes over
+    Duration suspectFor = 2s;        // a host that did not answer
+    Duration settle = 500ms;         // after the last news of hosts, before the first table
+    Duration loadMemory = 3s;        // of the request rate of a key
+    PlannerSettings planner;
+};
+
+// ---- Coordinator ----
+
+// Used on one thread.
+class Coordinator
+{
+public:
+    Coordinator(FiberThread &coordinatorThread, const std::string &ownNode,
+                const std::string &ownService, ClusterView &clusterView, LinkPool &linkPool,
+                platform::StoreClient &storeClient, Metrics &stageMetrics,
+                CoordinatorHooks coordinatorHooks, CoordinatorSettings coordinatorSettings = {});
+
+    // Call every 100 ms.
+    void advance(Time now);
+
+    // Sends a report at the next advance, after a change at this host.
+    void reportSoon() { this->reportedAt = -1h; }
+
+    void noteReport(const std::string &node, const wire::LoadReport &report, Time now);
+    void noteHostChanged(Time now) { this->hostsChangedAt = now; }
+
+private:
+    struct Report
+    {
+        SessionReport content;
+        Time at{};
+    };
+
+    std::string actingNode(Time now) const;
+    void report(const std::string &acting, Time now);
+    void plan(Time now);
+    PlanInput makeInput(const KeyTable &table, Time now) const;
+    void write(KeyTable table);
+    void push(const std::string &bytes, std::uint64_t end);
+
+    FiberThread &thread;
+    std::string node;
+    std::string service;
+    ClusterView &view;
+    LinkPool &links;
+    platform::StoreClient &store;
+    Metrics &metrics;
+    CoordinatorHooks hooks;
+    CoordinatorSettings settings;
+    KeyLoad load;
+    std::map<std::uint64_t, Report> reports;   // by session
+    std::map<std::string, Time> suspectUntil;  // by node
+    Time reportedAt = -1h;
+    Time plannedAt = -1h;
+    Time balancedAt = -1h;
+    Time hostsChangedAt{};
+    Time actingSince{};
+    bool isActing = false;
+    bool isWriting = false;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/executor.cpp
@@ -0,0 +1,457 @@
+#include "stage/executor.h"
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "platform/upstream.h"
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+constexpr HttpClientLimits upstreamLimits{.maxIdle = 24,
+                                          .maxBodyBytes = 64ULL * 1024 * 1024,
+                                          .connectLimit = 400ms};
+
+// A connection that was idle for longer may just have been closed by the upstream. A request that
+// must not run twice can't be sent again after that, so it gets a new connection.
+constexpr Duration freshIdle = 1500ms;
+
+// Wait that a refused caller is told for keys that are moving.
+constexpr Duration pendingRetry = 250ms;
+
+constexpr double serviceWeight = 0.05; // of one request in the mean time
+
+constexpr int statusUnavailable = 503;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+std::uint32_t milliseconds(Duration duration)
+{
+    return static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+Fingerprint fingerprintOf(const wire::Execute &execute, const std::string &body)
+{
+    const std::uint64_t head = hashBytes(execute.method(), hashBytes(execute.target()));
+    return hashBytes(body, hashPair(head, execute.has_key() ? execute.key() : lastShardKey + 1));
+}
+
+std::string_view outcomeText(wire::ExecuteOutcome outcome)
+{
+    switch (outcome) {
+    case wire::EXECUTE_ANSWERED:
+        return "answered";
+    case wire::EXECUTE_REFUSED:
+        return "refused";
+    case wire::EXECUTE_MISPLACED:
+        return "misplaced";
+    case wire::EXECUTE_REJECTED:
+        return "rejected";
+    case wire::EXECUTE_LOST:
+        return "lost";
+    case wire::EXECUTE_TIMED_OUT:
+        return "timed-out";
+    default:
+        return "not-sent";
+    }
+}
+
+} // namespace
+
+Executor::Executor(FiberThread &executorThread, UpstreamMonitor &upstreamMonitor,
+                   Metrics &stageMetrics, ExecutorSettings executorSettings,
+                   ExecutorHooks executorHooks)
+    : thread(executorThread)
+    , monitor(upstreamMonitor)
+    , metrics(stageMetrics)
+    , settings(std::move(executorSettings))
+    , hooks(std::move(executorHooks))
+    , client(executorThread.io(), this->settings.upstream, upstreamLimits)
+    , limiter(1, 1, false, readBootTime(), this->settings.limiter)
+{}
+
+// ---- One request ----
+
+ExecuteResult Executor::run(const wire::Execute &execute, std::string body, ExecuteCaller caller)
+{
+    const Time started = readBootTime();
+    const Time deadline = started + std::chrono::milliseconds(execute.remaining_ms());
+    const auto run = std::make_shared<Run>(this->thread.io());
+    run->caller = caller;
+    run->isIdempotent = execute.idempotent();
+    run->fingerprint = fingerprintOf(execute, body);
+    const std::uint64_t number = ++this->lastNumber;
+    this->running[number] = run;
+    ExecuteResult result = this->runNow(execute, std::move(body), run, number, deadline);
+    this->running.erase(number);
+    this->dispatchNext();
+    const Time now = readBootTime();
+    result.reply.set_tables_end(this->hooks.tablesEnd());
+    const wire::UpstreamLoad load = this->load({}, now);
+    result.reply.set_in_flight(load.in_flight());
+    result.reply.set_slots(load.slots());
+    result.reply.set_service_ms(load.service_ms());
+    this->log(execute, result, now - started);
+    return result;
+}
+
+ExecuteResult Executor::runNow(const wire::Execute &execute, std::string body, const RunPtr &run,
+                               std::uint64_t number, Time deadline)
+{
+    const Time now = readBootTime();
+    if (execute.service() != this->settings.service || !this->monitor.mayServe(now)) {
+        return this->makeResult(wire::EXECUTE_MISPLACED, pendingRetry);
+    }
+    if (execute.has_key() && this->hooks.hasKeys()) {
+        ++this->keyCounts[execute.key()];
+    }
+    if (!this->waitForKey(execute, *run, deadline)) {
+        const bool isElsewhere =
+                this->hooks.access(execute.key(), readBootTime()) == KeyAccess::Elsewhere;
+        return this->makeResult(isElsewhere ? wire::EXECUTE_MISPLACED : wire::EXECUTE_REFUSED,
+                                pendingRetry);
+    }
+    const RunPermit permit = this->guard.startRun(run->fingerprint, readBootTime());
+    if (permit == RunPermit::Quarantined || permit == RunPermit::Wait) {
+        return this->makeResult(wire::EXECUTE_REFUSED, 1s);
+    }
+    Duration retryAfter{};
+    ExecuteResult result;
+    CallEnd end = CallEnd::Cancelled;
+    if (!this->waitForSlot(execute, run, number, deadline, retryAfter)) {
+        result = this->makeResult(wire::EXECUTE_REFUSED, retryAfter);
+    } else {
+        // The keys may have moved while the request waited.
+        const Time sendTime = readBootTime();
+        const bool isHeld = !this->hooks.hasKeys() || !execute.has_key()
+                            || this->hooks.access(execute.key(), sendTime) == KeyAccess::Held;
+        if (!isHeld || !this->monitor.mayServe(sendTime)) {
+            result = this->makeResult(wire::EXECUTE_MISPLACED, pendingRetry);
+        } else {
+            result = this->send(execute, std::move(body), *run, deadline, end);
+        }
+        this->limiter.finish(number, end, readBootTime());
+    }
+    this->guard.endRun(permit, run->fingerprint, end == CallEnd::Answered);
+    return result;
+}
+
+ExecuteResult Executor::makeResult(wire::ExecuteOutcome outcome, Duration retryAfter) const
+{
+    ExecuteResult result;
+    result.reply.set_outcome(outcome);
+    result.reply.set_retry_after_ms(milliseconds(retryAfter));
+    return result;
+}
+
+// Returns false if the key is elsewhere or does not come in time.
+bool Executor::waitForKey(const wire::Execute &execute, Run &run, Time deadline)
+{
+    if (!this->hooks.hasKeys()) {
+        return true;
+    }
+    if (!execute.has_key()) {
+        return false;
+    }
+    const Time limit = std::min(deadline, readBootTime() + this->settings.longestPending);
+    while (!run.isCancelled) {
+        const Time now = readBootTime();
+        switch (this->hooks.access(execute.key(), now)) {
+        case KeyAccess::Held:
+            return true;
+        case KeyAccess::Elsewhere:
+            return false;
+        case KeyAccess::Pending:
+            break;
+        }
+        if (now >= limit) {
+            return false;
+        }
+        this->wait(run, limit - now);
+    }
+    return false;
+}
+
+bool Executor::waitForSlot(const wire::Execute &execute, const RunPtr &run, std::uint64_t number,
+                           Time deadline, Duration &retryAfter)
+{
+    if (run->isCancelled) {
+        return false;
+    }
+    const Time now = readBootTime();
+    const Admission admission = this->limiter.admit(number, deadline, now, execute.priority());
+    this->dispatchNext();
+    if (admission.action == AdmitAction::Refuse) {
+        retryAfter = admission.retryAfter;
+        return false;
+    }
+    run->isDispatched = run->isDispatched || admission.action == AdmitAction::Dispatch;
+    while (!run->isDispatched && !run->isDropped && !run->isCancelled) {
+        this->wait(*run, std::max(deadline - readBootTime(), Duration(1ms)));
+        if (readBootTime() >= deadline && !run->isDispatched) {
+            break;
+        }
+    }
+    if (run->isDispatched && run->isCancelled) {
+        this->limiter.finish(number, CallEnd::Cancelled, readBootTime());
+        return false;
+    }
+    if (!run->isDispatched) {
+        this->limiter.cancelWaiting(number, readBootTime());
+        retryAfter = run->retryAfter;
+    }
+    return run->isDispatched;
+}
+
+ExecuteResult Executor::send(const wire::Execute &execute, std::string body, Run &run, Time deadline,
+                             CallEnd &end)
+{
+    const Time started = readBootTime();
+    const Duration remaining = deadline - started;
+    if (remaining < this->settings.leastRemaining || run.isCancelled) {
+        return this->makeResult(wire::EXECUTE_REFUSED);
+    }
+    run.isSent = true;
+    run.call = std::make_shared<HttpCallHandle>();
+    const UpstreamLife life = this->monitor.life();
+    HttpCallOptions options{.limit = remaining,
+                            .belongs =
+                                    [&execute](const HttpResponse &response) {
+                                        return platform::judgeUpstreamAnswer(response, execute.id())
+                                                .isOwn;
+                                    },
+                            .maxIdle = run.isIdempotent ? Duration::max() : freshIdle,
+                            .mayEndWithConnection = true,
+                            .handle = run.call};
+    this->metrics.count(Metric::UpstreamSent);
+    auto answer = this->client.call(
+            platform::encodeUpstreamRequest(execute, std::move(body), remaining, life), options);
+    const Time now = readBootTime();
+    ExecuteResult result = this->judge(execute, std::move(answer), run, end);
+    if (end == CallEnd::Answered) {
+        const double sample = seconds(now - started);
+        this->serviceSeconds += this->serviceSeconds == 0
+                                        ? sample
+                                        : serviceWeight * (sample - this->serviceSeconds);
+    }
+    if (end == CallEnd::Lost && !run.isCancelled && run.isSent) {
+        this->noteCrash(now);
+    }
+    return result;
+}
+
+ExecuteResult Executor::judge(const wire::Execute &execute, absl::StatusOr<HttpResponse> answer,
+                              const Run &run, CallEnd &end)
+{
+    if (!answer.ok()) {
+        const ErrorKind kind = errorKindOf(answer.status());
+        if (run.call->wasRefused()) {
+            this->monitor.noteRefused(readBootTime());
+        }
+        if (kind == ErrorKind::UpstreamUnreachable) {
+            end = CallEnd::Lost;
+            this->monitor.noteSilence();
+            return this->makeResult(wire::EXECUTE_NOT_SENT, pendingRetry);
+        }
+        if (run.isCancelled) {
+            end = CallEnd::Cancelled;
+            return this->makeResult(wire::EXECUTE_LOST);
+        }
+        const bool isLate = kind == ErrorKind::UpstreamTimeout;
+        end = isLate ? CallEnd::TimedOut : CallEnd::Lost;
+        this->metrics.count(isLate ? Metric::UpstreamTimedOut : Metric::UpstreamLost);
+        return this->makeResult(isLate ? wire::EXECUTE_TIMED_OUT : wire::EXECUTE_LOST);
+    }
+    this->monitor.noteAnswer();
+    const platform::UpstreamVerdict verdict =
+            platform::judgeUpstreamAnswer(*answer, execute.id());
+    if (verdict.wasNotRun) {
+        end = CallEnd::Refused;
+        this->metrics.count(Metric::UpstreamRefused);
+        return this->makeResult(verdict.isMisplaced ? wire::EXECUTE_MISPLACED
+                                                    : wire::EXECUTE_REJECTED,
+                                pendingRetry);
+    }
+    end = CallEnd::Answered;
+    if (!verdict.isGenuine) {
+        this->metrics.count(Metric::UpstreamLost);
+        return this->makeResult(wire::EXECUTE_LOST);
+    }
+    ExecuteResult result = this->makeResult(wire::EXECUTE_ANSWERED);
+    result.reply.set_status(answer->status);
+    for (HttpField &field : answer->fields) {
+        wire::Field &kept = *result.reply.add_fields();
+        kept.set_name(std::move(field.name));
+        kept.set_value(std::move(field.value));
+    }
+    result.body = std::move(answer->body);
+    return result;
+}
+
+// A connection that breaks while a request runs may be a crash; the requests that ran then are
+// watched, so that one which crashes every upstream is stopped.
+void Executor::noteCrash(Time now)
+{
+    std::vector<Fingerprint> fingerprints;
+    for (const auto &[number, run] : this->running) {
+        if (run->isSent && !run->isCancelled) {
+            fingerprints.push_back(run->fingerprint);
+        }
+    }
+    if (this->monitor.isRefusing()) {
+        const std::uint64_t crash =
+                hashBytes(this->monitor.life().id,
+                          static_cast<std::uint64_t>(this->monitor.life().bornMs));
+        this->guard.blame(fingerprints, crash, now);
+    }
+}
+
+// ---- Waiting ----
+
+void Executor::wait(Run &run, Duration limit)
+{
+    run.event->waitFor(limit);
+    run.event = std::make_unique<FiberEvent>(this->thread.io());
+}
+
+void Executor::wake(Run &run) const
+{
+    run.event->notify();
+}
+
+void Executor::dispatchNext()
+{
+    const LimiterOutput output = this->limiter.takeOutput();
+    for (const RequestNumber number : output.dispatch) {
+        const auto found = this->running.find(number);
+        if (found == this->running.end()) {
+            this->limiter.finish(number, CallEnd::Cancelled, readBootTime());
+            continue;
+        }
+        found->second->isDispatched = true;
+        this->wake(*found->second);
+    }
+    for (const DroppedRequest &dropped : output.dropped) {
+        const auto found = this->running.find(dropped.request);
+        if (found != this->running.end()) {
+            found->second->isDropped = true;
+            found->second->retryAfter = dropped.retryAfter;
+            this->wake(*found->second);
+        }
+    }
+}
+
+void Executor::cancel(ExecuteCaller caller)
+{
+    for (const auto &[number, run] : this->running) {
+        if (run->caller != caller || run->isCancelled) {
+            continue;
+        }
+        if (run->isSent && !run->isIdempotent) {
+            return; // it runs to its end: breaking it off would leave its effect unknown
+        }
+        run->isCancelled = true;
+        if (run->call) {
+            run->call->cancel();
+        }
+        this->wake(*run);
+        return;
+    }
+}
+
+void Executor::cancelAll(std::uint64_t connection)
+{
+    std::vector<ExecuteCaller> callers;
+    for (const auto &[number, run] : this->running) {
+        if (run->caller.connection == connection) {
+            callers.push_back(run->caller);
+        }
+    }
+    for (const ExecuteCaller &caller : callers) {
+        this->cancel(caller);
+    }
+}
+
+void Executor::noteAccessChanged()
+{
+    for (const auto &[number, run] : this->running) {
+        if (!run->isSent && !run->isDispatched) {
+            this->wake(*run);
+        }
+    }
+}
+
+void Executor::noteUpstream(Time now)
+{
+    if (this->monitor.life() == this->limitedLife) {
+        return;
+    }
+    this->limitedLife = this->monitor.life();
+    this->serviceSeconds = 0;
+    this->client.dropIdle();
+    constexpr std::uint32_t connectionsPerSlot = 4;
+    const std::uint32_t slots = this->monitor.slots();
+    this->limiter.announce(slots, slots * connectionsPerSlot, now);
+    this->limiter = EndpointLimiter(slots, slots, false, now, this->settings.limiter);
+    for (const auto &[number, run] : this->running) {
+        // What ran at the former life is over; what waited is refused.
+        if (!run->isSent) {
+            run->isDropped = true;
+            this->wake(*run);
+        }
+    }
+}
+
+void Executor::advance(Time now)
+{
+    this->limiter.advance(now);
+    this->dispatchNext();
+}
+
+// ---- Reports ----
+
+wire::UpstreamLoad Executor::load(const std::string &node, Time now) const
+{
+    wire::UpstreamLoad load;
+    load.set_node(node);
+    load.set_usable(this->monitor.mayServe(now));
+    load.set_in_flight(
+            static_cast<std::uint32_t>(this->limiter.inFlight() + this->limiter.waiting()));
+    load.set_slots(this->monitor.slots());
+    constexpr double millisecondsPerSecond = 1000;
+    load.set_service_ms(static_cast<std::uint32_t>(this->serviceSeconds * millisecondsPerSecond));
+    return load;
+}
+
+std::map<ShardKey, std::uint32_t> Executor::takeKeyCounts()
+{
+    return std::exchange(this->keyCounts, {});
+}
+
+void Executor::log(const wire::Execute &execute, const ExecuteResult &result,
+                   Duration elapsed) const
+{
+    if (result.reply.outcome() == wire::EXECUTE_ANSWERED
+        && result.reply.status() < statusUnavailable) {
+        return; // the process that took the request logs it
+    }
+    logInfo(LogPart::Upstream, "request ended at this host",
+            {{"request", execute.id()},
+             {"outcome", std::string(outcomeText(result.reply.outcome()))},
+             {"status", std::to_string(result.reply.status())},
+             {"key", execute.has_key() ? std::to_string(execute.key()) : "none"},
+             {"upstream", this->monitor.life().id},
+             {"phase", std::string(upstreamPhaseNames.nameOf(this->monitor.phase()))},
+             {"tables", std::to_string(this->hooks.tablesEnd())},
+             {"inFlight", std::to_string(this->limiter.inFlight())},
+             {"waiting", std::to_string(this->limiter.waiting())},
+             {"remainingMs", std::to_string(execute.remaining_ms())},
+             {"ms", std::to_string(milliseconds(elapsed))}});
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/executor.h
@@ -0,0 +1,148 @@
+// Runs requests at the upstream beside this process: checks that it holds the key, limits how many
+// run at a time, and says truly whether a request has run.
+//
+//   executor.run(std::move(execute), std::move(body), caller, [](ExecuteResult result) { ... });
+//   executor.cancel(caller);
+//
+// Sections: results, hooks, Executor.
+#pragma once
+
+#include "net/http_client.h"
+#include "stage/metrics.h"
+#include "stage/upstream_monitor.h"
+#include "traffic/crash_guard.h"
+#include "traffic/limiter.h"
+#include "wire/stage.pb.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace kumquat {
+
+// ---- Results ----
+
+struct ExecuteResult
+{
+    wire::ExecuteReply reply;
+    std::string body;
+};
+
+// Who waits for a request: a connection between processes and a call on it, or this process itself
+// (connection 0).
+struct ExecuteCaller
+{
+    std::uint64_t connection = 0;
+    std::uint64_t call = 0;
+
+    auto operator<=>(const ExecuteCaller &) const = default;
+};
+
+// ---- Hooks ----
+
+struct ExecutorHooks
+{
+    std::function<KeyAccess(ShardKey key, Time now)> access; // of a key
+    std::function<bool()> hasKeys;            // the upstream's service is divided by key
+    std::function<std::uint64_t()> tablesEnd; // up to where this process has read the tables
+};
+
+struct ExecutorSettings
+{
+    std::string service;
+    Address upstream;
+    // Requests for keys that are on their way to this host wait so long; a handover takes the time
+    // of the work that runs, some 300 ms.
+    Duration longestPending = 700ms;
+    Duration leastRemaining = 5ms; // with less left a request is not sent
+    LimiterSettings limiter;
+};
+
+// ---- Executor ----
+
+// Used on fibers of one thread.
+class Executor
+{
+public:
+    Executor(FiberThread &executorThread, UpstreamMonitor &upstreamMonitor, Metrics &stageMetrics,
+             ExecutorSettings executorSettings, ExecutorHooks executorHooks);
+
+    // Runs one request in the calling fiber and returns how it ended.
+    ExecuteResult run(const wire::Execute &execute, std::string body, ExecuteCaller caller);
+
+    // Gives up a request whose caller has gone: it is not sent any more, and one that may be
+    // repeated is broken off at the upstream.
+    void cancel(ExecuteCaller caller);
+    void cancelAll(std::uint64_t connection);
+
+    // Lets requests look again whether their keys are held.
+    void noteAccessChanged();
+
+    // Takes the slots of a new life of the upstream.
+    void noteUpstream(Time now);
+
+    // Drops requests that wait in vain; call every 50 ms.
+    void advance(Time now);
+
+    wire::UpstreamLoad load(const std::string &node, Time now) const;
+
+    // Returns the requests for each key since the last call.
+    std::map<ShardKey, std::uint32_t> takeKeyCounts();
+
+    std::size_t count() const { return this->running.size(); }
+
+private:
+    // One request in this process.
+    struct Run
+    {
+        explicit Run(asio::io_context &io)
+            : event(std::make_unique<FiberEvent>(io))
+        {}
+
+        ExecuteCaller caller;
+        bool isIdempotent = false;
+        bool isCancelled = false;
+        bool isSent = false;
+        bool isDropped = false;    // by the limiter
+        bool isDispatched = false; // by the limiter
+        Duration retryAfter{};
+        Fingerprint fingerprint = 0;
+        std::unique_ptr<FiberEvent> event; // a new one for each wait
+        std::shared_ptr<HttpCallHandle> call;
+    };
+    using RunPtr = std::shared_ptr<Run>;
+
+    ExecuteResult makeResult(wire::ExecuteOutcome outcome, Duration retryAfter = {}) const;
+    bool waitForKey(const wire::Execute &execute, Run &run, Time deadline);
+    bool waitForSlot(const wire::Execute &execute, const RunPtr &run, std::uint64_t number,
+                     Time deadline, Duration &retryAfter);
+    ExecuteResult runNow(const wire::Execute &execute, std::string body, const RunPtr &run,
+                         std::uint64_t number, Time deadline);
+    ExecuteResult send(const wire::Execute &execute, std::string body, Run &run, Time deadline,
+                       CallEnd &end);
+    ExecuteResult judge(const wire::Execute &execute, absl::StatusOr<HttpResponse> answer,
+                        const Run &run, CallEnd &end);
+    void dispatchNext();
+    void wake(Run &run) const;
+    void wait(Run &run, Duration limit);
+    void noteCrash(Time now);
+    void log(const wire::Execute &execute, const ExecuteResult &result, Duration elapsed) const;
+
+    FiberThread &thread;
+    UpstreamMonitor &monitor;
+    Metrics &metrics;
+    ExecutorSettings settings;
+    ExecutorHooks hooks;
+    HttpClient client;
+    EndpointLimiter limiter;
+    CrashGuard guard;
+    UpstreamLife limitedLife; // for which the limiter was made
+    std::uint64_t lastNumber = 0;
+    std::unordered_map<std::uint64_t, RunPtr> running; // by number
+    std::map<ShardKey, std::uint32_t> keyCounts;
+    double serviceSeconds = 0; // mean time of one request at the upstream
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/ingress.cpp
@@ -0,0 +1,401 @@
+#include "stage/ingress.h"
+
+#include "base/log.h"
+#include "base/text.h"
+#include "platform/upstream.h"
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+
+// Wait that a caller is told while this process has no configuration.
+constexpr Duration startRetry = 500ms;
+
+Duration shorter(Duration first, Duration second)
+{
+    return std::min(first, second);
+}
+
+HostDistance distanceOf(const HostInfo &host, const IngressSettings &own)
+{
+    if (host.node == own.node) {
+        return HostDistance::SameHost;
+    }
+    if (host.dataCentre == own.dataCentre) {
+        return HostDistance::SameDataCentre;
+    }
+    return host.region == own.region ? HostDistance::SameRegion : HostDistance::OtherRegion;
+}
+
+} // namespace
+
+struct Ingress::Attempt
+{
+    explicit Attempt(asio::io_context &io)
+        : event(std::make_shared<FiberEvent>(io))
+    {}
+
+    wire::Execute execute;
+    ConfigurationPtr configuration;
+    const Route *route = nullptr;
+    Time started{};
+    Time deadline{};       // of the answer
+    std::string node;      // tried last
+    std::uint32_t sent = 0; // times that an upstream may have got it
+    int moves = 0;          // from host to host
+    bool isGone = false;    // the caller closed its connection
+    std::string_view outcome;
+    std::uint64_t tablesEnd = 0;
+    std::function<void()> cancelCall;
+    std::shared_ptr<FiberEvent> event;
+};
+
+Ingress::Ingress(FiberThread &ingressThread, ClusterView &clusterView, LinkPool &linkPool,
+                 Executor &ownExecutor, HostPicker &hostPicker, Metrics &stageMetrics,
+                 IngressSettings ingressSettings, IngressHooks ingressHooks)
+    : thread(ingressThread)
+    , view(clusterView)
+    , links(linkPool)
+    , executor(ownExecutor)
+    , picker(hostPicker)
+    , metrics(stageMetrics)
+    , settings(std::move(ingressSettings))
+    , hooks(std::move(ingressHooks))
+{}
+
+RetryBudget &Ingress::budget(const std::string &service)
+{
+    const auto found = this->budgets.find(service);
+    if (found != this->budgets.end()) {
+        return found->second;
+    }
+    const RetryBudgetSettings initial{.share = this->settings.retryShare,
+                                      .floorPerSecond = this->settings.retryFloor};
+    return this->budgets.emplace(service, RetryBudget(initial)).first->second;
+}
+
+HttpResponse Ingress::handle(HttpRequest &request, CallerWatch &watch)
+{
+    ++this->active;
+    this->metrics.count(Metric::RequestsTaken);
+    Attempt attempt(this->thread.io());
+    attempt.started = readBootTime();
+    watch.onGone([&attempt, this] {
+        attempt.isGone = true;
+        this->metrics.count(Metric::CallersGone);
+        if (attempt.cancelCall) {
+            attempt.cancelCall();
+        }
+    });
+    const std::string host(request.field("Host"));
+    std::string body = std::move(request.body);
+    auto decoded = platform::decodeCallerRequest(request);
+    HttpResponse response;
+    if (!decoded.ok()) {
+        response = this->fail(attempt, statusBadRequest, "no-request-id");
+    } else {
+        attempt.execute = *std::move(decoded);
+        attempt.configuration = this->view.configuration();
+        attempt.route = attempt.configuration
+                                ? attempt.configuration->match(host, attempt.execute.target())
+                                : nullptr;
+        response = this->serve(attempt, body);
+    }
+    const Time now = readBootTime();
+    this->metrics.addLatency(now - attempt.started, now);
+    this->log(attempt, response.status);
+    --this->active;
+    return response;
+}
+
+HttpResponse Ingress::serve(Attempt &attempt, std::string &body)
+{
+    if (!attempt.configuration) {
+        return this->refuse(attempt, startRetry, "no-configuration");
+    }
+    if (attempt.route == nullptr) {
+        return this->fail(attempt, statusNotFound, "no-route");
+    }
+    const Route &route = *attempt.route;
+    wire::Execute &execute = attempt.execute;
+    const Duration patience = std::chrono::milliseconds(execute.remaining_ms());
+    attempt.deadline = attempt.started + shorter(patience, route.timeout);
+    const std::string &service = this->splitter.pick(route);
+    const ServiceInfo *info = attempt.configuration->service(service);
+    execute.set_service(service);
+    execute.set_caller_service(this->settings.service);
+    execute.set_idempotent(route.isIdempotent);
+    execute.set_priority(route.priority);
+    const bool hasKeys = info != nullptr && info->hasKeys;
+    if (hasKeys && !execute.has_key()) {
+        return this->fail(attempt, statusBadRequest, "no-key");
+    }
+    execute.set_has_key(hasKeys);
+    this->budget(service).noteFirstAttempt(attempt.started);
+    return this->serveFrom(attempt, body);
+}
+
+// Sends the request until it has an answer or may not be sent again.
+HttpResponse Ingress::serveFrom(Attempt &attempt, std::string &body)
+{
+    while (true) {
+        attempt.node = this->chooseHost(attempt);
+        if (attempt.node.empty()) {
+            return this->refuse(attempt, this->settings.retryAfterLost, "no-owner");
+        }
+        const ExecuteResult result = this->sendTo(attempt.node, attempt, body);
+        if (attempt.isGone) {
+            return this->fail(attempt, statusBadGateway, "caller-gone");
+        }
+        if (!this->mayRepeat(attempt, result)) {
+            return this->answer(attempt, result);
+        }
+        if (attempt.isGone || readBootTime() >= attempt.deadline) {
+            return this->answer(attempt, result);
+        }
+    }
+}
+
+// Returns the host of the owner of the key, or of the best upstream of a service without keys.
+std::string Ingress::chooseHost(const Attempt &attempt)
+{
+    const wire::Execute &execute = attempt.execute;
+    if (execute.has_key()) {
+        const KeyTable *table = this->view.table(execute.service());
+        const KeyRange *range = table != nullptr ? table->find(execute.key()) : nullptr;
+        const KeySession *owner = range != nullptr ? table->session(range->owner) : nullptr;
+        return owner != nullptr ? owner->node : std::string();
+    }
+    std::vector<HostCandidate> candidates;
+    const Time now = readBootTime();
+    for (const auto &[name, host] : this->view.hosts()) {
+        const bool isOther = attempt.moves == 0 || name != attempt.node;
+        const bool isUp = name == this->settings.node || !this->links.isDown(name, now);
+        if (host.info.service == execute.service() && host.info.phase == UpstreamPhase::Ready
+            && isOther && isUp) {
+            candidates.push_back(
+                    {.node = name, .distance = distanceOf(host.info, this->settings)});
+        }
+    }
+    return this->picker.pick(candidates, now).value_or("");
+}
+
+ExecuteResult Ingress::sendTo(const std::string &node, Attempt &attempt, const std::string &body)
+{
+    const Time now = readBootTime();
+    wire::Execute &execute = attempt.execute;
+    const Duration remaining = attempt.deadline - now;
+    execute.set_remaining_ms(static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::max(remaining, Duration(0)))
+                    .count()));
+    execute.set_tables_end(this->view.tablesEnd());
+    execute.set_repeated(attempt.sent > 0);
+    this->picker.noteSent(node);
+    ExecuteResult result;
+    if (node == this->settings.node) {
+        const ExecuteCaller caller{.connection = 0, .call = ++this->lastCall};
+        attempt.cancelCall = [this, caller] { this->executor.cancel(caller); };
+        result = this->executor.run(execute, body, caller);
+        attempt.cancelCall = nullptr;
+    } else {
+        result = this->sendAway(node, attempt, body);
+    }
+    attempt.tablesEnd = result.reply.tables_end();
+    const wire::ExecuteOutcome outcome = result.reply.outcome();
+    const bool isBroken = outcome == wire::EXECUTE_LOST || outcome == wire::EXECUTE_TIMED_OUT
+                          || outcome == wire::EXECUTE_NOT_SENT;
+    const Time end = readBootTime();
+    if (result.reply.slots() > 0) {
+        constexpr double millisecondsPerSecond = 1000;
+        this->picker.noteLoad(node,
+                              {.isUsable = outcome != wire::EXECUTE_MISPLACED,
+                               .inFlight = result.reply.in_flight(),
+                               .slots = result.reply.slots(),
+                               .serviceSeconds = result.reply.service_ms() / millisecondsPerSecond},
+                              end);
+    }
+    this->picker.noteEnd(node,
+                         attempt.isGone ? CallEnd::Cancelled
+                         : isBroken     ? CallEnd::Lost
+                                        : CallEnd::Answered,
+                         end);
+    return result;
+}
+
+// Waits for the answer of another host.
+ExecuteResult Ingress::sendAway(const std::string &node, Attempt &attempt, const std::string &body)
+{
+    struct Waiting
+    {
+        bool isDone = false;
+        ExecuteResult result;
+    };
+    const auto waiting = std::make_shared<Waiting>();
+    const std::shared_ptr<FiberEvent> event = attempt.event;
+    wire::LinkFrame frame;
+    *frame.mutable_execute() = attempt.execute;
+    const Duration limit = attempt.deadline - readBootTime() + this->settings.answerSlack;
+    const std::uint64_t call = this->links.call(
+            node, std::move(frame), body, limit, [waiting, event](LinkEnd end, LinkMessage answer) {
+                wire::ExecuteReply &reply = waiting->result.reply;
+                if (end == LinkEnd::Answered && answer.head.has_execute_reply()) {
+                    reply = std::move(*answer.head.mutable_execute_reply());
+                    waiting->result.body = std::move(answer.body);
+                } else {
+                    reply.set_outcome(end == LinkEnd::NotSent ? wire::EXECUTE_NOT_SENT
+                                                              : wire::EXECUTE_LOST);
+                }
+                waiting->isDone = true;
+                event->notify();
+            });
+    attempt.cancelCall = [this, node, call, event] {
+        this->links.cancel(node, call);
+        event->notify();
+    };
+    while (!waiting->isDone && !attempt.isGone) {
+        const Duration left = attempt.deadline + this->settings.answerSlack - readBootTime();
+        if (left <= Duration::zero()) {
+            break;
+        }
+        event->waitFor(left);
+        if (!waiting->isDone && !attempt.isGone) {
+            break;
+        }
+    }
+    attempt.cancelCall = nullptr;
+    attempt.event = std::make_shared<FiberEvent>(this->thread.io());
+    if (!waiting->isDone) {
+        this->links.cancel(node, call);
+        waiting->result.reply.set_outcome(wire::EXECUTE_TIMED_OUT);
+    }
+    return std::move(waiting->result);
+}
+
+// Decides whether the request may be sent again, and waits until it should be.
+bool Ingress::mayRepeat(Attempt &attempt, const ExecuteResult &result)
+{
+    const Time now = readBootTime();
+    const wire::ExecuteOutcome outcome = result.reply.outcome();
+    const Duration left = attempt.deadline - now;
+    const bool hasKey = attempt.execute.has_key();
+    switch (outcome) {
+    case wire::EXECUTE_ANSWERED:
+    case wire::EXECUTE_TIMED_OUT:
+        return false;
+    case wire::EXECUTE_MISPLACED:
+        if (++attempt.moves > this->settings.mostMoves || left < this->settings.moveRetry * 2) {
+            return false;
+        }
+        this->hooks.tablesBehind(attempt.node, result.reply.tables_end());
+        if (hasKey) {
+            sleepFor(this->thread.io(), this->settings.moveRetry);
+        }
+        return true;
+    case wire::EXECUTE_REFUSED:
+    case wire::EXECUTE_NOT_SENT:
+        // Not sent to an upstream, so another host may take a request without a key.
+        return !hasKey && ++attempt.moves <= 2 && left > this->settings.moveRetry * 2;
+    case wire::EXECUTE_REJECTED:
+    case wire::EXECUTE_LOST:
+        break;
+    default:
+        return false;
+    }
+    ++attempt.sent;
+    ++attempt.moves;
+    const bool mayHaveRun = outcome == wire::EXECUTE_LOST;
+    const bool hasAttempts = attempt.sent < attempt.route->maxAttempts;
+    if ((mayHaveRun && !attempt.route->isIdempotent) || !hasAttempts || (hasKey && !mayHaveRun)) {
+        return false;
+    }
+    if (left < this->settings.moveRetry * 2
+        || !this->budget(attempt.execute.service()).take(now)) {
+        return false;
+    }
+    this->metrics.count(Metric::RequestsRepeated);
+    return true;
+}
+
+HttpResponse Ingress::answer(Attempt &attempt, ExecuteResult result)
+{
+    const Duration retryAfter = std::chrono::milliseconds(result.reply.retry_after_ms());
+    const auto orLost = [this](Duration given) {
+        return given > Duration::zero() ? given : this->settings.retryAfterLost;
+    };
+    // A request that may have run once must not be called "not run" for its last attempt.
+    const bool mayHaveRun = attempt.execute.repeated();
+    switch (result.reply.outcome()) {
+    case wire::EXECUTE_ANSWERED:
+        break;
+    case wire::EXECUTE_REFUSED:
+        return mayHaveRun ? this->fail(attempt, statusBadGateway, "refused-after-lost")
+                          : this->refuse(attempt, retryAfter, "owner-full");
+    case wire::EXECUTE_MISPLACED:
+        return mayHaveRun ? this->fail(attempt, statusBadGateway, "moved-after-lost")
+                          : this->refuse(attempt, orLost(retryAfter), "key-moving");
+    case wire::EXECUTE_REJECTED:
+        return mayHaveRun ? this->fail(attempt, statusBadGateway, "rejected-after-lost")
+                          : this->refuse(attempt, orLost(retryAfter), "upstream-refused");
+    case wire::EXECUTE_NOT_SENT:
+        return mayHaveRun ? this->fail(attempt, statusBadGateway, "unreachable-after-lost")
+                          : this->refuse(attempt, orLost(retryAfter), "unreachable");
+    case wire::EXECUTE_TIMED_OUT:
+        return this->fail(attempt, statusTimeout, "timed-out");
+    default:
+        return this->fail(attempt, statusBadGateway, "lost");
+    }
+    this->metrics.count(Metric::RequestsAnswered);
+    attempt.outcome = "answered";
+    HttpResponse response{.status = result.reply.status()};
+    for (wire::Field &field : *result.reply.mutable_fields()) {
+        response.fields.push_back(
+                {std::move(*field.mutable_name()), std::move(*field.mutable_value())});
+    }
+    response.body = std::move(result.body);
+    return response;
+}
+
+HttpResponse Ingress::refuse(Attempt &attempt, Duration retryAfter, std::string_view reason)
+{
+    this->metrics.count(Metric::RequestsRefused);
+    attempt.outcome = reason;
+    return platform::encodeOwnAnswer(statusUnavailable, attempt.execute.id(), retryAfter);
+}
+
+HttpResponse Ingress::fail(Attempt &attempt, int status, std::string_view reason)
+{
+    this->metrics.count(Metric::RequestsFailed);
+    attempt.outcome = reason;
+    return platform::encodeOwnAnswer(status, attempt.execute.id(), Duration::zero());
+}
+
+void Ingress::log(const Attempt &attempt, int status) const
+{
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+            readBootTime() - attempt.started);
+    const std::string version =
+            attempt.configuration ? std::to_string(attempt.configuration->version) : "none";
+    logInfo(LogPart::Request, "request ended",
+            {{"request", attempt.execute.id()},
+             {"outcome", std::string(attempt.outcome)},
+             {"status", std::to_string(status)},
+             {"route", attempt.route != nullptr ? attempt.route->name : "none"},
+             {"version", version},
+             {"service", attempt.execute.service()},
+             {"key", attempt.execute.has_key() ? std::to_string(attempt.execute.key()) : "none"},
+             {"host", attempt.node},
+             {"tables", std::to_string(this->view.tablesEnd())},
+             {"hostTables", std::to_string(attempt.tablesEnd)},
+             {"sent", std::to_string(attempt.sent)},
+             {"moves", std::to_string(attempt.moves)},
+             {"ms", std::to_string(elapsed.count())}});
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/key_owner.cpp
@@ -0,0 +1,292 @@
+#include "stage/key_owner.h"
+
+#include "base/errors.h"
+#include "base/log.h"
+#include "base/text.h"
+#include "platform/upstream.h"
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+// A grant is answered at once, a release when the work on its keys has ended.
+constexpr Duration grantLimit = 800ms;
+constexpr Duration releaseLimit = 3s;
+constexpr Duration askLimit = 500ms;
+constexpr HttpClientLimits orderLimits{.maxIdle = 4, .connectLimit = 400ms};
+
+std::string spanText(const KeySpan &span)
+{
+    return std::to_string(span.first) + "-" + std::to_string(span.last);
+}
+
+} // namespace
+
+KeyOwner::KeyOwner(FiberThread &ownerThread, const std::string &ownNode,
+                   const std::string &ownService, const Address &upstream,
+                   ClusterView &clusterView, LinkPool &linkPool, UpstreamMonitor &upstreamMonitor,
+                   KeyOwnerHooks ownerHooks)
+    : thread(ownerThread)
+    , node(ownNode)
+    , service(ownService)
+    , view(clusterView)
+    , links(linkPool)
+    , monitor(upstreamMonitor)
+    , hooks(std::move(ownerHooks))
+    , upstreamOrders(ownerThread.io(), upstream, orderLimits)
+    , lease(this->leaseSettings)
+    , holder({.longestHold = this->leaseSettings.length,
+              .renewEvery = this->leaseSettings.renewEvery,
+              .clockDrift = this->leaseSettings.clockDrift},
+             readBootTime())
+{}
+
+void KeyOwner::advance(Time now)
+{
+    this->followTable(now);
+    if (this->ownSession != 0 && now - this->renewedAt >= this->leaseSettings.renewEvery) {
+        this->renew(now);
+    }
+    this->askForProofs(now);
+    this->sendOrders(now);
+}
+
+void KeyOwner::followTable(Time now)
+{
+    const KeyTable *table = this->view.table(this->service);
+    const bool sameLife = this->monitor.life() == this->followedLife;
+    if (table == nullptr || (table->end == this->followedEnd && sameLife)) {
+        return;
+    }
+    if (!sameLife) {
+        this->holder.noteUpstreamEnded();
+        this->followedLife = this->monitor.life();
+    }
+    this->followedEnd = table->end;
+    const KeySession *session = table->activeSessionOf(this->node);
+    const bool isOwn = session != nullptr && session->life == this->monitor.life();
+    const std::uint64_t id = isOwn ? session->id : 0;
+    if (id != this->ownSession) {
+        logInfo(LogPart::Lease, id == 0 ? "session ended" : "session started",
+                {{"session", std::to_string(id)},
+                 {"before", std::to_string(this->ownSession)},
+                 {"upstream", this->monitor.life().id},
+                 {"end", std::to_string(table->end)}});
+        this->lease.reset();
+        this->ownSession = id;
+        this->renewedAt = -1h;
+    }
+    this->lease.setVoters(isOwn ? session->voters : std::vector<std::string>());
+    this->holder.setLease(isOwn ? this->lease.validUntil() : Time::zero());
+    this->holder.assign(*table, id, now);
+    this->proofs.prune(*table);
+}
+
+// ---- Lease ----
+
+void KeyOwner::renew(Time now)
+{
+    this->renewedAt = now;
+    const KeyTable *table = this->view.table(this->service);
+    const KeySession *session = table->session(this->ownSession);
+    if (session == nullptr) {
+        return;
+    }
+    wire::LinkFrame frame;
+    wire::Vouch &vouch = *frame.mutable_vouch();
+    vouch.set_service(this->service);
+    vouch.set_session(this->ownSession);
+    *vouch.mutable_known() = this->view.known();
+    *vouch.mutable_load() = this->hooks.load();
+    for (const std::string &voter : session->voters) {
+        this->links.call(voter, frame, {}, this->leaseSettings.length,
+                         [this, voter, now, id = this->ownSession](LinkEnd end,
+                                                                   const LinkMessage &answer) {
+                             if (end != LinkEnd::Answered) {
+                                 return; // the next round asks again
+                             }
+                             const wire::VouchReply &reply = answer.head.vouch_reply();
+                             if (reply.granted() && id == this->ownSession) {
+                                 this->lease.noteVouch(voter, now);
+                                 this->holder.setLease(this->lease.validUntil());
+                                 this->sendOrders(readBootTime());
+                             }
+                             this->hooks.vouched(voter, reply);
+                         });
+    }
+}
+
+// ---- Proofs ----
+
+void KeyOwner::askForProofs(Time now)
+{
+    const KeyTable *table = this->view.table(this->service);
+    if (table == nullptr || this->ownSession == 0 || now - this->askedAt < askEvery) {
+        return;
+    }
+    const std::vector<MissingProof> missing = this->holder.missingProofs();
+    if (missing.empty()) {
+        return;
+    }
+    this->askedAt = now;
+    std::vector<std::uint64_t> asked;
+    for (const MissingProof &proof : missing) {
+        const std::uint64_t id = proof.predecessor.session;
+        if (this->proofs.isStopped(*table, id)) {
+            logInfo(LogPart::Lease, "former owner has stopped",
+                    {{"session", std::to_string(id)},
+                     {"keys", spanText(proof.span)},
+                     {"proof", "voters or table"}});
+            this->holder.notePredecessorStopped(proof.predecessor, proof.span, {});
+            continue;
+        }
+        this->askHost(*table, proof);
+        const KeySession *session = table->session(id);
+        const bool isAsked = std::find(asked.begin(), asked.end(), id) != asked.end();
+        if (!session->isActive() && !isAsked) {
+            asked.push_back(id);
+            this->askVoters(*session);
+        }
+    }
+}
+
+void KeyOwner::askHost(const KeyTable &table, const MissingProof &missing)
+{
+    const KeySession *former = table.session(missing.predecessor.session);
+    wire::LinkFrame frame;
+    wire::StopQuery &query = *frame.mutable_stop_query();
+    query.set_service(this->service);
+    query.set_session(former->id);
+    query.set_first(missing.span.first);
+    query.set_last(missing.span.last);
+    query.set_fence(missing.predecessor.fence);
+    query.set_tables_end(table.end);
+    if (former->node == this->node) {
+        // An earlier session of the upstream beside this process.
+        const wire::StopReply reply = this->answerStop(query, readBootTime());
+        if (reply.stopped()) {
+            this->holder.notePredecessorStopped(missing.predecessor, missing.span,
+                                                reply.handover());
+        }
+        return;
+    }
+    this->links.call(former->node, frame, {}, askLimit,
+                     [this, missing](LinkEnd end, const LinkMessage &answer) {
+                         if (end != LinkEnd::Answered || !answer.head.stop_reply().stopped()) {
+                             return; // asked again
+                         }
+                         const std::string &handover = answer.head.stop_reply().handover();
+                         logInfo(LogPart::Lease, "former owner has stopped",
+                                 {{"session", std::to_string(missing.predecessor.session)},
+                                  {"keys", spanText(missing.span)},
+                                  {"proof", "its host"},
+                                  {"handover", handover.empty() ? "no" : "yes"}});
+                         this->holder.notePredecessorStopped(missing.predecessor, missing.span,
+                                                             handover);
+                         this->sendOrders(readBootTime());
+                     });
+}
+
+void KeyOwner::askVoters(const KeySession &session)
+{
+    wire::LinkFrame frame;
+    wire::ReleaseQuery &query = *frame.mutable_release_query();
+    query.set_service(this->service);
+    query.set_session(session.id);
+    query.set_ended_at(session.endedAt);
+    std::vector<std::string> voters = session.voters;
+    voters.insert(voters.end(), session.formerVoters.begin(), session.formerVoters.end());
+    for (const std::string &voter : voters) {
+        if (voter == this->node) {
+            if (this->hooks.ownVoterReleased(query)) {
+                this->proofs.noteRelease(session.id, voter);
+            }
+            continue;
+        }
+        this->links.call(voter, frame, {}, askLimit,
+                         [this, voter, id = session.id](LinkEnd end, const LinkMessage &answer) {
+                             if (end == LinkEnd::Answered
+                                 && answer.head.release_reply().released()) {
+                                 this->proofs.noteRelease(id, voter);
+                             }
+                         });
+    }
+}
+
+wire::StopReply KeyOwner::answerStop(const wire::StopQuery &query, Time now)
+{
+    wire::StopReply reply;
+    const KeyTable *table = this->view.table(this->service);
+    if (query.service() != this->service || table == nullptr || table->end < query.tables_end()) {
+        return reply; // not read yet: the holder may still renew
+    }
+    const KeySession *session = table->session(query.session());
+    if (session == nullptr || session->stopped || session->life != this->monitor.life()) {
+        // Of a life that is over. Without a known life an earlier process may have granted it.
+        reply.set_stopped(session == nullptr || session->stopped || this->monitor.isKnown());
+        return reply;
+    }
+    const KeySpan span{.first = query.first(), .last = query.last()};
+    const StopAnswer answer = this->holder.answerStop(span, query.fence(), now);
+    reply.set_stopped(answer.stopped);
+    reply.set_handover(answer.handover);
+    return reply;
+}
+
+// ---- Orders ----
+
+void KeyOwner::sendOrders(Time now)
+{
+    if (!this->monitor.isKnown() || this->monitor.isRefusing()) {
+        return;
+    }
+    for (const HoldOrder &order : this->holder.takeOrders(now)) {
+        this->thread.spawn([this, order] { this->sendOrder(order); });
+    }
+}
+
+void KeyOwner::sendOrder(const HoldOrder &order)
+{
+    const bool isGrant = order.kind == HoldOrderKind::Grant;
+    const UpstreamLife life = this->monitor.life();
+    const auto handle = std::make_shared<HttpCallHandle>();
+    const auto answer = this->upstreamOrders.call(
+            platform::encodeOrder(order),
+            HttpCallOptions{.limit = isGrant ? grantLimit : releaseLimit, .handle = handle});
+    const Time now = readBootTime();
+    const int status = answer.ok() ? answer->status : 0;
+    if (handle->wasRefused()) {
+        this->monitor.noteRefused(now);
+    } else if (answer.ok()) {
+        this->monitor.noteAnswer();
+    } else if (isGrant) {
+        this->monitor.noteSilence();
+        this->upstreamOrders.dropIdle();
+    }
+    const bool isUsual = isGrant && status != 0 && order.handover.empty();
+    if (!isUsual || platform::judgeGrant(status) != GrantEnd::Accepted) {
+        logInfo(LogPart::Lease, isGrant ? "grant sent" : "release sent",
+                {{"keys", spanText(order.span)},
+                 {"fence", std::to_string(order.fence)},
+                 {"upstream", life.id},
+                 {"status", std::to_string(status)},
+                 {"handover", order.handover}});
+    }
+    if (life != this->monitor.life()) {
+        return; // the answer says nothing about the present life
+    }
+    if (isGrant) {
+        const bool neverSent = errorKindOf(answer.status()) == ErrorKind::UpstreamUnreachable;
+        this->holder.noteGrant(order.number,
+                               neverSent ? GrantEnd::Refused : platform::judgeGrant(status), now);
+    } else {
+        constexpr int statusOk = 200;
+        this->holder.noteRelease(order.number, status == statusOk,
+                                 answer.ok() ? platform::handoverOf(*answer) : "", now);
+    }
+    this->hooks.accessChanged();
+    this->sendOrders(now);
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/key_owner.h
@@ -0,0 +1,85 @@
+// Holds keys for the upstream beside this process: renews the session's lease with its voters,
+// collects proofs that former owners have stopped, and sends grants and releases.
+//
+// Sections: hooks, KeyOwner.
+#pragma once
+
+#include "keyspace/lease.h"
+#include "keyspace/range_holder.h"
+#include "net/http_client.h"
+#include "stage/cluster_view.h"
+#include "stage/link.h"
+#include "stage/upstream_monitor.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace kumquat {
+
+// ---- Hooks ----
+
+struct KeyOwnerHooks
+{
+    std::function<void()> accessChanged; // a key may be held now that was not before
+    std::function<wire::UpstreamLoad()> load; // told to voters
+    std::function<void(const std::string &node, const wire::VouchReply &reply)> vouched;
+    // Answers as the voter that this process itself is.
+    std::function<bool(const wire::ReleaseQuery &query)> ownVoterReleased;
+};
+
+// ---- KeyOwner ----
+
+// Used on one thread.
+class KeyOwner
+{
+public:
+    KeyOwner(FiberThread &ownerThread, const std::string &ownNode, const std::string &ownService,
+             const Address &upstream, ClusterView &clusterView, LinkPool &linkPool,
+             UpstreamMonitor &upstreamMonitor, KeyOwnerHooks ownerHooks);
+
+    // Takes a change of the table, of the upstream or of the time; call every 50 ms as well.
+    void advance(Time now);
+
+    KeyAccess access(ShardKey key, Time now) const { return this->holder.access(key, now); }
+
+    // Returns the id of the active session of the present upstream, 0 without one.
+    std::uint64_t session() const { return this->ownSession; }
+
+    std::vector<std::uint64_t> unsettledFences() const { return this->holder.unsettledFences(); }
+    bool holdsNothing(Time now) const { return this->holder.holdsNothing(now); }
+
+    // Answers another process about keys that it got.
+    wire::StopReply answerStop(const wire::StopQuery &query, Time now);
+
+private:
+    static constexpr Duration askEvery = 60ms; // a round trip between regions
+
+    void followTable(Time now);
+    void renew(Time now);
+    void askForProofs(Time now);
+    void askHost(const KeyTable &table, const MissingProof &missing);
+    void askVoters(const KeySession &session);
+    void sendOrders(Time now);
+    void sendOrder(const HoldOrder &order);
+
+    FiberThread &thread;
+    std::string node;
+    std::string service;
+    ClusterView &view;
+    LinkPool &links;
+    UpstreamMonitor &monitor;
+    KeyOwnerHooks hooks;
+    HttpClient upstreamOrders;
+    LeaseSettings leaseSettings;
+    VouchedLease lease;
+    RangeHolder holder;
+    StopProof proofs;
+    std::uint64_t ownSession = 0;
+    std::uint64_t followedEnd = 0; // of the table that the holder has
+    UpstreamLife followedLife;
+    Time renewedAt = -1h;
+    Time askedAt = -1h;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/link.cpp
@@ -0,0 +1,473 @@
+#include "stage/link.h"
+
+#include "base/errors.h"
+#include "base/log.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace kumquat {
+namespace {
+
+constexpr std::size_t lengthBytes = 4;
+constexpr std::size_t prefixBytes = 2 * lengthBytes;      // length of the head, of the body
+constexpr std::size_t maxMessageBytes = 80UL << 20U;      // the largest body of a caller, and a head
+constexpr std::size_t maxQueuedBytes = 96UL << 20U;       // a peer that reads nothing is given up
+constexpr std::size_t readBytes = 8UL * 1024; // an answer of usual size
+constexpr int unacknowledgedMs = 3000; // sent data without an acknowledgement ends the connection
+
+void appendLength(std::string &text, std::size_t length)
+{
+    const auto value = static_cast<std::uint32_t>(length);
+    char bytes[lengthBytes];
+    std::memcpy(bytes, &value, lengthBytes); // all hosts are little-endian
+    text.append(bytes, lengthBytes);
+}
+
+std::size_t readLength(const char *bytes)
+{
+    std::uint32_t value = 0;
+    std::memcpy(&value, bytes, lengthBytes);
+    return value;
+}
+
+void setOptions(Link::Socket &socket)
+{
+    ErrorCode ignored;
+    socket.set_option(Link::Tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
+    const unsigned limit = unacknowledgedMs;
+    setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+}
+
+} // namespace
+
+// ---- Link ----
+
+std::shared_ptr<Link> Link::create(Socket socket, Hooks hooks)
+{
+    return std::shared_ptr<Link>(new Link(std::move(socket), std::move(hooks)));
+}
+
+Link::Link(Socket linkSocket, Hooks linkHooks)
+    : socket(std::move(linkSocket))
+    , hooks(std::move(linkHooks))
+    , receivedAt(readBootTime())
+    , sentAt(this->receivedAt)
+{
+    setOptions(this->socket);
+}
+
+void Link::start()
+{
+    this->readNext();
+}
+
+void Link::readNext()
+{
+    if (this->input.size() < this->inputUsed + readBytes) {
+        this->input.resize(this->inputUsed + readBytes);
+    }
+    this->socket.async_read_some(
+            asio::buffer(this->input.data() + this->inputUsed, this->input.size() - this->inputUsed),
+            [self = this->shared_from_this()](const ErrorCode &error, std::size_t count) {
+                if (error || !self->open) {
+                    self->close();
+                    return;
+                }
+                self->inputUsed += count;
+                self->receivedAt = readBootTime();
+                if (!self->takeMessages()) {
+                    logWarning(LogPart::Mesh, "connection sent something that is no message");
+                    self->close();
+                    return;
+                }
+                if (self->open) {
+                    self->readNext();
+                }
+            });
+}
+
+bool Link::takeMessages()
+{
+    std::size_t at = 0;
+    while (this->open && this->inputUsed - at >= prefixBytes) {
+        const char *bytes = this->input.data() + at;
+        const std::size_t headLength = readLength(bytes);
+        const std::size_t bodyLength = readLength(bytes + lengthBytes);
+        const std::size_t length = prefixBytes + headLength + bodyLength;
+        if (length > maxMessageBytes) {
+            return false;
+        }
+        if (this->inputUsed - at < length) {
+            break;
+        }
+        LinkMessage message;
+        if (!message.head.ParseFromArray(bytes + prefixBytes, static_cast<int>(headLength))) {
+            return false;
+        }
+        message.body.assign(bytes + prefixBytes + headLength, bodyLength);
+        const Duration delay = this->receivedAt - Duration(message.head.sent_ns());
+        this->shortestDelay = std::min(this->shortestDelay, delay);
+        message.delayed = delay - this->shortestDelay;
+        at += length;
+        this->hooks.received(std::move(message));
+    }
+    std::memmove(this->input.data(), this->input.data() + at, this->inputUsed - at);
+    this->inputUsed -= at;
+    if (this->inputUsed == 0 && this->input.size() > 4 * readBytes) {
+        this->input = std::string(); // a large message is gone
+    }
+    return true;
+}
+
+void Link::send(const wire::LinkFrame &head, std::string_view body)
+{
+    if (!this->open) {
+        return;
+    }
+    if (this->queued.size() + this->writing.size() + body.size() > maxQueuedBytes) {
+        logWarning(LogPart::Mesh, "connection closed because its peer reads nothing");
+        this->close();
+        return;
+    }
+    appendLength(this->queued, head.ByteSizeLong());
+    appendLength(this->queued, body.size());
+    head.AppendToString(&this->queued);
+    this->queued.append(body);
+    if (!this->isWriting && !this->isFlushPosted) {
+        this->isFlushPosted = true;
+        asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+            self->isFlushPosted = false;
+            self->flush();
+        });
+    }
+}
+
+void Link::flush()
+{
+    if (!this->open || this->isWriting || this->queued.empty()) {
+        return;
+    }
+    this->sentAt = readBootTime();
+    this->writing.swap(this->queued);
+    this->isWriting = true;
+    asio::async_write(this->socket, asio::buffer(this->writing),
+                      [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
+                          self->isWriting = false;
+                          self->writing.clear();
+                          if (error) {
+                              self->close();
+                              return;
+                          }
+                          self->flush();
+                      });
+}
+
+void Link::close()
+{
+    if (!this->open) {
+        return;
+    }
+    this->open = false;
+    ErrorCode ignored;
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->socket.close(ignored);
+    // Not from within a call of the owner.
+    asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+        self->hooks.closed();
+        self->hooks = {};
+    });
+}
+
+// ---- LinkPool ----
+
+LinkPool::LinkPool(FiberThread &poolThread, std::string ownNode, std::uint64_t ownIncarnation,
+                   LinkSettings linkSettings)
+    : thread(poolThread)
+    , node(std::move(ownNode))
+    , incarnation(ownIncarnation)
+    , settings(linkSettings)
+{}
+
+void LinkPool::setAddress(const std::string &name, const Address &address)
+{
+    Peer &peer = this->peers[name];
+    if (peer.address == address) {
+        return;
+    }
+    peer.address = address;
+    ++peer.attempt;
+    peer.isConnecting = false;
+    peer.failedAt = -1h;
+    if (peer.link) {
+        peer.link->close();
+    }
+}
+
+std::uint64_t LinkPool::call(const std::string &name, wire::LinkFrame head, std::string_view body,
+                             Duration limit, LinkAnswer answer)
+{
+    const Time now = readBootTime();
+    const std::uint64_t number = ++this->lastCall;
+    const auto found = this->peers.find(name);
+    if (found == this->peers.end() || (!found->second.link && this->isDown(name, now))) {
+        this->thread.post([answer = std::move(answer)] { answer(LinkEnd::NotSent, {}); });
+        return number;
+    }
+    Peer &peer = found->second;
+    head.set_call(number);
+    head.set_sent_ns(now.count());
+    peer.waitingSince = peer.calls.empty() ? now : peer.waitingSince;
+    Call &call = peer.calls[number];
+    call = {.answer = std::move(answer), .due = now + limit};
+    if (peer.link && peer.link->isOpen()) {
+        call.isSent = true;
+        peer.link->send(head, body);
+    } else {
+        peer.waiting.emplace_back(std::move(head), std::string(body));
+        this->connect(name, peer);
+    }
+    return number;
+}
+
+void LinkPool::cancel(const std::string &name, std::uint64_t number)
+{
+    const auto found = this->peers.find(name);
+    if (found == this->peers.end() || found->second.calls.erase(number) == 0) {
+        return;
+    }
+    Peer &peer = found->second;
+    std::erase_if(peer.waiting,
+                  [number](const auto &entry) { return entry.first.call() == number; });
+    if (peer.link && peer.link->isOpen()) {
+        wire::LinkFrame frame;
+        frame.set_call(number);
+        frame.set_sent_ns(readBootTime().count());
+        frame.mutable_cancel();
+        peer.link->send(frame, {});
+    }
+}
+
+bool LinkPool::isDown(const std::string &name, Time now) const
+{
+    const auto found = this->peers.find(name);
+    return found == this->peers.end() || now - found->second.failedAt < this->settings.retryAfter;
+}
+
+Time LinkPool::lastHeard(const std::string &name) const
+{
+    const auto found = this->peers.find(name);
+    return found == this->peers.end() ? Time::zero() : found->second.heard;
+}
+
+void LinkPool::connect(const std::string &name, Peer &peer)
+{
+    if (peer.isConnecting) {
+        return;
+    }
+    peer.isConnecting = true;
+    peer.connectDue = readBootTime() + this->settings.connectLimit;
+    const std::uint64_t attempt = ++peer.attempt;
+    auto socket = std::make_shared<Link::Socket>(this->thread.io());
+    const Link::Tcp::endpoint endpoint(asio::ip::make_address(peer.address.ip), peer.address.port);
+    socket->async_connect(endpoint, [this, name, attempt, socket](const ErrorCode &error) {
+        this->onConnected(name, attempt, error, socket);
+    });
+}
+
+void LinkPool::onConnected(const std::string &name, std::uint64_t attempt, const ErrorCode &error,
+                           std::shared_ptr<Link::Socket> socket)
+{
+    Peer &peer = this->peers[name];
+    if (peer.attempt != attempt || !peer.isConnecting) {
+        return;
+    }
+    peer.isConnecting = false;
+    if (error) {
+        peer.failedAt = readBootTime();
+        this->endAll(peer);
+        return;
+    }
+    peer.failedAt = -1h;
+    const std::shared_ptr<Link> link = Link::create(
+            std::move(*socket),
+            {.received = [this, name](
+                                 LinkMessage message) { this->onMessage(name, std::move(message)); },
+             .closed =
+                     [this, name, attempt] {
+                         Peer &closed = this->peers[name];
+                         if (closed.attempt == attempt) {
+                             closed.link = nullptr;
+                             this->endAll(closed);
+                         }
+                     }});
+    peer.link = link;
+    link->start();
+    wire::LinkFrame hello;
+    hello.set_sent_ns(readBootTime().count());
+    hello.mutable_hello()->set_node(this->node);
+    hello.mutable_hello()->set_incarnation(this->incarnation);
+    link->send(hello, {});
+    for (auto &[head, body] : std::exchange(peer.waiting, {})) {
+        const auto call = peer.calls.find(head.call());
+        if (call != peer.calls.end()) {
+            call->second.isSent = true;
+            head.set_sent_ns(readBootTime().count());
+            link->send(head, body);
+        }
+    }
+}
+
+void LinkPool::onMessage(const std::string &name, LinkMessage message)
+{
+    Peer &peer = this->peers[name];
+    peer.heard = readBootTime();
+    const auto found = peer.calls.find(message.head.call());
+    if (found == peer.calls.end() || message.head.has_pong()) {
+        return; // a pong, or the answer to a call that was given up
+    }
+    const LinkAnswer answer = std::move(found->second.answer);
+    peer.calls.erase(found);
+    answer(LinkEnd::Answered, std::move(message));
+}
+
+void LinkPool::endAll(Peer &peer)
+{
+    peer.waiting.clear();
+    for (auto &[number, call] : std::exchange(peer.calls, {})) {
+        call.answer(call.isSent ? LinkEnd::Lost : LinkEnd::NotSent, {});
+    }
+}
+
+void LinkPool::advance(Time now)
+{
+    // After a pause of this process the messages of others still lie unread.
+    const bool wasPaused = now - this->advancedAt > this->settings.pingAfter;
+    this->advancedAt = now;
+    for (auto &[name, peer] : this->peers) {
+        peer.waitingSince = wasPaused ? now : peer.waitingSince;
+        if (peer.isConnecting && now >= peer.connectDue) {
+            peer.isConnecting = false;
+            ++peer.attempt;
+            peer.failedAt = now;
+            this->endAll(peer);
+        }
+        std::vector<LinkAnswer> overdue;
+        for (auto call = peer.calls.begin(); call != peer.calls.end();) {
+            if (now >= call->second.due) {
+                overdue.push_back(std::move(call->second.answer));
+                call = peer.calls.erase(call);
+            } else {
+                ++call;
+            }
+        }
+        for (const LinkAnswer &answer : overdue) {
+            answer(LinkEnd::Lost, {});
+        }
+        this->judgeSilence(name, peer, now);
+    }
+}
+
+void LinkPool::judgeSilence(const std::string &name, Peer &peer, Time now)
+{
+    if (!peer.link || peer.calls.empty()) {
+        return;
+    }
+    // An idle connection is silent by right: the time counts from when a call began to wait.
+    const Duration silence = now - std::max(peer.link->lastReceived(), peer.waitingSince);
+    if (silence >= this->settings.silentAfter) {
+        logWarning(LogPart::Mesh, "connection closed because its peer is silent",
+                   {{"node", name}, {"calls", std::to_string(peer.calls.size())}});
+        peer.failedAt = now;
+        peer.link->close();
+    } else if (silence >= this->settings.pingAfter
+               && now - peer.link->lastSent() >= this->settings.pingAfter) {
+        wire::LinkFrame ping;
+        ping.set_sent_ns(now.count());
+        ping.mutable_ping();
+        peer.link->send(ping, {});
+    }
+}
+
+// ---- LinkServer ----
+
+LinkServer::LinkServer(FiberThread &serverThread, Hooks serverHooks)
+    : thread(serverThread)
+    , hooks(std::move(serverHooks))
+    , acceptor(serverThread.io())
+{}
+
+absl::Status LinkServer::listen(const Address &address)
+{
+    ErrorCode error;
+    const Link::Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
+    this->acceptor.open(endpoint.protocol(), error);
+    this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    this->acceptor.bind(endpoint, error);
+    if (!error) {
+        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return makeError(ErrorKind::SettingsInvalid,
+                         absl::StrCat("cannot listen on ", address.toString(), ": ",
+                                      error.message()));
+    }
+    this->thread.post([this] { this->acceptNext(); });
+    return absl::OkStatus();
+}
+
+void LinkServer::acceptNext()
+{
+    this->acceptor.async_accept([this](const ErrorCode &error, Link::Socket socket) {
+        if (!error) {
+            this->serve(std::move(socket));
+        }
+        this->acceptNext();
+    });
+}
+
+void LinkServer::serve(Link::Socket socket)
+{
+    const auto peer = std::make_shared<LinkPeer>(LinkPeer{.number = ++this->lastNumber});
+    const std::uint64_t number = peer->number;
+    const auto received = [this, peer, number](LinkMessage message) {
+        const std::weak_ptr<Link> weak = this->links[number];
+        const std::uint64_t call = message.head.call();
+        const LinkReply reply = [weak, call](wire::LinkFrame head, std::string_view body) {
+            const std::shared_ptr<Link> link = weak.lock();
+            if (link) {
+                head.set_call(call);
+                head.set_sent_ns(readBootTime().count());
+                link->send(head, body);
+            }
+        };
+        if (message.head.has_hello()) {
+            peer->node = message.head.hello().node();
+        } else if (message.head.has_ping()) {
+            wire::LinkFrame pong;
+            pong.mutable_pong();
+            reply(pong, {});
+        } else {
+            this->hooks.received(*peer, std::move(message), reply);
+        }
+    };
+    const auto closed = [this, peer, number] {
+        this->links.erase(number);
+        this->hooks.closed(*peer);
+    };
+    const std::shared_ptr<Link> link =
+            Link::create(std::move(socket), {.received = received, .closed = closed});
+    this->links[number] = link;
+    link->start();
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/link.h
@@ -0,0 +1,221 @@
+// Connections between processes: messages with a head and a body, several calls at a time on one
+// TCP connection.
+//
+// ZeroMQ is not used here: its own thread costs two thread switches and four system calls for each
+// message, and the platform charges every one of them.
+//
+//   LinkPool pool(thread, "node-1", incarnation);
+//   pool.setAddress("node-2", address);
+//   pool.call("node-2", frame, body, 1s, [](LinkEnd end, LinkMessage answer) { ... });
+//
+//   LinkServer server(thread, [](LinkMessage message, LinkReply reply) { ... });
+//
+// Sections: messages, Link, LinkPool, LinkServer.
+#pragma once
+
+#include "base/address.h"
+#include "base/names.h"
+#include "base/time.h"
+#include "net/fibers.h"
+#include "wire/stage.pb.h"
+
+#include <absl/status/status.h>
+
+#include <boost/asio/basic_socket_acceptor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace kumquat {
+
+// ---- Messages ----
+
+struct LinkMessage
+{
+    wire::LinkFrame head;
+    std::string body;
+    Duration delayed{}; // on the way, beyond the shortest delay seen on the connection
+};
+
+// How a call ended.
+enum class LinkEnd : std::uint8_t {
+    Answered,
+    NotSent, // no connection: the other process did not get the message and never will
+    Lost,    // the other process may have got it
+};
+
+inline constexpr NameTable<LinkEnd, 3> linkEndNames{{{{LinkEnd::Answered, "answered"},
+                                                      {LinkEnd::NotSent, "not-sent"},
+                                                      {LinkEnd::Lost, "lost"}}}};
+
+using LinkAnswer = std::function<void(LinkEnd end, LinkMessage answer)>;
+
+// ---- Link ----
+
+// One TCP connection. Used on one thread.
+class Link : public std::enable_shared_from_this<Link>
+{
+public:
+    using Tcp = asio::ip::tcp;
+    using Socket = asio::basic_stream_socket<Tcp, asio::io_context::executor_type>;
+
+    struct Hooks
+    {
+        std::function<void(LinkMessage message)> received;
+        std::function<void()> closed; // once, also after close()
+    };
+
+    static std::shared_ptr<Link> create(Socket socket, Hooks hooks);
+
+    // Reads messages until the connection closes.
+    void start();
+
+    // Queues a message; all that are queued in one turn of the thread leave in one write.
+    void send(const wire::LinkFrame &head, std::string_view body);
+
+    // Resets the connection, so that what is still on its way is dropped.
+    void close();
+
+    bool isOpen() const { return this->open; }
+    Time lastReceived() const { return this->receivedAt; }
+    Time lastSent() const { return this->sentAt; }
+
+private:
+    Link(Socket socket, Hooks hooks);
+    void readNext();
+    bool takeMessages();
+    void flush();
+
+    Socket socket;
+    Hooks hooks;
+    bool open = true;
+    bool isWriting = false;
+    bool isFlushPosted = false;
+    std::string queued;
+    std::string writing;
+    std::string input;
+    std::size_t inputUsed = 0; // bytes of `input` that hold data
+    Duration shortestDelay = Duration::max(); // between the two boot clocks
+    Time receivedAt{};
+    Time sentAt{};
+};
+
+// ---- LinkPool ----
+
+struct LinkSettings
+{
+    Duration connectLimit = 900ms; // some fifteen round trips between regions
+    Duration retryAfter = 400ms;   // after a failed connection
+    Duration pingAfter = 300ms;    // of silence while calls wait
+    Duration silentAfter = 1300ms; // then the connection counts as dead; three pings were lost
+};
+
+// Connections to other processes, one for each, made when first needed. Used on one thread.
+class LinkPool
+{
+public:
+    LinkPool(FiberThread &poolThread, std::string ownNode, std::uint64_t ownIncarnation,
+             LinkSettings linkSettings = {});
+
+    // Takes the address of a node; another one than before closes the connection.
+    void setAddress(const std::string &node, const Address &address);
+
+    // Sends a message and calls back once, at the latest after `limit` (then with Lost). Returns
+    // the number of the call, for cancel.
+    std::uint64_t call(const std::string &node, wire::LinkFrame head, std::string_view body,
+                       Duration limit, LinkAnswer answer);
+
+    // Tells the other process that nobody waits for a call any more, and forgets it.
+    void cancel(const std::string &node, std::uint64_t call);
+
+    // Says whether the last attempt to reach a node failed a short time ago.
+    bool isDown(const std::string &node, Time now) const;
+
+    // Closes dead connections and ends overdue calls; call every 100 ms.
+    void advance(Time now);
+
+    // Returns when something was last received from a node, zero if never.
+    Time lastHeard(const std::string &node) const;
+
+private:
+    struct Call
+    {
+        LinkAnswer answer;
+        Time due{};
+        bool isSent = false;
+    };
+
+    struct Peer
+    {
+        Address address;
+        std::shared_ptr<Link> link;
+        bool isConnecting = false;
+        std::uint64_t attempt = 0; // of connecting; an older one has no effect
+        Time connectDue{};
+        Time failedAt = -1h;
+        Time heard{};
+        Time waitingSince{}; // the oldest time from which an answer is due
+        std::unordered_map<std::uint64_t, Call> calls;
+        std::vector<std::pair<wire::LinkFrame, std::string>> waiting; // for the connection
+    };
+
+    void connect(const std::string &node, Peer &peer);
+    void onConnected(const std::string &node, std::uint64_t attempt, const ErrorCode &error,
+                     std::shared_ptr<Link::Socket> socket);
+    void onMessage(const std::string &node, LinkMessage message);
+    void endAll(Peer &peer);
+    void judgeSilence(const std::string &name, Peer &peer, Time now);
+
+    FiberThread &thread;
+    std::string node;
+    std::uint64_t incarnation;
+    LinkSettings settings;
+    std::uint64_t lastCall = 0;
+    Time advancedAt{};
+    std::map<std::string, Peer, std::less<>> peers;
+};
+
+// ---- LinkServer ----
+
+// Answers one message, at most once; a late answer to a closed connection is dropped.
+using LinkReply = std::function<void(wire::LinkFrame head, std::string_view body)>;
+
+// One connection that another process made.
+struct LinkPeer
+{
+    std::uint64_t number = 0; // of the connection, never used again
+    std::string node;         // empty before it said its name
+};
+
+class LinkServer
+{
+public:
+    struct Hooks
+    {
+        std::function<void(const LinkPeer &peer, LinkMessage message, LinkReply reply)> received;
+        std::function<void(const LinkPeer &peer)> closed;
+    };
+
+    LinkServer(FiberThread &serverThread, Hooks serverHooks);
+
+    // Error: SettingsInvalid if the address cannot be bound.
+    absl::Status listen(const Address &address);
+
+private:
+    void acceptNext();
+    void serve(Link::Socket socket);
+
+    FiberThread &thread;
+    Hooks hooks;
+    asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
+    std::uint64_t lastNumber = 0;
+    std::map<std::uint64_t, std::shared_ptr<Link>> links;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/metrics.h
@@ -0,0 +1,76 @@
+// Counters and latencies of one process, as text for the metrics address.
+//
+//   metrics.count(Metric::RequestsAnswered);
+//   metrics.addLatency(elapsed, now);
+#pragma once
+
+#include "base/names.h"
+#include "base/time.h"
+#include "report/quantiles.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace kumquat {
+
+enum class Metric : std::uint8_t {
+    RequestsTaken,
+    RequestsAnswered,
+    RequestsRefused,
+    RequestsFailed,
+    RequestsRepeated,
+    CallersGone,
+    UpstreamSent,
+    UpstreamRefused,
+    UpstreamLost,
+    UpstreamTimedOut,
+    HeartbeatsTaken,
+    HeartbeatsIgnored,
+    TablesWritten,
+    TableConflicts,
+    StoreCalls,
+};
+
+inline constexpr NameTable<Metric, 15> metricNames{
+        {{{Metric::RequestsTaken, "requests_taken"},
+          {Metric::RequestsAnswered, "requests_answered"},
+          {Metric::RequestsRefused, "requests_refused"},
+          {Metric::RequestsFailed, "requests_failed"},
+          {Metric::RequestsRepeated, "requests_repeated"},
+          {Metric::CallersGone, "callers_gone"},
+          {Metric::UpstreamSent, "upstream_sent"},
+          {Metric::UpstreamRefused, "upstream_refused"},
+          {Metric::UpstreamLost, "upstream_lost"},
+          {Metric::UpstreamTimedOut, "upstream_timed_out"},
+          {Metric::HeartbeatsTaken, "heartbeats_taken"},
+          {Metric::HeartbeatsIgnored, "heartbeats_ignored"},
+          {Metric::TablesWritten, "tables_written"},
+          {Metric::TableConflicts, "table_conflicts"},
+          {Metric::StoreCalls, "store_calls"}}}};
+
+// Used on one thread.
+class Metrics
+{
+public:
+    void count(Metric metric) { ++this->values[static_cast<std::size_t>(metric)]; }
+    void set(Metric metric, std::uint64_t value)
+    {
+        this->values[static_cast<std::size_t>(metric)] = value;
+    }
+
+    // Adds the time from a request's arrival to its answer.
+    void addLatency(Duration latency, Time now);
+
+    std::string toText(Time now);
+
+private:
+    static constexpr std::size_t bucketCount = 12;
+
+    std::array<std::uint64_t, metricNames.entries.size()> values{};
+    std::array<std::uint64_t, bucketCount + 1> buckets{}; // the last one has no bound
+    double latencySum = 0;                                // seconds
+    LatencyWindow window;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/settings.cpp
@@ -0,0 +1,130 @@
+#include "stage/settings.h"
+
+#include "base/errors.h"
+#include "settings/file.h"
+#include "settings/json.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+namespace kumquat {
+namespace {
+
+constexpr NumberRange millisecondRange{1, 3'600'000};
+constexpr NumberRange secondRange{1, 3'600};
+
+bool isAddress(const std::string &text)
+{
+    return Address::parse(text).ok();
+}
+
+bool isText(const std::string &text)
+{
+    return !text.empty();
+}
+
+bool isNotNegative(double number)
+{
+    return number >= 0;
+}
+
+std::string takeText(JsonObject &object, const std::string &member)
+{
+    return object.takeString(member, "a text that is not empty", isText);
+}
+
+Address takeAddress(JsonObject &object, const std::string &member)
+{
+    const std::string text = object.takeString(member, "\"IP:port\"", isAddress);
+    return text.empty() ? Address() : *Address::parse(text);
+}
+
+Duration takeMilliseconds(JsonObject &object, const std::string &member)
+{
+    return std::chrono::milliseconds(object.takeInteger(member, millisecondRange, std::nullopt));
+}
+
+StageListen takeListen(JsonObject &root, Faults &faults)
+{
+    JsonObject object(root.take("listen", "an object of addresses"), "/listen", faults);
+    StageListen listen;
+    listen.callers = takeAddress(object, "callers");
+    listen.readiness = takeAddress(object, "readiness");
+    listen.heartbeats = takeAddress(object, "heartbeats");
+    listen.processes = takeAddress(object, "processes");
+    listen.metrics = takeAddress(object, "metrics");
+    object.reportUnknown();
+    return listen;
+}
+
+StageLimits takeLimits(JsonObject &root, Faults &faults)
+{
+    JsonObject object(root.take("limits", "an object of limits"), "/limits", faults);
+    StageLimits limits;
+    limits.drain = takeMilliseconds(object, "drainMs");
+    limits.stop =
+            std::chrono::seconds(object.takeInteger("stopSeconds", secondRange, std::nullopt));
+    limits.longestHold = takeMilliseconds(object, "longestHoldMs");
+    limits.retryShare = object.takeNumber("retryShare", "a share", isNotNegative, std::nullopt);
+    limits.retryWindow = std::chrono::seconds(
+            object.takeInteger("retryWindowSeconds", secondRange, std::nullopt));
+    limits.retrySlack = object.takeNumber("retrySlack", "a number", isNotNegative, std::nullopt);
+    object.reportUnknown();
+    return limits;
+}
+
+std::map<std::string, std::string> takeRegions(JsonObject &root, Faults &faults)
+{
+    std::map<std::string, std::string> regions;
+    const Json *object = root.take("regions", "an object from data centre to region");
+    if (object == nullptr || !object->is_object()) {
+        return regions;
+    }
+    for (const auto &[centre, region] : object->items()) {
+        if (region.is_string()) {
+            regions[centre] = region.get<std::string>();
+        } else {
+            faults.push_back("/regions/" + centre + ": not a text; expected the name of a region");
+        }
+    }
+    return regions;
+}
+
+} // namespace
+
+absl::StatusOr<StageSettings> parseStageSettings(std::string_view text, const std::string &name)
+{
+    Faults faults;
+    const Json document = parseJson(text, faults);
+    StageSettings settings;
+    if (faults.empty()) {
+        JsonObject root(&document, "", faults);
+        settings.node = takeText(root, "node");
+        settings.region = takeText(root, "region");
+        settings.dataCentre = takeText(root, "dataCentre");
+        settings.firstStart = root.takeBool("firstStart", false);
+        settings.service = takeText(root, "service");
+        settings.upstream = takeAddress(root, "upstream");
+        settings.store = takeAddress(root, "store");
+        settings.listen = takeListen(root, faults);
+        settings.limits = takeLimits(root, faults);
+        settings.regions = takeRegions(root, faults);
+        root.reportUnknown();
+    }
+    if (!faults.empty()) {
+        return makeError(ErrorKind::SettingsInvalid,
+                         absl::StrCat(name, ": ", absl::StrJoin(faults, "\n" + name + ": ")));
+    }
+    return settings;
+}
+
+absl::StatusOr<StageSettings> loadStageSettings(const std::string &path)
+{
+    auto text = readFile(path, ErrorKind::SettingsInvalid);
+    if (!text.ok()) {
+        return text.status();
+    }
+    return parseStageSettings(*text, path);
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/stage.cpp
@@ -0,0 +1,593 @@
+#include "stage/stage.h"
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "base/text.h"
+#include "platform/configuration.h"
+#include "platform/upstream.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <pthread.h>
+#include <random>
+
+namespace kumquat {
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+constexpr Duration tick = 50ms;         // of leases and limits; a lease is renewed every 400 ms
+constexpr Duration linkTick = 100ms;    // of connections between processes
+constexpr Duration gossipEvery = 500ms; // news reach every host well within a second
+constexpr std::size_t gossipPeers = 2;  // asked in each round
+constexpr Duration gossipLimit = 900ms;
+constexpr Duration fetchPause = 50ms;   // between two requests for news
+constexpr Duration recordDelay = 1200ms; // a host without a heartbeat makes itself known after it
+constexpr Duration recordRetry = 300ms;
+constexpr Duration logFlush = 200ms;
+
+// Queue in front of the upstream. Its own limit on what runs at a time is the slots that it
+// announces; they are known, so latency does not lower it.
+constexpr LimiterSettings upstreamLimiter{.queue = 64,
+                                          .queueTime = 1200ms,
+                                          .decrease = 0.9,
+                                          .refusalDecrease = 0.9,
+                                          .timeoutDecrease = 0.95,
+                                          .silentTimeouts = 6,
+                                          .tolerance = 1e9,
+                                          .firstServiceTime = 60ms};
+
+// After SIGTERM the platform needs two unanswered probes, one a second, to send no new callers.
+constexpr Duration leastStop = 2500ms;
+constexpr Duration stopMargin = 600ms; // before SIGKILL
+
+std::uint64_t makeIncarnation()
+{
+    std::random_device device;
+    constexpr unsigned halfBits = 32;
+    return static_cast<std::uint64_t>(device()) << halfBits | device();
+}
+
+sigset_t handledSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        sigaddset(&signals, number);
+    }
+    return signals;
+}
+
+IngressSettings ingressSettings(const StageSettings &settings)
+{
+    // The budget is shared by all processes without talk: each takes half of what is allowed for
+    // its own requests, and a small part of the slack.
+    constexpr double used = 0.5;
+    constexpr double slackParts = 100;
+    const double window = std::chrono::duration<double>(settings.limits.retryWindow).count();
+    return {.node = settings.node,
+            .service = settings.service,
+            .dataCentre = settings.dataCentre,
+            .region = settings.region,
+            .retryShare = settings.limits.retryShare * used,
+            .retryFloor = settings.limits.retrySlack / window / slackParts};
+}
+
+wire::UpstreamPhase encodePhase(UpstreamPhase phase)
+{
+    switch (phase) {
+    case UpstreamPhase::Ready:
+        return wire::UPSTREAM_READY;
+    case UpstreamPhase::Draining:
+        return wire::UPSTREAM_DRAINING;
+    case UpstreamPhase::Ended:
+        return wire::UPSTREAM_ENDED;
+    default:
+        return wire::UPSTREAM_ABSENT;
+    }
+}
+
+HostLoad decodeLoad(const wire::UpstreamLoad &load)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    return {.isUsable = load.usable(),
+            .inFlight = load.in_flight(),
+            .slots = std::max(1U, load.slots()),
+            .serviceSeconds = load.service_ms() / millisecondsPerSecond};
+}
+
+} // namespace
+
+// ---- Start ----
+
+Stage::Stage(StageSettings stageSettings, std::string settingsPath)
+    : settings(std::move(stageSettings))
+    , path(std::move(settingsPath))
+    , incarnation(makeIncarnation())
+    , startedAt(readBootTime())
+    , thread("stage")
+    , ticker(this->thread.io())
+    , store(this->thread.io(), this->settings.store)
+    , links(this->thread, this->settings.node, this->incarnation)
+    , view({.hostChanged =
+                    [this](const KnownHost &host) {
+                        this->links.setAddress(host.info.node, host.address);
+                        this->coordinator.noteHostChanged(readBootTime());
+                    },
+            .tableChanged =
+                    [this](const std::string &service) {
+                        if (service == this->settings.service) {
+                            this->keys.advance(readBootTime());
+                            this->executor.noteAccessChanged();
+                        }
+                    }})
+    , monitor({.drain = this->settings.limits.drain})
+    , voter(LeaseSettings{}, this->startedAt)
+    , follower(this->thread, this->store, this->view,
+               [this](platform::StoreTopic topic) {
+                   if (topic == platform::StoreTopic::Tables) {
+                       this->hasReadTables = true;
+                       this->voter.noteFreshRead();
+                   }
+               })
+    , keys(this->thread, this->settings.node, this->settings.service, this->settings.upstream,
+           this->view, this->links, this->monitor,
+           {.accessChanged = [this] { this->executor.noteAccessChanged(); },
+            .load = [this] { return this->executor.load(this->settings.node, readBootTime()); },
+            .vouched =
+                    [this](const std::string &node, const wire::VouchReply &reply) {
+                        this->picker.noteLoad(node, decodeLoad(reply.load()), readBootTime());
+                        this->noteKnown(node, reply.known());
+                    },
+            .ownVoterReleased =
+                    [this](const wire::ReleaseQuery &query) {
+                        return this->hasVoterReleased(query);
+                    }})
+    , executor(this->thread, this->monitor, this->metrics,
+               {.service = this->settings.service,
+                .upstream = this->settings.upstream,
+                .limiter = upstreamLimiter},
+               {.access = [this](ShardKey key, Time now) { return this->keys.access(key, now); },
+                .hasKeys =
+                        [this] {
+                            const ConfigurationPtr now = this->view.configuration();
+                            const ServiceInfo *info =
+                                    now ? now->service(this->settings.service) : nullptr;
+                            return info != nullptr && info->hasKeys;
+                        },
+                .tablesEnd = [this] { return this->view.tablesEnd(); }})
+    , coordinator(this->thread, this->settings.node, this->settings.service, this->view,
+                  this->links, this->store, this->metrics,
+                  {.makeReport = [this] { return this->makeReport(); },
+                   .takeKeyCounts = [this] { return this->executor.takeKeyCounts(); },
+                   .known = [this](const std::string &node,
+                                   const wire::Known &known) { this->noteKnown(node, known); }})
+    , ingress(this->thread, this->view, this->links, this->executor, this->picker, this->metrics,
+              ingressSettings(this->settings),
+              {.tablesBehind =
+                       [this](const std::string &node, std::uint64_t end) {
+                           if (end > this->view.tablesEnd()) {
+                               this->fetchState(node);
+                           }
+                       }})
+    , linkServer(this->thread,
+                 {.received =
+                          [this](const LinkPeer &peer, LinkMessage message,
+                                 const LinkReply &reply) {
+                              this->onMessage(peer, std::move(message), reply);
+                          },
+                  .closed =
+                          [this](const LinkPeer &peer) {
+                              this->executor.cancelAll(peer.number);
+                          }})
+{}
+
+absl::StatusOr<std::unique_ptr<Stage>> Stage::create(StageSettings settings, std::string path)
+{
+    auto stage = std::unique_ptr<Stage>(new Stage(std::move(settings), std::move(path)));
+    const absl::Status status = stage->listen();
+    if (!status.ok()) {
+        return status;
+    }
+    return stage;
+}
+
+absl::Status Stage::listen()
+{
+    const auto refuse = [](ErrorKind kind) {
+        return HttpResponse{.status = errorInfo(kind).httpStatus};
+    };
+    const auto plain = [&](std::function<HttpResponse(const HttpRequest &)> handle) {
+        return HttpServer::create(this->thread, {}, {.handle = std::move(handle), .refuse = refuse});
+    };
+    this->callerServer = HttpServer::create(
+            this->thread, {},
+            {.handleWatched =
+                     [this](HttpRequest &request, CallerWatch &watch) {
+                         return this->ingress.handle(request, watch);
+                     },
+             .refuse = refuse,
+             .isClosing = [this] { return this->isStopping; }});
+    this->readinessServer =
+            plain([this](const HttpRequest &request) { return this->onReadiness(request); });
+    this->heartbeatServer =
+            plain([this](const HttpRequest &request) { return this->onHeartbeat(request); });
+    this->metricsServer = plain([this](const HttpRequest &) {
+        this->metrics.set(Metric::StoreCalls, this->store.callCount());
+        return HttpResponse{.body = this->metrics.toText(readBootTime())};
+    });
+    const StageListen &listen = this->settings.listen;
+    absl::Status status = this->linkServer.listen(listen.processes);
+    status.Update(this->callerServer->listen(listen.callers, false));
+    status.Update(this->readinessServer->listen(listen.readiness, false));
+    status.Update(this->heartbeatServer->listen(listen.heartbeats, false));
+    status.Update(this->metricsServer->listen(listen.metrics, false));
+    return status;
+}
+
+void Stage::startTimers()
+{
+    this->ticker.every(tick, [this](Time now) { this->advance(now); });
+    this->ticker.every(linkTick, [this](Time now) { this->links.advance(now); });
+    this->ticker.every(linkTick, [this](Time now) { this->coordinator.advance(now); });
+    this->ticker.every(gossipEvery, [this](Time now) { this->gossip(now); });
+    this->ticker.every(logFlush, [](Time) { flushLog(); });
+    this->ticker.after(recordDelay, [this](Time) {
+        this->isRecordDue = this->isRecordDue || this->recordChange == 0;
+    });
+}
+
+void Stage::run()
+{
+    const sigset_t signals = handledSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    logInfo(LogPart::Main, "started",
+            {{"node", this->settings.node},
+             {"dataCentre", this->settings.dataCentre},
+             {"service", this->settings.service},
+             {"firstStart", this->settings.firstStart ? "yes" : "no"},
+             {"incarnation", std::to_string(this->incarnation)}});
+    this->thread.start();
+    this->thread.post([this] {
+        this->startTimers();
+        this->follower.start();
+    });
+    while (true) {
+        int number = 0;
+        if (sigwait(&signals, &number) != 0) {
+            continue;
+        }
+        if (number == SIGHUP) {
+            this->thread.post([this] { this->reload(); });
+        } else {
+            this->thread.post([this] { this->beginStop(); });
+        }
+    }
+}
+
+// ---- Time ----
+
+void Stage::advance(Time now)
+{
+    if (this->monitor.advance(now)) {
+        this->onUpstreamChanged(now);
+    }
+    this->keys.advance(now);
+    this->executor.advance(now);
+    if (this->isRecordDue && !this->isRecordWriting) {
+        this->writeHostRecord();
+    }
+    if (this->isStopping && this->mayExit(now)) {
+        logInfo(LogPart::Main, "stopped",
+                {{"requests", std::to_string(this->ingress.count())},
+                 {"running", std::to_string(this->executor.count())}});
+        flushLog();
+        std::quick_exit(EXIT_SUCCESS);
+    }
+}
+
+void Stage::reload()
+{
+    const auto loaded = loadStageSettings(this->path);
+    if (!loaded.ok()) {
+        logError(LogPart::Settings, "settings refused, the former ones stay in force",
+                 {{"reason", std::string(toStd(loaded.status().message()))}});
+        return;
+    }
+    // Addresses and names of a running process do not change; the bounds may.
+    this->settings.limits = loaded->limits;
+    logInfo(LogPart::Settings, "settings read again", {{"path", this->path}});
+}
+
+void Stage::beginStop()
+{
+    if (this->isStopping) {
+        return;
+    }
+    this->isStopping = true;
+    this->stoppingSince = readBootTime();
+    logInfo(LogPart::Main, "stopping",
+            {{"requests", std::to_string(this->ingress.count())},
+             {"session", std::to_string(this->keys.session())}});
+    this->coordinator.reportSoon();
+}
+
+bool Stage::mayExit(Time now) const
+{
+    const Duration elapsed = now - this->stoppingSince;
+    if (elapsed >= this->settings.limits.stop - stopMargin) {
+        return true;
+    }
+    return elapsed >= leastStop && this->ingress.count() == 0 && this->executor.count() == 0;
+}
+
+// ---- Messages of other processes ----
+
+void Stage::onMessage(const LinkPeer &peer, LinkMessage message, const LinkReply &reply)
+{
+    const Time now = readBootTime();
+    wire::LinkFrame answer;
+    switch (message.head.content_case()) {
+    case wire::LinkFrame::kExecute:
+        this->onExecute(peer, std::move(message), reply);
+        break;
+    case wire::LinkFrame::kCancel:
+        this->executor.cancel({.connection = peer.number, .call = message.head.call()});
+        break;
+    case wire::LinkFrame::kVouch:
+        this->onVouch(message.head.vouch(), reply);
+        this->noteKnown(peer.node, message.head.vouch().known());
+        break;
+    case wire::LinkFrame::kReleaseQuery:
+        answer.mutable_release_reply()->set_released(
+                this->hasVoterReleased(message.head.release_query()));
+        reply(answer, {});
+        break;
+    case wire::LinkFrame::kStopQuery:
+        *answer.mutable_stop_reply() = this->keys.answerStop(message.head.stop_query(), now);
+        reply(answer, {});
+        if (message.head.stop_query().tables_end() > this->view.tablesEnd()) {
+            this->fetchState(peer.node);
+        }
+        break;
+    case wire::LinkFrame::kLoadReport:
+        this->coordinator.noteReport(peer.node, message.head.load_report(), now);
+        *answer.mutable_load_ack()->mutable_known() = this->view.known();
+        reply(answer, {});
+        this->noteKnown(peer.node, message.head.load_report().known());
+        break;
+    case wire::LinkFrame::kStateQuery:
+        *answer.mutable_state_reply() = this->view.stateSince(message.head.state_query().known());
+        reply(answer, {});
+        break;
+    case wire::LinkFrame::kStateReply:
+        this->onState(message.head.state_reply());
+        answer.mutable_load_ack();
+        reply(answer, {});
+        break;
+    default:
+        logWarning(LogPart::Mesh, "message of an unknown kind dropped", {{"node", peer.node}});
+        break;
+    }
+}
+
+void Stage::onExecute(const LinkPeer &peer, LinkMessage message, const LinkReply &reply)
+{
+    const ExecuteCaller caller{.connection = peer.number, .call = message.head.call()};
+    wire::Execute execute = std::move(*message.head.mutable_execute());
+    // What was held up on the way has less time left; the caller's host counts it as well.
+    const auto delayed =
+            std::chrono::duration_cast<std::chrono::milliseconds>(message.delayed).count();
+    const auto left = static_cast<std::int64_t>(execute.remaining_ms()) - delayed;
+    execute.set_remaining_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0)));
+    if (execute.tables_end() > this->view.tablesEnd()) {
+        this->fetchState(peer.node);
+    }
+    auto work = [this, caller, reply, execute = std::move(execute),
+                 body = std::move(message.body)]() mutable {
+        ExecuteResult result = this->executor.run(execute, std::move(body), caller);
+        wire::LinkFrame frame;
+        *frame.mutable_execute_reply() = std::move(result.reply);
+        reply(frame, result.body);
+    };
+    this->thread.spawn(std::move(work));
+}
+
+void Stage::onVouch(const wire::Vouch &vouch, const LinkReply &reply)
+{
+    wire::LinkFrame frame;
+    wire::VouchReply &answer = *frame.mutable_vouch_reply();
+    const bool isAsked = vouch.session() != 0;
+    answer.set_granted(isAsked
+                       && this->voter.vouch(this->view.table(vouch.service()), vouch.session(),
+                                            readBootTime()));
+    *answer.mutable_known() = this->view.known();
+    *answer.mutable_load() = this->executor.load(this->settings.node, readBootTime());
+    reply(frame, {});
+    if (!vouch.load().node().empty()) {
+        this->picker.noteLoad(vouch.load().node(), decodeLoad(vouch.load()), readBootTime());
+    }
+}
+
+bool Stage::hasVoterReleased(const wire::ReleaseQuery &query) const
+{
+    return this->voter.hasReleased(this->view.table(query.service()), query.session(),
+                                   query.ended_at(), readBootTime());
+}
+
+// ---- What others know ----
+
+void Stage::onState(const wire::StateReply &state)
+{
+    if (!state.config().empty()) {
+        auto configuration = platform::decodeConfiguration(state.config());
+        if (configuration.ok()) {
+            this->view.applyConfiguration(*std::move(configuration), state.config());
+        }
+    }
+    for (const wire::StateItem &item : state.hosts()) {
+        this->view.applyHost(item.key(), item.offset(), item.value());
+    }
+    for (const wire::StateItem &item : state.tables()) {
+        this->view.applyTable(item.key(), item.offset(), item.value());
+    }
+}
+
+void Stage::noteKnown(const std::string &node, const wire::Known &known)
+{
+    if (this->view.isBehind(known)) {
+        this->fetchState(node);
+    }
+}
+
+void Stage::fetchState(const std::string &node)
+{
+    const Time now = readBootTime();
+    if (now - this->fetchedAt < fetchPause || node.empty()) {
+        return;
+    }
+    this->fetchedAt = now;
+    wire::LinkFrame frame;
+    *frame.mutable_state_query()->mutable_known() = this->view.known();
+    this->links.call(node, frame, {}, gossipLimit, [this](LinkEnd end, const LinkMessage &answer) {
+        if (end == LinkEnd::Answered) {
+            this->onState(answer.head.state_reply());
+        }
+    });
+}
+
+// Exchanges with a few hosts in turn how far each has read and how busy its upstream is.
+void Stage::gossip(Time now)
+{
+    const auto &hosts = this->view.hosts();
+    if (hosts.size() < 2) {
+        return;
+    }
+    wire::LinkFrame frame;
+    wire::Vouch &vouch = *frame.mutable_vouch();
+    *vouch.mutable_known() = this->view.known();
+    *vouch.mutable_load() = this->executor.load(this->settings.node, now);
+    for (std::size_t i = 0; i < gossipPeers; ++i) {
+        const auto next = std::next(hosts.begin(),
+                                    static_cast<std::ptrdiff_t>(this->gossipTurn++ % hosts.size()));
+        const std::string node = next->first;
+        if (node == this->settings.node || this->links.isDown(node, now)) {
+            continue;
+        }
+        this->links.call(node, frame, {}, gossipLimit,
+                         [this, node](LinkEnd end, const LinkMessage &answer) {
+                             if (end == LinkEnd::Answered) {
+                                 const wire::VouchReply &reply = answer.head.vouch_reply();
+                                 this->picker.noteLoad(node, decodeLoad(reply.load()),
+                                                       readBootTime());
+                                 this->noteKnown(node, reply.known());
+                             }
+                         });
+    }
+}
+
+// ---- The upstream beside this process ----
+
+HttpResponse Stage::onHeartbeat(const HttpRequest &request)
+{
+    const auto beat = platform::decodeHeartbeat(request);
+    if (!beat.ok()) {
+        this->metrics.count(Metric::HeartbeatsIgnored);
+        logWarning(LogPart::Upstream, "heartbeat ignored",
+                   {{"reason", std::string(toStd(beat.status().message()))}});
+        return {.status = statusBadRequest};
+    }
+    this->metrics.count(Metric::HeartbeatsTaken);
+    const Time now = readBootTime();
+    if (this->monitor.applyHeartbeat(*beat, now)) {
+        this->onUpstreamChanged(now);
+    }
+    return {.status = statusOk,
+            .fields = {{"Content-Type", "application/json"}},
+            .body = "{}"};
+}
+
+void Stage::onUpstreamChanged(Time now)
+{
+    logInfo(LogPart::Upstream, "upstream changed",
+            {{"upstream", this->monitor.life().id},
+             {"born", std::to_string(this->monitor.life().bornMs)},
+             {"phase", std::string(upstreamPhaseNames.nameOf(this->monitor.phase()))},
+             {"slots", std::to_string(this->monitor.slots())}});
+    this->executor.noteUpstream(now);
+    this->isRecordDue = true;
+    this->keys.advance(now);
+    this->coordinator.reportSoon();
+}
+
+void Stage::writeHostRecord()
+{
+    this->isRecordDue = false;
+    this->isRecordWriting = true;
+    wire::HostRecord record;
+    record.set_node(this->settings.node);
+    record.set_incarnation(this->incarnation);
+    record.set_address(this->settings.listen.processes.toString());
+    record.set_data_centre(this->settings.dataCentre);
+    record.set_region(this->settings.region);
+    record.set_service(this->settings.service);
+    record.set_upstream_id(this->monitor.life().id);
+    record.set_born_ms(this->monitor.life().bornMs);
+    record.set_slots(this->monitor.slots());
+    record.set_phase(encodePhase(this->monitor.phase()));
+    record.set_change(++this->recordChange);
+    this->thread.spawn([this, bytes = record.SerializeAsString()] {
+        const platform::AppendResult result = this->store.append(
+                platform::StoreTopic::Hosts, this->settings.node, bytes, std::nullopt);
+        logInfo(LogPart::Log, "own record written",
+                {{"outcome", std::string(platform::appendEndNames.nameOf(result.end))},
+                 {"phase", std::string(upstreamPhaseNames.nameOf(this->monitor.phase()))}});
+        if (result.end != platform::AppendEnd::Done) {
+            sleepFor(this->thread.io(), recordRetry);
+            this->isRecordDue = true;
+        }
+        this->isRecordWriting = false;
+    });
+}
+
+wire::LoadReport Stage::makeReport() const
+{
+    const Time now = readBootTime();
+    const wire::UpstreamLoad load = this->executor.load(this->settings.node, now);
+    wire::LoadReport report;
+    report.set_service(this->settings.service);
+    report.set_session(this->keys.session());
+    report.set_phase(encodePhase(this->monitor.phase()));
+    report.set_failing(this->monitor.isFailing() || this->monitor.isRefusing());
+    report.set_stopping(this->isStopping);
+    report.set_slots(load.slots());
+    report.set_service_ms(load.service_ms());
+    for (const std::uint64_t fence : this->keys.unsettledFences()) {
+        report.add_unsettled(fence);
+    }
+    *report.mutable_known() = this->view.known();
+    report.set_upstream_id(this->monitor.life().id);
+    report.set_born_ms(this->monitor.life().bornMs);
+    return report;
+}
+
+// ---- Readiness ----
+
+bool Stage::isReady() const
+{
+    return !this->isStopping && this->view.configuration() != nullptr;
+}
+
+HttpResponse Stage::onReadiness(const HttpRequest &request)
+{
+    if (!platform::isReadinessProbe(request)) {
+        return {.status = statusNotFound};
+    }
+    return {.status = this->isReady() ? statusOk : statusUnavailable};
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/stage.h
@@ -0,0 +1,106 @@
+// The process on the users' platform: connects the parts and runs until it is told to stop.
+//
+//   absl::StatusOr<std::unique_ptr<Stage>> stage = Stage::create(settings, path);
+//   return (*stage)->run();
+//
+// Sections: Stage.
+#pragma once
+
+#include "keyspace/lease.h"
+#include "net/http_server.h"
+#include "platform/store.h"
+#include "routing/host_picker.h"
+#include "stage/cluster_view.h"
+#include "stage/coordinator.h"
+#include "stage/executor.h"
+#include "stage/ingress.h"
+#include "stage/key_owner.h"
+#include "stage/link.h"
+#include "stage/metrics.h"
+#include "stage/settings.h"
+#include "stage/store_follower.h"
+#include "stage/ticker.h"
+#include "stage/upstream_monitor.h"
+
+#include <absl/status/statusor.h>
+
+#include <memory>
+#include <string>
+
+namespace kumquat {
+
+class Stage
+{
+public:
+    // Error: SettingsInvalid if an address cannot be bound.
+    static absl::StatusOr<std::unique_ptr<Stage>> create(StageSettings settings, std::string path);
+
+    // Serves until SIGTERM or SIGINT, then until no request is in flight and its keys have moved.
+    // Blocks these signals and SIGHUP in all threads; call it from the main thread.
+    void run();
+
+private:
+    Stage(StageSettings stageSettings, std::string settingsPath);
+
+    absl::Status listen();
+    void startTimers();
+
+    // Messages of other processes.
+    void onMessage(const LinkPeer &peer, LinkMessage message, const LinkReply &reply);
+    void onExecute(const LinkPeer &peer, LinkMessage message, const LinkReply &reply);
+    void onVouch(const wire::Vouch &vouch, const LinkReply &reply);
+    void onState(const wire::StateReply &state);
+    bool hasVoterReleased(const wire::ReleaseQuery &query) const;
+
+    // What others know.
+    void noteKnown(const std::string &node, const wire::Known &known);
+    void fetchState(const std::string &node);
+    void gossip(Time now);
+
+    // The upstream beside this process.
+    HttpResponse onHeartbeat(const HttpRequest &request);
+    void onUpstreamChanged(Time now);
+    void writeHostRecord();
+    wire::LoadReport makeReport() const;
+
+    HttpResponse onReadiness(const HttpRequest &request);
+    bool isReady() const;
+    void advance(Time now);
+    void reload();
+    void beginStop();
+    bool mayExit(Time now) const;
+
+    StageSettings settings;
+    std::string path;
+    std::uint64_t incarnation;
+    Time startedAt;
+    FiberThread thread;
+    Ticker ticker;
+    Metrics metrics;
+    platform::StoreClient store;
+    LinkPool links;
+    ClusterView view;
+    UpstreamMonitor monitor;
+    VoterRole voter;
+    HostPicker picker;
+    StoreFollower follower;
+    KeyOwner keys;
+    Executor executor;
+    Coordinator coordinator;
+    Ingress ingress;
+    LinkServer linkServer;
+    std::shared_ptr<HttpServer> callerServer;
+    std::shared_ptr<HttpServer> readinessServer;
+    std::shared_ptr<HttpServer> heartbeatServer;
+    std::shared_ptr<HttpServer> metricsServer;
+    bool isStopping = false;
+    Time stoppingSince{};
+    bool isRecordDue = false;      // others do not know yet what this host has to say
+    bool isRecordWriting = false;
+    std::uint64_t recordChange = 0;
+    bool hasReadTables = false;
+    Time fetchedAt = -1h;
+    std::size_t gossipTurn = 0;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/store_follower.cpp
@@ -0,0 +1,164 @@
+#include "stage/store_follower.h"
+
+#include "base/log.h"
+#include "base/text.h"
+#include "platform/configuration.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+using platform::StoreBatch;
+using platform::StoreRecord;
+using platform::StoreTopic;
+using platform::storeTopicNames;
+
+StoreFollower::StoreFollower(FiberThread &followerThread, platform::StoreClient &storeClient,
+                             ClusterView &clusterView,
+                             std::function<void(StoreTopic topic)> freshReadHook,
+                             FollowerSettings followerSettings)
+    : thread(followerThread)
+    , store(storeClient)
+    , view(clusterView)
+    , freshRead(std::move(freshReadHook))
+    , settings(followerSettings)
+{}
+
+StoreFollower::Cursor &StoreFollower::cursor(StoreTopic topic)
+{
+    return this->cursors[static_cast<std::size_t>(topic)];
+}
+
+void StoreFollower::start()
+{
+    for (const auto &entry : storeTopicNames.entries) {
+        this->thread.spawn([this, topic = entry.value] { this->follow(topic); });
+    }
+}
+
+void StoreFollower::nudge(StoreTopic topic)
+{
+    Cursor &current = this->cursor(topic);
+    const Time now = readBootTime();
+    if (current.waiting && now - current.nudgedAt > this->settings.longestRetry) {
+        current.nudgedAt = now;
+        current.waiting->cancel();
+    }
+}
+
+bool StoreFollower::isLost(StoreTopic topic) const
+{
+    return this->cursors[static_cast<std::size_t>(topic)].isLost;
+}
+
+void StoreFollower::follow(StoreTopic topic)
+{
+    this->readNewest(topic);
+    this->freshRead(topic);
+    Duration retry = this->settings.retryAfter;
+    while (true) {
+        const absl::Status status = this->readMore(topic);
+        this->noteResult(topic, status);
+        if (status.ok()) {
+            retry = this->settings.retryAfter;
+            continue;
+        }
+        sleepFor(this->thread.io(), retry);
+        retry = std::min(2 * retry, this->settings.longestRetry);
+    }
+}
+
+// Returns once it has succeeded.
+void StoreFollower::readNewest(StoreTopic topic)
+{
+    Duration retry = this->settings.retryAfter;
+    while (true) {
+        const auto batch = this->store.readNewest(topic);
+        this->noteResult(topic, batch.status());
+        if (batch.ok()) {
+            this->apply(topic, *batch);
+            return;
+        }
+        sleepFor(this->thread.io(), retry);
+        retry = std::min(2 * retry, this->settings.longestRetry);
+    }
+}
+
+absl::Status StoreFollower::readMore(StoreTopic topic)
+{
+    Cursor &current = this->cursor(topic);
+    current.waiting = std::make_shared<HttpCallHandle>();
+    const std::shared_ptr<HttpCallHandle> handle = current.waiting;
+    const auto batch =
+            this->store.readFrom(topic, current.end, this->settings.wait, handle);
+    current.waiting = nullptr;
+    if (!batch.ok()) {
+        return handle->isCancelled() ? absl::OkStatus() : batch.status();
+    }
+    if (batch->hasExpired) {
+        logInfo(LogPart::Log, "records expired before they were read",
+                {{"topic", std::string(storeTopicNames.nameOf(topic))},
+                 {"from", std::to_string(current.end)}});
+        this->readNewest(topic);
+        return absl::OkStatus();
+    }
+    this->apply(topic, *batch);
+    if (!batch->records.empty()) {
+        sleepFor(this->thread.io(), this->settings.pause);
+    }
+    return absl::OkStatus();
+}
+
+void StoreFollower::apply(StoreTopic topic, const StoreBatch &batch)
+{
+    Cursor &current = this->cursor(topic);
+    for (const StoreRecord &record : batch.records) {
+        if (record.value.empty()) {
+            continue; // the key was dropped
+        }
+        switch (topic) {
+        case StoreTopic::Configuration: {
+            auto configuration = platform::decodeConfiguration(record.value);
+            if (configuration.ok()) {
+                this->view.applyConfiguration(*std::move(configuration), record.value);
+            } else {
+                logWarning(LogPart::Rules, "configuration ignored",
+                           {{"offset", std::to_string(record.offset)},
+                            {"reason", std::string(toStd(configuration.status().message()))}});
+            }
+            break;
+        }
+        case StoreTopic::Hosts:
+            this->view.applyHost(record.key, record.offset, record.value);
+            break;
+        case StoreTopic::Tables:
+            this->view.applyTable(record.key, record.offset, record.value);
+            break;
+        }
+    }
+    current.end = std::max(current.end, batch.end);
+    if (topic == StoreTopic::Hosts) {
+        this->view.noteHostsEnd(current.end);
+    } else if (topic == StoreTopic::Tables) {
+        this->view.noteTablesEnd(current.end);
+    }
+}
+
+void StoreFollower::noteResult(StoreTopic topic, const absl::Status &status)
+{
+    Cursor &current = this->cursor(topic);
+    if (current.isLost == !status.ok()) {
+        return;
+    }
+    current.isLost = !status.ok();
+    const std::string name(storeTopicNames.nameOf(topic));
+    if (current.isLost) {
+        logWarning(LogPart::Log, "store lost",
+                   {{"topic", name}, {"reason", std::string(toStd(status.message()))}});
+    } else {
+        logInfo(LogPart::Log, "store regained",
+                {{"topic", name}, {"end", std::to_string(current.end)}});
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/stage/upstream_monitor.h
@@ -0,0 +1,68 @@
+// Follows the upstream beside this process by its heartbeats and by what calls to it show.
+//
+//   if (monitor.applyHeartbeat(beat, now)) { ... something that others must know has changed ... }
+//   if (monitor.mayServe(now)) { ... send it a request ... }
+#pragma once
+
+#include "platform/upstream.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace kumquat {
+
+struct MonitorSettings
+{
+    Duration drain{};                // bound of the platform for requests after a goodbye
+    Duration endedAfter = 1700ms;    // without a listener; over the longest hold by a slow clock
+    double drainShare = 0.8;         // of it after which nothing more is sent
+    std::uint32_t failuresInRow = 3; // unanswered calls after which the upstream counts as failing
+};
+
+// Not thread-safe.
+class UpstreamMonitor
+{
+public:
+    explicit UpstreamMonitor(MonitorSettings monitorSettings)
+        : settings(monitorSettings)
+    {}
+
+    // Takes a heartbeat. Older ones than the last, and those of an earlier life, are ignored.
+    // Returns true if the life, the phase or the slots changed.
+    bool applyHeartbeat(const platform::Heartbeat &beat, Time now);
+
+    // Notes that nothing listens on the upstream's address. Nothing may be granted to it until it
+    // sends a heartbeat again.
+    void noteRefused(Time now);
+
+    // Ends the life of an upstream on whose address nothing has listened for the longest hold: a
+    // refusal may be a mistake, so its last grants must be over as well. Returns true if it ended.
+    bool advance(Time now);
+
+    // Notes an answer, of whatever kind, or a call without one.
+    void noteAnswer() { this->failures = 0; }
+    void noteSilence() { ++this->failures; }
+
+    // Says whether requests may be sent to the upstream.
+    bool mayServe(Time now) const;
+
+    bool isFailing() const { return this->failures >= this->settings.failuresInRow; }
+    bool isRefusing() const { return this->refusedAt.has_value(); }
+    bool isKnown() const { return this->current.has_value(); }
+    UpstreamPhase phase() const;
+    const UpstreamLife &life() const { return this->lastLife; }
+    std::uint32_t slots() const { return this->current ? this->current->slots : 1; }
+    bool isCold(Time now) const { return now < this->coldUntil; }
+
+private:
+    MonitorSettings settings;
+    std::optional<platform::Heartbeat> current;
+    UpstreamLife lastLife;
+    UpstreamPhase lastPhase = UpstreamPhase::Absent;
+    Time drainingSince{};
+    Time coldUntil{};
+    std::optional<Time> refusedAt; // since when nothing listens
+    std::uint32_t failures = 0; // in a row
+};
+
+} // namespace kumquat
--- a/packages/traffic/limiter.cpp
+++ b/packages/traffic/limiter.cpp
@@ -57,7 +57,8 @@
     this->timeoutsInRow = 0;
 }
 
-Admission EndpointLimiter::admit(RequestNumber request, Time deadline, Time now)
+Admission EndpointLimiter::admit(RequestNumber request, Time deadline, Time now,
+                                 std::uint32_t rank)
 {
     assert(!this->running.contains(request) && "use a new number for each request");
     if (deadline <= now) {
@@ -68,17 +69,42 @@
         this->dispatch(request, deadline, now);
         return {.action = AdmitAction::Dispatch};
     }
-    const bool full = this->queue.size() >= this->settings.queue
-                      || this->expectedWait(this->queue.size(), now) > this->settings.queueTime;
-    if (full || !this->canMeet(deadline, this->queue.size(), now)) {
+    const std::size_t ahead = this->countAhead(rank);
+    const bool full = this->expectedWait(ahead, now) > this->settings.queueTime;
+    if (full || !this->canMeet(deadline, ahead, now) || !this->makeRoom(rank, now)) {
         return {.action = AdmitAction::Refuse,
                 .error = ErrorKind::Overloaded,
                 .retryAfter = this->expectedWait(this->queue.size(), now)};
     }
-    this->queue.push_back({.request = request, .deadline = deadline});
+    this->queue.insert(this->queue.begin() + static_cast<std::ptrdiff_t>(ahead),
+                       {.request = request, .deadline = deadline, .rank = rank});
     return {.action = AdmitAction::Wait};
 }
 
+// Returns how many waiting requests go before a new one of this rank.
+std::size_t EndpointLimiter::countAhead(std::uint32_t rank) const
+{
+    const auto after = std::find_if(this->queue.begin(), this->queue.end(),
+                                    [rank](const Waiting &entry) { return entry.rank > rank; });
+    return static_cast<std::size_t>(after - this->queue.begin());
+}
+
+// Drops the last waiting request of a higher rank if the queue is full. Returns false if there is
+// none.
+bool EndpointLimiter::makeRoom(std::uint32_t rank, Time now)
+{
+    if (this->queue.size() < this->settings.queue) {
+        return true;
+    }
+    if (this->queue.empty() || this->queue.back().rank <= rank) {
+        return false;
+    }
+    const Waiting last = this->queue.back();
+    this->queue.pop_back();
+    this->drop(last, now);
+    return true;
+}
+
 void EndpointLimiter::finish(RequestNumber request, CallEnd end, Time now)
 {
     const auto found = this->running.find(request);
--- a/packages/traffic/limiter.h
+++ b/packages/traffic/limiter.h
@@ -57,7 +57,7 @@
 
 struct LimiterOutput
 {
-    std::vector<RequestNumber> dispatch; // in order of arrival; call finish for each
+    std::vector<RequestNumber> dispatch; // in the order of the queue; call finish for each
     std::vector<DroppedRequest> dropped; // no finish
 };
 
@@ -91,8 +91,9 @@
     // Starts the cold ramp again, after the upstream restarted.
     void startCold(Time now);
 
-    // Decides about a new request. After Wait the request appears in a later output.
-    Admission admit(RequestNumber request, Time deadline, Time now);
+    // Decides about a new request. After Wait the request appears in a later output. A lower `rank`
+    // goes first; among equals the first that came does.
+    Admission admit(RequestNumber request, Time deadline, Time now, std::uint32_t rank = 0);
 
     // Ends a dispatched request and lets waiting ones follow.
     void finish(RequestNumber request, CallEnd end, Time now);
@@ -130,8 +131,11 @@
     {
         RequestNumber request = 0;
         Time deadline{};
+        std::uint32_t rank = 0;
     };
 
+    std::size_t countAhead(std::uint32_t rank) const;
+    bool makeRoom(std::uint32_t rank, Time now);
     double effectiveLimit(Time now) const;
     bool hasRoom(Time now) const;
     bool isSilent() const { return this->timeoutsInRow >= this->settings.silentTimeouts; }
@@ -165,7 +169,7 @@
     Time lastDispatch{};
     Time lastEnd{}; // of the last answer or refusal
     std::unordered_map<RequestNumber, Running> running;
-    std::deque<Waiting> queue; // in order of arrival
+    std::deque<Waiting> queue; // by rank, then in order of arrival
     LimiterOutput output;
 };
 
