range_holder: a release that was sent beside a grant is no proof

Cause: a renewal and a release of the same keys were under way together. Change: such a release is sent again after the grant has been answered, and only the second one is proof. The test fails without the change.

--- a/packages/keyspace/range_holder.cpp
+++ b/packages/keyspace/range_holder.cpp
@@ -108,6 +108,13 @@
     this->stopping.push_back(added);
 }
 
+bool RangeHolder::isBeingGranted(const KeySpan &span, std::uint64_t fence) const
+{
+    return std::any_of(this->grants.begin(), this->grants.end(), [&](const PendingGrant &grant) {
+        return grant.fence == fence && grant.span.overlaps(span) && !grant.isOverdue;
+    });
+}
+
 bool RangeHolder::mayBeGrantedLate(const KeySpan &span, std::uint64_t fence, Time now) const
 {
     if (now < this->earlierGrantsEnd()) {
@@ -181,6 +188,7 @@
         return;
     }
     entry.order = ++this->lastOrder;
+    entry.besideGrant = this->isBeingGranted(entry.span, entry.fence);
     orders.push_back({.kind = HoldOrderKind::Release,
                       .number = entry.order,
                       .span = entry.span,
@@ -245,10 +253,16 @@
     }
     found->order = 0;
     found->nextRelease = now + this->settings.retryAfter;
-    found->isReleased = isAnswered;
-    if (isAnswered) {
-        found->handover = handover;
+    if (!isAnswered) {
+        return;
+    }
+    found->handover = handover.empty() ? found->handover : handover;
+    if (found->besideGrant) {
+        // The upstream may have taken the grant after the release: only another release tells.
+        found->nextRelease = now;
+        return;
     }
+    found->isReleased = true;
 }
 
 void RangeHolder::notePredecessorStopped(const FormerOwner &predecessor, const KeySpan &span,
--- a/packages/keyspace/range_holder.h
+++ b/packages/keyspace/range_holder.h
@@ -155,6 +155,7 @@
         Time mayHoldUntil{};
         Time nextRelease{};
         std::uint64_t order = 0;
+        bool besideGrant = false;  // the release was sent while a grant was under way
         bool isUnanswered = false; // a grant without an answer may be carried out until mayHoldUntil
         bool isReleased = false;
         std::string handover;
@@ -183,6 +184,7 @@
     void addStopping(const KeySpan &span, std::uint64_t fence, Time mayHoldUntil, Time now);
     void orderGrant(Owned &owned, Time now, std::vector<HoldOrder> &orders);
     void orderRelease(Stopping &stopping, Time now, std::vector<HoldOrder> &orders);
+    bool isBeingGranted(const KeySpan &span, std::uint64_t fence) const;
     bool mayBeGrantedLate(const KeySpan &span, std::uint64_t fence, Time now) const;
     Duration stretched(Duration hold) const;
     void forgetOld(Time now);
--- /dev/null
+++ b/packages/keyspace/tests/test_range_holder.cpp
@@ -0,0 +1,182 @@
+// Grants and releases of one upstream.
+#include "keyspace/range_holder.h"
+
+#include <catch2/catch.hpp>
+
+namespace kumquat {
+namespace {
+
+constexpr std::uint64_t ownSession = 5;
+constexpr std::uint64_t otherSession = 6;
+constexpr KeySpan lowKeys{.first = 0, .last = 999};
+constexpr KeySpan highKeys{.first = 1000, .last = lastShardKey};
+
+// The first 1,000 keys belong to one session and the others to the other one.
+KeyTable makeTable(std::uint64_t lowOwner, std::uint64_t lowFence)
+{
+    KeyTable table;
+    table.service = "testlog";
+    table.end = lowFence;
+    table.sessions = {{.id = ownSession, .node = "a"}, {.id = otherSession, .node = "b"}};
+    table.ranges = {{.span = lowKeys, .owner = lowOwner, .fence = lowFence},
+                    {.span = highKeys, .owner = otherSession, .fence = 1}};
+    return table;
+}
+
+// A holder of a process that has run for long enough that no earlier process matters.
+RangeHolder makeHolder()
+{
+    return RangeHolder(HolderSettings{}, -1h);
+}
+
+// Lets the holder get the low keys under fence 1 and returns the order.
+HoldOrder grantLowKeys(RangeHolder &holder, Time now)
+{
+    holder.setLease(now + 10s);
+    holder.assign(makeTable(ownSession, 1), ownSession, now);
+    const std::vector<HoldOrder> orders = holder.takeOrders(now);
+    REQUIRE(orders.size() == 1);
+    REQUIRE(orders[0].kind == HoldOrderKind::Grant);
+    return orders[0];
+}
+
+} // namespace
+
+TEST_CASE("a granted range is held for as long as the hold lasts", "[range_holder]")
+{
+    RangeHolder holder = makeHolder();
+    const HoldOrder grant = grantLowKeys(holder, 1s);
+    CHECK(holder.access(7, 1s) == KeyAccess::Pending);
+    holder.noteGrant(grant.number, GrantEnd::Accepted, 1010ms);
+    CHECK(holder.access(7, 1010ms) == KeyAccess::Held);
+    CHECK(holder.access(7, 1s + grant.hold) == KeyAccess::Pending);
+    CHECK(holder.access(1000, 1010ms) == KeyAccess::Elsewhere);
+}
+
+// Without this bound a host that lost its voters would go on beside its successor.
+TEST_CASE("no hold outlasts the lease", "[range_holder]")
+{
+    RangeHolder holder = makeHolder();
+    holder.setLease(1500ms);
+    holder.assign(makeTable(ownSession, 1), ownSession, 1s);
+    const std::vector<HoldOrder> orders = holder.takeOrders(1s);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].hold * 1.02 <= 500ms);
+    holder.noteGrant(orders[0].number, GrantEnd::Accepted, 1001ms);
+    CHECK(holder.takeOrders(1450ms).empty());
+}
+
+// Found by a hunt on the second site: a renewal and a release were under way together and the
+// upstream took the release first, so it held the keys again while the next owner already did.
+TEST_CASE("a release beside a grant is no proof", "[range_holder]")
+{
+    RangeHolder holder = makeHolder();
+    holder.noteGrant(grantLowKeys(holder, 1s).number, GrantEnd::Accepted, 1010ms);
+    const std::vector<HoldOrder> renewal = holder.takeOrders(1500ms);
+    REQUIRE(renewal.size() == 1);
+
+    holder.assign(makeTable(otherSession, 2), ownSession, 1501ms);
+    const std::vector<HoldOrder> first = holder.takeOrders(1501ms);
+    REQUIRE(first.size() == 1);
+    REQUIRE(first[0].kind == HoldOrderKind::Release);
+    holder.noteGrant(renewal[0].number, GrantEnd::Accepted, 1502ms);
+    holder.noteRelease(first[0].number, true, "token", 1700ms);
+    CHECK_FALSE(holder.answerStop(lowKeys, 1, 1700ms).stopped);
+
+    const std::vector<HoldOrder> second = holder.takeOrders(1700ms);
+    REQUIRE(second.size() == 1);
+    holder.noteRelease(second[0].number, true, "", 1710ms);
+    const StopAnswer answer = holder.answerStop(lowKeys, 1, 1710ms);
+    CHECK(answer.stopped);
+    CHECK(answer.handover == "token");
+}
+
+// A grant without an answer may be carried out seconds later, but its time counts from its arrival.
+TEST_CASE("a release does not end a grant that was never answered", "[range_holder]")
+{
+    RangeHolder holder = makeHolder();
+    const HoldOrder grant = grantLowKeys(holder, 1s);
+    holder.noteGrant(grant.number, GrantEnd::Unknown, 1800ms);
+    holder.assign(makeTable(otherSession, 2), ownSession, 1801ms);
+    const std::vector<HoldOrder> release = holder.takeOrders(1801ms);
+    REQUIRE(release.size() == 1);
+    holder.noteRelease(release[0].number, true, "token", 1810ms);
+    CHECK_FALSE(holder.answerStop(lowKeys, 1, 1811ms).stopped);
+    CHECK(holder.answerStop(lowKeys, 1, 1800ms + grant.hold * 11 / 10).stopped);
+}
+
+TEST_CASE("an unanswered release counts once the last hold is over", "[range_holder]")
+{
+    RangeHolder holder = makeHolder();
+    const HoldOrder grant = grantLowKeys(holder, 1s);
+    holder.noteGrant(grant.number, GrantEnd::Accepted, 1010ms);
+    holder.assign(makeTable(otherSession, 2), ownSession, 1100ms);
+    const std::vector<HoldOrder> release = holder.takeOrders(1100ms);
+    REQUIRE(release.size() == 1);
+    holder.noteRelease(release[0].number, false, "", 2000ms);
+    CHECK_FALSE(holder.answerStop(lowKeys, 1, 2001ms).stopped);
+    CHECK(holder.answerStop(lowKeys, 1, 1010ms + grant.hold * 103 / 100).stopped);
+}
+
+// A killed process may have sent grants of which the next process on its host knows nothing.
+TEST_CASE("a young process does not answer for its predecessor's grants", "[range_holder]")
+{
+    RangeHolder holder(HolderSettings{}, 10s);
+    holder.assign(makeTable(otherSession, 2), ownSession, 10100ms);
+    CHECK_FALSE(holder.answerStop(lowKeys, 1, 10100ms).stopped);
+    const std::vector<HoldOrder> release = holder.takeOrders(10100ms);
+    REQUIRE(release.size() == 1);
+    holder.noteRelease(release[0].number, true, "token", 10110ms);
+    CHECK_FALSE(holder.answerStop(lowKeys, 1, 10120ms).stopped);
+    CHECK(holder.answerStop(lowKeys, 1, 12s).stopped);
+}
+
+TEST_CASE("a range waits for each former owner", "[range_holder]")
+{
+    RangeHolder holder = makeHolder();
+    KeyTable table = makeTable(ownSession, 4);
+    const FormerOwner first{.session = 8, .fence = 2};
+    const FormerOwner second{.session = 9, .fence = 3};
+    table.ranges[0].predecessors = {first, second};
+    holder.setLease(10s);
+    holder.assign(table, ownSession, 1s);
+    CHECK(holder.takeOrders(1s).empty());
+    CHECK(holder.missingProofs().size() == 2);
+    holder.notePredecessorStopped(first, lowKeys, "");
+    CHECK(holder.takeOrders(1s).empty());
+    CHECK(holder.unsettledFences() == std::vector<std::uint64_t>{4});
+    holder.notePredecessorStopped(second, lowKeys, "token");
+    const std::vector<HoldOrder> orders = holder.takeOrders(1s);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].handover == "token");
+}
+
+TEST_CASE("the rest of a split range is renewed under its old fence", "[range_holder]")
+{
+    RangeHolder holder = makeHolder();
+    holder.noteGrant(grantLowKeys(holder, 1s).number, GrantEnd::Accepted, 1010ms);
+    KeyTable table = makeTable(ownSession, 1);
+    table.splitBefore(500);
+    table.ranges[0].owner = otherSession;
+    table.ranges[0].fence = 2;
+    table.end = 2;
+    holder.assign(table, ownSession, 1100ms);
+    CHECK(holder.access(499, 1100ms) == KeyAccess::Elsewhere);
+    CHECK(holder.access(500, 1100ms) == KeyAccess::Held);
+    const std::vector<HoldOrder> orders = holder.takeOrders(1100ms);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].kind == HoldOrderKind::Release);
+    CHECK(orders[0].span == KeySpan{.first = 0, .last = 499});
+}
+
+TEST_CASE("keys that were refused by a higher fence are not served", "[range_holder]")
+{
+    RangeHolder holder = makeHolder();
+    holder.noteGrant(grantLowKeys(holder, 1s).number, GrantEnd::Accepted, 1010ms);
+    const std::vector<HoldOrder> renewal = holder.takeOrders(1500ms);
+    REQUIRE(renewal.size() == 1);
+    holder.noteGrant(renewal[0].number, GrantEnd::FencedOff, 1510ms);
+    CHECK(holder.access(7, 1511ms) == KeyAccess::Pending);
+}
+
+} // namespace kumquat
