stage: a stopping process refuses requests that it cannot answer any more

Cause: callers on open connections kept sending for 4.5 s after SIGTERM, and the process exited 0.9 s later with their requests in flight. Ruled out: waiting for them, as SIGKILL would cut the next ones. Change: from one longest route timeout before the exit on, new requests get 503, which says that they have not run.

--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -18,6 +18,9 @@
 // Wait that a caller is told while this process has no configuration.
 constexpr Duration startRetry = 500ms;
 
+// The same from one that is about to exit: the next process on the host, or another host, serves.
+constexpr Duration stopRetry = 300ms;
+
 Duration shorter(Duration first, Duration second)
 {
     return std::min(first, second);
@@ -117,6 +120,9 @@
 
 HttpResponse Ingress::serve(Attempt &attempt, std::string &body)
 {
+    if (!this->hooks.takesRequests()) {
+        return this->refuse(attempt, stopRetry, "stopping");
+    }
     if (!attempt.configuration) {
         return this->refuse(attempt, startRetry, "no-configuration");
     }
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -40,10 +40,6 @@
                                           .tolerance = 1e9,
                                           .firstServiceTime = 60ms};
 
-// After SIGTERM the platform needs two unanswered probes, one a second, to send no new callers.
-constexpr Duration leastStop = 2500ms;
-constexpr Duration stopMargin = 600ms; // before SIGKILL
-
 std::uint64_t makeIncarnation()
 {
     std::random_device device;
@@ -172,6 +168,11 @@
                            if (end > this->view.tablesEnd()) {
                                this->fetchState(node);
                            }
+                       },
+               .takesRequests =
+                       [this] {
+                           return !this->stopPlan
+                                  || this->stopPlan->takesRequests(readBootTime());
                        }})
     , linkServer(this->thread,
                  {.received =
@@ -210,7 +211,7 @@
                          return this->ingress.handle(request, watch);
                      },
              .refuse = refuse,
-             .isClosing = [this] { return this->isStopping; }});
+             .isClosing = [this] { return this->stopPlan.has_value(); }});
     this->readinessServer =
             plain([this](const HttpRequest &request) { return this->onReadiness(request); });
     this->heartbeatServer =
@@ -281,7 +282,8 @@
     if (this->isRecordDue && !this->isRecordWriting) {
         this->writeHostRecord();
     }
-    if (this->isStopping && this->mayExit(now)) {
+    const std::size_t inFlight = this->ingress.count() + this->executor.count();
+    if (this->stopPlan && this->stopPlan->mayExit(now, inFlight)) {
         logInfo(LogPart::Main, "stopped",
                 {{"requests", std::to_string(this->ingress.count())},
                  {"running", std::to_string(this->executor.count())}});
@@ -305,26 +307,18 @@
 
 void Stage::beginStop()
 {
-    if (this->isStopping) {
+    if (this->stopPlan) {
         return;
     }
-    this->isStopping = true;
-    this->stoppingSince = readBootTime();
+    const ConfigurationPtr configuration = this->view.configuration();
+    this->stopPlan.emplace(StopSettings{.limit = this->settings.limits.stop}, readBootTime(),
+                           configuration ? configuration->longestTimeout() : Duration::zero());
     logInfo(LogPart::Main, "stopping",
             {{"requests", std::to_string(this->ingress.count())},
              {"session", std::to_string(this->keys.session())}});
     this->coordinator.reportSoon();
 }
 
-bool Stage::mayExit(Time now) const
-{
-    const Duration elapsed = now - this->stoppingSince;
-    if (elapsed >= this->settings.limits.stop - stopMargin) {
-        return true;
-    }
-    return elapsed >= leastStop && this->ingress.count() == 0 && this->executor.count() == 0;
-}
-
 // ---- Messages of other processes ----
 
 void Stage::onMessage(const LinkPeer &peer, LinkMessage message, const LinkReply &reply)
@@ -563,7 +557,7 @@
     report.set_session(this->keys.session());
     report.set_phase(encodePhase(this->monitor.phase()));
     report.set_failing(this->monitor.isFailing() || this->monitor.isRefusing());
-    report.set_stopping(this->isStopping);
+    report.set_stopping(this->stopPlan.has_value());
     report.set_slots(load.slots());
     report.set_service_ms(load.service_ms());
     for (const std::uint64_t fence : this->keys.unsettledFences()) {
@@ -579,7 +573,7 @@
 
 bool Stage::isReady() const
 {
-    return !this->isStopping && this->view.configuration() != nullptr;
+    return !this->stopPlan && this->view.configuration() != nullptr;
 }
 
 HttpResponse Stage::onReadiness(const HttpRequest &request)
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -18,6 +18,7 @@
 #include "stage/link.h"
 #include "stage/metrics.h"
 #include "stage/settings.h"
+#include "stage/stop_plan.h"
 #include "stage/store_follower.h"
 #include "stage/ticker.h"
 #include "stage/upstream_monitor.h"
@@ -25,6 +26,7 @@
 #include <absl/status/statusor.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace kumquat {
@@ -68,7 +70,6 @@
     void advance(Time now);
     void reload();
     void beginStop();
-    bool mayExit(Time now) const;
 
     StageSettings settings;
     std::string path;
@@ -93,8 +94,7 @@
     std::shared_ptr<HttpServer> readinessServer;
     std::shared_ptr<HttpServer> heartbeatServer;
     std::shared_ptr<HttpServer> metricsServer;
-    bool isStopping = false;
-    Time stoppingSince{};
+    std::optional<StopPlan> stopPlan; // set once the process was told to stop
     bool isRecordDue = false;      // others do not know yet what this host has to say
     bool isRecordWriting = false;
     std::uint64_t recordChange = 0;
