coordinator: suspicion of a silent host doubles

Cause: hosts that had gone for good stood first in the order of those that write the key table. Each was suspected for 2 s and took 0.9 s to try, so with three of them the first was tried again before the last. Change: suspicion doubles up to 60 s and ends with a sign of life.

--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -1,6 +1,5 @@
 #include "stage/coordinator.h"
 
-#include "base/hash.h"
 #include "base/log.h"
 
 #include <algorithm>
@@ -55,21 +54,13 @@
 
 std::string Coordinator::actingNode(Time now) const
 {
-    std::string best = this->node;
-    std::uint64_t bestOrder = hashPair(hashBytes(this->service), hashBytes(this->node));
+    std::vector<std::string> nodes;
     for (const auto &[name, host] : this->view.hosts()) {
-        const auto suspect = this->suspectUntil.find(name);
-        const bool isSuspect = suspect != this->suspectUntil.end() && now < suspect->second;
-        if (host.info.service != this->service || name == this->node || isSuspect) {
-            continue;
-        }
-        const std::uint64_t order = hashPair(hashBytes(this->service), hashBytes(name));
-        if (order < bestOrder) {
-            best = name;
-            bestOrder = order;
+        if (host.info.service == this->service) {
+            nodes.push_back(name);
         }
     }
-    return best;
+    return this->actingHost.choose(this->service, nodes, this->node, now);
 }
 
 void Coordinator::report(const std::string &acting, Time now)
@@ -89,10 +80,10 @@
     this->links.call(acting, frame, {}, this->settings.reportLimit,
                      [this, acting](LinkEnd end, const LinkMessage &answer) {
                          if (end == LinkEnd::Answered) {
+                             this->actingHost.noteHeard(acting);
                              this->hooks.known(acting, answer.head.load_ack().known());
                          } else {
-                             this->suspectUntil[acting] =
-                                     readBootTime() + this->settings.suspectFor;
+                             this->actingHost.noteSilent(acting, readBootTime());
                          }
                      });
 }
@@ -102,7 +93,7 @@
     for (const wire::KeyCount &count : report.counts()) {
         this->load.add(count.key(), count.count(), now);
     }
-    this->suspectUntil.erase(reporter);
+    this->actingHost.noteHeard(reporter);
     if (report.session() == 0) {
         return;
     }
@@ -128,7 +119,7 @@
     for (const auto &[name, host] : this->view.hosts()) {
         input.hosts.push_back(host.info);
         const Duration unheard = now - this->links.lastHeard(name);
-        const bool isDown = this->links.isDown(name, now) && unheard > this->settings.suspectFor;
+        const bool isDown = this->links.isDown(name, now) && unheard > this->settings.unheardFor;
         input.hosts.back().isReachable = name == this->node || !isDown;
     }
     for (const auto &[session, report] : this->reports) {
--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -7,6 +7,7 @@
 
 #include "keyspace/range_planner.h"
 #include "platform/store.h"
+#include "stage/acting_host.h"
 #include "stage/cluster_view.h"
 #include "stage/link.h"
 #include "stage/metrics.h"
@@ -32,7 +33,7 @@
     Duration planEvery = 200ms;
     Duration balanceEvery = 1s;
     Duration reportLimit = 900ms;    // for the answer; then the next host in the order takes over
-    Duration suspectFor = 2s;        // a host that did not answer
+    Duration unheardFor = 2s;        // a host that can't be reached counts as gone after it
     Duration settle = 500ms;         // after the last news of hosts, before the first table
     Duration loadMemory = 3s;        // of the request rate of a key
     PlannerSettings planner;
@@ -55,6 +56,7 @@
     // Sends a report at the next advance, after a change at this host.
     void reportSoon() { this->reportedAt = -1h; }
 
+    void noteHeard(const std::string &reporter) { this->actingHost.noteHeard(reporter); }
     void noteReport(const std::string &node, const wire::LoadReport &report, Time now);
     void noteHostChanged(Time now) { this->hostsChangedAt = now; }
 
@@ -83,7 +85,7 @@
     CoordinatorSettings settings;
     KeyLoad load;
     std::map<std::uint64_t, Report> reports;   // by session
-    std::map<std::string, Time> suspectUntil;  // by node
+    ActingHost actingHost;
     Time reportedAt = -1h;
     Time plannedAt = -1h;
     Time balancedAt = -1h;
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -327,6 +327,7 @@
 {
     const Time now = readBootTime();
     wire::LinkFrame answer;
+    this->coordinator.noteHeard(peer.node);
     switch (message.head.content_case()) {
     case wire::LinkFrame::kExecute:
         this->onExecute(peer, std::move(message), reply);
--- a/packages/stage/tests/test_stage.cpp
+++ b/packages/stage/tests/test_stage.cpp
@@ -1,4 +1,5 @@
 // Parts of the process on the platform that need no network.
+#include "stage/acting_host.h"
 #include "stage/stop_plan.h"
 
 #include <catch2/catch.hpp>
@@ -25,4 +26,39 @@
     CHECK_FALSE(plan.mayExit(12400ms, 0));
 }
 
+// Found by the first score of the first site: several machines had gone for good, each was suspected
+// for two seconds, and before the last one was the first one was tried again. After a loss of power
+// nobody wrote a key table.
+TEST_CASE("hosts that have gone for good do not keep the others from acting", "[acting_host]")
+{
+    const std::vector<std::string> nodes{"a", "b", "c", "d", "e", "f", "g", "h"};
+    ActingHost acting;
+    Time now = 1s;
+    int ownTurns = 0;
+    for (int round = 0; round < 100; ++round) {
+        const std::string chosen = acting.choose("testlog", nodes, "h", now);
+        ownTurns += chosen == "h" ? 1 : 0;
+        if (chosen != "h") {
+            now += 900ms; // until the report counts as unanswered
+            acting.noteSilent(chosen, now);
+        }
+        now += 400ms;
+    }
+    CHECK(acting.choose("testlog", nodes, "h", now) == "h");
+    CHECK(ownTurns > 50);
+}
+
+TEST_CASE("all hosts choose the same one, and another after its silence", "[acting_host]")
+{
+    const std::vector<std::string> nodes{"a", "b", "c"};
+    ActingHost acting;
+    const std::string first = acting.choose("testlog", nodes, "a", 1s);
+    CHECK(acting.choose("testlog", nodes, "b", 1s) == first);
+    const std::string own = first == "a" ? "b" : "a";
+    acting.noteSilent(first, 1s);
+    CHECK(acting.choose("testlog", nodes, own, 2s) != first);
+    acting.noteHeard(first);
+    CHECK(acting.choose("testlog", nodes, own, 2s) == first);
+}
+
 } // namespace kumquat
