link: a host takes no messages that are meant for another one

Cause: the address of a removed machine belonged to a new machine with the same ports. Its process answered the reports for the old host, which stood first in the order, so after a loss of power nobody wrote a key table. Change: the first message names the receiver, and one with another name closes the connection.

--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -36,11 +36,11 @@
     }
     const std::string acting = this->actingNode(now);
     const bool acts = acting == this->node;
-    if (acts != this->isActing) {
-        this->isActing = acts;
+    if (acting != this->chosen) {
         this->actingSince = now;
-        logInfo(LogPart::Slots, acts ? "this host writes the key table" : "another host writes it",
-                {{"service", this->service}, {"node", acting}});
+        logInfo(LogPart::Slots, "another host writes the key table from now on",
+                {{"service", this->service}, {"node", acting}, {"before", this->chosen}});
+        this->chosen = acting;
     }
     if (now - this->reportedAt >= this->settings.reportEvery) {
         this->reportedAt = now;
--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -91,7 +91,7 @@
     Time balancedAt = -1h;
     Time hostsChangedAt{};
     Time actingSince{};
-    bool isActing = false;
+    std::string chosen; // node that writes the table, as this host sees it
     bool isWriting = false;
 };
 
--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -298,6 +298,7 @@
         return;
     }
     peer.failedAt = -1h;
+    peer.connectedAt = readBootTime();
     const std::shared_ptr<Link> link = Link::create(
             std::move(*socket),
             {.received = [this, name](
@@ -306,6 +307,9 @@
                      [this, name, attempt] {
                          Peer &closed = this->peers[name];
                          if (closed.attempt == attempt) {
+                             // One that never answered is not worth another try at once.
+                             const bool isUseless = closed.heard < closed.connectedAt;
+                             closed.failedAt = isUseless ? readBootTime() : closed.failedAt;
                              closed.link = nullptr;
                              this->endAll(closed);
                          }
@@ -316,6 +320,7 @@
     hello.set_sent_ns(readBootTime().count());
     hello.mutable_hello()->set_node(this->node);
     hello.mutable_hello()->set_incarnation(this->incarnation);
+    hello.mutable_hello()->set_receiver(name);
     link->send(hello, {});
     for (auto &[head, body] : std::exchange(peer.waiting, {})) {
         const auto call = peer.calls.find(head.call());
@@ -400,8 +405,9 @@
 
 // ---- LinkServer ----
 
-LinkServer::LinkServer(FiberThread &serverThread, Hooks serverHooks)
+LinkServer::LinkServer(FiberThread &serverThread, std::string ownNode, Hooks serverHooks)
     : thread(serverThread)
+    , node(std::move(ownNode))
     , hooks(std::move(serverHooks))
     , acceptor(serverThread.io())
 {}
@@ -441,6 +447,13 @@
     const std::uint64_t number = peer->number;
     const auto received = [this, peer, number](LinkMessage message) {
         const std::weak_ptr<Link> weak = this->links[number];
+        if (message.head.has_hello() && message.head.hello().receiver() != this->node) {
+            logInfo(LogPart::Mesh, "connection closed because it was meant for another host",
+                    {{"from", message.head.hello().node()},
+                     {"receiver", message.head.hello().receiver()}});
+            this->links[number]->close();
+            return;
+        }
         const std::uint64_t call = message.head.call();
         const LinkReply reply = [weak, call](wire::LinkFrame head, std::string_view body) {
             const std::shared_ptr<Link> link = weak.lock();
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -8,7 +8,7 @@
 //   pool.setAddress("node-2", address);
 //   pool.call("node-2", frame, body, 1s, [](LinkEnd end, LinkMessage answer) { ... });
 //
-//   LinkServer server(thread, [](LinkMessage message, LinkReply reply) { ... });
+//   LinkServer server(thread, "node-2", hooks);
 //
 // Sections: messages, Link, LinkPool, LinkServer.
 #pragma once
@@ -159,6 +159,7 @@
         std::uint64_t attempt = 0; // of connecting; an older one has no effect
         Time connectDue{};
         Time failedAt = -1h;
+        Time connectedAt{};
         Time heard{};
         Time waitingSince{}; // the oldest time from which an answer is due
         std::unordered_map<std::uint64_t, Call> calls;
@@ -202,7 +203,7 @@
         std::function<void(const LinkPeer &peer)> closed;
     };
 
-    LinkServer(FiberThread &serverThread, Hooks serverHooks);
+    LinkServer(FiberThread &serverThread, std::string ownNode, Hooks serverHooks);
 
     // Error: SettingsInvalid if the address cannot be bound.
     absl::Status listen(const Address &address);
@@ -212,6 +213,7 @@
     void serve(Link::Socket socket);
 
     FiberThread &thread;
+    std::string node;
     Hooks hooks;
     asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
     std::uint64_t lastNumber = 0;
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -176,7 +176,7 @@
                            return !this->stopPlan
                                   || this->stopPlan->takesRequests(readBootTime());
                        }})
-    , linkServer(this->thread,
+    , linkServer(this->thread, this->settings.node,
                  {.received =
                           [this](const LinkPeer &peer, LinkMessage message,
                                  const LinkReply &reply) {
