keyspace: sessions end by the word of their host or by silence, not by records

Cause: a host that the store turned away could not tell that its upstream had a new life, so its keys stayed with the former one for up to 9 s. A record that is appended late could also have ended a live session. Change: reports carry the life, the phase and the given-up session; the plan ends a session by these or by silence with proof of voters.

--- a/packages/keyspace/range_planner.cpp
+++ b/packages/keyspace/range_planner.cpp
@@ -193,16 +193,13 @@
         if (!session.isActive()) {
             continue;
         }
-        const HostInfo *info = this->host(session.node);
-        const bool hasNewLife = info != nullptr && info->life.isKnown()
-                                && info->life != session.life;
-        const bool lifeEnded = info != nullptr && info->life == session.life
-                               && info->phase == UpstreamPhase::Ended;
-        if (hasNewLife || lifeEnded) {
+        // Only the host itself grants keys to its upstream, so its word is proof. Its record in the
+        // store is not: an older one may be appended late.
+        const SessionReport *found = this->report(session.id);
+        if (found != nullptr && found->isRetired) {
             this->end(session, true);
             continue;
         }
-        const SessionReport *found = this->report(session.id);
         const Duration silence = found == nullptr ? this->input.planningFor : found->silence;
         const bool isOwn = session.node == this->input.node;
         if (mayEnd && !isOwn && silence >= this->settings.endAfter) {
--- a/packages/keyspace/range_planner.h
+++ b/packages/keyspace/range_planner.h
@@ -48,6 +48,7 @@
 struct SessionReport
 {
     Duration silence{};     // since the report
+    bool isRetired = false; // its host gave it up, and it holds nothing
     bool isFailing = false; // the upstream answers nothing
     bool isStopping = false;
     double serviceSeconds = 0;            // mean time of one request; 0: not known
--- /dev/null
+++ b/packages/keyspace/tests/test_range_planner.cpp
@@ -0,0 +1,232 @@
+// Plans of key tables.
+#include "keyspace/range_planner.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+// A service with three hosts in two data centres of one region, and a plan for it.
+struct Cluster
+{
+    Cluster()
+        : load(3s)
+    {
+        for (const char *name : {"a", "b", "c", "d"}) {
+            this->hosts.push_back({.node = name,
+                                   .dataCentre = name[0] < 'c' ? "east" : "west",
+                                   .region = "north",
+                                   .service = "testlog",
+                                   .life = {.id = std::string("i-") + name, .bornMs = 1000},
+                                   .slots = 9,
+                                   .phase = UpstreamPhase::Ready});
+        }
+    }
+
+    PlanInput input() const
+    {
+        return {.table = &this->table,
+                .newEnd = this->table.end + 1,
+                .node = "a",
+                .hosts = this->hosts,
+                .reports = this->reports,
+                .load = &this->load,
+                .mayBalance = true,
+                .planningFor = 1h,
+                .now = this->now};
+    }
+
+    // Plans until nothing changes; each host reports after each plan.
+    void settle()
+    {
+        for (int round = 0; round < 20; ++round) {
+            std::optional<KeyTable> next = planKeyTable(this->input(), this->settings);
+            if (!next) {
+                return;
+            }
+            REQUIRE(next->isSound());
+            this->table = *std::move(next);
+            this->reportAll();
+        }
+    }
+
+    void reportAll()
+    {
+        for (const KeySession &session : this->table.sessions) {
+            this->reports[session.id].tablesEnd = this->table.end;
+        }
+    }
+
+    HostInfo &host(const std::string &node)
+    {
+        return *std::find_if(this->hosts.begin(), this->hosts.end(),
+                             [&](const HostInfo &info) { return info.node == node; });
+    }
+
+    std::uint32_t keysOf(const std::string &node) const
+    {
+        std::uint32_t count = 0;
+        for (const KeyRange &range : this->table.ranges) {
+            const KeySession *owner = this->table.session(range.owner);
+            count += owner != nullptr && owner->node == node ? range.span.size() : 0;
+        }
+        return count;
+    }
+
+    KeyTable table = KeyTable::createEmpty("testlog");
+    KeyLoad load;
+    std::vector<HostInfo> hosts;
+    std::map<std::uint64_t, SessionReport> reports;
+    PlannerSettings settings;
+    Time now = 100s;
+};
+
+} // namespace
+
+TEST_CASE("the first table spreads the keys over all hosts", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    for (const HostInfo &host : cluster.hosts) {
+        const double share = cluster.keysOf(host.node) / (lastShardKey + 1.0);
+        CHECK(share > 0.2);
+        CHECK(share < 0.3);
+    }
+    CHECK(cluster.table.ranges.size() == 4);
+    for (const KeySession &session : cluster.table.sessions) {
+        CHECK(session.voters.size() == 3);
+        CHECK(std::count(session.voters.begin(), session.voters.end(), session.node) == 0);
+    }
+}
+
+// A record of an earlier life may be appended to the store seconds late. Taken as the news that the
+// session's upstream had ended, it would free keys that are still held.
+TEST_CASE("a record with another life ends no session", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    const KeyTable before = cluster.table;
+    cluster.host("b").life = {.id = "i-earlier", .bornMs = 500};
+    cluster.settle();
+    REQUIRE(cluster.table.activeSessionOf("b") != nullptr);
+    CHECK(cluster.table.activeSessionOf("b")->id == before.activeSessionOf("b")->id);
+}
+
+// Found by the first score of the first site: an upstream had restarted while the store turned its
+// host away, and for nine seconds nobody took over its keys.
+TEST_CASE("a session that its host gave up is replaced at once", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    const std::uint64_t former = cluster.table.activeSessionOf("b")->id;
+    cluster.host("b").life = {.id = "i-b2", .bornMs = 2000};
+    cluster.reports[former].isRetired = true;
+    cluster.settle();
+    REQUIRE(cluster.table.activeSessionOf("b") != nullptr);
+    CHECK(cluster.table.activeSessionOf("b")->life.id == "i-b2");
+    CHECK(cluster.table.session(former) == nullptr);
+    for (const KeyRange &range : cluster.table.ranges) {
+        CHECK(range.owner != former);
+        CHECK(range.predecessors.empty()); // nothing to wait for
+    }
+}
+
+TEST_CASE("the keys of a silent session move and wait for proof", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    const std::uint64_t former = cluster.table.activeSessionOf("b")->id;
+    cluster.reports[former].silence = 3s;
+    cluster.host("b").isReachable = false;
+    const std::optional<KeyTable> next = planKeyTable(cluster.input(), cluster.settings);
+    REQUIRE(next);
+    CHECK(next->session(former)->endedAt == next->end);
+    CHECK_FALSE(next->session(former)->stopped);
+    for (const KeyRange &range : next->ranges) {
+        CHECK(range.owner != former);
+        if (range.fence == next->end) {
+            REQUIRE(range.predecessors.size() == 1);
+            CHECK(range.predecessors[0].session == former);
+        }
+    }
+}
+
+// A host that is cut off from most others must not end their sessions.
+TEST_CASE("silence of most sessions ends none at first", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    for (const char *name : {"b", "c", "d"}) {
+        cluster.reports[cluster.table.activeSessionOf(name)->id].silence = 3s;
+    }
+    PlanInput input = cluster.input();
+    input.planningFor = 3s;
+    CHECK_FALSE(planKeyTable(input, cluster.settings).has_value());
+    input.planningFor = 10s;
+    CHECK(planKeyTable(input, cluster.settings).has_value());
+}
+
+TEST_CASE("a leaving session gives all its keys away and stays until it is empty", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    cluster.host("c").phase = UpstreamPhase::Draining;
+    cluster.settle();
+    CHECK(cluster.keysOf("c") == 0);
+    REQUIRE(cluster.table.activeSessionOf("c") != nullptr);
+    CHECK(cluster.table.activeSessionOf("c")->leaving);
+}
+
+// Load pattern: many requests for keys that lie close together, all owned by one upstream.
+TEST_CASE("a cluster of hot keys is split over several owners", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    for (const KeySession &session : cluster.table.sessions) {
+        cluster.reports[session.id].serviceSeconds = 0.1;
+    }
+    for (ShardKey key = 20'000; key < 20'200; ++key) {
+        for (int second = 0; second < 20; ++second) {
+            cluster.load.add(key, 1, cluster.now - 20s + std::chrono::seconds(second));
+        }
+    }
+    cluster.settle();
+    std::vector<std::uint64_t> owners;
+    for (ShardKey key = 20'000; key < 20'200; ++key) {
+        const std::uint64_t owner = cluster.table.find(key)->owner;
+        if (std::find(owners.begin(), owners.end(), owner) == owners.end()) {
+            owners.push_back(owner);
+        }
+    }
+    CHECK(owners.size() >= 3);
+}
+
+TEST_CASE("a balanced load moves nothing", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    for (ShardKey key = 0; key <= lastShardKey; key += 64) {
+        cluster.load.add(key, 1, cluster.now);
+    }
+    CHECK_FALSE(planKeyTable(cluster.input(), cluster.settings).has_value());
+}
+
+// Without this, a session whose first voters nobody had told it would go on without any vouch while
+// these voters gave proof that it had stopped.
+TEST_CASE("a session without voters keeps its own host as one until it has read of others",
+          "[range_planner]")
+{
+    Cluster cluster;
+    const std::vector<HostInfo> all = cluster.hosts;
+    cluster.hosts.resize(1);
+    cluster.settle();
+    REQUIRE(cluster.table.activeSessionOf("a")->voters.empty());
+    cluster.hosts = all;
+    const std::optional<KeyTable> next = planKeyTable(cluster.input(), cluster.settings);
+    REQUIRE(next);
+    CHECK(next->activeSessionOf("a")->formerVoters == std::vector<std::string>{"a"});
+}
+
+} // namespace kumquat
--- a/packages/stage/cluster_view.cpp
+++ b/packages/stage/cluster_view.cpp
@@ -8,6 +8,19 @@
 namespace kumquat {
 namespace {
 
+HostInfo decodeHost(const wire::HostRecord &record)
+{
+    return {.node = record.node(),
+            .dataCentre = record.data_centre(),
+            .region = record.region(),
+            .service = record.service(),
+            .life = {.id = record.upstream_id(), .bornMs = record.born_ms()},
+            .slots = std::max(1U, record.slots()),
+            .phase = decodePhase(record.phase())};
+}
+
+} // namespace
+
 UpstreamPhase decodePhase(wire::UpstreamPhase phase)
 {
     switch (phase) {
@@ -22,19 +35,20 @@
     }
 }
 
-HostInfo decodeHost(const wire::HostRecord &record)
+wire::UpstreamPhase encodePhase(UpstreamPhase phase)
 {
-    return {.node = record.node(),
-            .dataCentre = record.data_centre(),
-            .region = record.region(),
-            .service = record.service(),
-            .life = {.id = record.upstream_id(), .bornMs = record.born_ms()},
-            .slots = std::max(1U, record.slots()),
-            .phase = decodePhase(record.phase())};
+    switch (phase) {
+    case UpstreamPhase::Ready:
+        return wire::UPSTREAM_READY;
+    case UpstreamPhase::Draining:
+        return wire::UPSTREAM_DRAINING;
+    case UpstreamPhase::Ended:
+        return wire::UPSTREAM_ENDED;
+    default:
+        return wire::UPSTREAM_ABSENT;
+    }
 }
 
-} // namespace
-
 void ClusterView::applyConfiguration(Configuration newer, std::string bytes)
 {
     if (this->current && newer.version <= this->current->version) {
--- a/packages/stage/cluster_view.h
+++ b/packages/stage/cluster_view.h
@@ -34,6 +34,9 @@
     std::string bytes;             // of its record, to pass on
 };
 
+UpstreamPhase decodePhase(wire::UpstreamPhase phase);
+wire::UpstreamPhase encodePhase(UpstreamPhase phase);
+
 // ---- ClusterView ----
 
 // Called after a change; each may be empty.
--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -94,6 +94,12 @@
         this->load.add(count.key(), count.count(), now);
     }
     this->actingHost.noteHeard(reporter);
+    this->noteStatement(reporter, report, now);
+    if (report.retired() != 0) {
+        Report &retired = this->reports[report.retired()];
+        retired.at = now;
+        retired.content.isRetired = true;
+    }
     if (report.session() == 0) {
         return;
     }
@@ -107,6 +113,18 @@
                     .unsettled = {report.unsettled().begin(), report.unsettled().end()}};
 }
 
+void Coordinator::noteStatement(const std::string &reporter, const wire::LoadReport &report,
+                                Time now)
+{
+    if (report.upstream_id().empty()) {
+        return;
+    }
+    this->statements[reporter] = {.life = {.id = report.upstream_id(), .bornMs = report.born_ms()},
+                                  .slots = std::max(1U, report.slots()),
+                                  .phase = decodePhase(report.phase()),
+                                  .at = now};
+}
+
 PlanInput Coordinator::makeInput(const KeyTable &table, Time now) const
 {
     PlanInput input{.table = &table,
@@ -120,7 +138,15 @@
         input.hosts.push_back(host.info);
         const Duration unheard = now - this->links.lastHeard(name);
         const bool isDown = this->links.isDown(name, now) && unheard > this->settings.unheardFor;
-        input.hosts.back().isReachable = name == this->node || !isDown;
+        HostInfo &info = input.hosts.back();
+        info.isReachable = name == this->node || !isDown;
+        const auto said = this->statements.find(name);
+        if (said != this->statements.end()
+            && now - said->second.at < this->settings.statementFor) {
+            info.life = said->second.life;
+            info.slots = said->second.slots;
+            info.phase = said->second.phase;
+        }
     }
     for (const auto &[session, report] : this->reports) {
         SessionReport &added = input.reports[session];
--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -35,6 +35,7 @@
     Duration reportLimit = 900ms;    // for the answer; then the next host in the order takes over
     Duration unheardFor = 2s;        // a host that can't be reached counts as gone after it
     Duration settle = 500ms;         // after the last news of hosts, before the first table
+    Duration statementFor = 2s;      // then the record in the store counts again
     Duration loadMemory = 3s;        // of the request rate of a key
     PlannerSettings planner;
 };
@@ -67,7 +68,17 @@
         Time at{};
     };
 
+    // What a host said of its upstream, newer than its record in the store.
+    struct Statement
+    {
+        UpstreamLife life;
+        std::uint32_t slots = 1;
+        UpstreamPhase phase = UpstreamPhase::Absent;
+        Time at{};
+    };
+
     std::string actingNode(Time now) const;
+    void noteStatement(const std::string &reporter, const wire::LoadReport &report, Time now);
     void report(const std::string &acting, Time now);
     void plan(Time now);
     PlanInput makeInput(const KeyTable &table, Time now) const;
@@ -85,6 +96,7 @@
     CoordinatorSettings settings;
     KeyLoad load;
     std::map<std::uint64_t, Report> reports;   // by session
+    std::map<std::string, Statement> statements; // by node
     ActingHost actingHost;
     Time reportedAt = -1h;
     Time plannedAt = -1h;
--- a/packages/stage/key_owner.cpp
+++ b/packages/stage/key_owner.cpp
@@ -56,16 +56,21 @@
 {
     const KeyTable *table = this->view.table(this->service);
     const bool sameLife = this->monitor.life() == this->followedLife;
-    if (table == nullptr || (table->end == this->followedEnd && sameLife)) {
+    // A refused connection may have been a mistake, so an upstream may be there again after it
+    // counted as ended; its session is not, as others may have been told.
+    const bool hasEnded = this->monitor.phase() == UpstreamPhase::Ended && this->ownSession != 0;
+    if (table == nullptr || (table->end == this->followedEnd && sameLife && !hasEnded)) {
         return;
     }
+    this->givenUp = hasEnded ? this->ownSession : this->givenUp;
     if (!sameLife) {
         this->holder.noteUpstreamEnded();
         this->followedLife = this->monitor.life();
     }
     this->followedEnd = table->end;
     const KeySession *session = table->activeSessionOf(this->node);
-    const bool isOwn = session != nullptr && session->life == this->monitor.life();
+    const bool isOwn = session != nullptr && session->life == this->monitor.life()
+                       && session->id != this->givenUp;
     const std::uint64_t id = isOwn ? session->id : 0;
     if (id != this->ownSession) {
         logInfo(LogPart::Lease, id == 0 ? "session ended" : "session started",
@@ -83,6 +88,15 @@
     this->proofs.prune(*table);
 }
 
+std::uint64_t KeyOwner::retiredSession(Time now) const
+{
+    const KeyTable *table = this->view.table(this->service);
+    const KeySession *session = table != nullptr ? table->activeSessionOf(this->node) : nullptr;
+    const bool isRetired = session != nullptr && session->id != this->ownSession
+                           && this->monitor.isKnown() && this->holder.holdsNothing(now);
+    return isRetired ? session->id : 0;
+}
+
 // ---- Lease ----
 
 void KeyOwner::renew(Time now)
--- a/packages/stage/key_owner.h
+++ b/packages/stage/key_owner.h
@@ -46,6 +46,9 @@
     // Returns the id of the active session of the present upstream, 0 without one.
     std::uint64_t session() const { return this->ownSession; }
 
+    // Returns the active session of this host that is given up and holds nothing, or 0.
+    std::uint64_t retiredSession(Time now) const;
+
     std::vector<std::uint64_t> unsettledFences() const { return this->holder.unsettledFences(); }
     bool holdsNothing(Time now) const { return this->holder.holdsNothing(now); }
 
@@ -76,6 +79,7 @@
     RangeHolder holder;
     StopProof proofs;
     std::uint64_t ownSession = 0;
+    std::uint64_t givenUp = 0;     // session of an upstream that had ended; never used again
     std::uint64_t followedEnd = 0; // of the table that the holder has
     UpstreamLife followedLife;
     Time renewedAt = -1h;
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -74,20 +74,6 @@
             .retryFloor = settings.limits.retrySlack / window / slackParts};
 }
 
-wire::UpstreamPhase encodePhase(UpstreamPhase phase)
-{
-    switch (phase) {
-    case UpstreamPhase::Ready:
-        return wire::UPSTREAM_READY;
-    case UpstreamPhase::Draining:
-        return wire::UPSTREAM_DRAINING;
-    case UpstreamPhase::Ended:
-        return wire::UPSTREAM_ENDED;
-    default:
-        return wire::UPSTREAM_ABSENT;
-    }
-}
-
 HostLoad decodeLoad(const wire::UpstreamLoad &load)
 {
     constexpr double millisecondsPerSecond = 1000;
@@ -569,6 +555,7 @@
     *report.mutable_known() = this->view.known();
     report.set_upstream_id(this->monitor.life().id);
     report.set_born_ms(this->monitor.life().bornMs);
+    report.set_retired(this->keys.retiredSession(now));
     return report;
 }
 
