stage: owners refuse requests that they cannot finish before their exit

Change: a request is taken if its deadline lies before the exit; this holds for the upstream's own requests as well, so the short calls that a running request makes are still taken.

--- a/packages/routing/configuration.cpp
+++ b/packages/routing/configuration.cpp
@@ -18,15 +18,6 @@
     return best;
 }
 
-Duration Configuration::longestTimeout() const
-{
-    Duration longest{};
-    for (const Route &route : this->routes) {
-        longest = std::max(longest, route.timeout);
-    }
-    return longest;
-}
-
 const ServiceInfo *Configuration::service(std::string_view name) const
 {
     const auto found = this->services.find(name);
--- a/packages/routing/configuration.h
+++ b/packages/routing/configuration.h
@@ -70,9 +70,6 @@
     // carry a port, `path` a query.
     const Route *match(std::string_view host, std::string_view path) const;
 
-    // Returns the longest timeout of all routes.
-    Duration longestTimeout() const;
-
     const ServiceInfo *service(std::string_view name) const;
 };
 
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -20,6 +20,9 @@
 // Wait that a refused caller is told for keys that are moving.
 constexpr Duration pendingRetry = 250ms;
 
+// The same for a process that is about to exit; it is back in about a second, or its keys move.
+constexpr Duration stopRetry = 500ms;
+
 constexpr double serviceWeight = 0.05; // of one request in the mean time
 
 constexpr int statusUnavailable = 503;
@@ -107,6 +110,9 @@
     if (execute.service() != this->settings.service || !this->monitor.mayServe(now)) {
         return this->makeResult(wire::EXECUTE_MISPLACED, pendingRetry);
     }
+    if (!this->hooks.takesRequest(deadline)) {
+        return this->makeResult(wire::EXECUTE_REFUSED, stopRetry);
+    }
     if (execute.has_key() && this->hooks.hasKeys()) {
         ++this->keyCounts[execute.key()];
     }
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -120,9 +120,6 @@
 
 HttpResponse Ingress::serve(Attempt &attempt, std::string &body)
 {
-    if (!this->hooks.takesRequests()) {
-        return this->refuse(attempt, stopRetry, "stopping");
-    }
     if (!attempt.configuration) {
         return this->refuse(attempt, startRetry, "no-configuration");
     }
@@ -133,6 +130,9 @@
     wire::Execute &execute = attempt.execute;
     const Duration patience = std::chrono::milliseconds(execute.remaining_ms());
     attempt.deadline = attempt.started + shorter(patience, route.timeout);
+    if (!this->hooks.takesRequest(attempt.deadline)) {
+        return this->refuse(attempt, stopRetry, "stopping");
+    }
     const std::string &service = this->splitter.pick(route);
     const ServiceInfo *info = attempt.configuration->service(service);
     execute.set_service(service);
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -26,7 +26,7 @@
 struct IngressHooks
 {
     std::function<void(const std::string &node, std::uint64_t tablesEnd)> tablesBehind;
-    std::function<bool()> takesRequests; // false shortly before the process exits
+    std::function<bool(Time deadline)> takesRequest; // false if the process exits before
 };
 
 // ---- Settings ----
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -142,7 +142,8 @@
                                     now ? now->service(this->settings.service) : nullptr;
                             return info != nullptr && info->hasKeys;
                         },
-                .tablesEnd = [this] { return this->view.tablesEnd(); }})
+                .tablesEnd = [this] { return this->view.tablesEnd(); },
+                .takesRequest = [this](Time deadline) { return this->takesRequest(deadline); }})
     , coordinator(this->thread, this->settings.node, this->settings.service, this->view,
                   this->links, this->store, this->metrics,
                   {.makeReport = [this] { return this->makeReport(); },
@@ -157,11 +158,7 @@
                                this->fetchState(node);
                            }
                        },
-               .takesRequests =
-                       [this] {
-                           return !this->stopPlan
-                                  || this->stopPlan->takesRequests(readBootTime());
-                       }})
+               .takesRequest = [this](Time deadline) { return this->takesRequest(deadline); }})
     , linkServer(this->thread, this->settings.node,
                  {.received =
                           [this](const LinkPeer &peer, LinkMessage message,
@@ -298,15 +295,18 @@
     if (this->stopPlan) {
         return;
     }
-    const ConfigurationPtr configuration = this->view.configuration();
-    this->stopPlan.emplace(StopSettings{.limit = this->settings.limits.stop}, readBootTime(),
-                           configuration ? configuration->longestTimeout() : Duration::zero());
+    this->stopPlan.emplace(StopSettings{.limit = this->settings.limits.stop}, readBootTime());
     logInfo(LogPart::Main, "stopping",
             {{"requests", std::to_string(this->ingress.count())},
              {"session", std::to_string(this->keys.session())}});
     this->coordinator.reportSoon();
 }
 
+bool Stage::takesRequest(Time deadline) const
+{
+    return !this->stopPlan || this->stopPlan->takesRequest(deadline, readBootTime());
+}
+
 // ---- Messages of other processes ----
 
 void Stage::onMessage(const LinkPeer &peer, LinkMessage message, const LinkReply &reply)
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -70,6 +70,7 @@
     void advance(Time now);
     void reload();
     void beginStop();
+    bool takesRequest(Time deadline) const;
 
     StageSettings settings;
     std::string path;
--- a/packages/stage/stop_plan.h
+++ b/packages/stage/stop_plan.h
@@ -1,13 +1,12 @@
 // When a process that was told to stop takes its last request and when it exits.
 //
-//   StopPlan plan(settings, now, longestTimeout);
-//   if (!plan.takesRequests(now)) { ... refuse, the request has not run ... }
+//   StopPlan plan(settings, now);
+//   if (!plan.takesRequest(deadline, now)) { ... refuse, the request has not run ... }
 //   if (plan.mayExit(now, inFlight)) { ... exit ... }
 #pragma once
 
 #include "base/time.h"
 
-#include <algorithm>
 #include <cstddef>
 
 namespace kumquat {
@@ -23,15 +22,17 @@
 class StopPlan
 {
 public:
-    // `longestTimeout`: after which each request has an answer.
-    StopPlan(StopSettings stopSettings, Time told, Duration longestTimeout)
+    StopPlan(StopSettings stopSettings, Time told)
         : exitAt(told + stopSettings.limit - stopSettings.margin)
         , idleExitAt(told + stopSettings.least)
-        , refuseAt(std::max(this->idleExitAt, this->exitAt - longestTimeout))
     {}
 
-    // Says whether a new request can still be answered before the exit.
-    bool takesRequests(Time now) const { return now < this->refuseAt; }
+    // Says whether a new request that has an answer by `deadline` is taken. Short ones are taken
+    // until the end: requests that run at the upstream make them and fail without them.
+    bool takesRequest(Time deadline, Time now) const
+    {
+        return now < this->idleExitAt || deadline <= this->exitAt;
+    }
 
     bool mayExit(Time now, std::size_t inFlight) const
     {
@@ -41,7 +42,6 @@
 private:
     Time exitAt;
     Time idleExitAt;
-    Time refuseAt;
 };
 
 } // namespace kumquat
--- a/packages/stage/tests/test_stage.cpp
+++ b/packages/stage/tests/test_stage.cpp
@@ -10,19 +10,26 @@
 // the process exited 5.4 s after SIGTERM, and the last requests were cut off without an answer.
 TEST_CASE("a stopping process takes no request that it cannot answer", "[stop_plan]")
 {
-    const StopPlan plan({.limit = 6s}, 10s, 1s);
-    CHECK(plan.takesRequests(14300ms));
-    CHECK_FALSE(plan.takesRequests(14500ms));
+    const StopPlan plan({.limit = 6s}, 10s);
+    CHECK(plan.takesRequest(15300ms, 14300ms));
+    CHECK_FALSE(plan.takesRequest(15500ms, 14500ms));
     CHECK_FALSE(plan.mayExit(14500ms, 1));
     CHECK(plan.mayExit(14500ms, 0));
     CHECK(plan.mayExit(15500ms, 1));
 }
 
+// A request that runs at the upstream fails if the short calls that it makes are turned away.
+TEST_CASE("a stopping process takes short requests until its end", "[stop_plan]")
+{
+    const StopPlan plan({.limit = 6s}, 10s);
+    CHECK(plan.takesRequest(15250ms, 15s));
+}
+
 TEST_CASE("long timeouts do not turn callers away before the platform has noticed", "[stop_plan]")
 {
-    const StopPlan plan({.limit = 6s}, 10s, 5s);
-    CHECK(plan.takesRequests(12400ms));
-    CHECK_FALSE(plan.takesRequests(12500ms));
+    const StopPlan plan({.limit = 6s}, 10s);
+    CHECK(plan.takesRequest(17400ms, 12400ms));
+    CHECK_FALSE(plan.takesRequest(17500ms, 12500ms));
     CHECK_FALSE(plan.mayExit(12400ms, 0));
 }
 
