--- /dev/null
+++ b/packages/standins/platform_endpoint.cpp
@@ -0,0 +1,191 @@
+#include "standins/platform_endpoint.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto beatEvery = std::chrono::milliseconds(300);
+constexpr auto beatTimeout = std::chrono::seconds(1);
+constexpr auto workTime = std::chrono::milliseconds(5);
+constexpr int slots = 9;
+
+} // namespace
+
+// ---- HoldLedger ----
+
+bool HoldLedger::grant(const std::string &upstream, std::uint32_t first, std::uint32_t last,
+                       std::uint64_t fence, Clock::duration hold)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto now = Clock::now();
+    const auto overlaps = [&](const Hold &other) {
+        return other.first <= last && first <= other.last;
+    };
+    for (const Hold &other : this->current) {
+        if (!overlaps(other)) {
+            continue;
+        }
+        if (other.upstream == upstream && other.fence > fence) {
+            return false;
+        }
+        if (other.upstream != upstream && other.until > now) {
+            this->lines.push_back("keys " + std::to_string(first) + " to " + std::to_string(last)
+                                  + " granted to " + upstream + " while " + other.upstream
+                                  + " held some of them");
+        }
+        if (other.upstream != upstream && other.fence >= fence) {
+            this->lines.push_back("fence " + std::to_string(fence) + " of " + upstream
+                                  + " is not above that of " + other.upstream);
+        }
+    }
+    std::erase_if(this->current, [&](const Hold &other) {
+        return other.upstream == upstream && other.fence == fence && other.first == first
+               && other.last == last;
+    });
+    this->current.push_back({upstream, first, last, fence, now + hold});
+    return true;
+}
+
+void HoldLedger::release(const std::string &upstream, std::uint32_t first, std::uint32_t last)
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<Hold> rest;
+    for (const Hold &hold : this->current) {
+        const bool isHit = hold.upstream == upstream && hold.first <= last && first <= hold.last;
+        if (!isHit) {
+            rest.push_back(hold);
+            continue;
+        }
+        // A part of a grant may be released.
+        if (hold.first < first) {
+            rest.push_back({upstream, hold.first, first - 1, hold.fence, hold.until});
+        }
+        if (hold.last > last) {
+            rest.push_back({upstream, last + 1, hold.last, hold.fence, hold.until});
+        }
+    }
+    this->current = std::move(rest);
+}
+
+void HoldLedger::releaseAll(const std::string &upstream)
+{
+    this->release(upstream, 0, 65'535);
+}
+
+bool HoldLedger::holds(const std::string &upstream, std::uint32_t key)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto now = Clock::now();
+    return std::any_of(this->current.begin(), this->current.end(), [&](const Hold &hold) {
+        return hold.upstream == upstream && hold.first <= key && key <= hold.last
+               && hold.until > now;
+    });
+}
+
+std::vector<std::string> HoldLedger::conflicts()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->lines;
+}
+
+// ---- PlatformEndpoint ----
+
+PlatformEndpoint::PlatformEndpoint(std::string ownId, std::string ownService,
+                                   HoldLedger &holdLedger)
+    : id(std::move(ownId))
+    , service(std::move(ownService))
+    , ledger(holdLedger)
+    , bornMs(std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count())
+    , server(*HttpServer::start({"127.0.0.1", 0}, [this](const HttpRequest &request) {
+        return this->answer(request);
+    }))
+{}
+
+PlatformEndpoint::~PlatformEndpoint()
+{
+    this->isStopping = true;
+    if (this->heartbeats.joinable()) {
+        this->heartbeats.join();
+    }
+    this->server.reset();
+    this->ledger.releaseAll(this->id);
+}
+
+void PlatformEndpoint::sendHeartbeatsTo(const Address &address)
+{
+    this->heartbeats = std::thread([this, address] { this->beat(address); });
+}
+
+void PlatformEndpoint::beat(const Address &address)
+{
+    int sequence = 0;
+    while (!this->isStopping) {
+        const Json info{
+                {"service", this->service}, {"version", "v1"}, {"zone", "a"}, {"slots", slots}};
+        const Json status{{"state", this->isDraining ? "draining" : "ready"},
+                          {"seq", ++sequence},
+                          {"cold_left_ms", 0}};
+        const Json body{{"address", "127.0.0.1:" + std::to_string(this->port())},
+                        {"info", info},
+                        {"status", status},
+                        {"born", this->bornMs}};
+        HttpClient client(address);
+        client.send({"PUT", "/kumquatstage/instances/" + this->id, {}, body.dump()}, beatTimeout);
+        std::this_thread::sleep_for(beatEvery);
+    }
+}
+
+std::vector<std::string> PlatformEndpoint::runs()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->ran;
+}
+
+HttpAnswer PlatformEndpoint::answer(const HttpRequest &request)
+{
+    if (request.target == "/kumquatstage/grant" || request.target == "/kumquatstage/release") {
+        return this->order(request, request.target == "/kumquatstage/grant");
+    }
+    return this->run(request);
+}
+
+HttpAnswer PlatformEndpoint::order(const HttpRequest &request, bool isGrant)
+{
+    const Json body = Json::parse(request.body);
+    const auto first = body.at("from").get<std::uint32_t>();
+    const auto last = body.at("target").get<std::uint32_t>();
+    if (!isGrant) {
+        this->ledger.release(this->id, first, last);
+        return {200, {{"X-Duty-Handover", "handover"}}, ""};
+    }
+    const auto hold = std::chrono::milliseconds(body.at("hold_ms").get<std::int64_t>());
+    const bool isTaken =
+            this->ledger.grant(this->id, first, last, body.at("fence").get<std::uint64_t>(), hold);
+    return {isTaken ? 200 : 409, {}, ""};
+}
+
+HttpAnswer PlatformEndpoint::run(const HttpRequest &request)
+{
+    const std::string requestId = findField(request.fields, "X-Attempt-Id").value_or("");
+    const auto key = findField(request.fields, "X-Shard-Key");
+    const bool isMeant = findField(request.fields, "X-Expected-Instance") == this->id;
+    const bool isHeld = !key || this->ledger.holds(this->id, std::stoul(*key));
+    if (!isMeant || !isHeld) {
+        return {421, {{"X-Not-Executed", "1"}, {"X-Attempt-Id", requestId}}, ""};
+    }
+    {
+        const std::lock_guard lock(this->mutex);
+        this->ran.push_back(requestId);
+    }
+    std::this_thread::sleep_for(workTime);
+    return {200, {{"X-Attempt-Id", requestId}, {"X-Server-Seal", "seal"}}, "ran at " + this->id};
+}
+
+} // namespace kumquat
