stage: misdirected requests are not repeated, and hosts that are down are refused at once

Change: a 421 with another id stops requests until the next heartbeat, and no refusal by an upstream is repeated for a key. 2.

--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -227,8 +227,8 @@
     HttpCallOptions options{
             .limit = remaining,
             .belongs =
-                    [&execute](const HttpResponse &response) {
-                        return platform::judgeUpstreamAnswer(response, execute.id()).isOwn;
+                    [&execute, &life](const HttpResponse &response) {
+                        return platform::judgeUpstreamAnswer(response, execute.id(), life).isOwn;
                     },
             .maxIdle = run.isIdempotent ? Duration::max() : freshIdle,
             .mayEndWithConnection = true,
@@ -273,13 +273,15 @@
         return this->makeResult(isLate ? wire::EXECUTE_TIMED_OUT : wire::EXECUTE_LOST);
     }
     this->monitor.noteAnswer();
-    const platform::UpstreamVerdict verdict = platform::judgeUpstreamAnswer(*answer, execute.id());
+    const platform::UpstreamVerdict verdict =
+            platform::judgeUpstreamAnswer(*answer, execute.id(), this->monitor.life());
     if (verdict.wasNotRun) {
         end = CallEnd::Refused;
         this->metrics.count(Metric::UpstreamRefused);
-        return this->makeResult(verdict.isMisplaced ? wire::EXECUTE_MISPLACED
-                                                    : wire::EXECUTE_REJECTED,
-                                pendingRetry);
+        if (verdict.isOtherLife) {
+            this->monitor.noteRefused(readBootTime()); // until its heartbeat comes
+        }
+        return this->makeResult(wire::EXECUTE_REJECTED, pendingRetry);
     }
     end = CallEnd::Answered;
     if (!verdict.isGenuine) {
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -209,6 +209,10 @@
         attempt.cancelCall = [this, caller] { this->executor.cancel(caller); };
         result = this->executor.run(execute, body, caller);
         attempt.cancelCall = nullptr;
+    } else if (this->links.isDown(node, now)) {
+        // Known to be in vain, so the caller is told at once.
+        this->links.reconnect(node);
+        result.reply.set_outcome(wire::EXECUTE_NOT_SENT);
     } else {
         result = this->sendAway(node, attempt, body);
     }
--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -208,7 +208,7 @@
     peer.address = address;
     ++peer.attempt;
     peer.isConnecting = false;
-    peer.failedAt = -1h;
+    peer.failedAt.reset();
     if (peer.link) {
         peer.link->close();
     }
@@ -220,7 +220,8 @@
     const Time now = readBootTime();
     const std::uint64_t number = ++this->lastCall;
     const auto found = this->peers.find(name);
-    if (found == this->peers.end() || (!found->second.link && this->isDown(name, now))) {
+    if (found == this->peers.end()
+        || (!found->second.link && this->isResting(found->second, now))) {
         this->thread.post([answer = std::move(answer)] { answer(LinkEnd::NotSent, {}); });
         return number;
     }
@@ -261,7 +262,31 @@
 bool LinkPool::isDown(const std::string &name, Time now) const
 {
     const auto found = this->peers.find(name);
-    return found == this->peers.end() || now - found->second.failedAt < this->settings.retryAfter;
+    if (found == this->peers.end()) {
+        return true;
+    }
+    const Peer &peer = found->second;
+    if (!peer.link) {
+        return peer.failedAt.has_value();
+    }
+    return !peer.calls.empty()
+           && now - std::max(peer.link->lastReceived(), peer.waitingSince)
+                      >= this->settings.downAfter;
+}
+
+void LinkPool::reconnect(const std::string &name)
+{
+    const auto found = this->peers.find(name);
+    if (found != this->peers.end() && !found->second.link
+        && !this->isResting(found->second, readBootTime())) {
+        this->connect(name, found->second);
+    }
+}
+
+// Says whether the last attempt failed too short a time ago for another one.
+bool LinkPool::isResting(const Peer &peer, Time now) const
+{
+    return peer.failedAt && now - *peer.failedAt < this->settings.retryAfter;
 }
 
 Time LinkPool::lastHeard(const std::string &name) const
@@ -298,7 +323,7 @@
         this->endAll(peer);
         return;
     }
-    peer.failedAt = -1h;
+    peer.failedAt.reset();
     peer.connectedAt = readBootTime();
     const std::shared_ptr<Link> link = Link::create(
             std::move(*socket),
@@ -310,7 +335,9 @@
                          if (closed.attempt == attempt) {
                              // One that never answered is not worth another try at once.
                              const bool isUseless = closed.heard < closed.connectedAt;
-                             closed.failedAt = isUseless ? readBootTime() : closed.failedAt;
+                             if (isUseless) {
+                                 closed.failedAt = readBootTime();
+                             }
                              closed.link = nullptr;
                              this->endAll(closed);
                          }
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -28,6 +28,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -113,6 +114,7 @@
     Duration connectLimit = 900ms; // some fifteen round trips between regions
     Duration retryAfter = 400ms;   // after a failed connection
     Duration pingAfter = 300ms;    // of silence while calls wait
+    Duration downAfter = 600ms;    // of silence; two pings were not answered
     Duration silentAfter = 1300ms; // then the connection counts as dead; three pings were lost
 };
 
@@ -134,9 +136,13 @@
     // Tells the other process that nobody waits for a call any more, and forgets it.
     void cancel(const std::string &node, std::uint64_t call);
 
-    // Says whether the last attempt to reach a node failed a short time ago.
+    // Says whether a message would wait in vain: the last attempt to connect failed, or calls have
+    // waited for an answer for a while.
     bool isDown(const std::string &node, Time now) const;
 
+    // Tries to connect to a node again, at most once in `retryAfter`.
+    void reconnect(const std::string &node);
+
     // Closes dead connections and ends overdue calls; call every 100 ms.
     void advance(Time now);
 
@@ -158,7 +164,7 @@
         bool isConnecting = false;
         std::uint64_t attempt = 0; // of connecting; an older one has no effect
         Time connectDue{};
-        Time failedAt = -1h;
+        std::optional<Time> failedAt; // since the last connection
         Time connectedAt{};
         Time heard{};
         Time waitingSince{}; // the oldest time from which an answer is due
@@ -170,6 +176,7 @@
     void onConnected(const std::string &node, std::uint64_t attempt, const ErrorCode &error,
                      const std::shared_ptr<Link::Socket> &socket);
     void onMessage(const std::string &node, LinkMessage message);
+    bool isResting(const Peer &peer, Time now) const;
     void endAll(Peer &peer);
     void judgeSilence(const std::string &name, Peer &peer, Time now);
 
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -478,7 +478,7 @@
     ++this->gossipTurn;
     for (const std::string &node : {relayNodes[this->gossipTurn % relayNodes.size()],
                                     nodes[this->gossipTurn % nodes.size()]}) {
-        if (node == this->settings.node || this->links.isDown(node, now)) {
+        if (node == this->settings.node) {
             continue;
         }
         this->links.call(
--- a/packages/stage/tests/test_link.cpp
+++ b/packages/stage/tests/test_link.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <condition_variable>
+#include <future>
 #include <mutex>
 #include <optional>
 
@@ -102,6 +103,36 @@
     CHECK(pair.received == 0);
 }
 
+// Found on trouble-3 of the first site: callers waited for a host that had gone until their
+// deadline, for each attempt to connect anew.
+TEST_CASE("a host that could not be reached is known to be down", "[link]")
+{
+    Pair pair("other");
+    const auto isDown = [&pair] {
+        std::promise<bool> result;
+        pair.thread.post([&] { result.set_value(pair.pool.isDown("gone", readBootTime())); });
+        return result.get_future().get();
+    };
+    CHECK(pair.call("gone", 2s) == LinkEnd::Lost);
+    CHECK(isDown());
+    std::this_thread::sleep_for(600ms); // longer than the rest before the next attempt
+    CHECK(isDown());
+}
+
+// The connection is open, but nothing comes back: a frozen process or a cut link.
+TEST_CASE("a host whose answers are overdue is known to be down", "[link]")
+{
+    Pair pair("mute", false);
+    pair.thread.post([&pair] {
+        pair.pool.setAddress("mute", serverAddress);
+        pair.pool.call("mute", makeQuery(), "", 5s, [](LinkEnd, const LinkMessage &) {});
+    });
+    std::this_thread::sleep_for(900ms);
+    std::promise<bool> result;
+    pair.thread.post([&] { result.set_value(pair.pool.isDown("mute", readBootTime())); });
+    CHECK(result.get_future().get());
+}
+
 TEST_CASE("a call to a port without a listener was not sent", "[link]")
 {
     FiberThread thread("link-test");
