stage: limits of callers from the configuration, settings read again without a signal

Cause: bodies over 1 MiB were refused whatever the configuration allowed, and a settings file that changed without a signal was not noticed. Change: each configuration sets the limits of the server for callers; the file's time is looked at once a second.

--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <pthread.h>
 #include <random>
 
@@ -27,6 +28,7 @@
 constexpr Duration recordDelay = 1200ms; // a host without a heartbeat makes itself known after it
 constexpr Duration recordRetry = 300ms;
 constexpr Duration logFlush = 200ms;
+constexpr Duration settingsCheck = 1s; // of a settings file that changes without a signal
 
 // Queue in front of the upstream. The upstream announces how many requests it runs at a time, and
 // only this process sends it any, so neither latency nor a lost answer lowers the limit; refusals
@@ -95,7 +97,8 @@
     , ticker(this->thread.io())
     , store(this->thread.io(), this->settings.store)
     , links(this->thread, this->settings.node, this->incarnation)
-    , view({.hostChanged =
+    , view({.configurationChanged = [this] { this->applyCallerLimits(); },
+            .hostChanged =
                     [this](const KnownHost &host) {
                         this->links.setAddress(host.info.node, host.address);
                         this->coordinator.noteHostChanged(readBootTime());
@@ -223,6 +226,7 @@
     this->ticker.every(linkTick, [this](Time now) { this->coordinator.advance(now); });
     this->ticker.every(gossipEvery, [this](Time now) { this->gossip(now); });
     this->ticker.every(logFlush, [](Time) { flushLog(); });
+    this->ticker.every(settingsCheck, [this](Time) { this->checkSettingsFile(); });
     this->ticker.after(recordDelay, [this](Time) {
         this->isRecordDue = this->isRecordDue || this->recordChange == 0;
     });
@@ -279,6 +283,30 @@
     }
 }
 
+// Takes what callers may send, and how long they may be idle, from the configuration.
+void Stage::applyCallerLimits()
+{
+    const CallerLimits &limits = this->view.configuration()->limits;
+    this->callerServer->setLimits({.maxHeaderBytes = limits.maxHeaderBytes,
+                                   .maxBodyBytes = limits.maxBodyBytes,
+                                   .idleLimit = limits.idleTimeout});
+}
+
+// The settings file may change without a signal.
+void Stage::checkSettingsFile()
+{
+    std::error_code error;
+    const auto written = std::filesystem::last_write_time(this->path, error);
+    if (error || written == this->settingsWritten) {
+        return; // it may be replaced just now
+    }
+    const bool isFirst = this->settingsWritten == std::filesystem::file_time_type();
+    this->settingsWritten = written;
+    if (!isFirst) {
+        this->reload();
+    }
+}
+
 void Stage::reload()
 {
     const auto loaded = loadStageSettings(this->path);
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -26,6 +26,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <filesystem>
 #include <memory>
 #include <optional>
 #include <string>
@@ -70,12 +71,15 @@
     HttpResponse onReadiness(const HttpRequest &request);
     bool isReady() const;
     void advance(Time now);
+    void applyCallerLimits();
+    void checkSettingsFile();
     void reload();
     void beginStop();
     bool takesRequest(Time deadline) const;
 
     StageSettings settings;
     std::string path;
+    std::filesystem::file_time_type settingsWritten{};
     std::uint64_t incarnation;
     Time startedAt;
     FiberThread thread;
