--- a/packages/stage/cluster_view.cpp
+++ b/packages/stage/cluster_view.cpp
@@ -49,6 +49,15 @@
     }
 }
 
+HostLoad decodeLoad(const wire::UpstreamLoad &load)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    return {.isUsable = load.usable(),
+            .inFlight = load.in_flight(),
+            .slots = std::max(1U, load.slots()),
+            .serviceSeconds = load.service_ms() / millisecondsPerSecond};
+}
+
 void ClusterView::applyConfiguration(Configuration newer, std::string bytes)
 {
     if (this->current && newer.version <= this->current->version) {
--- a/packages/stage/cluster_view.h
+++ b/packages/stage/cluster_view.h
@@ -12,6 +12,7 @@
 #include "keyspace/key_table.h"
 #include "keyspace/range_planner.h"
 #include "routing/configuration.h"
+#include "routing/host_picker.h"
 #include "wire/stage.pb.h"
 
 #include <cstdint>
@@ -36,6 +37,7 @@
 
 UpstreamPhase decodePhase(wire::UpstreamPhase phase);
 wire::UpstreamPhase encodePhase(UpstreamPhase phase);
+HostLoad decodeLoad(const wire::UpstreamLoad &load);
 
 // ---- ClusterView ----
 
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -1,9 +1,8 @@
+// Sections: start, time, the upstream beside this process, readiness.
 #include "stage/stage.h"
 
-#include "base/hash.h"
 #include "base/log.h"
 #include "base/text.h"
-#include "platform/configuration.h"
 #include "platform/upstream.h"
 
 #include <csignal>
@@ -20,11 +19,9 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
-constexpr Duration tick = 50ms;         // of leases and limits; a lease is renewed every 400 ms
-constexpr Duration linkTick = 100ms;    // of connections between processes
-constexpr Duration gossipEvery = 400ms; // news reach every host in about a second
-constexpr Duration gossipLimit = 900ms;
-constexpr Duration fetchPause = 50ms;    // between two requests for news
+constexpr Duration tick = 50ms;          // of leases and limits; a lease is renewed every 400 ms
+constexpr Duration linkTick = 100ms;     // of connections between processes
+constexpr Duration gossipEvery = 400ms;  // news reach every host in about a second
 constexpr Duration recordDelay = 1200ms; // a host without a heartbeat makes itself known after it
 constexpr Duration recordRetry = 300ms;
 constexpr Duration logFlush = 200ms;
@@ -75,15 +72,6 @@
             .retryFloor = settings.limits.retrySlack / window / slackParts};
 }
 
-HostLoad decodeLoad(const wire::UpstreamLoad &load)
-{
-    constexpr double millisecondsPerSecond = 1000;
-    return {.isUsable = load.usable(),
-            .inFlight = load.in_flight(),
-            .slots = std::max(1U, load.slots()),
-            .serviceSeconds = load.service_ms() / millisecondsPerSecond};
-}
-
 } // namespace
 
 // ---- Start ----
@@ -337,189 +325,6 @@
     return !this->stopPlan || this->stopPlan->takesRequest(deadline, readBootTime());
 }
 
-// ---- Messages of other processes ----
-
-void Stage::onMessage(const LinkPeer &peer, LinkMessage message, const LinkReply &reply)
-{
-    const Time now = readBootTime();
-    wire::LinkFrame answer;
-    this->coordinator.noteHeard(peer.node);
-    switch (message.head.content_case()) {
-    case wire::LinkFrame::kExecute:
-        this->onExecute(peer, std::move(message), reply);
-        break;
-    case wire::LinkFrame::kCancel:
-        this->executor.cancel({.connection = peer.number, .call = message.head.call()});
-        break;
-    case wire::LinkFrame::kVouch:
-        this->onVouch(message.head.vouch(), reply);
-        this->noteKnown(peer.node, message.head.vouch().known());
-        break;
-    case wire::LinkFrame::kReleaseQuery:
-        answer.mutable_release_reply()->set_released(
-                this->hasVoterReleased(message.head.release_query()));
-        reply(answer, {});
-        break;
-    case wire::LinkFrame::kStopQuery:
-        *answer.mutable_stop_reply() = this->keys.answerStop(message.head.stop_query(), now);
-        reply(answer, {});
-        if (message.head.stop_query().tables_end() > this->view.tablesEnd()) {
-            this->fetchState(peer.node);
-        }
-        break;
-    case wire::LinkFrame::kLoadReport:
-        this->coordinator.noteReport(peer.node, message.head.load_report(), now);
-        *answer.mutable_load_ack()->mutable_known() = this->known();
-        reply(answer, {});
-        this->noteKnown(peer.node, message.head.load_report().known());
-        break;
-    case wire::LinkFrame::kStateQuery:
-        *answer.mutable_state_reply() = this->view.stateSince(message.head.state_query().known());
-        reply(answer, {});
-        break;
-    case wire::LinkFrame::kStateReply:
-        this->onState(message.head.state_reply());
-        answer.mutable_load_ack();
-        reply(answer, {});
-        break;
-    default:
-        logWarning(LogPart::Mesh, "message of an unknown kind dropped", {{"node", peer.node}});
-        break;
-    }
-}
-
-void Stage::onExecute(const LinkPeer &peer, LinkMessage message, const LinkReply &reply)
-{
-    const ExecuteCaller caller{.connection = peer.number, .call = message.head.call()};
-    wire::Execute execute = std::move(*message.head.mutable_execute());
-    // What was held up on the way has less time left; the caller's host counts it as well.
-    const auto delayed =
-            std::chrono::duration_cast<std::chrono::milliseconds>(message.delayed).count();
-    const auto left = static_cast<std::int64_t>(execute.remaining_ms()) - delayed;
-    execute.set_remaining_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0)));
-    if (execute.tables_end() > this->view.tablesEnd()) {
-        this->fetchState(peer.node);
-    }
-    auto work = [this, caller, reply, execute = std::move(execute),
-                 body = std::move(message.body)]() mutable {
-        ExecuteResult result = this->executor.run(execute, std::move(body), caller);
-        wire::LinkFrame frame;
-        *frame.mutable_execute_reply() = std::move(result.reply);
-        reply(frame, result.body);
-    };
-    this->thread.spawn(std::move(work));
-}
-
-void Stage::onVouch(const wire::Vouch &vouch, const LinkReply &reply)
-{
-    wire::LinkFrame frame;
-    wire::VouchReply &answer = *frame.mutable_vouch_reply();
-    const bool isAsked = vouch.session() != 0;
-    answer.set_granted(isAsked
-                       && this->voter.vouch(this->view.table(vouch.service()), vouch.session(),
-                                            readBootTime()));
-    *answer.mutable_known() = this->known();
-    *answer.mutable_load() = this->executor.load(this->settings.node, readBootTime());
-    reply(frame, {});
-    if (!vouch.load().node().empty()) {
-        this->picker.noteLoad(vouch.load().node(), decodeLoad(vouch.load()), readBootTime());
-    }
-}
-
-bool Stage::hasVoterReleased(const wire::ReleaseQuery &query) const
-{
-    return this->voter.hasReleased(this->view.table(query.service()), query.session(),
-                                   query.ended_at(), readBootTime());
-}
-
-// ---- What others know ----
-
-void Stage::onState(const wire::StateReply &state)
-{
-    if (!state.config().empty()) {
-        auto configuration = platform::decodeConfiguration(state.config());
-        if (configuration.ok()) {
-            this->view.applyConfiguration(*std::move(configuration), state.config());
-        }
-    }
-    for (const wire::StateItem &item : state.hosts()) {
-        this->view.applyHost(item.key(), item.offset(), item.value());
-    }
-    for (const wire::StateItem &item : state.tables()) {
-        this->view.applyTable(item.key(), item.offset(), item.value());
-    }
-}
-
-wire::Known Stage::known() const
-{
-    wire::Known known = this->view.known();
-    known.set_reads_store(!this->follower.isLost(platform::StoreTopic::Hosts)
-                          && !this->follower.isLost(platform::StoreTopic::Tables));
-    return known;
-}
-
-void Stage::noteKnown(const std::string &node, const wire::Known &known)
-{
-    this->relays.noteHeard(node, known.reads_store(), readBootTime());
-    if (this->view.isBehind(known)) {
-        this->fetchState(node);
-    }
-}
-
-void Stage::fetchState(const std::string &node)
-{
-    const Time now = readBootTime();
-    if (now - this->fetchedAt < fetchPause || node.empty()) {
-        return;
-    }
-    this->fetchedAt = now;
-    wire::LinkFrame frame;
-    *frame.mutable_state_query()->mutable_known() = this->known();
-    this->links.call(node, frame, {}, gossipLimit, [this](LinkEnd end, const LinkMessage &answer) {
-        if (end == LinkEnd::Answered) {
-            const wire::StateReply &state = answer.head.state_reply();
-            this->onState(state);
-            // The answer holds all that was missing.
-            this->view.noteHostsEnd(state.known().hosts_end());
-            this->view.noteTablesEnd(state.known().tables_end());
-        }
-    });
-}
-
-// Exchanges with a few hosts in turn how far each has read and how busy its upstream is.
-void Stage::gossip(Time now)
-{
-    const auto &hosts = this->view.hosts();
-    if (hosts.size() < 2) {
-        return;
-    }
-    wire::LinkFrame frame;
-    wire::Vouch &vouch = *frame.mutable_vouch();
-    *vouch.mutable_known() = this->known();
-    *vouch.mutable_load() = this->executor.load(this->settings.node, now);
-    std::vector<std::string> nodes;
-    for (const auto &[name, host] : hosts) {
-        nodes.push_back(name);
-    }
-    // One of the hosts that wait for records of the store, and one of all.
-    const std::vector<std::string> relayNodes = this->relays.first(nodes);
-    ++this->gossipTurn;
-    for (const std::string &node : {relayNodes[this->gossipTurn % relayNodes.size()],
-                                    nodes[this->gossipTurn % nodes.size()]}) {
-        if (node == this->settings.node) {
-            continue;
-        }
-        this->links.call(
-                node, frame, {}, gossipLimit, [this, node](LinkEnd end, const LinkMessage &answer) {
-                    if (end == LinkEnd::Answered) {
-                        const wire::VouchReply &reply = answer.head.vouch_reply();
-                        this->picker.noteLoad(node, decodeLoad(reply.load()), readBootTime());
-                        this->noteKnown(node, reply.known());
-                    }
-                });
-    }
-}
-
 // ---- The upstream beside this process ----
 
 HttpResponse Stage::onHeartbeat(const HttpRequest &request)
