stage: grants are bounded by the longest hold of the settings

Cause: the bound was read and not used; a platform with a bound below the lease would have refused all grants. Unused settings and functions removed.

--- a/packages/keyspace/range_holder.h
+++ b/packages/keyspace/range_holder.h
@@ -131,8 +131,6 @@
     // Says whether nothing is held, and nothing may be.
     bool holdsNothing(Time now) const;
 
-    std::size_t rangeCount() const { return this->owned.size(); }
-
 private:
     // A range of the own session.
     struct Owned
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -1,7 +1,7 @@
 // Runs requests at the upstream beside this process: checks that it holds the key, limits how many
 // run at a time, and says truly whether a request has run.
 //
-//   executor.run(std::move(execute), std::move(body), caller, [](ExecuteResult result) { ... });
+//   ExecuteResult result = executor.run(execute, std::move(body), caller); // in a fiber
 //   executor.cancel(caller);
 //
 // Sections: results, hooks, Executor.
--- a/packages/stage/key_owner.cpp
+++ b/packages/stage/key_owner.cpp
@@ -24,8 +24,9 @@
 } // namespace
 
 KeyOwner::KeyOwner(FiberThread &ownerThread, const std::string &ownNode,
-                   const std::string &ownService, const Address &upstream, ClusterView &clusterView,
-                   LinkPool &linkPool, UpstreamMonitor &upstreamMonitor, KeyOwnerHooks ownerHooks)
+                   const std::string &ownService, const Address &upstream, Duration longestHold,
+                   ClusterView &clusterView, LinkPool &linkPool, UpstreamMonitor &upstreamMonitor,
+                   KeyOwnerHooks ownerHooks)
     : thread(ownerThread)
     , node(ownNode)
     , service(ownService)
@@ -35,7 +36,7 @@
     , hooks(std::move(ownerHooks))
     , upstreamOrders(ownerThread.io(), upstream, orderLimits)
     , lease(this->leaseSettings)
-    , holder({.longestHold = this->leaseSettings.length,
+    , holder({.longestHold = std::min(this->leaseSettings.length, longestHold),
               .renewEvery = this->leaseSettings.renewEvery,
               .clockDrift = this->leaseSettings.clockDrift},
              readBootTime())
--- a/packages/stage/key_owner.h
+++ b/packages/stage/key_owner.h
@@ -35,8 +35,8 @@
 {
 public:
     KeyOwner(FiberThread &ownerThread, const std::string &ownNode, const std::string &ownService,
-             const Address &upstream, ClusterView &clusterView, LinkPool &linkPool,
-             UpstreamMonitor &upstreamMonitor, KeyOwnerHooks ownerHooks);
+             const Address &upstream, Duration longestHold, ClusterView &clusterView,
+             LinkPool &linkPool, UpstreamMonitor &upstreamMonitor, KeyOwnerHooks ownerHooks);
 
     // Takes a change of the table, of the upstream or of the time; call every 50 ms as well.
     void advance(Time now);
--- a/packages/stage/settings.cpp
+++ b/packages/stage/settings.cpp
@@ -73,23 +73,6 @@
     return limits;
 }
 
-std::map<std::string, std::string> takeRegions(JsonObject &root, Faults &faults)
-{
-    std::map<std::string, std::string> regions;
-    const Json *object = root.take("regions", "an object from data centre to region");
-    if (object == nullptr || !object->is_object()) {
-        return regions;
-    }
-    for (const auto &[centre, region] : object->items()) {
-        if (region.is_string()) {
-            regions[centre] = region.get<std::string>();
-        } else {
-            faults.push_back("/regions/" + centre + ": not a text; expected the name of a region");
-        }
-    }
-    return regions;
-}
-
 } // namespace
 
 absl::StatusOr<StageSettings> parseStageSettings(std::string_view text, const std::string &name)
@@ -108,7 +91,6 @@
         settings.store = takeAddress(root, "store");
         settings.listen = takeListen(root, faults);
         settings.limits = takeLimits(root, faults);
-        settings.regions = takeRegions(root, faults);
         root.reportUnknown();
     }
     if (!faults.empty()) {
--- a/packages/stage/settings.h
+++ b/packages/stage/settings.h
@@ -8,7 +8,6 @@
 
 #include <absl/status/statusor.h>
 
-#include <map>
 #include <string>
 #include <string_view>
 
@@ -46,7 +45,6 @@
     Address store;
     StageListen listen;
     StageLimits limits;
-    std::map<std::string, std::string> regions; // by data centre
 };
 
 // Checks settings text; `name` begins the error message. Error: SettingsInvalid with one line per
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -112,7 +112,7 @@
                             return this->relays.isRelay(this->settings.node, readBootTime());
                         }})
     , keys(this->thread, this->settings.node, this->settings.service, this->settings.upstream,
-           this->view, this->links, this->monitor,
+           this->settings.limits.longestHold, this->view, this->links, this->monitor,
            {.accessChanged = [this] { this->executor.noteAccessChanged(); },
             .load = [this] { return this->executor.load(this->settings.node, readBootTime()); },
             .vouched =
--- a/packages/stage/upstream_monitor.cpp
+++ b/packages/stage/upstream_monitor.cpp
@@ -41,7 +41,6 @@
     this->current = beat;
     this->lastLife = beat.life;
     this->lastPhase = phase;
-    this->coldUntil = now + beat.coldLeft;
     return changed;
 }
 
--- a/packages/stage/upstream_monitor.h
+++ b/packages/stage/upstream_monitor.h
@@ -52,7 +52,6 @@
     UpstreamPhase phase() const;
     const UpstreamLife &life() const { return this->lastLife; }
     std::uint32_t slots() const { return this->current ? this->current->slots : 1; }
-    bool isCold(Time now) const { return now < this->coldUntil; }
 
 private:
     MonitorSettings settings;
@@ -60,7 +59,6 @@
     UpstreamLife lastLife;
     UpstreamPhase lastPhase = UpstreamPhase::Absent;
     Time drainingSince{};
-    Time coldUntil{};
     std::optional<Time> refusedAt; // since when nothing listens
     std::uint32_t failures = 0;    // in a row
 };
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -182,7 +182,6 @@
                               {"heartbeats", host.heartbeats.toString()},
                               {"processes", freeAddress().toString()},
                               {"metrics", freeAddress().toString()}}},
-                            {"regions", {{"a", "north"}}},
                             {"limits",
                              {{"drainMs", 2500},
                               {"stopSeconds", 6},
