--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -176,6 +176,7 @@
     *vouch.mutable_known() = this->known();
     *vouch.mutable_load() = this->executor.load(this->settings.node, now);
     std::vector<std::string> nodes;
+    nodes.reserve(hosts.size());
     for (const auto &[name, host] : hosts) {
         nodes.push_back(name);
     }
