range_planner: a session that no report can name yet is not silent

A host can name its session only after it has read the table that admitted it; the planner counted the time for which it had planned as the silence of a session without a report.

Change: silence counts from when the acting host first saw the session. One log line for each session that is ended, with the reason and the silence.

Test: test_range_planner 'a session that no report can name yet is not silent' failed before the change.

--- a/packages/keyspace/key_load.cpp
+++ b/packages/keyspace/key_load.cpp
@@ -1,5 +1,7 @@
 #include "keyspace/key_load.h"
 
+#include "base/durations.h"
+
 #include <cmath>
 
 namespace kumquat {
@@ -8,11 +10,6 @@
 // Growth of new weights before all are scaled down; floats keep their precision over it.
 constexpr double longestGrowth = 20;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 KeyLoad::KeyLoad(Duration memoryTime)
@@ -25,17 +22,17 @@
     if (key > lastShardKey) {
         return;
     }
-    if (seconds(now - this->base) > longestGrowth * seconds(this->memory)) {
+    if (toSeconds(now - this->base) > longestGrowth * toSeconds(this->memory)) {
         this->rebase(now);
     }
-    const double growth = std::exp(seconds(now - this->base) / seconds(this->memory));
+    const double growth = std::exp(toSeconds(now - this->base) / toSeconds(this->memory));
     this->weights[key] += static_cast<float>(count * growth);
 }
 
 void KeyLoad::rebase(Time now)
 {
     const auto factor =
-            static_cast<float>(std::exp(-seconds(now - this->base) / seconds(this->memory)));
+            static_cast<float>(std::exp(-toSeconds(now - this->base) / toSeconds(this->memory)));
     for (float &weight : this->weights) {
         weight *= factor;
     }
@@ -45,7 +42,7 @@
 std::vector<double> KeyLoad::rates(Time now) const
 {
     const double scale =
-            std::exp(-seconds(now - this->base) / seconds(this->memory)) / seconds(this->memory);
+            std::exp(-toSeconds(now - this->base) / toSeconds(this->memory)) / toSeconds(this->memory);
     std::vector<double> result(this->weights.begin(), this->weights.end());
     for (double &rate : result) {
         rate *= scale;
--- a/packages/keyspace/range_planner.cpp
+++ b/packages/keyspace/range_planner.cpp
@@ -179,7 +179,7 @@
     for (const KeySession &session : this->next.sessions) {
         const SessionReport *found = this->report(session.id);
         active += session.isActive() ? 1 : 0;
-        heard += session.isActive() && found != nullptr
+        heard += session.isActive() && found != nullptr && found->wasHeard
                                  && found->silence < this->settings.endAfter / 2
                          ? 1
                          : 0;
@@ -203,9 +203,10 @@
             this->end(session, true);
             continue;
         }
-        const Duration silence = found == nullptr ? this->input.planningFor : found->silence;
+        // A host can name its session only after it has read the table that admitted it.
+        const bool isSilent = found != nullptr && found->silence >= this->settings.endAfter;
         const bool isOwn = session.node == this->input.node;
-        if (mayEnd && !isOwn && silence >= this->settings.endAfter) {
+        if (mayEnd && !isOwn && isSilent) {
             this->end(session, false);
         }
     }
--- a/packages/keyspace/range_planner.h
+++ b/packages/keyspace/range_planner.h
@@ -47,7 +47,8 @@
 // What the host of a session reported last.
 struct SessionReport
 {
-    Duration silence{};     // since the report
+    Duration silence{};     // since the report, or since this host first saw the session
+    bool wasHeard = true;   // false: no report has named the session yet
     bool isRetired = false; // its host gave it up, and it holds nothing
     bool isFailing = false; // the upstream answers nothing
     bool isStopping = false;
@@ -62,7 +63,7 @@
     std::uint64_t newEnd = 0; // end of the record that the plan would become
     std::string node;         // that plans
     std::vector<HostInfo> hosts;
-    std::map<std::uint64_t, SessionReport> reports; // by session
+    std::map<std::uint64_t, SessionReport> reports; // by session; one without is not silent
     const KeyLoad *load = nullptr;
     bool mayBalance = false; // otherwise only sessions are looked after
     Duration planningFor{};  // how long this host has taken reports
--- a/packages/keyspace/tests/test_range_planner.cpp
+++ b/packages/keyspace/tests/test_range_planner.cpp
@@ -133,6 +133,23 @@
     }
 }
 
+// Found by the quiet day of the second grown site: a host reports its session only after it has read
+// the table that admitted it. The next plan, 200 ms later, took the time before as silence, ended the
+// session and admitted the host anew, over and over, so its keys were on the move all day.
+TEST_CASE("a session that no report can name yet is not silent", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.table = *planKeyTable(cluster.input(), cluster.settings);
+    REQUIRE(cluster.reports.empty());
+    const std::optional<KeyTable> next = planKeyTable(cluster.input(), cluster.settings);
+    const KeyTable &after = next ? *next : cluster.table;
+    for (const KeySession &session : cluster.table.sessions) {
+        INFO(session.node);
+        REQUIRE(after.session(session.id) != nullptr);
+        CHECK(after.session(session.id)->isActive());
+    }
+}
+
 TEST_CASE("the keys of a silent session move and wait for proof", "[range_planner]")
 {
     Cluster cluster;
--- a/packages/routing/host_picker.cpp
+++ b/packages/routing/host_picker.cpp
@@ -1,15 +1,12 @@
 #include "routing/host_picker.h"
 
+#include "base/durations.h"
+
 #include <algorithm>
 
 namespace kumquat {
 namespace {
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 // Added for a host to avoid; larger than any expected time, so it is the last choice.
 constexpr double avoidCost = 10;
 
@@ -73,9 +70,9 @@
 {
     double distance = 0;
     if (candidate.distance == HostDistance::SameRegion) {
-        distance = seconds(this->settings.otherCentreCost);
+        distance = toSeconds(this->settings.otherCentreCost);
     } else if (candidate.distance == HostDistance::OtherRegion) {
-        distance = seconds(this->settings.otherRegionCost);
+        distance = toSeconds(this->settings.otherRegionCost);
     }
     const auto found = this->states.find(candidate.node);
     if (found == this->states.end()) {
--- a/packages/stage/cluster_view.cpp
+++ b/packages/stage/cluster_view.cpp
@@ -1,5 +1,6 @@
 #include "stage/cluster_view.h"
 
+#include "base/durations.h"
 #include "base/log.h"
 #include "base/text.h"
 
@@ -49,13 +50,17 @@
     }
 }
 
+double decodeServiceTime(std::uint32_t milliseconds)
+{
+    return toSeconds(std::chrono::milliseconds(milliseconds));
+}
+
 HostLoad decodeLoad(const wire::UpstreamLoad &load)
 {
-    constexpr double millisecondsPerSecond = 1000;
     return {.isUsable = load.usable(),
             .inFlight = load.in_flight(),
             .slots = std::max(1U, load.slots()),
-            .serviceSeconds = load.service_ms() / millisecondsPerSecond};
+            .serviceSeconds = decodeServiceTime(load.service_ms())};
 }
 
 void ClusterView::applyConfiguration(Configuration newer, std::string bytes)
--- a/packages/stage/cluster_view.h
+++ b/packages/stage/cluster_view.h
@@ -37,6 +37,9 @@
 
 UpstreamPhase decodePhase(wire::UpstreamPhase phase);
 wire::UpstreamPhase encodePhase(UpstreamPhase phase);
+// Seconds; 0: not known.
+double decodeServiceTime(std::uint32_t milliseconds);
+
 HostLoad decodeLoad(const wire::UpstreamLoad &load);
 
 // ---- ClusterView ----
--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -1,5 +1,6 @@
 #include "stage/coordinator.h"
 
+#include "base/durations.h"
 #include "base/log.h"
 
 #include <algorithm>
@@ -103,12 +104,11 @@
     if (report.session() == 0) {
         return;
     }
-    constexpr double millisecondsPerSecond = 1000;
     Report &kept = this->reports[report.session()];
     kept.at = now;
     kept.content = {.isFailing = report.failing(),
                     .isStopping = report.stopping(),
-                    .serviceSeconds = report.service_ms() / millisecondsPerSecond,
+                    .serviceSeconds = decodeServiceTime(report.service_ms()),
                     .tablesEnd = report.known().tables_end(),
                     .unsettled = {report.unsettled().begin(), report.unsettled().end()}};
 }
@@ -155,9 +155,25 @@
     return input;
 }
 
+// Starts to count the silence of sessions that no report has named.
+void Coordinator::noteSessions(const KeyTable &table, Time now)
+{
+    for (const KeySession &session : table.sessions) {
+        if (session.isActive()) {
+            this->reports.try_emplace(session.id,
+                                      Report{.content = {.wasHeard = false}, .at = now});
+        }
+    }
+    std::erase_if(this->reports,
+                  [&](const auto &entry) { return table.session(entry.first) == nullptr; });
+}
+
 void Coordinator::plan(Time now)
 {
     const KeyTable *known = this->view.table(this->service);
+    if (known != nullptr) {
+        this->noteSessions(*known, now);
+    }
     const Duration settled = now - std::max(this->hostsChangedAt, this->actingSince);
     if (known == nullptr && settled < this->settings.settle) {
         return; // hosts start at almost the same time
@@ -169,10 +185,35 @@
         this->balancedAt = now;
     }
     if (next) {
+        this->logEndedSessions(input, *next);
         this->write(*std::move(next));
     }
 }
 
+void Coordinator::logEndedSessions(const PlanInput &input, const KeyTable &next) const
+{
+    for (const KeySession &session : input.table->sessions) {
+        const KeySession *after = next.session(session.id);
+        if (!session.isActive() || (after != nullptr && after->isActive())) {
+            continue;
+        }
+        const auto report = input.reports.find(session.id);
+        if (report == input.reports.end()) {
+            continue;
+        }
+        const SessionReport &content = report->second;
+        logInfo(LogPart::Slots, "session to end",
+                {{"service", this->service},
+                 {"session", std::to_string(session.id)},
+                 {"node", session.node},
+                 {"reason", content.isRetired  ? "given up by its host"
+                            : content.wasHeard ? "silent"
+                                               : "never heard"},
+                 {"silentMs", std::to_string(toMilliseconds(content.silence))},
+                 {"planningForMs", std::to_string(toMilliseconds(input.planningFor))}});
+    }
+}
+
 void Coordinator::write(KeyTable table)
 {
     this->isWriting = true;
--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -81,7 +81,9 @@
     std::string actingNode(Time now) const;
     void noteStatement(const std::string &reporter, const wire::LoadReport &report, Time now);
     void report(const std::string &acting, Time now);
+    void noteSessions(const KeyTable &table, Time now);
     void plan(Time now);
+    void logEndedSessions(const PlanInput &input, const KeyTable &next) const;
     PlanInput makeInput(const KeyTable &table, Time now) const;
     void write(KeyTable table);
     void push(const std::string &bytes, std::uint64_t end);
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -1,5 +1,6 @@
 #include "stage/executor.h"
 
+#include "base/durations.h"
 #include "base/hash.h"
 #include "base/log.h"
 #include "platform/upstream.h"
@@ -26,17 +27,6 @@
 
 constexpr int statusUnavailable = 503;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-std::uint32_t milliseconds(Duration duration)
-{
-    return static_cast<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 Fingerprint fingerprintOf(const wire::Execute &execute, const std::string &body)
 {
     const std::uint64_t head = hashBytes(execute.method(), hashBytes(execute.target()));
@@ -150,7 +140,7 @@
 {
     ExecuteResult result;
     result.reply.set_outcome(outcome);
-    result.reply.set_retry_after_ms(milliseconds(retryAfter));
+    result.reply.set_retry_after_ms(static_cast<std::uint32_t>(toMilliseconds(retryAfter)));
     return result;
 }
 
@@ -239,7 +229,7 @@
     const Time now = readBootTime();
     ExecuteResult result = this->judge(execute, std::move(answer), run, end);
     if (end == CallEnd::Answered) {
-        const double sample = seconds(now - started);
+        const double sample = toSeconds(now - started);
         this->serviceSeconds += this->serviceSeconds == 0
                                         ? sample
                                         : serviceWeight * (sample - this->serviceSeconds);
@@ -428,8 +418,8 @@
     load.set_in_flight(
             static_cast<std::uint32_t>(this->limiter.inFlight() + this->limiter.waiting()));
     load.set_slots(this->monitor.slots());
-    constexpr double millisecondsPerSecond = 1000;
-    load.set_service_ms(static_cast<std::uint32_t>(this->serviceSeconds * millisecondsPerSecond));
+    load.set_service_ms(
+            static_cast<std::uint32_t>(toMilliseconds(fromSeconds(this->serviceSeconds))));
     return load;
 }
 
@@ -456,7 +446,7 @@
              {"inFlight", std::to_string(this->limiter.inFlight())},
              {"waiting", std::to_string(this->limiter.waiting())},
              {"remainingMs", std::to_string(execute.remaining_ms())},
-             {"ms", std::to_string(milliseconds(elapsed))}});
+             {"ms", std::to_string(toMilliseconds(elapsed))}});
 }
 
 } // namespace kumquat
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -222,12 +222,11 @@
                           || outcome == wire::EXECUTE_NOT_SENT;
     const Time end = readBootTime();
     if (result.reply.slots() > 0) {
-        constexpr double millisecondsPerSecond = 1000;
         this->picker.noteLoad(node,
                               {.isUsable = outcome != wire::EXECUTE_MISPLACED,
                                .inFlight = result.reply.in_flight(),
                                .slots = result.reply.slots(),
-                               .serviceSeconds = result.reply.service_ms() / millisecondsPerSecond},
+                               .serviceSeconds = decodeServiceTime(result.reply.service_ms())},
                               end);
     }
     this->picker.noteEnd(node,
--- a/packages/stage/metrics.cpp
+++ b/packages/stage/metrics.cpp
@@ -1,5 +1,6 @@
 #include "stage/metrics.h"
 
+#include "base/durations.h"
 #include "base/text.h"
 
 #include <absl/strings/str_cat.h>
@@ -13,16 +14,11 @@
 constexpr std::array<double, 12> bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
                                         0.3,   0.4,  0.5,   0.8,  1.5, 3.0};
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 void Metrics::addLatency(Duration latency, Time now)
 {
-    const double value = seconds(latency);
+    const double value = toSeconds(latency);
     const auto bound = std::lower_bound(bounds.begin(), bounds.end(), value);
     ++this->buckets[static_cast<std::size_t>(bound - bounds.begin())];
     this->latencySum += value;
@@ -48,8 +44,8 @@
                     "kumquatstage_request_seconds_sum ", this->latencySum, "\n");
     const LatencyQuantiles quantiles = this->window.quantiles(now);
     absl::StrAppend(
-            &text, "kumquatstage_request_seconds{quantile=\"0.5\"} ", seconds(quantiles.p50), "\n",
-            "kumquatstage_request_seconds{quantile=\"0.99\"} ", seconds(quantiles.p99), "\n");
+            &text, "kumquatstage_request_seconds{quantile=\"0.5\"} ", toSeconds(quantiles.p50), "\n",
+            "kumquatstage_request_seconds{quantile=\"0.99\"} ", toSeconds(quantiles.p99), "\n");
     return text;
 }
 
