range_planner: upstreams that start late get keys within four plans

Change: a move gives no more than the receiver lacks to the mean use, and sessions below half of it are filled with one move for four sessions in a plan, also while nothing has been measured.

Test: test_range_planner 'upstreams that start after the first table have keys after a few plans' failed before the change.

--- a/packages/keyspace/range_planner.cpp
+++ b/packages/keyspace/range_planner.cpp
@@ -65,6 +65,18 @@
     double use() const { return this->rate / this->capacity; }
 };
 
+// Returns the use of all sessions if each were equally full.
+double levelOf(const std::vector<Candidate> &sessions)
+{
+    double rate = 0;
+    double capacity = 0;
+    for (const Candidate &session : sessions) {
+        rate += session.rate;
+        capacity += session.capacity;
+    }
+    return rate / capacity;
+}
+
 class Planner
 {
 public:
@@ -122,7 +134,7 @@
 
     // Balance.
     void balance();
-    bool moveLoad(Candidate &donor, Candidate &receiver);
+    bool moveLoad(const Candidate &donor, const Candidate &receiver, double level);
     std::optional<KeySpan> pickSpan(std::uint64_t donor, double wanted) const;
 
     double assumedKeyRate() const;
@@ -507,25 +519,33 @@
 
 void Planner::balance()
 {
-    for (std::size_t move = 0; move < this->settings.movesAtOnce; ++move) {
+    const std::size_t sessions = this->candidates().size();
+    const std::size_t mostMoves =
+            std::max(this->settings.movesAtOnce, sessions / this->settings.sessionsPerFill);
+    for (std::size_t move = 0; move < mostMoves; ++move) {
         std::vector<Candidate> open = this->candidates();
         if (open.size() < 2) {
             return;
         }
+        const double level = levelOf(open);
         const auto byUse = [](const Candidate &a, const Candidate &b) { return a.use() < b.use(); };
         const auto [emptiest, fullest] = std::minmax_element(open.begin(), open.end(), byUse);
-        if (fullest->use() < this->settings.leastUse
-            || fullest->use() - emptiest->use() < this->settings.leastGap
-            || !this->moveLoad(*fullest, *emptiest)) {
+        const bool isFill = emptiest->use() < level * this->settings.fillBelow;
+        const bool isUneven = fullest->use() >= this->settings.leastUse
+                              && fullest->use() - emptiest->use() >= this->settings.leastGap;
+        const bool mayMove = isFill || (isUneven && move < this->settings.movesAtOnce);
+        if (!mayMove || !this->moveLoad(*fullest, *emptiest, level)) {
             return;
         }
     }
 }
 
-bool Planner::moveLoad(Candidate &donor, Candidate &receiver)
+// Moves what makes both equally full, but no more than the receiver lacks to the level of all.
+bool Planner::moveLoad(const Candidate &donor, const Candidate &receiver, double level)
 {
-    const double wanted =
+    const double equal =
             (donor.use() - receiver.use()) / (1 / donor.capacity + 1 / receiver.capacity);
+    const double wanted = std::min(equal, level * receiver.capacity - receiver.rate);
     if (this->rangeCountOf(receiver.session) >= this->settings.mostRangesPerSession) {
         return false;
     }
--- a/packages/keyspace/range_planner.h
+++ b/packages/keyspace/range_planner.h
@@ -82,6 +82,10 @@
     double leastGap = 0.15; // of utilisation, between the fullest and the emptiest session
     double leastUse = 0.3;  // of the fullest session; below it balance gains nothing
     std::size_t movesAtOnce = 3;
+    // Sessions far below the others, as those of new upstreams, get keys faster: one move at once
+    // for this many sessions. Four plans, one a second, fill them all.
+    std::size_t sessionsPerFill = 4;
+    double fillBelow = 0.5; // of the mean use; a random low lies above it
     std::size_t mostRangesPerSession = 24; // each is renewed by calls of its own
     double assumedRate = 0.2;              // of a slot, for the keys of a session without requests
     double assumedServiceSeconds = 0.1;    // before the first measurement
--- a/packages/keyspace/tests/test_range_planner.cpp
+++ b/packages/keyspace/tests/test_range_planner.cpp
@@ -133,6 +133,37 @@
     }
 }
 
+// Found by the quiet day of the second grown site: the first table was written when 8 of 71 upstreams
+// had started, and three moves a second had given keys to 30 of them when callers came.
+TEST_CASE("upstreams that start after the first table have keys after a few plans",
+          "[range_planner]")
+{
+    constexpr int hostCount = 70;
+    constexpr int plansBeforeTraffic = 8; // one a second at most
+    Cluster cluster;
+    cluster.table = *planKeyTable(cluster.input(), cluster.settings);
+    cluster.reportAll();
+    for (int i = 4; i < hostCount; ++i) {
+        HostInfo added = cluster.hosts[static_cast<std::size_t>(i) % 4];
+        added.node = "host-" + std::to_string(i);
+        added.life.id = "i-" + added.node;
+        cluster.hosts.push_back(added);
+    }
+    for (int plan = 0; plan < plansBeforeTraffic; ++plan) {
+        if (std::optional<KeyTable> next = planKeyTable(cluster.input(), cluster.settings)) {
+            REQUIRE(next->isSound());
+            cluster.table = *std::move(next);
+            cluster.reportAll();
+        }
+    }
+    const double fairShare = (lastShardKey + 1.0) / hostCount;
+    for (const HostInfo &host : cluster.hosts) {
+        INFO(host.node);
+        CHECK(cluster.keysOf(host.node) > fairShare / 2);
+        CHECK(cluster.keysOf(host.node) < fairShare * 2);
+    }
+}
+
 // Found by the quiet day of the second grown site: a host reports its session only after it has read
 // the table that admitted it. The next plan, 200 ms later, took the time before as silence, ended the
 // session and admitted the host anew, over and over, so its keys were on the move all day.
