range_holder: a host answers for its former grant of keys that it owns again

Change: a question about one fence is answered by the grants under that fence alone. The later grant waits for all proofs as before.

Test: test_range_holder 'a host answers for its former grant of keys that it owns again' failed before the change; [ownership_model] passes.

--- a/packages/keyspace/key_load.cpp
+++ b/packages/keyspace/key_load.cpp
@@ -41,8 +41,8 @@
 
 std::vector<double> KeyLoad::rates(Time now) const
 {
-    const double scale =
-            std::exp(-toSeconds(now - this->base) / toSeconds(this->memory)) / toSeconds(this->memory);
+    const double scale = std::exp(-toSeconds(now - this->base) / toSeconds(this->memory))
+                         / toSeconds(this->memory);
     std::vector<double> result(this->weights.begin(), this->weights.end());
     for (double &rate : result) {
         rate *= scale;
--- a/packages/keyspace/range_holder.cpp
+++ b/packages/keyspace/range_holder.cpp
@@ -318,9 +318,11 @@
 
 StopAnswer RangeHolder::answerStop(const KeySpan &span, std::uint64_t fence, Time now)
 {
+    // Under another fence the host may own the keys again; that says nothing about these grants.
     const bool stillOwned =
-            std::any_of(this->owned.begin(), this->owned.end(),
-                        [&](const Owned &entry) { return entry.range.span.overlaps(span); });
+            std::any_of(this->owned.begin(), this->owned.end(), [&](const Owned &entry) {
+                return entry.range.fence == fence && entry.range.span.overlaps(span);
+            });
     if (stillOwned) {
         return {};
     }
--- a/packages/keyspace/tests/test_range_holder.cpp
+++ b/packages/keyspace/tests/test_range_holder.cpp
@@ -151,6 +151,27 @@
     CHECK(orders[0].handover == "token");
 }
 
+// Found by soak seed 1: keys left a host whose upstream was silent and came back before the owner
+// between had them. The host waited for its own word about its first grant, and did not give it
+// because it owned the keys again; they stayed unserved for good.
+TEST_CASE("a host answers for its former grant of keys that it owns again", "[range_holder]")
+{
+    RangeHolder holder = makeHolder();
+    holder.noteGrant(grantLowKeys(holder, 1s).number, GrantEnd::Accepted, 1010ms);
+    holder.assign(makeTable(otherSession, 2), ownSession, 1100ms);
+    const std::vector<HoldOrder> release = holder.takeOrders(1100ms);
+    REQUIRE(release.size() == 1);
+
+    KeyTable back = makeTable(ownSession, 3);
+    back.ranges[0].predecessors = {{.session = ownSession, .fence = 1},
+                                   {.session = otherSession, .fence = 2}};
+    holder.assign(back, ownSession, 1200ms);
+    CHECK_FALSE(holder.answerStop(lowKeys, 1, 1200ms).stopped);
+    holder.noteRelease(release[0].number, true, "token", 1210ms);
+    CHECK(holder.answerStop(lowKeys, 1, 1210ms).stopped);
+    CHECK_FALSE(holder.answerStop(lowKeys, 3, 1210ms).stopped);
+}
+
 TEST_CASE("the rest of a split range is renewed under its old fence", "[range_holder]")
 {
     RangeHolder holder = makeHolder();
