http_client: a call that is given up ends its connection with a reset

The link to an upstream was silent; the grant was given up after 800 ms and its connection closed, and the system went on to deliver what it had sent: the upstream took the grant 3 s later, when the keys had another owner. A hold counts from the arrival of the grant, so the time that the process had allowed for it was over.

Change: connections to upstreams and to the store end with a reset, which takes back what has not arrived. The same holds for requests that are given up.

Test: test_net 'a call that is given up takes back what has not arrived' failed before the change (end of stream in place of a reset).

--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -164,6 +164,10 @@
                 ErrorKind::UpstreamUnreachable,
                 absl::StrCat("cannot connect to ", this->server.toString(), ": ", error.message()));
     }
+    // A connection is closed when a call on it is given up, or idle. Its end as a reset takes back
+    // what the server has not got: a late order or request must not be carried out.
+    ErrorCode ignored;
+    connection->stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
     return connection;
 }
 
--- a/packages/net/tests/test_net.cpp
+++ b/packages/net/tests/test_net.cpp
@@ -275,6 +275,28 @@
     CHECK(call(firstPort + 6, "", true) == ErrorKind::UpstreamLost);
 }
 
+// Found by soak seed 12: a grant to a silent upstream was given up, its connection was closed, and
+// the system delivered what was still on its way seconds later, when the keys had another owner.
+TEST_CASE("a call that is given up takes back what has not arrived")
+{
+    FiberThread thread("test");
+    thread.start();
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), firstPort + 15});
+    HttpClient client(thread.io(), Address{"127.0.0.1", firstPort + 15}, {});
+    const auto answer = runInFiber(thread, [&] {
+        return client.call({"POST", "/", {}, "order"}, 200ms);
+    });
+    REQUIRE(errorKindOf(answer.status()) == ErrorKind::UpstreamTimeout);
+    TestSocket socket(io);
+    acceptor.accept(socket);
+    std::string received;
+    ErrorCode error;
+    asio::read(socket, asio::dynamic_buffer(received), error);
+    CHECK(error == asio::error::connection_reset); // an end of stream would deliver the rest first
+    thread.stop();
+}
+
 // Guards against a connection that is reused in the middle of an answer or after its end.
 TEST_CASE("bodies in chunks, answers without a body and closed connections are understood")
 {
