A fault soak of real processes

Seeded random faults from outside (paused, killed and stopped processes, upstreams that crash or leave, a store that is down, silent, slow, forgetful or loses answers, links that are delayed, reset or silent in one direction or both), in series and overlapping, on six hosts in three data centres. It checks what callers and upstreams saw: owners, runs, refusals, answers, graceful stops, leaving upstreams, recovery.

New optional setting listen.processesAdvertised: where others reach the port between processes if something forwards it, here the proxy.

--- /dev/null
+++ b/packages/soak/soak_callers.cpp
@@ -0,0 +1,119 @@
+#include "soak/soak_callers.h"
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+constexpr std::uint32_t keyCount = 65'536;
+constexpr std::uint32_t hotKeys = 20;
+constexpr Duration patience = 1500ms; // told to the process
+constexpr Duration timeout = 2500ms;  // of the connection
+
+SoakEnd judge(const HttpExchange &exchange, const std::string &id)
+{
+    switch (exchange.result) {
+    case ExchangeResult::NotConnected:
+        return SoakEnd::Unsent;
+    case ExchangeResult::Lost:
+    case ExchangeResult::TimedOut:
+        return SoakEnd::Lost;
+    case ExchangeResult::Answered:
+        break;
+    }
+    const HttpAnswer &answer = exchange.answer;
+    if (answer.status == statusUnavailable) {
+        return SoakEnd::Refused;
+    }
+    if (answer.status != statusOk) {
+        return SoakEnd::Failed;
+    }
+    const bool isOwn = findField(answer.fields, "X-Attempt-Id") == id
+                       && findField(answer.fields, "X-Server-Seal")
+                       && answer.body.starts_with(id + " ran at ");
+    return isOwn ? SoakEnd::Answered : SoakEnd::Wrong;
+}
+
+} // namespace
+
+SoakCallers::SoakCallers(PlatformCluster &callerCluster, SoakCallerSettings callerSettings)
+    : settings(callerSettings)
+{
+    for (const PlatformHost &host : callerCluster.hosts()) {
+        this->addresses.push_back(host.callers);
+    }
+}
+
+SoakCallers::~SoakCallers()
+{
+    this->stop();
+}
+
+void SoakCallers::start()
+{
+    for (int i = 0; i < this->settings.threads; ++i) {
+        this->threads.emplace_back([this, i] { this->run(i); });
+    }
+}
+
+void SoakCallers::stop()
+{
+    this->isStopping = true;
+    for (std::thread &thread : this->threads) {
+        thread.join();
+    }
+    this->threads.clear();
+}
+
+SoakRequest SoakCallers::send(HttpClient &client, SoakRequest request)
+{
+    request.sent = readBootTime();
+    const HttpExchange exchange = client.send(
+            {request.isIdempotent ? "GET" : "POST",
+             request.isIdempotent ? "/r/x" : "/v/x",
+             {{"Host", "shop.example"},
+              {"X-Attempt-Id", request.id},
+              {"X-Deadline-Remaining",
+               std::to_string(
+                       std::chrono::duration_cast<std::chrono::milliseconds>(patience).count())},
+              {"X-Shard-Key", std::to_string(request.key)}},
+             request.isIdempotent ? "" : "body of " + request.id},
+            timeout);
+    request.ended = readBootTime();
+    request.end = judge(exchange, request.id);
+    request.status = exchange.result == ExchangeResult::Answered ? exchange.answer.status : 0;
+    return request;
+}
+
+void SoakCallers::run(int thread)
+{
+    std::mt19937_64 random(this->settings.seed * 1000 + static_cast<std::uint64_t>(thread));
+    const auto share = [&] { return static_cast<double>(random() % 1000) / 1000.0; };
+    std::uint64_t number = 0;
+    while (!this->isStopping) {
+        const std::size_t host = random() % this->addresses.size();
+        HttpClient client(this->addresses[host]);
+        for (int use = 0; use < this->settings.connectionUses && !this->isStopping; ++use) {
+            const auto hotBase = static_cast<std::uint32_t>(this->settings.seed * 7919 % keyCount);
+            const bool isHot = share() < this->settings.hotShare;
+            const auto offset = static_cast<std::uint32_t>(random() % (isHot ? hotKeys : keyCount));
+            const SoakRequest request = SoakCallers::send(
+                    client, {.id = "c" + std::to_string(thread) + "-" + std::to_string(++number),
+                             .host = host,
+                             .key = (isHot ? hotBase + offset : offset) % keyCount,
+                             .isIdempotent = share() < 0.5});
+            {
+                const std::lock_guard lock(this->mutex);
+                this->ended.push_back(request);
+            }
+            std::this_thread::sleep_for(this->settings.pause);
+            if (request.end == SoakEnd::Unsent || request.end == SoakEnd::Lost) {
+                break; // to another host
+            }
+        }
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/soak/soak_plan.cpp
@@ -0,0 +1,153 @@
+#include "soak/soak_plan.h"
+
+#include "base/durations.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace kumquat {
+namespace {
+
+// What a fault concerns; two faults of one subject do not overlap.
+enum class Subject : std::uint8_t {
+    Process,
+    Upstream,
+    Store,
+    StoreLink,
+    UpstreamLink,
+    ProcessLink
+};
+
+Subject subjectOf(SoakFault fault)
+{
+    switch (fault) {
+    case SoakFault::PauseProcess:
+    case SoakFault::KillProcess:
+    case SoakFault::StopProcess:
+    case SoakFault::KillAllProcesses:
+        return Subject::Process;
+    case SoakFault::CrashUpstream:
+    case SoakFault::DrainUpstream:
+        return Subject::Upstream;
+    case SoakFault::StoreLink:
+        return Subject::StoreLink;
+    case SoakFault::UpstreamLink:
+        return Subject::UpstreamLink;
+    case SoakFault::ProcessLink:
+        return Subject::ProcessLink;
+    default:
+        return Subject::Store;
+    }
+}
+
+bool isEverywhere(SoakFault fault)
+{
+    return subjectOf(fault) == Subject::Store || fault == SoakFault::KillAllProcesses;
+}
+
+bool overlap(const SoakEvent &first, const SoakEvent &second)
+{
+    const bool isSameSubject = subjectOf(first.fault) == subjectOf(second.fault);
+    const bool isSameHost =
+            first.host == second.host || isEverywhere(first.fault) || isEverywhere(second.fault);
+    return isSameSubject && isSameHost && first.at <= second.end() && second.at <= first.end();
+}
+
+// Time after SIGTERM or the word of leaving until the process or upstream has ended.
+constexpr Duration leaveTime = 7s;
+
+class Planner
+{
+public:
+    Planner(std::uint64_t seed, const SoakPlanSettings &planSettings)
+        : random(seed)
+        , settings(planSettings)
+    {}
+
+    std::vector<SoakEvent> plan()
+    {
+        std::vector<SoakEvent> events;
+        Duration at{};
+        while (at < this->settings.length) {
+            at += this->between(this->settings.shortestGap, this->settings.longestGap);
+            const SoakEvent event = this->drawEvent(at);
+            const bool isFree =
+                    std::none_of(events.begin(), events.end(),
+                                 [&](const SoakEvent &other) { return overlap(event, other); });
+            if (isFree && event.end() <= this->settings.length) {
+                events.push_back(event);
+            }
+        }
+        return events;
+    }
+
+private:
+    SoakEvent drawEvent(Duration at)
+    {
+        SoakEvent event{.at = at,
+                        .length = this->between(this->settings.shortest, this->settings.longest),
+                        .fault = this->drawFault(),
+                        .host = this->random() % this->settings.hosts};
+        if (event.fault == SoakFault::StopProcess || event.fault == SoakFault::DrainUpstream) {
+            event.length += leaveTime;
+        }
+        if (subjectOf(event.fault) >= Subject::StoreLink) {
+            constexpr std::array faults{LinkFault::Delayed, LinkFault::Reset,
+                                        LinkFault::SilentThere, LinkFault::SilentBack,
+                                        LinkFault::SilentBothWays};
+            event.link = {.fault = faults[this->random() % faults.size()],
+                          .delay = this->between(20ms, 600ms)};
+        }
+        return event;
+    }
+
+    SoakFault drawFault()
+    {
+        if (this->share() < this->settings.killAllShare) {
+            return SoakFault::KillAllProcesses;
+        }
+        while (true) {
+            const auto &entries = soakFaultNames.entries;
+            const SoakFault fault = entries[this->random() % entries.size()].value;
+            if (fault != SoakFault::KillAllProcesses) {
+                return fault;
+            }
+        }
+    }
+
+    double share()
+    {
+        constexpr double parts = 1'000'000;
+        return static_cast<double>(this->random() % static_cast<std::uint64_t>(parts)) / parts;
+    }
+
+    Duration between(Duration least, Duration most)
+    {
+        return least + fromSeconds(this->share() * toSeconds(most - least));
+    }
+
+    std::mt19937_64 random;
+    const SoakPlanSettings &settings;
+};
+
+} // namespace
+
+std::string SoakEvent::text() const
+{
+    std::string text = std::string(soakFaultNames.nameOf(this->fault)) + " host "
+                       + std::to_string(this->host) + " from "
+                       + std::to_string(toMilliseconds(this->at)) + " ms to "
+                       + std::to_string(toMilliseconds(this->end())) + " ms";
+    if (this->link.fault != LinkFault::None) {
+        text += " (" + std::string(linkFaultNames.nameOf(this->link.fault)) + ")";
+    }
+    return text;
+}
+
+std::vector<SoakEvent> planSoak(std::uint64_t seed, const SoakPlanSettings &settings)
+{
+    return Planner(seed, settings).plan();
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/packages/soak/soak_run.h
@@ -0,0 +1,44 @@
+// One soak run: real processes, random faults from outside, callers, and the checks of what callers
+// and upstreams saw.
+//
+//   SoakReport report = runSoak({.seed = 7, .length = 30s});
+//   for (const std::string &finding : report.findings) { ... a broken promise ... }
+#pragma once
+
+#include "base/time.h"
+#include "soak/soak_callers.h"
+#include "soak/soak_plan.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+struct SoakSettings
+{
+    std::uint64_t seed = 1;
+    Duration length = 30s; // of the faults
+    int hosts = 6;
+    int callers = 8;
+    std::string directory = "."; // of settings, logs and the timeline
+
+    // Until each key is served through each host after the last fault. Requirement: entries are
+    // back 2 s after the store's return, a session ends after 2 s, both may follow each other.
+    Duration recoverWithin = 15s;
+    Duration stopWithin = 6s;      // from SIGTERM to the exit, as in the processes' settings
+    Duration drainWithin = 2500ms; // from the acknowledged leaving to the last request, the same
+};
+
+struct SoakReport
+{
+    std::vector<SoakEvent> events;
+    std::vector<std::string> findings;
+    std::map<SoakEnd, std::size_t> ends; // of all requests
+    Duration recovery{};                 // after the last fault
+};
+
+SoakReport runSoak(const SoakSettings &settings);
+
+} // namespace kumquat
--- a/packages/stage/metrics.cpp
+++ b/packages/stage/metrics.cpp
@@ -43,9 +43,10 @@
                     "kumquatstage_request_seconds_count ", sum, "\n",
                     "kumquatstage_request_seconds_sum ", this->latencySum, "\n");
     const LatencyQuantiles quantiles = this->window.quantiles(now);
-    absl::StrAppend(
-            &text, "kumquatstage_request_seconds{quantile=\"0.5\"} ", toSeconds(quantiles.p50), "\n",
-            "kumquatstage_request_seconds{quantile=\"0.99\"} ", toSeconds(quantiles.p99), "\n");
+    absl::StrAppend(&text, "kumquatstage_request_seconds{quantile=\"0.5\"} ",
+                    toSeconds(quantiles.p50), "\n",
+                    "kumquatstage_request_seconds{quantile=\"0.99\"} ", toSeconds(quantiles.p99),
+                    "\n");
     return text;
 }
 
--- a/packages/stage/settings.cpp
+++ b/packages/stage/settings.cpp
@@ -52,6 +52,9 @@
     listen.readiness = takeAddress(object, "readiness");
     listen.heartbeats = takeAddress(object, "heartbeats");
     listen.processes = takeAddress(object, "processes");
+    listen.processesAdvertised = object.takeOptional("processesAdvertised") != nullptr
+                                         ? takeAddress(object, "processesAdvertised")
+                                         : listen.processes;
     listen.metrics = takeAddress(object, "metrics");
     object.reportUnknown();
     return listen;
--- a/packages/stage/settings.h
+++ b/packages/stage/settings.h
@@ -20,6 +20,8 @@
     Address readiness;  // asked by the platform once a second
     Address heartbeats; // of the upstream beside this process
     Address processes;  // messages of other processes
+    // Where other processes reach `processes`, if something forwards it; else the same.
+    Address processesAdvertised;
     Address metrics;
 };
 
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -364,7 +364,7 @@
     wire::HostRecord record;
     record.set_node(this->settings.node);
     record.set_incarnation(this->incarnation);
-    record.set_address(this->settings.listen.processes.toString());
+    record.set_address(this->settings.listen.processesAdvertised.toString());
     record.set_data_centre(this->settings.dataCentre);
     record.set_region(this->settings.region);
     record.set_service(this->settings.service);
--- /dev/null
+++ b/packages/standins/fault_proxy.h
@@ -0,0 +1,91 @@
+// Loopback proxy in front of one address that delays, resets, cuts or silences its connections.
+//
+//   ProxyThread thread;
+//   auto proxy = FaultProxy::create(thread, {"127.0.0.1", port}, target).value();
+//   proxy->set({.fault = LinkFault::Delayed, .delay = 200ms});
+//   proxy->set({});
+#pragma once
+
+#include "base/address.h"
+#include "base/names.h"
+#include "base/time.h"
+
+#include <absl/status/statusor.h>
+
+#include <utility> // Asio 1.74 uses std::exchange without including it
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <functional>
+#include <memory>
+#include <thread>
+
+namespace kumquat {
+
+enum class LinkFault : std::uint8_t {
+    None,
+    Delayed,       // bytes of both directions come later, in order
+    Reset,         // open connections are reset once, new ones work
+    SilentThere,   // bytes towards the target are kept until the fault ends
+    SilentBack,    // the same for bytes from the target
+    SilentBothWays // the same for both, and new connections get no answer
+};
+
+inline constexpr NameTable<LinkFault, 6> linkFaultNames{
+        {{{LinkFault::None, "none"},
+          {LinkFault::Delayed, "delayed"},
+          {LinkFault::Reset, "reset"},
+          {LinkFault::SilentThere, "silent-there"},
+          {LinkFault::SilentBack, "silent-back"},
+          {LinkFault::SilentBothWays, "silent-both-ways"}}}};
+
+struct LinkCondition
+{
+    LinkFault fault = LinkFault::None;
+    Duration delay{}; // of Delayed
+};
+
+// Moves the bytes of any number of proxies. Ends its connections when it is destroyed.
+class ProxyThread
+{
+public:
+    ProxyThread();
+    ~ProxyThread();
+
+    ProxyThread(const ProxyThread &) = delete;
+    ProxyThread &operator=(const ProxyThread &) = delete;
+
+    void post(std::function<void()> function);
+    boost::asio::io_context &io() { return this->context; }
+
+private:
+    boost::asio::io_context context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+    std::thread thread;
+};
+
+// Callable from any thread.
+class FaultProxy
+{
+public:
+    // Error: the address can't be bound. The thread must outlive the proxy's connections.
+    static absl::StatusOr<std::unique_ptr<FaultProxy>>
+    create(ProxyThread &thread, const Address &listen, const Address &target);
+    ~FaultProxy();
+
+    FaultProxy(const FaultProxy &) = delete;
+    FaultProxy &operator=(const FaultProxy &) = delete;
+
+    void set(const LinkCondition &condition);
+
+private:
+    class State;
+
+    explicit FaultProxy(std::shared_ptr<State> proxyState);
+
+    std::shared_ptr<State> state;
+};
+
+} // namespace kumquat
--- a/packages/standins/platform_endpoint.cpp
+++ b/packages/standins/platform_endpoint.cpp
@@ -11,7 +11,6 @@
 
 constexpr auto beatEvery = std::chrono::milliseconds(300);
 constexpr auto beatTimeout = std::chrono::seconds(1);
-constexpr auto workTime = std::chrono::milliseconds(5);
 constexpr int slots = 9;
 
 } // namespace
@@ -96,19 +95,25 @@
 // ---- PlatformEndpoint ----
 
 PlatformEndpoint::PlatformEndpoint(std::string ownId, std::string ownService,
-                                   HoldLedger &holdLedger)
+                                   HoldLedger &holdLedger, EndpointOptions endpointOptions)
     : id(std::move(ownId))
     , service(std::move(ownService))
     , ledger(holdLedger)
+    , options(endpointOptions)
     , bornMs(std::chrono::duration_cast<std::chrono::milliseconds>(
                      std::chrono::system_clock::now().time_since_epoch())
                      .count())
-    , server(*HttpServer::start({"127.0.0.1", 0}, [this](const HttpRequest &request) {
+    , server(*HttpServer::start({"127.0.0.1", options.port}, [this](const HttpRequest &request) {
         return this->answer(request);
     }))
 {}
 
 PlatformEndpoint::~PlatformEndpoint()
+{
+    this->stop();
+}
+
+void PlatformEndpoint::stop()
 {
     this->isStopping = true;
     if (this->heartbeats.joinable()) {
@@ -137,11 +142,31 @@
                         {"status", status},
                         {"born", this->bornMs}};
         HttpClient client(address);
-        client.send({"PUT", "/kumquatstage/instances/" + this->id, {}, body.dump()}, beatTimeout);
+        const HttpExchange exchange = client.send(
+                {"PUT", "/kumquatstage/instances/" + this->id, {}, body.dump()}, beatTimeout);
+        constexpr int statusOk = 200;
+        const bool isAcknowledged =
+                exchange.result == ExchangeResult::Answered && exchange.answer.status == statusOk;
+        {
+            const std::lock_guard lock(this->mutex);
+            if (isAcknowledged && status["state"] == "draining" && !this->drainAcknowledgedAt) {
+                this->drainAcknowledgedAt = HoldLedger::Clock::now();
+            }
+        }
         std::this_thread::sleep_for(beatEvery);
     }
 }
 
+std::chrono::milliseconds PlatformEndpoint::servedAfterDrain()
+{
+    const std::lock_guard lock(this->mutex);
+    const auto none = std::chrono::milliseconds(0);
+    return this->drainAcknowledgedAt && this->lastRunAt > *this->drainAcknowledgedAt
+                   ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                           this->lastRunAt - *this->drainAcknowledgedAt)
+                   : none;
+}
+
 std::vector<std::string> PlatformEndpoint::runs()
 {
     const std::lock_guard lock(this->mutex);
@@ -183,9 +208,12 @@
     {
         const std::lock_guard lock(this->mutex);
         this->ran.push_back(requestId);
+        this->lastRunAt = HoldLedger::Clock::now();
     }
-    std::this_thread::sleep_for(workTime);
-    return {200, {{"X-Attempt-Id", requestId}, {"X-Server-Seal", "seal"}}, "ran at " + this->id};
+    std::this_thread::sleep_for(this->options.workTime);
+    return {200,
+            {{"X-Attempt-Id", requestId}, {"X-Server-Seal", "seal"}},
+            requestId + " ran at " + this->id};
 }
 
 } // namespace kumquat
--- a/packages/standins/platform_endpoint.h
+++ b/packages/standins/platform_endpoint.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -61,16 +62,30 @@
 
 // ---- PlatformEndpoint ----
 
+struct EndpointOptions
+{
+    std::uint16_t port = 0; // 0: a free one
+    std::chrono::milliseconds workTime{5};
+};
+
 class PlatformEndpoint
 {
 public:
-    PlatformEndpoint(std::string ownId, std::string ownService, HoldLedger &holdLedger);
+    PlatformEndpoint(std::string ownId, std::string ownService, HoldLedger &holdLedger,
+                     EndpointOptions endpointOptions = {});
     ~PlatformEndpoint();
 
+    // Ends all connections and holds; the runs can still be asked for.
+    void stop();
+
     std::uint16_t port() const { return this->server->port(); }
+    const std::string &instance() const { return this->id; }
     void sendHeartbeatsTo(const Address &address);
     void setDraining() { this->isDraining = true; }
 
+    // Returns how long after the acknowledgement of its leaving the last request began, or 0.
+    std::chrono::milliseconds servedAfterDrain();
+
     // Returns the ids of all requests that ran, in order; one that ran twice stands twice.
     std::vector<std::string> runs();
 
@@ -83,9 +98,12 @@
     std::string id;
     std::string service;
     HoldLedger &ledger;
+    EndpointOptions options;
     std::int64_t bornMs;
     std::mutex mutex;
     std::vector<std::string> ran;
+    HoldLedger::Clock::time_point lastRunAt;
+    std::optional<HoldLedger::Clock::time_point> drainAcknowledgedAt;
     std::atomic<bool> isDraining{false};
     std::atomic<bool> isStopping{false};
     std::unique_ptr<HttpServer> server;
--- a/packages/standins/platform_store.cpp
+++ b/packages/standins/platform_store.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <thread>
 
 namespace kumquat {
 namespace {
@@ -13,6 +14,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t lengthBytes = 4;
+constexpr auto slowCall = std::chrono::milliseconds(400);
 
 std::string bigEndian(std::uint64_t value, std::size_t count)
 {
@@ -72,6 +74,12 @@
     if (this->fault == StoreFault::Down) {
         return {503, {}, ""};
     }
+    if (this->fault == StoreFault::Silent) {
+        return HttpAnswer::lost();
+    }
+    if (this->fault == StoreFault::Slow) {
+        std::this_thread::sleep_for(slowCall);
+    }
     const std::string path = request.path();
     if (path == "/kumquatstage/log-append") {
         const HttpAnswer done = this->append(request);
--- a/packages/standins/platform_store.h
+++ b/packages/standins/platform_store.h
@@ -21,8 +21,10 @@
 
 enum class StoreFault : std::uint8_t {
     None,
-    Down,       // 503, nothing is done
-    LostAnswers // writes are done, their answers are lost
+    Down,        // 503, nothing is done
+    Silent,      // nothing is done, connections end without an answer
+    Slow,        // every call takes longer
+    LostAnswers, // writes are done, their answers are lost
 };
 
 class PlatformStore
