--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -120,7 +120,6 @@
     CallEnd end = CallEnd::Cancelled;
     if (!this->waitForSlot(execute, run, number, deadline, retryAfter)) {
         result = this->makeResult(wire::EXECUTE_REFUSED, retryAfter);
-        result.reply.set_full(run->isFull);
     } else {
         // The keys may have moved while the request waited.
         const Time sendTime = readBootTime();
@@ -189,7 +188,6 @@
             this->limiter.admit(number, deadline, now, execute.priority(), objective);
     this->dispatchNext();
     if (admission.action == AdmitAction::Refuse) {
-        run->isFull = admission.error == ErrorKind::Overloaded;
         retryAfter = admission.retryAfter;
         return false;
     }
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -108,7 +108,6 @@
         bool isSent = false;
         bool isDropped = false;    // by the limiter
         bool isDispatched = false; // by the limiter
-        bool isFull = false;       // refused by the limiter at once
         Duration retryAfter{};
         Fingerprint fingerprint = 0;
         std::unique_ptr<FiberEvent> event; // a new one for each wait
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -51,12 +51,11 @@
     ConfigurationPtr configuration;
     const Route *route = nullptr;
     Time started{};
-    Time deadline{};          // of the answer
-    std::string node;         // tried last
-    std::uint32_t sent = 0;   // times that an upstream may have got it
-    int moves = 0;            // from host to host
-    bool isGone = false;      // the caller closed its connection
-    bool isKnownFull = false; // refused without a trip to the owner
+    Time deadline{};        // of the answer
+    std::string node;       // tried last
+    std::uint32_t sent = 0; // times that an upstream may have got it
+    int moves = 0;          // from host to host
+    bool isGone = false;    // the caller closed its connection
     std::string_view outcome;
     std::uint64_t tablesEnd = 0;
     std::function<void()> cancelCall;
@@ -220,10 +219,6 @@
         // Known to be in vain, so the caller is told at once.
         this->links.reconnect(node);
         result.reply.set_outcome(wire::EXECUTE_NOT_SENT);
-    } else if (const auto wait = this->knownFull(node, execute, now)) {
-        attempt.isKnownFull = true;
-        result.reply.set_outcome(wire::EXECUTE_REFUSED);
-        result.reply.set_retry_after_ms(static_cast<std::uint32_t>(toMilliseconds(*wait)));
     } else {
         result = this->sendAway(node, attempt, body);
     }
@@ -232,10 +227,6 @@
     const bool isBroken = outcome == wire::EXECUTE_LOST || outcome == wire::EXECUTE_TIMED_OUT
                           || outcome == wire::EXECUTE_NOT_SENT;
     const Time end = readBootTime();
-    if (result.reply.full()) {
-        this->fullHosts.noteFull(node, execute.priority(),
-                                 std::chrono::milliseconds(result.reply.retry_after_ms()), end);
-    }
     if (result.reply.slots() > 0) {
         this->picker.noteLoad(node,
                               {.isUsable = outcome != wire::EXECUTE_MISPLACED,
@@ -256,14 +247,6 @@
     return result;
 }
 
-// Returns how long the owner of a key is known to be full. Requests without a key go to others.
-std::optional<Duration> Ingress::knownFull(const std::string &node, const wire::Execute &execute,
-                                           Time now) const
-{
-    return execute.has_key() ? this->fullHosts.waitFor(node, execute.priority(), now)
-                             : std::nullopt;
-}
-
 // Waits for the answer of another host.
 ExecuteResult Ingress::sendAway(const std::string &node, Attempt &attempt, const std::string &body)
 {
@@ -370,8 +353,7 @@
         break;
     case wire::EXECUTE_REFUSED:
         return mayHaveRun ? this->fail(attempt, statusBadGateway, "refused-after-lost")
-                          : this->refuse(attempt, retryAfter,
-                                         attempt.isKnownFull ? "owner-known-full" : "owner-full");
+                          : this->refuse(attempt, retryAfter, "owner-full");
     case wire::EXECUTE_MISPLACED:
         return mayHaveRun ? this->fail(attempt, statusBadGateway, "moved-after-lost")
                           : this->refuse(attempt, orLost(retryAfter), "key-moving");
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -6,7 +6,6 @@
 
 #include "net/http_server.h"
 #include "routing/configuration.h"
-#include "routing/full_hosts.h"
 #include "routing/host_picker.h"
 #include "stage/cluster_view.h"
 #include "stage/executor.h"
@@ -17,7 +16,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,8 +70,6 @@
     HttpResponse serveFrom(Attempt &attempt, std::string &body);
     std::string chooseHost(const Attempt &attempt);
     ExecuteResult sendTo(const std::string &node, Attempt &attempt, const std::string &body);
-    std::optional<Duration> knownFull(const std::string &node, const wire::Execute &execute,
-                                      Time now) const;
     ExecuteResult sendAway(const std::string &node, Attempt &attempt, const std::string &body);
     bool mayRepeat(Attempt &attempt, const ExecuteResult &result);
     HttpResponse answer(Attempt &attempt, ExecuteResult result);
@@ -91,7 +87,6 @@
     IngressSettings settings;
     IngressHooks hooks;
     RouteSplitter splitter;
-    FullHosts fullHosts;
     std::map<std::string, RetryBudget, std::less<>> budgets; // by service
     std::uint64_t lastCall = 0;
     std::size_t active = 0;
