http_stream: a deadline does not end an operation that is complete

A process that gets no processor time for a while finds the end of the idle time and the next request together; the timer closed the connection before the fiber of the completed read had set a new deadline.

Change: a deadline that has passed is looked at once more 2 ms later, after the fibers of completed operations have run.

Test: test_net 'a request that arrives before the end of the idle time is answered' failed before the change, 3 of 3.

--- a/packages/net/http_stream.cpp
+++ b/packages/net/http_stream.cpp
@@ -18,6 +18,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t firstBufferBytes = 4096;
+constexpr auto secondLook = std::chrono::milliseconds(2); // after the deadline of an operation
 constexpr std::size_t maxReadBytes = 64UL * 1024;
 
 void appendField(std::string &text, std::string_view name, std::string_view value)
@@ -136,8 +137,13 @@
 
 void HttpStream::arm()
 {
-    this->armedFor = this->due;
-    this->timer.expires_at(this->due);
+    this->armAt(this->due);
+}
+
+void HttpStream::armAt(Clock::time_point time)
+{
+    this->armedFor = time;
+    this->timer.expires_at(time);
     this->timer.async_wait([weak = this->weak_from_this()](const ErrorCode &error) {
         const auto self = weak.lock();
         if (!error && self) {
@@ -146,12 +152,17 @@
     });
 }
 
+// A thread that was kept from running finds the deadline and the completion of the operation
+// together. The fiber of a completed operation runs before the next look, and sets a new deadline.
 void HttpStream::onTimer()
 {
+    const bool isSecondLook = this->armedFor > this->due;
     this->armedFor = Clock::time_point::max();
-    if (this->due <= Clock::now()) {
+    if (this->due <= Clock::now() && isSecondLook) {
         this->expired = true;
         this->close();
+    } else if (this->due <= Clock::now()) {
+        this->armAt(Clock::now() + secondLook);
     } else if (this->due != Clock::time_point::max()) {
         this->arm();
     }
--- a/packages/net/http_stream.h
+++ b/packages/net/http_stream.h
@@ -168,6 +168,7 @@
     HttpStream(Socket socket, std::size_t maxBuffer);
     void setOptions();
     void arm();
+    void armAt(Clock::time_point time);
     void onTimer();
     ErrorCode resultOf(const ErrorCode &error) const;
 
--- a/packages/net/tests/test_net.cpp
+++ b/packages/net/tests/test_net.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <catch2/catch.hpp>
@@ -360,6 +361,32 @@
     CHECK(unfinished < 500ms);
 }
 
+// Found by a hunt of the first grown site (LOST): on a host that got no processor time for a while
+// the end of the idle time and the next request were there together. The request was read and sent
+// to an upstream, but its connection had been closed.
+TEST_CASE("a request that arrives before the end of the idle time is answered")
+{
+    constexpr std::uint16_t port = firstPort + 16;
+    FiberThread thread("test");
+    const auto server = HttpServer::create(thread, {.idleLimit = 200ms}, echoHooks());
+    REQUIRE(server->listen(Address{"127.0.0.1", port}, true).ok());
+    thread.start();
+    asio::io_context io;
+    TestSocket socket(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    std::this_thread::sleep_for(100ms);
+    thread.post([] { std::this_thread::sleep_for(200ms); }); // until after the idle time
+    std::this_thread::sleep_for(50ms);
+    const std::string request = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
+    asio::write(socket, asio::buffer(request));
+    std::string received;
+    ErrorCode error;
+    asio::read_until(socket, asio::dynamic_buffer(received), "body", error);
+    CHECK_FALSE(error);
+    CHECK(received.starts_with("HTTP/1.1 200"));
+    thread.stop();
+}
+
 TEST_CASE("the mesh delivers messages in both directions of use")
 {
     FiberThread thread("test");
