stage: a host waits for records until it can ask three that do

The host that wrote the first key table knew only itself. It heard of three hosts that wait for records of the store, so it waited no more, and could not ask them as it had no address of theirs.

Change: a host counts as one that waits for others only if its address is known; after a question that could not be sent the store is read.

Test: test_stage 'hosts that can't be asked do not stand for this one' failed without the condition.

Conclusion: a first writer without news is no dead end.

--- a/packages/stage/relay_choice.cpp
+++ b/packages/stage/relay_choice.cpp
@@ -15,9 +15,9 @@
 
 } // namespace
 
-void RelayChoice::noteHeard(const std::string &node, bool readsStore, Time now)
+void RelayChoice::noteHeard(const std::string &node, RelayNews news, Time now)
 {
-    this->heard[node] = {.at = now, .readsStore = readsStore};
+    this->heard[node] = {.at = now, .canBeAsked = news.readsStore && news.hasAddress};
 }
 
 bool RelayChoice::isRelay(const std::string &own, Time now) const
@@ -25,7 +25,7 @@
     const std::uint64_t ownOrder = orderOf(own);
     const auto before =
             std::count_if(this->heard.begin(), this->heard.end(), [&](const auto &entry) {
-                return entry.first != own && entry.second.readsStore
+                return entry.first != own && entry.second.canBeAsked
                        && now - entry.second.at < this->settings.silentAfter
                        && orderOf(entry.first) < ownOrder;
             });
--- a/packages/stage/relay_choice.h
+++ b/packages/stage/relay_choice.h
@@ -1,7 +1,7 @@
 // Chooses the few hosts that wait for new records of the store; the others learn of them from
 // these. With every host waiting, each record would cost one call to the store for each host.
 //
-//   relays.noteHeard(node, known.reads_store(), now);
+//   relays.noteHeard(node, {.readsStore = true, .hasAddress = true}, now);
 //   if (relays.isRelay(ownNode, now)) { ... wait for records ... }
 #pragma once
 
@@ -19,6 +19,13 @@
     Duration silentAfter = 3s; // a relay that was not heard of for so long does not count
 };
 
+// What a sign of life tells of a host.
+struct RelayNews
+{
+    bool readsStore = false; // the store answers it
+    bool hasAddress = false; // this host has read its record, so it can ask it
+};
+
 // Not thread-safe.
 class RelayChoice
 {
@@ -27,11 +34,10 @@
         : settings(choiceSettings)
     {}
 
-    // Notes a sign of life, and whether the store answers that host.
-    void noteHeard(const std::string &node, bool readsStore, Time now);
+    void noteHeard(const std::string &node, RelayNews news, Time now);
 
-    // Says whether fewer hosts than needed stand before this one and were heard of. Without news of
-    // any, every host is one.
+    // Says whether fewer hosts than needed stand before this one, were heard of and can be asked.
+    // Without news of any, every host is one.
     bool isRelay(const std::string &own, Time now) const;
 
     // Returns the hosts that stand first, for others to ask.
@@ -41,7 +47,7 @@
     struct Heard
     {
         Time at{};
-        bool readsStore = false;
+        bool canBeAsked = false; // for records of the store
     };
 
     RelayChoiceSettings settings;
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -138,7 +138,10 @@
 
 void Stage::noteKnown(const std::string &node, const wire::Known &known)
 {
-    this->relays.noteHeard(node, known.reads_store(), readBootTime());
+    this->relays.noteHeard(
+            node,
+            {.readsStore = known.reads_store(), .hasAddress = this->view.host(node) != nullptr},
+            readBootTime());
     if (this->view.isBehind(known)) {
         this->fetchState(node);
     }
@@ -160,6 +163,10 @@
             // The answer holds all that was missing.
             this->view.noteHostsEnd(state.known().hosts_end());
             this->view.noteTablesEnd(state.known().tables_end());
+        } else if (end == LinkEnd::NotSent) {
+            // Its address may not be known: the store has the same records.
+            this->follower.nudge(platform::StoreTopic::Hosts);
+            this->follower.nudge(platform::StoreTopic::Tables);
         }
     });
 }
--- a/packages/stage/tests/test_stage.cpp
+++ b/packages/stage/tests/test_stage.cpp
@@ -22,8 +22,9 @@
     CHECK(plan.mayExit(15500ms, 1));
 }
 
-// Found by the day of high load of the second grown site: all upstreams of a service shed two in five
-// of their requests for 8 s, which halved the limit of each, so half of their slots stayed empty.
+// Found by the day of high load of the second grown site: all upstreams of a service shed two in
+// five of their requests for 8 s, which halved the limit of each, so half of their slots stayed
+// empty.
 TEST_CASE("an upstream that sheds a share of its requests keeps its slots", "[upstream_limits]")
 {
     constexpr std::uint32_t slots = 8;
@@ -108,7 +109,7 @@
     RelayChoice choice;
     CHECK(countRelays(choice, 1s) == 91);
     for (const std::string &node : nodes) {
-        choice.noteHeard(node, true, 1s);
+        choice.noteHeard(node, {.readsStore = true, .hasAddress = true}, 1s);
     }
     CHECK(countRelays(choice, 2s) == 3);
     const std::vector<std::string> first = choice.first(nodes);
@@ -116,9 +117,21 @@
     CHECK(choice.isRelay(first[0], 2s));
 
     // One that the store turns away does not count.
-    choice.noteHeard(first[0], false, 2s);
+    choice.noteHeard(first[0], {.hasAddress = true}, 2s);
     CHECK(countRelays(choice, 2s) == 4);
     CHECK(countRelays(choice, 10s) == 91);
 }
 
+// Found by a hunt of the first grown site: the first host that wrote the key table knew no other
+// host's address. It heard of three that wait for records, waited no more itself and could not ask
+// them, so for 26 s it gave all keys to its own upstream.
+TEST_CASE("hosts that can't be asked do not stand for this one", "[relay_choice]")
+{
+    RelayChoice choice;
+    for (int i = 0; i < 20; ++i) {
+        choice.noteHeard("node-" + std::to_string(i), {.readsStore = true}, 1s);
+    }
+    CHECK(choice.isRelay("own", 1s));
+}
+
 } // namespace kumquat
