limiter: callers that are refused together come back one after the other

Change: the wait counts those that were refused within about a second, up to 2 s.

Test: test_traffic 'callers that are refused together are told to come back one after the other' failed before the change (all within 0.5 s).

--- a/packages/traffic/limiter.cpp
+++ b/packages/traffic/limiter.cpp
@@ -70,13 +70,13 @@
         return {.action = AdmitAction::Dispatch};
     }
     const std::size_t ahead = this->countAhead(rank);
-    const Duration wait = this->expectedWait(ahead, now);
+    const Duration wait = this->expectedWait(static_cast<double>(ahead), now);
     const bool isUseless = this->isLate(objective, wait, now) && !this->queue.empty();
     const bool full = wait > this->settings.queueTime || isUseless;
     if (full || !this->canMeet(deadline, ahead, now) || !this->makeRoom(rank, now)) {
         return {.action = AdmitAction::Refuse,
                 .error = ErrorKind::Overloaded,
-                .retryAfter = this->expectedWait(this->queue.size(), now)};
+                .retryAfter = this->noteRefusal(now)};
     }
     this->queue.insert(
             this->queue.begin() + static_cast<std::ptrdiff_t>(ahead),
@@ -211,12 +211,23 @@
     return static_cast<double>(this->running.size() + 1) <= this->effectiveLimit(now);
 }
 
+// Counts a refusal and returns when to come back. Callers that were refused within a short time
+// come back one after the other, as the endpoint can run them, and not all at once.
+Duration EndpointLimiter::noteRefusal(Time now)
+{
+    const double age = toNs(now - this->refusedAt) / toNs(this->settings.refusalMemory);
+    this->refusals = this->refusals * std::exp(-age) + 1;
+    this->refusedAt = now;
+    const double ahead = static_cast<double>(this->queue.size()) + this->refusals;
+    return std::min(this->expectedWait(ahead, now), this->settings.longestRetryAfter);
+}
+
 // Returns how long a request waits behind `ahead` others.
-Duration EndpointLimiter::expectedWait(std::size_t ahead, Time now) const
+Duration EndpointLimiter::expectedWait(double ahead, Time now) const
 {
     const double mean =
             this->meanLatency == 0 ? toNs(this->settings.firstServiceTime) : this->meanLatency;
-    return fromNs(static_cast<double>(ahead + 1) * mean / this->effectiveLimit(now));
+    return fromNs((ahead + 1) * mean / this->effectiveLimit(now));
 }
 
 // Returns the service time, or the time since the last sign of life if that is longer.
@@ -231,7 +242,8 @@
 
 bool EndpointLimiter::canMeet(Time deadline, std::size_t ahead, Time now) const
 {
-    return now + this->expectedWait(ahead, now) + this->expectedService(now) <= deadline;
+    return now + this->expectedWait(static_cast<double>(ahead), now) + this->expectedService(now)
+           <= deadline;
 }
 
 // Says whether a request that starts after `wait` is expected to miss its objective.
@@ -304,7 +316,7 @@
     this->output.dropped.push_back(
             {.request = entry.request,
              .error = late ? ErrorKind::DeadlineExceeded : ErrorKind::Overloaded,
-             .retryAfter = this->expectedWait(this->queue.size(), now)});
+             .retryAfter = this->noteRefusal(now)});
 }
 
 void EndpointLimiter::learnLatency(Duration latency)
--- a/packages/traffic/limiter.h
+++ b/packages/traffic/limiter.h
@@ -29,7 +29,8 @@
 {
     AdmitAction action = AdmitAction::Dispatch;
     ErrorKind error = ErrorKind::None; // Overloaded or DeadlineExceeded if refused
-    Duration retryAfter{};             // if refused: when the queue is expected to have room
+    // If refused: when those that wait, and those that were refused before, could have run.
+    Duration retryAfter{};
 };
 
 // How a dispatched request ended, as seen by the process that dispatched it.
@@ -76,6 +77,8 @@
     double increase = 1;        // added to the limit for each full window of good answers
     double tolerance = 2;       // latency over the usual one that counts as overload
     Duration firstServiceTime = 5ms; // assumed before the first answer
+    Duration refusalMemory = 1s;     // refused callers of this time are expected back
+    Duration longestRetryAfter = 2s; // told to them; their patience is some seconds
 };
 
 // Not thread-safe. No two upstreams share one.
@@ -144,7 +147,8 @@
     double effectiveLimit(Time now) const;
     bool hasRoom(Time now) const;
     bool isSilent() const { return this->timeoutsInRow >= this->settings.silentTimeouts; }
-    Duration expectedWait(std::size_t ahead, Time now) const;
+    Duration expectedWait(double ahead, Time now) const;
+    Duration noteRefusal(Time now);
     Duration expectedService(Time now) const;
     bool canMeet(Time deadline, std::size_t ahead, Time now) const;
     bool isLate(Time objective, Duration wait, Time now) const;
@@ -173,6 +177,8 @@
     std::size_t windowCount = 0;   // answers in the window
     bool windowAtLimit = false;    // some were dispatched with the limit fully used
     std::size_t timeoutsInRow = 0; // without an answer since the timed out request was dispatched
+    double refusals = 0;           // of late, fading with time
+    Time refusedAt{};
     Time lastDispatch{};
     Time lastEnd{}; // of the last answer or refusal
     std::unordered_map<RequestNumber, Running> running;
--- a/packages/traffic/tests/test_traffic.cpp
+++ b/packages/traffic/tests/test_traffic.cpp
@@ -335,6 +335,34 @@
     CHECK(calm.late == 0);
 }
 
+// Guards against a hot key whose refused callers all come back after the time of one queue and are
+// refused again together.
+TEST_CASE("callers that are refused together are told to come back one after the other",
+          "[overload]")
+{
+    constexpr std::uint32_t slots = 8;
+    LimiterSettings settings{.queueTime = 400ms, .firstServiceTime = 200ms};
+    EndpointLimiter limiter(slots, slots, false, 0s, settings);
+    std::vector<Duration> waits;
+    for (RequestNumber request = 1; request <= 80; ++request) {
+        const Admission admission = limiter.admit(request, 5s, 0s);
+        if (admission.action == AdmitAction::Refuse) {
+            waits.push_back(admission.retryAfter);
+        }
+    }
+    REQUIRE(waits.size() > 50);
+    CHECK(std::is_sorted(waits.begin(), waits.end()));
+    // 40 requests a second can run, so no 100 ms are told to many more than four callers.
+    for (const Duration begin : {500ms, 800ms, 1100ms, 1500ms}) {
+        const auto count = std::count_if(waits.begin(), waits.end(), [&](Duration wait) {
+            return begin <= wait && wait < begin + 100ms;
+        });
+        CHECK(count <= 6);
+    }
+    CHECK(waits.back() >= 1500ms); // the last of them can run after this time
+    CHECK(waits.back() <= settings.longestRetryAfter);
+}
+
 // Guards against a limit that ignores refusals or exceeds the announced connections.
 TEST_CASE("the limit falls on refusals and rises to the connections at most")
 {
