range_planner: after a mass loss the keys wait for the hosts that come back

Change: where most keys have no owner they are assigned once no host has come for 0.5 s; sessions that are silent for 1 s get no more keys.

Tests: test_range_planner 'after a loss of most hosts the keys wait for those that come back' and 'a silent session gets no more keys' failed before the change.

--- a/packages/keyspace/range_planner.cpp
+++ b/packages/keyspace/range_planner.cpp
@@ -383,7 +383,9 @@
 {
     std::vector<Candidate> result;
     for (const KeySession &session : this->next.sessions) {
-        if (!session.isActive() || session.leaving) {
+        const SessionReport *found = this->report(session.id);
+        const bool isQuiet = found != nullptr && found->silence >= this->settings.quietAfter;
+        if (!session.isActive() || session.leaving || isQuiet) {
             continue;
         }
         Candidate candidate{.session = session.id,
@@ -450,12 +452,18 @@
 void Planner::assignOrphans()
 {
     std::vector<std::size_t> indexes;
+    std::uint32_t keys = 0;
     for (std::size_t i = 0; i < this->next.ranges.size(); ++i) {
         const KeySession *owner = this->next.session(this->next.ranges[i].owner);
         if (owner == nullptr || !owner->isActive()) {
             indexes.push_back(i);
+            keys += this->next.ranges[i].span.size();
         }
     }
+    const bool isMassLoss = keys > this->settings.massShare * (lastShardKey + 1);
+    if (isMassLoss && this->input.hostsSteadyFor < this->settings.settleAfterMassLoss) {
+        return;
+    }
     this->spread(std::move(indexes));
 }
 
--- a/packages/keyspace/range_planner.h
+++ b/packages/keyspace/range_planner.h
@@ -65,8 +65,9 @@
     std::vector<HostInfo> hosts;
     std::map<std::uint64_t, SessionReport> reports; // by session; one without is not silent
     const KeyLoad *load = nullptr;
-    bool mayBalance = false; // otherwise only sessions are looked after
-    Duration planningFor{};  // how long this host has taken reports
+    bool mayBalance = false;                   // otherwise only sessions are looked after
+    Duration planningFor{};                    // how long this host has taken reports
+    Duration hostsSteadyFor = Duration::max(); // since a host or its upstream last came or went
     Time now{};
 };
 
@@ -78,6 +79,11 @@
     // and goes on with its session; takeovers without a handover slow their keys for seconds.
     Duration endAfter = 2s;
     Duration endAfterMassLoss = 6s; // where most sessions are silent, so that this host may be cut
+    Duration quietAfter = 1s;       // silence after which a session gets no more keys
+    // Where most keys have no owner, as after a loss of power, hosts come back within about half a
+    // second of each other. The first of them would get all keys, and give most away cold.
+    double massShare = 0.5;
+    Duration settleAfterMassLoss = 500ms;
     std::size_t voters = 3;
     double leastGap = 0.15; // of utilisation, between the fullest and the emptiest session
     double leastUse = 0.3;  // of the fullest session; below it balance gains nothing
@@ -85,7 +91,7 @@
     // Sessions far below the others, as those of new upstreams, get keys faster: one move at once
     // for this many sessions. Four plans, one a second, fill them all.
     std::size_t sessionsPerFill = 4;
-    double fillBelow = 0.5; // of the mean use; a random low lies above it
+    double fillBelow = 0.5;                // of the mean use; a random low lies above it
     std::size_t mostRangesPerSession = 24; // each is renewed by calls of its own
     double assumedRate = 0.2;              // of a slot, for the keys of a session without requests
     double assumedServiceSeconds = 0.1;    // before the first measurement
--- a/packages/keyspace/tests/test_range_planner.cpp
+++ b/packages/keyspace/tests/test_range_planner.cpp
@@ -188,6 +188,52 @@
     }
 }
 
+// Found by inc-4355 of the first site: after a loss of power of all hosts the first one that was
+// back got all keys and gave most of them away in the next record.
+TEST_CASE("after a loss of most hosts the keys wait for those that come back", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    for (const char *name : {"a", "b", "c"}) {
+        cluster.reports[cluster.table.activeSessionOf(name)->id].isRetired = true;
+        cluster.host(name).life = {.id = std::string("i-") + name + "2", .bornMs = 2000};
+    }
+    cluster.host("b").phase = UpstreamPhase::Absent;
+    cluster.host("c").phase = UpstreamPhase::Absent;
+    PlanInput input = cluster.input();
+    input.hostsSteadyFor = 100ms;
+    input.mayBalance = false;
+    const std::optional<KeyTable> early = planKeyTable(input, cluster.settings);
+    REQUIRE(early.has_value());
+    for (const KeyRange &range : early->ranges) {
+        const KeySession *owner = early->session(range.owner);
+        CHECK((owner == nullptr || owner->node == "d" || !owner->isActive()));
+    }
+    cluster.table = *early;
+    cluster.reportAll();
+    cluster.host("b").phase = UpstreamPhase::Ready;
+    cluster.host("c").phase = UpstreamPhase::Ready;
+    cluster.settle();
+    for (const HostInfo &host : cluster.hosts) {
+        CHECK(cluster.keysOf(host.node) > (lastShardKey + 1) / 5);
+    }
+}
+
+// A session that has fallen silent may be ended next; keys that it gets would move twice.
+TEST_CASE("a silent session gets no more keys", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    const std::uint64_t silent = cluster.table.activeSessionOf("b")->id;
+    const std::uint32_t before = cluster.keysOf("b");
+    cluster.reports[silent].silence = 1500ms;
+    cluster.reports[cluster.table.activeSessionOf("c")->id].isRetired = true;
+    cluster.host("c").phase = UpstreamPhase::Ended;
+    cluster.settle();
+    CHECK(cluster.keysOf("c") == 0);
+    CHECK(cluster.keysOf("b") == before);
+}
+
 // Found by the quiet day of the second grown site: a host reports its session only after it has
 // read the table that admitted it. The next plan, 200 ms later, took the time before as silence,
 // ended the session and admitted the host anew, over and over, so its keys were on the move all
--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -119,7 +119,11 @@
     if (report.upstream_id().empty()) {
         return;
     }
-    this->statements[reporter] = {.life = {.id = report.upstream_id(), .bornMs = report.born_ms()},
+    const UpstreamLife life{.id = report.upstream_id(), .bornMs = report.born_ms()};
+    if (this->statements[reporter].life != life) {
+        this->hostsChangedAt = now;
+    }
+    this->statements[reporter] = {.life = life,
                                   .slots = std::max(1U, report.slots()),
                                   .phase = decodePhase(report.phase()),
                                   .at = now};
@@ -133,6 +137,7 @@
                     .load = &this->load,
                     .mayBalance = now - this->balancedAt >= this->settings.balanceEvery,
                     .planningFor = now - this->actingSince,
+                    .hostsSteadyFor = now - this->hostsChangedAt,
                     .now = now};
     for (const auto &[name, host] : this->view.hosts()) {
         input.hosts.push_back(host.info);
