standins: one caller speaks the platform's names

The soak and test_platform each wrote the headers of a request and the check of an answer; the soak is no stand-in and had the platform's names. Both use standins/platform_caller now.

--- a/packages/soak/soak_callers.cpp
+++ b/packages/soak/soak_callers.cpp
@@ -1,5 +1,7 @@
 #include "soak/soak_callers.h"
 
+#include "standins/platform_caller.h"
+
 #include <algorithm>
 
 namespace kumquat {
@@ -9,8 +11,8 @@
 constexpr int statusUnavailable = 503;
 constexpr std::uint32_t keyCount = 65'536;
 constexpr std::uint32_t hotKeys = 20;
-constexpr Duration patience = 1500ms; // told to the process
-constexpr Duration timeout = 2500ms;  // of the connection
+constexpr std::chrono::milliseconds patience{1500}; // told to the process
+constexpr Duration timeout = 2500ms;                // of the connection
 
 SoakEnd judge(const HttpExchange &exchange, const std::string &id)
 {
@@ -30,10 +32,7 @@
     if (answer.status != statusOk) {
         return SoakEnd::Failed;
     }
-    const bool isOwn = findField(answer.fields, "X-Attempt-Id") == id
-                       && findField(answer.fields, "X-Server-Seal")
-                       && answer.body.starts_with(id + " ran at ");
-    return isOwn ? SoakEnd::Answered : SoakEnd::Wrong;
+    return isOwnAnswer(answer, id) ? SoakEnd::Answered : SoakEnd::Wrong;
 }
 
 } // namespace
@@ -70,17 +69,12 @@
 SoakRequest SoakCallers::send(HttpClient &client, SoakRequest request)
 {
     request.sent = readBootTime();
-    const HttpExchange exchange = client.send(
-            {request.isIdempotent ? "GET" : "POST",
-             request.isIdempotent ? "/r/x" : "/v/x",
-             {{"Host", "shop.example"},
-              {"X-Attempt-Id", request.id},
-              {"X-Deadline-Remaining",
-               std::to_string(
-                       std::chrono::duration_cast<std::chrono::milliseconds>(patience).count())},
-              {"X-Shard-Key", std::to_string(request.key)}},
-             request.isIdempotent ? "" : "body of " + request.id},
-            timeout);
+    const HttpExchange exchange =
+            client.send(makeCallerRequest({.id = request.id,
+                                           .key = request.key,
+                                           .isIdempotent = request.isIdempotent,
+                                           .patience = patience}),
+                        timeout);
     request.ended = readBootTime();
     request.end = judge(exchange, request.id);
     request.status = exchange.result == ExchangeResult::Answered ? exchange.answer.status : 0;
--- /dev/null
+++ b/packages/standins/platform_caller.cpp
@@ -0,0 +1,23 @@
+#include "standins/platform_caller.h"
+
+namespace kumquat {
+
+HttpRequest makeCallerRequest(const CallerRequest &request)
+{
+    return {request.isIdempotent ? "GET" : "POST",
+            request.isIdempotent ? "/r/x" : "/v/x",
+            {{"Host", "shop.example"},
+             {"X-Attempt-Id", request.id},
+             {"X-Deadline-Remaining", std::to_string(request.patience.count())},
+             {"X-Shard-Key", std::to_string(request.key)}},
+            request.isIdempotent ? "" : "body of " + request.id,
+            {}};
+}
+
+bool isOwnAnswer(const HttpAnswer &answer, const std::string &id)
+{
+    return findField(answer.fields, "X-Attempt-Id") == id
+           && findField(answer.fields, "X-Server-Seal") && answer.body.starts_with(id + " ran at ");
+}
+
+} // namespace kumquat
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -1,5 +1,6 @@
 // The whole path on the users' platform with real processes: stand-ins of the store and of the
 // upstreams, one kumquatstage beside each upstream.
+#include "standins/platform_caller.h"
 #include "system/platform_cluster.h"
 
 #include <catch2/catch.hpp>
@@ -27,14 +28,7 @@
     {
         HttpClient client(host.callers);
         const std::string id = "request-" + std::to_string(++this->lastRequest);
-        const HttpExchange exchange = client.send({"POST",
-                                                   "/v/x",
-                                                   {{"Host", "shop.example"},
-                                                    {"X-Attempt-Id", id},
-                                                    {"X-Deadline-Remaining", "1500"},
-                                                    {"X-Shard-Key", std::to_string(key)}},
-                                                   "body"},
-                                                  2s);
+        const HttpExchange exchange = client.send(makeCallerRequest({.id = id, .key = key}), 2s);
         const int status = exchange.result == ExchangeResult::Answered ? exchange.answer.status : 0;
         if (status == 200) {
             this->answered.insert(id);
