--- a/packages/keyspace/range_planner.cpp
+++ b/packages/keyspace/range_planner.cpp
@@ -1,7 +1,8 @@
-// Sections: weights, planner, sessions, voters, ranges, balance.
+// Sections: planner, sessions, voters, ranges, balance.
 #include "keyspace/range_planner.h"
 
 #include "base/hash.h"
+#include "keyspace/key_weights.h"
 #include "keyspace/lease.h"
 
 #include <algorithm>
@@ -12,47 +13,6 @@
 namespace kumquat {
 namespace {
 
-// ---- Weights ----
-
-// Requests a second of spans of keys, from one look at the load.
-class KeyWeights
-{
-public:
-    KeyWeights(const std::vector<double> &rates, double extraPerKey)
-        : sums(rates.size() + 1, 0.0)
-    {
-        for (std::size_t key = 0; key < rates.size(); ++key) {
-            this->sums[key + 1] = this->sums[key] + rates[key] + extraPerKey;
-        }
-    }
-
-    double of(const KeySpan &span) const
-    {
-        return this->sums[span.last + 1] - this->sums[span.first];
-    }
-
-    // Returns the last key of the shortest part of the span from its low end with this weight.
-    ShardKey endFromLow(const KeySpan &span, double wanted) const
-    {
-        const auto first = this->sums.begin() + span.first;
-        const auto last = this->sums.begin() + span.last + 1;
-        const auto found = std::lower_bound(first + 1, last, *first + wanted);
-        return static_cast<ShardKey>(found - this->sums.begin() - 1);
-    }
-
-    // Returns the first key of the shortest part of the span up to its high end.
-    ShardKey beginFromHigh(const KeySpan &span, double wanted) const
-    {
-        const auto first = this->sums.begin() + span.first;
-        const auto last = this->sums.begin() + span.last + 1;
-        const auto found = std::upper_bound(first, last, *last - wanted);
-        return static_cast<ShardKey>(std::max(first + 1, found) - this->sums.begin() - 1);
-    }
-
-private:
-    std::vector<double> sums; // of all keys below
-};
-
 // ---- Planner ----
 
 // A session that may get keys, with what it has.
