test_soak: a port of its own

Cause: test_stage 'a call to a port without a listener was not sent' failed once beside test_soak, whose proxy listened on that port (28472). The check is unchanged.

--- a/packages/soak/tests/test_soak.cpp
+++ b/packages/soak/tests/test_soak.cpp
@@ -72,7 +72,7 @@
     });
     REQUIRE(server.ok());
     ProxyThread thread;
-    const Address listen{"127.0.0.1", 28'472};
+    const Address listen{"127.0.0.1", 19'472};
     auto proxy = FaultProxy::create(thread, listen, {"127.0.0.1", (*server)->port()});
     REQUIRE(proxy.ok());
     HttpClient client(listen);
