stage: tell where a configuration came from and how old the last answer of the store is

'configuration in force' names its source (the store or a host), 'store lost' and 'store regained' the time since the last answer of that topic, 'timers were late' a process that was paused or short of processor time; gauges for the version in force and the age of the last answer. A configuration from another host that cannot be read is logged; it was ignored without a word.

--- a/packages/stage/cluster_view.cpp
+++ b/packages/stage/cluster_view.cpp
@@ -63,7 +63,8 @@
             .serviceSeconds = decodeServiceTime(load.service_ms())};
 }
 
-void ClusterView::applyConfiguration(Configuration newer, std::string bytes)
+void ClusterView::applyConfiguration(Configuration newer, std::string bytes,
+                                     const std::string &source)
 {
     if (this->current && newer.version <= this->current->version) {
         return;
@@ -71,7 +72,8 @@
     logInfo(LogPart::Rules, "configuration in force",
             {{"version", std::to_string(newer.version)},
              {"before", std::to_string(this->current ? this->current->version : 0)},
-             {"routes", std::to_string(newer.routes.size())}});
+             {"routes", std::to_string(newer.routes.size())},
+             {"source", source}});
     this->current = std::make_shared<const Configuration>(std::move(newer));
     this->currentBytes = std::move(bytes);
     if (this->hooks.configurationChanged) {
--- a/packages/stage/cluster_view.h
+++ b/packages/stage/cluster_view.h
@@ -60,8 +60,9 @@
         : hooks(std::move(viewHooks))
     {}
 
-    // Takes a configuration if it is newer. `bytes`: as it lies in the store, to pass it on.
-    void applyConfiguration(Configuration newer, std::string bytes);
+    // Takes a configuration if it is newer. `bytes`: as it lies in the store, to pass it on;
+    // `source`: the store or the host that it comes from, for the log.
+    void applyConfiguration(Configuration newer, std::string bytes, const std::string &source);
 
     // Takes one record; the ends below grow with it only if nothing before it is missing. Older
     // ones than the known one of its key are ignored, and so are those that can't be read.
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -30,9 +30,12 @@
     TablesWritten,
     TableConflicts,
     StoreCalls,
+    ConfigurationVersion, // in force; 0: none
+    ConfigurationAge,     // milliseconds since the store last answered a read of it
+    Delays,               // milliseconds by which the timers of this process were late, in all
 };
 
-inline constexpr NameTable<Metric, 15> metricNames{
+inline constexpr NameTable<Metric, 18> metricNames{
         {{{Metric::RequestsTaken, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -47,13 +50,19 @@
           {Metric::HeartbeatsIgnored, "heartbeats_ignored"},
           {Metric::TablesWritten, "tables_written"},
           {Metric::TableConflicts, "table_conflicts"},
-          {Metric::StoreCalls, "store_calls"}}}};
+          {Metric::StoreCalls, "store_calls"},
+          {Metric::ConfigurationVersion, "configuration_version"},
+          {Metric::ConfigurationAge, "configuration_age_ms"},
+          {Metric::Delays, "timer_delays_ms"}}}};
 
 // Used on one thread.
 class Metrics
 {
 public:
-    void count(Metric metric) { ++this->values[static_cast<std::size_t>(metric)]; }
+    void count(Metric metric, std::uint64_t by = 1)
+    {
+        this->values[static_cast<std::size_t>(metric)] += by;
+    }
     void set(Metric metric, std::uint64_t value)
     {
         this->values[static_cast<std::size_t>(metric)] = value;
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -1,6 +1,7 @@
 // Sections: start, time, the upstream beside this process, readiness.
 #include "stage/stage.h"
 
+#include "base/durations.h"
 #include "base/log.h"
 #include "base/text.h"
 #include "platform/upstream.h"
@@ -26,7 +27,8 @@
 constexpr Duration recordDelay = 1200ms; // a host without a heartbeat makes itself known after it
 constexpr Duration recordRetry = 300ms;
 constexpr Duration logFlush = 200ms;
-constexpr Duration settingsCheck = 1s; // of a settings file that changes without a signal
+constexpr Duration loggedDelay = 250ms; // of timers; half of what a late answer may take
+constexpr Duration settingsCheck = 1s;  // of a settings file that changes without a signal
 
 std::uint64_t makeIncarnation()
 {
@@ -183,8 +185,13 @@
     this->heartbeatServer =
             plain([this](const HttpRequest &request) { return this->onHeartbeat(request); });
     this->metricsServer = plain([this](const HttpRequest &) {
+        const Time now = readBootTime();
+        const ConfigurationPtr configuration = this->view.configuration();
+        const Duration age = this->follower.answerAge(platform::StoreTopic::Configuration, now);
         this->metrics.set(Metric::StoreCalls, this->store.callCount());
-        return HttpResponse{.body = this->metrics.toText(readBootTime())};
+        this->metrics.set(Metric::ConfigurationVersion, configuration ? configuration->version : 0);
+        this->metrics.set(Metric::ConfigurationAge, toMilliseconds(age));
+        return HttpResponse{.body = this->metrics.toText(now)};
     });
     const StageListen &listen = this->settings.listen;
     absl::Status status = this->linkServer.listen(listen.processes);
@@ -241,6 +248,7 @@
 
 void Stage::advance(Time now)
 {
+    this->noteDelay(now);
     if (this->monitor.advance(now)) {
         this->onUpstreamChanged(now);
     }
@@ -259,6 +267,17 @@
     }
 }
 
+// A process that is paused, or has too little processor time, answers late whatever it decides.
+void Stage::noteDelay(Time now)
+{
+    const Duration delay = now - std::exchange(this->advancedAt, now) - tick;
+    if (delay < loggedDelay) {
+        return;
+    }
+    this->metrics.count(Metric::Delays, toMilliseconds(delay));
+    logWarning(LogPart::Main, "timers were late", {{"ms", std::to_string(toMilliseconds(delay))}});
+}
+
 // Takes what callers may send, and how long they may be idle, from the configuration.
 void Stage::applyCallerLimits()
 {
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -53,7 +53,7 @@
     void onMessage(const LinkPeer &peer, LinkMessage message, const LinkReply &reply);
     void onExecute(const LinkPeer &peer, LinkMessage message, const LinkReply &reply);
     void onVouch(const wire::Vouch &vouch, const LinkReply &reply);
-    void onState(const wire::StateReply &state);
+    void onState(const std::string &node, const wire::StateReply &state);
     bool hasVoterReleased(const wire::ReleaseQuery &query) const;
 
     // What others know.
@@ -71,6 +71,7 @@
     HttpResponse onReadiness(const HttpRequest &request);
     bool isReady() const;
     void advance(Time now);
+    void noteDelay(Time now);
     void applyCallerLimits();
     void checkSettingsFile();
     void reload();
@@ -107,6 +108,7 @@
     bool isRecordWriting = false;
     std::uint64_t recordChange = 0;
     Time fetchedAt = -1h;
+    Time advancedAt = readBootTime(); // last
     std::size_t gossipTurn = 0;
 };
 
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -3,6 +3,7 @@
 #include "stage/stage.h"
 
 #include "base/log.h"
+#include "base/text.h"
 #include "platform/configuration.h"
 
 #include <algorithm>
@@ -56,7 +57,7 @@
         reply(answer, {});
         break;
     case wire::LinkFrame::kStateReply:
-        this->onState(message.head.state_reply());
+        this->onState(peer.node, message.head.state_reply());
         answer.mutable_load_ack();
         reply(answer, {});
         break;
@@ -112,12 +113,16 @@
 
 // ---- What others know ----
 
-void Stage::onState(const wire::StateReply &state)
+void Stage::onState(const std::string &node, const wire::StateReply &state)
 {
     if (!state.config().empty()) {
         auto configuration = platform::decodeConfiguration(state.config());
         if (configuration.ok()) {
-            this->view.applyConfiguration(*std::move(configuration), state.config());
+            this->view.applyConfiguration(*std::move(configuration), state.config(), node);
+        } else {
+            logWarning(LogPart::Rules, "configuration ignored",
+                       {{"source", node},
+                        {"reason", std::string(toStd(configuration.status().message()))}});
         }
     }
     for (const wire::StateItem &item : state.hosts()) {
@@ -156,19 +161,20 @@
     this->fetchedAt = now;
     wire::LinkFrame frame;
     *frame.mutable_state_query()->mutable_known() = this->known();
-    this->links.call(node, frame, {}, gossipLimit, [this](LinkEnd end, const LinkMessage &answer) {
-        if (end == LinkEnd::Answered) {
-            const wire::StateReply &state = answer.head.state_reply();
-            this->onState(state);
-            // The answer holds all that was missing.
-            this->view.noteHostsEnd(state.known().hosts_end());
-            this->view.noteTablesEnd(state.known().tables_end());
-        } else if (end == LinkEnd::NotSent) {
-            // Its address may not be known: the store has the same records.
-            this->follower.nudge(platform::StoreTopic::Hosts);
-            this->follower.nudge(platform::StoreTopic::Tables);
-        }
-    });
+    this->links.call(node, frame, {}, gossipLimit,
+                     [this, node](LinkEnd end, const LinkMessage &answer) {
+                         if (end == LinkEnd::Answered) {
+                             const wire::StateReply &state = answer.head.state_reply();
+                             this->onState(node, state);
+                             // The answer holds all that was missing.
+                             this->view.noteHostsEnd(state.known().hosts_end());
+                             this->view.noteTablesEnd(state.known().tables_end());
+                         } else if (end == LinkEnd::NotSent) {
+                             // Its address may not be known: the store has the same records.
+                             this->follower.nudge(platform::StoreTopic::Hosts);
+                             this->follower.nudge(platform::StoreTopic::Tables);
+                         }
+                     });
 }
 
 // Exchanges with a few hosts in turn how far each has read and how busy its upstream is.
--- a/packages/stage/store_follower.cpp
+++ b/packages/stage/store_follower.cpp
@@ -1,5 +1,6 @@
 #include "stage/store_follower.h"
 
+#include "base/durations.h"
 #include "base/log.h"
 #include "base/text.h"
 #include "platform/configuration.h"
@@ -54,6 +55,11 @@
     return this->cursors[static_cast<std::size_t>(topic)].isLost;
 }
 
+Duration StoreFollower::answerAge(StoreTopic topic, Time now) const
+{
+    return now - this->cursors[static_cast<std::size_t>(topic)].answeredAt;
+}
+
 void StoreFollower::follow(StoreTopic topic)
 {
     this->readNewest(topic);
@@ -138,10 +144,11 @@
         case StoreTopic::Configuration: {
             auto configuration = platform::decodeConfiguration(record.value);
             if (configuration.ok()) {
-                this->view.applyConfiguration(*std::move(configuration), record.value);
+                this->view.applyConfiguration(*std::move(configuration), record.value, "store");
             } else {
                 logWarning(LogPart::Rules, "configuration ignored",
-                           {{"offset", std::to_string(record.offset)},
+                           {{"source", "store"},
+                            {"offset", std::to_string(record.offset)},
                             {"reason", std::string(toStd(configuration.status().message()))}});
             }
             break;
@@ -165,6 +172,9 @@
 void StoreFollower::noteResult(StoreTopic topic, const absl::Status &status)
 {
     Cursor &current = this->cursor(topic);
+    const Time now = readBootTime();
+    const std::string ageMs = std::to_string(toMilliseconds(now - current.answeredAt));
+    current.answeredAt = status.ok() ? now : current.answeredAt;
     if (current.isLost == !status.ok()) {
         return;
     }
@@ -172,10 +182,12 @@
     const std::string name(storeTopicNames.nameOf(topic));
     if (current.isLost) {
         logWarning(LogPart::Log, "store lost",
-                   {{"topic", name}, {"reason", std::string(toStd(status.message()))}});
+                   {{"topic", name},
+                    {"ageMs", ageMs},
+                    {"reason", std::string(toStd(status.message()))}});
     } else {
         logInfo(LogPart::Log, "store regained",
-                {{"topic", name}, {"end", std::to_string(current.end)}});
+                {{"topic", name}, {"ageMs", ageMs}, {"end", std::to_string(current.end)}});
     }
 }
 
--- a/packages/stage/store_follower.h
+++ b/packages/stage/store_follower.h
@@ -49,6 +49,10 @@
     // Says whether the last call of the topic failed.
     bool isLost(platform::StoreTopic topic) const;
 
+    // Returns how long ago the store last answered a read of the topic, or how long ago this
+    // process started.
+    Duration answerAge(platform::StoreTopic topic, Time now) const;
+
 private:
     struct Cursor
     {
@@ -56,6 +60,7 @@
         bool isLost = false;
         bool isDue = false; // a read was asked for
         Time readAt{};
+        Time answeredAt = readBootTime();
         std::shared_ptr<HttpCallHandle> waiting;
         Time nudgedAt{};
     };
