--- a/packages/standins/platform_caller.cpp
+++ b/packages/standins/platform_caller.cpp
@@ -4,8 +4,9 @@
 
 HttpRequest makeCallerRequest(const CallerRequest &request)
 {
+    const std::string usual = request.isIdempotent ? "/r/" : "/v/";
     return {request.isIdempotent ? "GET" : "POST",
-            request.isIdempotent ? "/r/x" : "/v/x",
+            (request.prefix.empty() ? usual : request.prefix) + "x",
             {{"Host", "shop.example"},
              {"X-Attempt-Id", request.id},
              {"X-Deadline-Remaining", std::to_string(request.patience.count())},
--- a/packages/standins/platform_caller.h
+++ b/packages/standins/platform_caller.h
@@ -18,6 +18,7 @@
     std::string id;
     std::uint32_t key = 0;
     bool isIdempotent = false;
+    std::string prefix; // of the path; empty: that of the route of such requests
     std::chrono::milliseconds patience{1500};
 };
 
--- a/packages/standins/platform_store.cpp
+++ b/packages/standins/platform_store.cpp
@@ -53,6 +53,13 @@
     this->appended.notify_all();
 }
 
+void PlatformStore::setFault(StoreFault value)
+{
+    const std::lock_guard lock(this->mutex);
+    this->unansweredFaults += value == StoreFault::Unanswered ? 1 : 0;
+    this->fault = value;
+}
+
 void PlatformStore::compact()
 {
     const std::lock_guard lock(this->mutex);
@@ -69,6 +76,21 @@
 }
 
 HttpAnswer PlatformStore::answer(const HttpRequest &request)
+{
+    std::unique_lock lock(this->mutex);
+    const int faultsBefore = this->unansweredFaults;
+    const bool isUnanswered = this->fault == StoreFault::Unanswered;
+    lock.unlock();
+    const HttpAnswer done = isUnanswered ? HttpAnswer::lost() : this->answerNow(request);
+    lock.lock();
+    if (isUnanswered || this->unansweredFaults != faultsBefore) {
+        this->appended.wait(lock, [this] { return this->isStopped; });
+        return HttpAnswer::lost();
+    }
+    return done;
+}
+
+HttpAnswer PlatformStore::answerNow(const HttpRequest &request)
 {
     ++this->calls;
     if (this->fault == StoreFault::Down) {
--- a/packages/standins/platform_store.h
+++ b/packages/standins/platform_store.h
@@ -25,6 +25,7 @@
     Silent,      // nothing is done, connections end without an answer
     Slow,        // every call takes longer
     LostAnswers, // writes are done, their answers are lost
+    Unanswered,  // calls that come or wait meanwhile get no answer for good; connections stay open
 };
 
 class PlatformStore
@@ -35,7 +36,7 @@
     // Appends a record as the operator does.
     void put(const std::string &topic, int part, const std::string &key, const std::string &value);
 
-    void setFault(StoreFault value) { this->fault = value; }
+    void setFault(StoreFault value);
 
     // Drops all but the newest record of each key.
     void compact();
@@ -62,6 +63,7 @@
     using PartitionName = std::pair<std::string, int>;
 
     HttpAnswer answer(const HttpRequest &request);
+    HttpAnswer answerNow(const HttpRequest &request);
     HttpAnswer append(const HttpRequest &request);
     HttpAnswer read(const HttpRequest &request);
     HttpAnswer readNewest(const HttpRequest &request);
@@ -69,6 +71,7 @@
     std::mutex mutex;
     std::condition_variable appended;
     bool isStopped = false;
+    int unansweredFaults = 0; // so far
     std::map<PartitionName, Partition> partitions;
     std::atomic<StoreFault> fault{StoreFault::None};
     std::atomic<int> calls{0};
--- a/packages/system/platform_cluster.cpp
+++ b/packages/system/platform_cluster.cpp
@@ -50,7 +50,8 @@
                        "timeout_ms",   "target_latency_ms",
                        "priority",     "service",
                        "max_attempts", "weighted_clusters"};
-    const Json rows{routeRow("r-1", "/v/", "non_idempotent"), routeRow("r-2", "/r/", "idempotent")};
+    const Json rows{routeRow("r-1", "/v/", "non_idempotent"), routeRow("r-2", "/r/", "idempotent"),
+                    routeRow("r-3", versionPrefix(version), "idempotent")};
     const Json service{"testlog", "/health", maxConnections, true};
     const Json config{{"version", "r" + std::to_string(version)},
                       {"routes", {{"columns", columns}, {"rows", rows}}},
@@ -60,6 +61,11 @@
     this->store.put("keyed.op", 0, "config", config.dump());
 }
 
+std::string PlatformCluster::versionPrefix(int version)
+{
+    return "/version-" + std::to_string(version) + "/";
+}
+
 void PlatformCluster::startProcess(PlatformHost &host) const
 {
     host.process = Child::start({KUMQUAT_BIN_DIR "/kumquatstage", "--platform", host.settingsPath},
--- a/packages/system/platform_cluster.h
+++ b/packages/system/platform_cluster.h
@@ -66,9 +66,12 @@
     PlatformCluster &operator=(const PlatformCluster &) = delete;
 
     // Publishes a configuration with a route of keyed requests that must not run twice (/v/) and
-    // one of keyed requests that may (/r/).
+    // one of keyed requests that may (/r/), and one of the latter that only this version has.
     void publish(int version);
 
+    // Returns the path prefix of the route that only this version has.
+    static std::string versionPrefix(int version);
+
     void startProcess(PlatformHost &host) const;
 
     // Ends the upstream of a host without a word.
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -39,6 +39,20 @@
         return status;
     }
 
+    // Says whether a host knows a route with this prefix.
+    bool hasRoute(const PlatformHost &host, const std::string &prefix)
+    {
+        HttpClient client(host.callers);
+        const HttpExchange exchange =
+                client.send(makeCallerRequest({.id = "probe-" + std::to_string(++this->lastRequest),
+                                               .isIdempotent = true,
+                                               .prefix = prefix}),
+                            2s);
+        constexpr int statusNotFound = 404;
+        return exchange.result == ExchangeResult::Answered
+               && exchange.answer.status != statusNotFound;
+    }
+
     // Sends requests until each key was answered, and returns how long that took.
     Duration waitUntilServed(const std::vector<const PlatformHost *> &entries, Duration longest)
     {
@@ -155,6 +169,33 @@
     caller.checkPromises();
 }
 
+// Guards against the incident of the second grown site: a waiting read whose answer never came kept
+// every host on the former configuration for 21.5 s, as no host was left that could tell the
+// others.
+TEST_CASE("a configuration published after a silent outage of the store is soon in force",
+          "[platform]")
+{
+    // The users' bounds: an outage excuses nothing 4 s after its end, a version is in force 2.5 s
+    // after its acknowledgement.
+    constexpr Duration disturbed = 4s;
+    constexpr Duration applied = 2500ms;
+    PlatformCluster cluster;
+    Caller caller(cluster);
+    REQUIRE(caller.waitUntilServed(hostsOf(cluster, {0, 1, 2, 3}), 20s) < 20s);
+    cluster.store.setFault(StoreFault::Unanswered);
+    std::this_thread::sleep_for(3s);
+    cluster.store.setFault(StoreFault::None);
+    const Time restored = readBootTime();
+    std::this_thread::sleep_for(disturbed - applied);
+    cluster.publish(2);
+    std::this_thread::sleep_for(restored + disturbed - readBootTime());
+    for (const PlatformHost &host : cluster.hosts()) {
+        INFO(host.node);
+        CHECK(caller.hasRoute(host, PlatformCluster::versionPrefix(2)));
+    }
+    caller.checkPromises();
+}
+
 TEST_CASE("a process that is told to stop hands its keys over and exits", "[platform]")
 {
     PlatformCluster cluster;
