store_follower: a read that goes unanswered is noticed before callers can tell

Cause: every host reads the configuration with a call that waits 20 s for a new record and is given up after 21.5 s. Such a call is not answered after the outage either. All hosts wait alike, so none is left that could tell the others, and nothing else calls the store meanwhile.

Evidence: all 29 hosts log 'store lost topic=configuration' with 'no complete answer in time' at second 24.6, 21.5 s after their last answer; versions 10 to 39 are read 0.2 s later.

Change: the hosts that pass records on wait 1.2 s for a configuration, so they notice the silence 2.4 s after it begins. A topic whose last call failed is read without waiting until the store answers. The first failure makes the process check its other waiting reads as well, which had the same fault (hosts and key tables). A read that the process itself gave up no longer counts as an answer, and a failed topic is read again also where others wait for it.

Why it works: one of these hosts has the version at most one short read after the store's return, and the others hear of it with the next gossip, 0.4 s later. The price is about 50 calls a minute on each of the three hosts.

--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -136,8 +136,7 @@
 wire::Known Stage::known() const
 {
     wire::Known known = this->view.known();
-    known.set_reads_store(!this->follower.isLost(platform::StoreTopic::Hosts)
-                          && !this->follower.isLost(platform::StoreTopic::Tables));
+    known.set_reads_store(!this->follower.isLost());
     return known;
 }
 
--- a/packages/stage/store_follower.cpp
+++ b/packages/stage/store_follower.cpp
@@ -50,9 +50,10 @@
     }
 }
 
-bool StoreFollower::isLost(StoreTopic topic) const
+bool StoreFollower::isLost() const
 {
-    return this->cursors[static_cast<std::size_t>(topic)].isLost;
+    return std::any_of(this->cursors.begin(), this->cursors.end(),
+                       [](const Cursor &current) { return current.isLost; });
 }
 
 Duration StoreFollower::answerAge(StoreTopic topic, Time now) const
@@ -66,22 +67,27 @@
     this->hooks.freshRead(topic);
     Duration retry = this->settings.retryAfter;
     while (true) {
-        Cursor &current = this->cursor(topic);
-        const bool waits = this->mayWait(topic);
-        if (!waits && !current.isDue && readBootTime() - current.readAt < this->settings.idleRead) {
+        if (!this->isReadDue(topic)) {
             sleepFor(this->thread.io(), this->settings.idleLook);
             continue;
         }
-        current.isDue = false;
-        current.readAt = readBootTime();
-        const absl::Status status =
-                this->readMore(topic, waits ? this->settings.wait : Duration::zero());
+        const Time started = readBootTime();
+        const Duration wait = this->waitOf(topic);
+        this->cursor(topic).isDue = false;
+        this->cursor(topic).readAt = started;
+        const absl::Status status = this->readMore(topic, wait);
+        if (absl::IsCancelled(status)) {
+            continue; // by a nudge
+        }
         this->noteResult(topic, status);
         if (status.ok()) {
             retry = this->settings.retryAfter;
             continue;
         }
-        sleepFor(this->thread.io(), retry);
+        const Duration pause = retry - (readBootTime() - started);
+        if (pause > Duration::zero()) {
+            sleepFor(this->thread.io(), pause);
+        }
         retry = std::min(2 * retry, this->settings.longestRetry);
     }
 }
@@ -104,9 +110,25 @@
 
 // Each host waits for the configuration itself: it is long, changes seldom and must be in force
 // everywhere within seconds.
-bool StoreFollower::mayWait(StoreTopic topic) const
+bool StoreFollower::isReadDue(StoreTopic topic)
 {
-    return topic == StoreTopic::Configuration || this->hooks.isRelay();
+    const Cursor &current = this->cursor(topic);
+    return topic == StoreTopic::Configuration || this->hooks.isRelay() || current.isDue
+           || current.isLost || readBootTime() - current.readAt >= this->settings.idleRead;
+}
+
+// A read that does not wait shows soon whether the store answers.
+Duration StoreFollower::waitOf(StoreTopic topic)
+{
+    const Cursor &current = this->cursor(topic);
+    const bool isRelay = this->hooks.isRelay();
+    if (current.isDue || current.isLost) {
+        return Duration::zero();
+    }
+    if (topic == StoreTopic::Configuration) {
+        return isRelay ? this->settings.relayWait : this->settings.wait;
+    }
+    return isRelay ? this->settings.wait : Duration::zero();
 }
 
 absl::Status StoreFollower::readMore(StoreTopic topic, Duration wait)
@@ -117,7 +139,7 @@
     const auto batch = this->store.readFrom(topic, current.end, wait, handle);
     current.waiting = nullptr;
     if (!batch.ok()) {
-        return handle->isCancelled() ? absl::OkStatus() : batch.status();
+        return handle->isCancelled() ? absl::CancelledError() : batch.status();
     }
     if (batch->hasExpired) {
         logInfo(LogPart::Log, "records expired before they were read",
@@ -185,10 +207,21 @@
                    {{"topic", name},
                     {"ageMs", ageMs},
                     {"reason", std::string(toStd(status.message()))}});
+        this->checkOtherTopics(topic);
     } else {
         logInfo(LogPart::Log, "store regained",
                 {{"topic", name}, {"ageMs", ageMs}, {"end", std::to_string(current.end)}});
     }
 }
 
+// Their waiting reads may have gone unanswered as well.
+void StoreFollower::checkOtherTopics(StoreTopic lost)
+{
+    for (const auto &entry : storeTopicNames.entries) {
+        if (entry.value != lost && this->cursor(entry.value).waiting) {
+            this->nudge(entry.value);
+        }
+    }
+}
+
 } // namespace kumquat
--- a/packages/stage/store_follower.h
+++ b/packages/stage/store_follower.h
@@ -16,7 +16,10 @@
 
 struct FollowerSettings
 {
-    Duration wait = 20s;    // of one read for new records; the store allows 30 s
+    Duration wait = 20s; // of one read for new records; the store allows 30 s
+    // The same for the configuration at hosts that pass it on. A read that went unanswered is given
+    // up soon after, so that news are everywhere 4 s after an outage, the users' bound.
+    Duration relayWait = 1200ms;
     Duration pause = 150ms; // after new records, so that those of many hosts come together
     Duration retryAfter = 250ms;
     Duration idleRead = 30s;    // between two reads of a topic that others wait for
@@ -28,7 +31,7 @@
 {
     // A topic was read up to an end that was asked for after the start.
     std::function<void(platform::StoreTopic topic)> freshRead;
-    // This process waits for records of hosts and tables, in place of others.
+    // This process waits for records in place of others.
     std::function<bool()> isRelay;
 };
 
@@ -46,8 +49,8 @@
     // may have gone silent.
     void nudge(platform::StoreTopic topic);
 
-    // Says whether the last call of the topic failed.
-    bool isLost(platform::StoreTopic topic) const;
+    // Says whether the last call of any topic failed.
+    bool isLost() const;
 
     // Returns how long ago the store last answered a read of the topic, or how long ago this
     // process started.
@@ -68,10 +71,12 @@
     Cursor &cursor(platform::StoreTopic topic);
     void follow(platform::StoreTopic topic);
     void readNewest(platform::StoreTopic topic);
-    bool mayWait(platform::StoreTopic topic) const;
+    bool isReadDue(platform::StoreTopic topic);
+    Duration waitOf(platform::StoreTopic topic);
     absl::Status readMore(platform::StoreTopic topic, Duration wait);
     void apply(platform::StoreTopic topic, const platform::StoreBatch &batch);
     void noteResult(platform::StoreTopic topic, const absl::Status &status);
+    void checkOtherTopics(platform::StoreTopic lost);
 
     FiberThread &thread;
     platform::StoreClient &store;
