executor: a connection ends with a refusal

Callers would see: 'not run, try again' (503) for a request that the upstream runs, or a request that must not run twice sent to a second upstream. Reported by operators of other systems; it could happen here.

Cause: a faulty upstream writes an earlier refusal once more on a kept connection, in place of its answer to the next request. The client skips answers with the id of another request, but a refusal may name none, and the same request may have been refused on that connection before.

Evidence: with a scripted upstream the second request ended as 'rejected' (not run) while the upstream ran it, for a refusal without an id and for one with the id of the request that is sent again; one with another id was skipped.

Change: a connection that brought a refusal is not used again. Then a refusal that is written once more finds no request that it could be taken for. It costs a connection for each refusal, 1 ms at these upstreams.

--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -200,7 +200,8 @@
         }
         stream.expireNever();
         connection.keepAlive = keepAliveTime(parser.message);
-        mayKeep = parser.keep_alive() && stream.buffered() == 0 && skipped == 0;
+        mayKeep = parser.keep_alive() && stream.buffered() == 0 && skipped == 0
+                  && (!options.keepsConnection || options.keepsConnection(parser.message));
         std::erase_if(parser.message.fields,
                       [](const HttpField &field) { return isConnectionField(field.name); });
         return std::move(parser.message);
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -56,6 +56,9 @@
     // an earlier request on the connection and is skipped. Not set: every answer does.
     std::function<bool(const HttpResponse &)> belongs;
 
+    // Says whether the connection may carry another call after this answer. Not set: it may.
+    std::function<bool(const HttpResponse &)> keepsConnection;
+
     Duration maxIdle = Duration::max(); // connections that were idle for longer are not used
     bool mayEndWithConnection = false;  // takes an answer without length that ends by a clean close
     std::shared_ptr<HttpCallHandle> handle; // not set: the call can't be cancelled
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -226,6 +226,13 @@
                     [&execute, &life](const HttpResponse &response) {
                         return platform::judgeUpstreamAnswer(response, execute.id(), life).isOwn;
                     },
+            // An upstream may write a refusal once more, in place of its answer to the next
+            // request.
+            .keepsConnection =
+                    [&execute, &life](const HttpResponse &response) {
+                        return !platform::judgeUpstreamAnswer(response, execute.id(), life)
+                                        .wasNotRun;
+                    },
             .maxIdle = run.isIdempotent ? Duration::max() : freshIdle,
             .mayEndWithConnection = true,
             .handle = run.call};
