key_owner: an answer that is written twice does not stand for the next order

Callers would see: two upstreams that run requests on one key.

Cause: answers to grants and releases carry no id, and orders shared kept connections. An extra answer to an earlier order was taken for that of the next one: a release counted as done while work ran on its keys, or with the handover of other keys; a grant counted as refused while it bound.

Evidence: with a scripted upstream a release ended with the answer of the grant before it, a release with the handover of the one before, and an accepted grant with the 409 of the one before.

Change: a release gets a connection of its own, and a grant's connection is kept only after an accepted one. An extra 'accepted' makes the holder assume too much, never too little, so renewals keep their connections.

Test: test_stage 'an answer that is written again is not taken for the next order's' failed before in all three cases.

--- a/packages/stage/key_owner.cpp
+++ b/packages/stage/key_owner.cpp
@@ -16,6 +16,8 @@
 constexpr Duration askLimit = 500ms;
 constexpr HttpClientLimits orderLimits{.maxIdle = 4, .connectLimit = 400ms};
 
+constexpr int statusOk = 200;
+
 std::string spanText(const KeySpan &span)
 {
     return std::to_string(span.first) + "-" + std::to_string(span.last);
@@ -23,6 +25,23 @@
 
 } // namespace
 
+HttpCallOptions orderOptions(HoldOrderKind kind, std::shared_ptr<HttpCallHandle> handle)
+{
+    const bool isGrant = kind == HoldOrderKind::Grant;
+    HttpCallOptions options{.limit = isGrant ? grantLimit : releaseLimit,
+                            .handle = std::move(handle)};
+    if (isGrant) {
+        // An accepted grant that is answered twice makes the holder assume too much, which is safe.
+        options.keepsConnection = [](const HttpResponse &response) {
+            return platform::judgeGrant(response.status) == GrantEnd::Accepted;
+        };
+    } else {
+        options.maxIdle = Duration::zero();
+        options.keepsConnection = [](const HttpResponse &) { return false; };
+    }
+    return options;
+}
+
 KeyOwner::KeyOwner(FiberThread &ownerThread, const std::string &ownNode,
                    const std::string &ownService, const Address &upstream, Duration longestHold,
                    ClusterView &clusterView, LinkPool &linkPool, UpstreamMonitor &upstreamMonitor,
@@ -265,9 +284,8 @@
     const bool isGrant = order.kind == HoldOrderKind::Grant;
     const UpstreamLife life = this->monitor.life();
     const auto handle = std::make_shared<HttpCallHandle>();
-    const auto answer = this->upstreamOrders.call(
-            platform::encodeOrder(order),
-            HttpCallOptions{.limit = isGrant ? grantLimit : releaseLimit, .handle = handle});
+    const auto answer = this->upstreamOrders.call(platform::encodeOrder(order),
+                                                  orderOptions(order.kind, handle));
     const Time now = readBootTime();
     const int status = answer.ok() ? answer->status : 0;
     if (handle->wasRefused()) {
@@ -295,7 +313,6 @@
         this->holder.noteGrant(order.number,
                                neverSent ? GrantEnd::Refused : platform::judgeGrant(status), now);
     } else {
-        constexpr int statusOk = 200;
         this->holder.noteRelease(order.number, status == statusOk,
                                  answer.ok() ? platform::handoverOf(*answer) : "", now);
     }
--- a/packages/stage/key_owner.h
+++ b/packages/stage/key_owner.h
@@ -1,7 +1,7 @@
 // Holds keys for the upstream beside this process: renews the session's lease with its voters,
 // collects proofs that former owners have stopped, and sends grants and releases.
 //
-// Sections: hooks, KeyOwner.
+// Sections: hooks, orders, KeyOwner.
 #pragma once
 
 #include "keyspace/lease.h"
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace kumquat {
@@ -28,6 +29,12 @@
     std::function<bool(const wire::ReleaseQuery &query)> ownVoterReleased;
 };
 
+// ---- Orders ----
+
+// Returns how an order is sent. Answers to orders carry no id, so one that the upstream writes
+// twice could stand for the next order on its connection.
+HttpCallOptions orderOptions(HoldOrderKind kind, std::shared_ptr<HttpCallHandle> handle);
+
 // ---- KeyOwner ----
 
 // Used on one thread.
--- a/packages/stage/tests/test_executor.cpp
+++ b/packages/stage/tests/test_executor.cpp
@@ -1,6 +1,8 @@
-// Requests at an upstream that breaks the protocol: what the process says of them must be true.
+// Requests and orders at an upstream that breaks the protocol: what the process believes must be
+// true.
 #include "net/tests/faulty_server.h"
 #include "stage/executor.h"
+#include "stage/key_owner.h"
 
 #include <catch2/catch.hpp>
 
@@ -63,6 +65,25 @@
     std::uint64_t calls = 0;
 };
 
+// Sends one order after the other to the upstream and returns the answers.
+std::vector<absl::StatusOr<HttpResponse>> sendOrders(const Address &upstream,
+                                                     const std::vector<HoldOrderKind> &kinds)
+{
+    FiberThread thread("orders-test");
+    HttpClient client(thread.io(), upstream, {});
+    thread.start();
+    std::vector<absl::StatusOr<HttpResponse>> answers;
+    for (const HoldOrderKind kind : kinds) {
+        const auto promise = std::make_shared<std::promise<absl::StatusOr<HttpResponse>>>();
+        thread.spawn([&client, promise, kind] {
+            promise->set_value(client.call({}, orderOptions(kind, nullptr)));
+        });
+        answers.push_back(promise->get_future().get());
+    }
+    thread.stop();
+    return answers;
+}
+
 std::string answerTo(const std::string &id)
 {
     return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Server-Seal: s\r\n"
@@ -95,4 +116,40 @@
     }
 }
 
+// Guards against an answer to an order that the upstream writes once more: keys would count as
+// released while work runs on them, or as not held while they are.
+TEST_CASE("an answer that is written again is not taken for the next order's", "[key_owner]")
+{
+    const std::string end = "Content-Length: 0\r\n\r\n";
+    const std::string accepted = "HTTP/1.1 200 OK\r\n" + end;
+    const std::string fenced = "HTTP/1.1 409 Conflict\r\n" + end;
+    const std::string released = "HTTP/1.1 200 OK\r\nX-Duty-Handover: new\r\n" + end;
+    const std::string formerRelease = "HTTP/1.1 200 OK\r\nX-Duty-Handover: old\r\n" + end;
+    struct Case
+    {
+        std::vector<HoldOrderKind> orders;
+        std::string first;
+        std::string second;
+    };
+    const auto grant = HoldOrderKind::Grant;
+    const auto release = HoldOrderKind::Release;
+    for (const Case &each : std::vector<Case>{{{grant, release}, accepted, released},
+                                              {{release, release}, formerRelease, released},
+                                              {{grant, grant}, fenced, accepted}}) {
+        std::atomic<int> orders{0};
+        FaultyServer upstream([&](FaultyServer::Socket &socket, int order) {
+            if (++orders == 1) {
+                return writeAll(socket, each.first);
+            }
+            return writeAll(socket, order > 1 ? each.first + each.second : each.second);
+        });
+        const auto answers = sendOrders(upstream.address(), each.orders);
+        REQUIRE(answers.back().ok());
+        INFO(each.first);
+        CHECK(answers.back()->status == 200);
+        const bool isRelease = each.orders.back() == release;
+        CHECK(answers.back()->field("X-Duty-Handover") == (isRelease ? "new" : ""));
+    }
+}
+
 } // namespace kumquat
