kumquatstage: signals are taken from the start of the program on

Cause: SIGTERM, SIGINT and SIGHUP were blocked, for the thread that waits for them, only after the settings were read and the sockets bound. Until then each of them ends the process at once; SIGHUP as well, which only says that the settings have changed.

Evidence: a process whose settings come from a pipe, told to stop before they do, ended with 143.

Change: main blocks the signals before anything else; what came meanwhile is taken when the process is ready. The five places that block signals share one function.

--- a/packages/node/main.cpp
+++ b/packages/node/main.cpp
@@ -1,5 +1,6 @@
 // The binary kumquatstage: reads the command line and the settings and runs the process.
 #include "base/log.h"
+#include "base/signals.h"
 #include "base/text.h"
 #include "node/process.h"
 #include "platform/names.h"
@@ -108,6 +109,8 @@
 
 int main(int argc, char **argv)
 {
+    // First of all: a signal that comes while the process starts must not end it.
+    kumquat::blockSignals({SIGTERM, SIGINT, SIGHUP});
     std::map<std::string, docopt::value> options;
     try {
         options = docopt::docopt_parse(usageText, {argv + 1, argv + argc}, true, true);
--- a/packages/node/process.cpp
+++ b/packages/node/process.cpp
@@ -2,6 +2,7 @@
 #include "node/process.h"
 
 #include "base/log.h"
+#include "base/signals.h"
 #include "base/text.h"
 
 #include <absl/strings/str_cat.h>
@@ -22,15 +23,6 @@
 // the longest rule timeout bounds how long such a forward can be under way.
 constexpr Duration lateForwardTime = 1s;
 
-sigset_t stopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
-
 // One connection to and from each of 550 processes and 130 to the upstream exceed the usual soft
 // limit of 1,024 open files.
 void raiseOpenFileLimit()
@@ -78,8 +70,7 @@
 {
     raiseOpenFileLimit();
     // Signals are taken by run() alone; threads inherit the mask.
-    const sigset_t signals = stopSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    blockSignals({SIGTERM, SIGINT});
     this->mesh = std::make_unique<Mesh>(this->control,
                                         MeshHooks{.receive = [this](wire::MeshMessage &&message) {
                                             if (!this->faults.drops(message)) {
@@ -278,7 +269,7 @@
 void Process::waitForSignal()
 {
     std::thread([this] {
-        const sigset_t signals = stopSignals();
+        const sigset_t signals = blockSignals({SIGTERM, SIGINT});
         int signal = 0;
         sigwait(&signals, &signal);
         this->startDrain();
--- a/packages/path_bench/bench_path.cpp
+++ b/packages/path_bench/bench_path.cpp
@@ -1,5 +1,6 @@
 // Benchmark of the path of requests and of idle processes.
 #include "base/log.h"
+#include "base/signals.h"
 #include "base/text.h"
 #include "path_bench/idle.h"
 #include "path_bench/path.h"
@@ -158,11 +159,7 @@
 // blocked in all threads, and the started programs take them by sigwait themselves.
 void endChildrenOnSignal()
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const sigset_t signals = blockSignals({SIGTERM, SIGINT});
     std::thread([signals] {
         int received = 0;
         sigwait(&signals, &received);
--- a/packages/path_bench/upstream.cpp
+++ b/packages/path_bench/upstream.cpp
@@ -1,6 +1,7 @@
 #include "path_bench/upstream.h"
 
 #include "base/log.h"
+#include "base/signals.h"
 #include "base/text.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -71,11 +72,7 @@
 
 absl::Status serveUpstream(const BenchUpstreamOptions &options)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const sigset_t signals = blockSignals({SIGTERM, SIGINT});
     const auto receivers = readReceivers(options.announceFile);
     if (!receivers.ok()) {
         return receivers.status();
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -3,6 +3,7 @@
 
 #include "base/durations.h"
 #include "base/log.h"
+#include "base/signals.h"
 #include "base/text.h"
 #include "platform/upstream.h"
 #include "stage/upstream_limits.h"
@@ -10,7 +11,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
-#include <pthread.h>
 #include <random>
 
 namespace kumquat {
@@ -37,16 +37,6 @@
     return static_cast<std::uint64_t>(device()) << halfBits | device();
 }
 
-sigset_t handledSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
-        sigaddset(&signals, number);
-    }
-    return signals;
-}
-
 IngressSettings ingressSettings(const StageSettings &settings)
 {
     // The budget is shared by all processes without talk: each takes half of what is allowed for
@@ -217,8 +207,7 @@
 
 void Stage::run()
 {
-    const sigset_t signals = handledSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const sigset_t signals = blockSignals({SIGTERM, SIGINT, SIGHUP});
     std::signal(SIGPIPE, SIG_IGN);
     logInfo(LogPart::Main, "started",
             {{"node", this->settings.node},
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -6,7 +6,10 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <fcntl.h>
 #include <set>
+#include <sys/stat.h>
+#include <unistd.h>
 
 using namespace kumquat;
 
@@ -210,3 +213,30 @@
     CHECK(caller.waitUntilServed(hostsOf(cluster, {0, 1, 2, 3}), 10s) < 10s);
     caller.checkPromises();
 }
+
+// Found by a soak: a process that was told to stop while it was still starting died of the signal,
+// as if it had been killed.
+TEST_CASE("a process that is told to stop while it starts ends gracefully", "[platform]")
+{
+    PlatformCluster cluster({.hosts = 1});
+    PlatformHost &host = cluster.host(0);
+    host.process->kill();
+    // The process waits here for its settings, so it has started and is not ready yet.
+    const std::string settings = readFile(host.settingsPath);
+    const std::string pipe = "platform-settings-pipe";
+    unlink(pipe.c_str());
+    REQUIRE(mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR) == 0);
+    host.settingsPath = pipe;
+    cluster.startProcess(host);
+    int descriptor = -1;
+    for (int attempt = 0; attempt < 1000 && descriptor < 0; ++attempt) {
+        descriptor = open(pipe.c_str(), O_WRONLY | O_NONBLOCK); // fails until it is being read
+        std::this_thread::sleep_for(5ms);
+    }
+    REQUIRE(descriptor >= 0);
+    host.process->signal(SIGTERM);
+    const auto written = write(descriptor, settings.data(), settings.size());
+    close(descriptor);
+    CHECK(written == static_cast<ssize_t>(settings.size()));
+    CHECK(host.process->waitForExit(7s) == 0);
+}
