system: programs that run side by side take ports from blocks of their own

A soak beside three others ended with 'Address already in use': a port that one had set aside for the next life of an upstream was taken by another. A program holds the first port of a block of 300 until it ends and takes its ports from that block.

--- a/packages/system/child.cpp
+++ b/packages/system/child.cpp
@@ -22,33 +22,54 @@
 
 constexpr int firstPort = 20'000;
 constexpr int lastPort = 32'000;
+constexpr int blockPorts = 300; // a system of six hosts takes 60
 constexpr int fileMode = 0644;
 constexpr int signalStatusBase = 128;
 constexpr Duration pollInterval = 5ms;
 
-bool isFree(int port)
+// Returns a socket that is bound to the port, or -1.
+int bindPort(int port)
 {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const bool isBound =
-            bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0) {
+        return descriptor;
+    }
     close(descriptor);
-    return isBound;
+    return -1;
+}
+
+// Returns the first port of a block that no other program has. Its socket stays open until the
+// program ends, so that programs that run side by side do not take each other's ports while a
+// server is restarted.
+int claimBlock()
+{
+    constexpr int blocks = (lastPort - firstPort) / blockPorts;
+    const auto first = static_cast<int>(std::random_device{}() % static_cast<unsigned>(blocks));
+    for (int i = 0; i < blocks; ++i) {
+        const int port = firstPort + (first + i) % blocks * blockPorts;
+        if (bindPort(port) >= 0) {
+            return port;
+        }
+    }
+    assert(false && "more programs run side by side than there are blocks of ports");
+    return firstPort;
 }
 
 } // namespace
 
 std::uint16_t findFreePort()
 {
-    static int next = firstPort
-                      + static_cast<int>(std::random_device{}()
-                                         % static_cast<unsigned>(lastPort - firstPort));
+    static const int block = claimBlock();
+    static int next = block;
     while (true) {
-        next = next >= lastPort ? firstPort : next + 1;
-        if (isFree(next)) {
+        next = next + 1 < block + blockPorts ? next + 1 : block + 1;
+        const int descriptor = bindPort(next);
+        if (descriptor >= 0) {
+            close(descriptor);
             return static_cast<std::uint16_t>(next);
         }
     }
