soak: unanswered calls, stalled connections, and whether a configuration is in force

After the last fault the store leaves all waiting reads unanswered for 1 s, a version is published, and each host is asked for its route within the users' bounds. New faults: a store that leaves calls unanswered, links whose open connections stall for good. The summary tells how late faults were played. Seeds that failed earlier keep the plans that they had.

--- a/packages/soak/soak_main.cpp
+++ b/packages/soak/soak_main.cpp
@@ -40,8 +40,9 @@
     for (const auto &[end, count] : report.ends) {
         std::cout << ", " << count << " " << kumquat::soakEndNames.nameOf(end);
     }
-    std::cout << ", served again after " << kumquat::toMilliseconds(report.recovery) << " ms, "
-              << report.findings.size() << " findings\n";
+    std::cout << ", served again after " << kumquat::toMilliseconds(report.recovery)
+              << " ms, faults at most " << kumquat::toMilliseconds(report.latestAction)
+              << " ms late, " << report.findings.size() << " findings\n";
     if (!report.findings.empty()) {
         for (const kumquat::SoakEvent &event : report.events) {
             std::cout << "  fault: " << event.text() << "\n";
@@ -63,7 +64,8 @@
         std::istringstream fields(line);
         std::uint64_t seed = 0;
         long seconds = 0;
-        if (fields >> seed >> seconds >> settings.hosts) {
+        if (fields >> seed >> seconds >> settings.hosts >> settings.faultKinds
+            >> settings.linkKinds) {
             settings.length = std::chrono::seconds(seconds);
             holds = runSeed(seed, settings) && holds;
         }
--- a/packages/soak/soak_plan.cpp
+++ b/packages/soak/soak_plan.cpp
@@ -3,7 +3,6 @@
 #include "base/durations.h"
 
 #include <algorithm>
-#include <array>
 #include <random>
 
 namespace kumquat {
@@ -93,10 +92,7 @@
             event.length += leaveTime;
         }
         if (subjectOf(event.fault) >= Subject::StoreLink) {
-            constexpr std::array faults{LinkFault::Delayed, LinkFault::Reset,
-                                        LinkFault::SilentThere, LinkFault::SilentBack,
-                                        LinkFault::SilentBothWays};
-            event.link = {.fault = faults[this->random() % faults.size()],
+            event.link = {.fault = soakLinkFaults[this->random() % this->settings.linkKinds],
                           .delay = this->between(20ms, 600ms)};
         }
         return event;
@@ -109,7 +105,7 @@
         }
         while (true) {
             const auto &entries = soakFaultNames.entries;
-            const SoakFault fault = entries[this->random() % entries.size()].value;
+            const SoakFault fault = entries[this->random() % this->settings.faultKinds].value;
             if (fault != SoakFault::KillAllProcesses) {
                 return fault;
             }
--- a/packages/soak/soak_plan.h
+++ b/packages/soak/soak_plan.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "standins/fault_proxy.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -33,10 +34,11 @@
     StoreLink,         // between a process and the store
     UpstreamLink,      // between a process and its upstream
     ProcessLink,       // from the other processes to one
-    Publish            // a new version of the configuration
+    Publish,           // a new version of the configuration
+    StoreUnanswered    // leaves calls unanswered for good, connections stay open
 };
 
-inline constexpr NameTable<SoakFault, 15> soakFaultNames{
+inline constexpr NameTable<SoakFault, 16> soakFaultNames{
         {{{SoakFault::PauseProcess, "pause-process"},
           {SoakFault::KillProcess, "kill-process"},
           {SoakFault::StopProcess, "stop-process"},
@@ -51,7 +53,13 @@
           {SoakFault::StoreLink, "store-link"},
           {SoakFault::UpstreamLink, "upstream-link"},
           {SoakFault::ProcessLink, "process-link"},
-          {SoakFault::Publish, "publish"}}}};
+          {SoakFault::Publish, "publish"},
+          {SoakFault::StoreUnanswered, "store-unanswered"}}}};
+
+// Faults of links that a plan draws from.
+inline constexpr std::array soakLinkFaults{LinkFault::Delayed,        LinkFault::Reset,
+                                           LinkFault::SilentThere,    LinkFault::SilentBack,
+                                           LinkFault::SilentBothWays, LinkFault::Stalled};
 
 // ---- Events ----
 
@@ -76,6 +84,10 @@
     Duration shortest = 200ms; // length of a fault: a lease is 1.6 s, a session ends after 2 s
     Duration longest = 4s;
     double killAllShare = 0.02; // of all faults
+    // Of soakFaultNames and soakLinkFaults; fewer give the plans of seeds that failed before the
+    // later ones were added.
+    std::size_t faultKinds = soakFaultNames.entries.size();
+    std::size_t linkKinds = soakLinkFaults.size();
 };
 
 // ---- planSoak ----
--- a/packages/soak/soak_run.cpp
+++ b/packages/soak/soak_run.cpp
@@ -2,6 +2,7 @@
 #include "soak/soak_run.h"
 
 #include "base/durations.h"
+#include "standins/platform_caller.h"
 
 #include <algorithm>
 #include <csignal>
@@ -43,7 +44,9 @@
         }
         this->report.events = planSoak(this->settings.seed,
                                        {.length = this->settings.length,
-                                        .hosts = static_cast<std::size_t>(this->settings.hosts)});
+                                        .hosts = static_cast<std::size_t>(this->settings.hosts),
+                                        .faultKinds = this->settings.faultKinds,
+                                        .linkKinds = this->settings.linkKinds});
         this->callers.start();
         this->started = readBootTime();
         this->playEvents();
@@ -53,6 +56,7 @@
                        + inMilliseconds(this->settings.recoverWithin) + " of the last fault");
         }
         this->report.recovery = readBootTime() - calm;
+        this->checkConfiguration();
         this->callers.stop();
         this->checkRequests();
         this->checkProcesses();
@@ -83,6 +87,7 @@
         for (const Action &action : actions) {
             const Duration wait = this->started + action.at - readBootTime();
             std::this_thread::sleep_for(std::max(wait, Duration::zero()));
+            this->report.latestAction = std::max(this->report.latestAction, -wait);
             this->checkHolds();
             if (action.isStart) {
                 this->begin(*action.event);
@@ -153,6 +158,8 @@
             return StoreFault::Slow;
         case SoakFault::StoreLosesAnswers:
             return StoreFault::LostAnswers;
+        case SoakFault::StoreUnanswered:
+            return StoreFault::Unanswered;
         default:
             return StoreFault::None;
         }
@@ -227,6 +234,33 @@
 
     // ---- Checks ----
 
+    // Leaves all reads of the store that wait unanswered, publishes a version soon after and asks
+    // every host for its route.
+    void checkConfiguration()
+    {
+        this->cluster.store.setFault(StoreFault::Unanswered);
+        std::this_thread::sleep_for(this->settings.silence);
+        this->cluster.store.setFault(StoreFault::None);
+        const Time publish = readBootTime() + this->settings.calmAfter - this->settings.applyWithin;
+        std::this_thread::sleep_for(publish - readBootTime());
+        this->cluster.publish(++this->version);
+        std::this_thread::sleep_for(publish + this->settings.applyWithin - readBootTime());
+        for (const PlatformHost &host : this->cluster.hosts()) {
+            const std::string id = "probe-" + std::to_string(++this->lastProbe);
+            const std::string prefix = PlatformCluster::versionPrefix(this->version);
+            HttpClient client(host.callers);
+            const HttpExchange exchange = client.send(
+                    makeCallerRequest({.id = id, .isIdempotent = true, .prefix = prefix}), 2s);
+            constexpr int statusNotFound = 404;
+            if (exchange.result != ExchangeResult::Answered
+                || exchange.answer.status == statusNotFound) {
+                this->find(host.node + " does not have version " + std::to_string(this->version)
+                           + " of the configuration " + inMilliseconds(readBootTime() - publish)
+                           + " after its acknowledgement");
+            }
+        }
+    }
+
     void checkHolds()
     {
         const std::vector<std::string> conflicts = this->cluster.ledger.conflicts();
--- a/packages/soak/soak_run.h
+++ b/packages/soak/soak_run.h
@@ -29,6 +29,15 @@
     Duration recoverWithin = 15s;
     Duration stopWithin = 6s;      // from SIGTERM to the exit, as in the processes' settings
     Duration drainWithin = 2500ms; // from the acknowledged leaving to the last request, the same
+
+    // From the acknowledgement of a configuration until it is in force on every host, and time
+    // after the last fault from which this holds: the users' bounds.
+    Duration applyWithin = 2500ms;
+    Duration calmAfter = 4s;
+    Duration silence = 1s; // of the store, after which the last version is published
+
+    std::size_t faultKinds = soakFaultNames.entries.size(); // as in SoakPlanSettings
+    std::size_t linkKinds = soakLinkFaults.size();
 };
 
 struct SoakReport
@@ -37,6 +46,7 @@
     std::vector<std::string> findings;
     std::map<SoakEnd, std::size_t> ends; // of all requests
     Duration recovery{};                 // after the last fault
+    Duration latestAction{};             // longest time by which a fault came later than planned
 };
 
 SoakReport runSoak(const SoakSettings &settings);
--- a/packages/standins/fault_proxy.cpp
+++ b/packages/standins/fault_proxy.cpp
@@ -67,6 +67,7 @@
         Tcp::socket caller;
         Tcp::socket target;
         int endedDirections = 0;
+        bool isStalled = false; // passes nothing any more, not even its end
     };
     using PairPtr = std::shared_ptr<Pair>;
 
@@ -89,9 +90,11 @@
                     [self = this->shared_from_this()](const ErrorCode &error, std::size_t count) {
                         if (error) {
                             self->finish(error);
-                            return;
+                        } else if (self->pair->isStalled) {
+                            self->read();
+                        } else {
+                            self->hold(count, self->state->delay());
                         }
-                        self->hold(count, self->state->delay());
                     });
         }
 
@@ -147,6 +150,9 @@
                     this->direction == Direction::There ? this->pair->target : this->pair->caller;
             ErrorCode ignored;
             ++this->pair->endedDirections;
+            if (this->pair->isStalled && this->pair->endedDirections < 2) {
+                return;
+            }
             if (error == asio::error::eof && this->pair->endedDirections < 2) {
                 to.shutdown(Tcp::socket::shutdown_send, ignored);
                 return;
@@ -241,6 +247,11 @@
         if (newCondition.fault == LinkFault::Reset) {
             this->closeAll();
         }
+        if (newCondition.fault == LinkFault::Stalled) {
+            for (const PairPtr &pair : this->pairs) {
+                pair->isStalled = true;
+            }
+        }
     }
 
     void stop()
--- a/packages/standins/fault_proxy.h
+++ b/packages/standins/fault_proxy.h
@@ -26,20 +26,22 @@
 
 enum class LinkFault : std::uint8_t {
     None,
-    Delayed,       // bytes of both directions come later, in order
-    Reset,         // open connections are reset once, new ones work
-    SilentThere,   // bytes towards the target are kept until the fault ends
-    SilentBack,    // the same for bytes from the target
-    SilentBothWays // the same for both, and new connections get no answer
+    Delayed,        // bytes of both directions come later, in order
+    Reset,          // open connections are reset once, new ones work
+    SilentThere,    // bytes towards the target are kept until the fault ends
+    SilentBack,     // the same for bytes from the target
+    SilentBothWays, // the same for both, and new connections get no answer
+    Stalled         // open connections pass nothing any more, for good; new ones work
 };
 
-inline constexpr NameTable<LinkFault, 6> linkFaultNames{
+inline constexpr NameTable<LinkFault, 7> linkFaultNames{
         {{{LinkFault::None, "none"},
           {LinkFault::Delayed, "delayed"},
           {LinkFault::Reset, "reset"},
           {LinkFault::SilentThere, "silent-there"},
           {LinkFault::SilentBack, "silent-back"},
-          {LinkFault::SilentBothWays, "silent-both-ways"}}}};
+          {LinkFault::SilentBothWays, "silent-both-ways"},
+          {LinkFault::Stalled, "stalled"}}}};
 
 struct LinkCondition
 {
