key_owner: grants that a later life of the upstream may have taken are released first

Callers would see: requests on one key at two upstreams (OWNER).

Cause: an order names an address, not a life. An upstream crashed and started again at its address, and the next life took renewals that were meant for the former one. With its first heartbeat the host forgot all grants of the former life, dropped the answers to those under way, and told successors that the life was over, which proves nothing about the grants that its heir has.

Change: at the end of a life its grants become ranges to release; answers that come later still count, and a release of the former life says nothing about the present one. A successor is told 'stopped' when the present life has released the keys or the hold is over, 1.6 s at most.

Why it works: the present life is asked itself. A refused connection still ends a life after 1.7 s, longer than the longest hold.

Test: test_range_holder 'grants that a later life of the upstream may have taken count as held' failed before in both sections.

--- a/packages/keyspace/range_holder.cpp
+++ b/packages/keyspace/range_holder.cpp
@@ -126,14 +126,10 @@
     });
 }
 
-void RangeHolder::noteUpstreamEnded()
+void RangeHolder::noteUpstreamEnded(Time now)
 {
-    this->grants.clear();
-    this->owned.clear();
-    for (Stopping &entry : this->stopping) {
-        entry.isReleased = true;
-        entry.isUnanswered = false;
-        entry.mayHoldUntil = Time::zero();
+    for (const Owned &entry : std::exchange(this->owned, {})) {
+        this->addStopping(entry.range.span, entry.range.fence, entry.mayHoldUntil, now);
     }
 }
 
--- a/packages/keyspace/range_holder.h
+++ b/packages/keyspace/range_holder.h
@@ -103,8 +103,9 @@
     // Takes the time until which grants may last.
     void setLease(Time until) { this->leaseUntil = until; }
 
-    // Notes that the upstream's life is over: it holds nothing any more.
-    void noteUpstreamEnded();
+    // Notes that the upstream's life is over. A later life at the same address may have taken
+    // grants that were meant for it, so they count until that life has released them.
+    void noteUpstreamEnded(Time now);
 
     void noteGrant(std::uint64_t number, GrantEnd end, Time now);
     void noteRelease(std::uint64_t number, bool isAnswered, const std::string &handover, Time now);
--- a/packages/keyspace/tests/test_range_holder.cpp
+++ b/packages/keyspace/tests/test_range_holder.cpp
@@ -200,4 +200,38 @@
     CHECK(holder.access(7, 1511ms) == KeyAccess::Pending);
 }
 
+// Found by soak seed 2007: an upstream crashed and its next life, at the same address, took
+// renewals that were meant for the former one. Its host said that the former life was over, so the
+// keys went to a second upstream while the next life held them.
+TEST_CASE("grants that a later life of the upstream may have taken count as held", "[range_holder]")
+{
+    RangeHolder holder = makeHolder();
+    const HoldOrder grant = grantLowKeys(holder, 1s);
+    Time ended{};
+    SECTION("answered before its first heartbeat")
+    {
+        holder.noteGrant(grant.number, GrantEnd::Accepted, 1010ms);
+        ended = 1020ms;
+        holder.noteUpstreamEnded(ended);
+    }
+    SECTION("answered after its first heartbeat")
+    {
+        ended = 1005ms;
+        holder.noteUpstreamEnded(ended);
+        CHECK_FALSE(holder.answerStop(lowKeys, 1, ended).stopped);
+        holder.noteGrant(grant.number, GrantEnd::Accepted, 1010ms);
+    }
+    holder.assign(makeTable(ownSession, 1), 0, ended);
+    const Time now = ended + 10ms;
+    CHECK_FALSE(holder.answerStop(lowKeys, 1, now).stopped);
+    CHECK_FALSE(holder.holdsNothing(now));
+    const std::vector<HoldOrder> orders = holder.takeOrders(now);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].kind == HoldOrderKind::Release);
+    CHECK(orders[0].span == lowKeys);
+    holder.noteRelease(orders[0].number, true, "", now + 5ms);
+    CHECK(holder.answerStop(lowKeys, 1, now + 5ms).stopped);
+    CHECK(holder.holdsNothing(now + 5ms));
+}
+
 } // namespace kumquat
--- a/packages/stage/key_owner.cpp
+++ b/packages/stage/key_owner.cpp
@@ -83,7 +83,7 @@
     }
     this->givenUp = hasEnded ? this->ownSession : this->givenUp;
     if (!sameLife) {
-        this->holder.noteUpstreamEnded();
+        this->holder.noteUpstreamEnded(now);
         this->followedLife = this->monitor.life();
     }
     this->followedEnd = table->end;
@@ -255,11 +255,13 @@
         return reply; // not read yet: the holder may still renew
     }
     const KeySession *session = table->session(query.session());
-    if (session == nullptr || session->stopped || session->life != this->monitor.life()) {
-        // Of a life that is over. Without a known life an earlier process may have granted it.
-        reply.set_stopped(session == nullptr || session->stopped || this->monitor.isKnown());
+    if (session == nullptr || session->stopped) {
+        reply.set_stopped(true);
         return reply;
     }
+    if (session->life != this->monitor.life() && !this->monitor.isKnown()) {
+        return reply; // an earlier process may have granted the keys to the upstream that runs now
+    }
     const KeySpan span{.first = query.first(), .last = query.last()};
     const StopAnswer answer = this->holder.answerStop(span, query.fence(), now);
     reply.set_stopped(answer.stopped);
@@ -305,16 +307,15 @@
                  {"status", std::to_string(status)},
                  {"handover", order.handover}});
     }
-    if (life != this->monitor.life()) {
-        return; // the answer says nothing about the present life
-    }
     if (isGrant) {
         const bool neverSent = errorKindOf(answer.status()) == ErrorKind::UpstreamUnreachable;
         this->holder.noteGrant(order.number,
                                neverSent ? GrantEnd::Refused : platform::judgeGrant(status), now);
     } else {
-        this->holder.noteRelease(order.number, status == statusOk,
-                                 answer.ok() ? platform::handoverOf(*answer) : "", now);
+        // The release of a former life says nothing about the present one.
+        const bool isReleased = status == statusOk && life == this->monitor.life();
+        this->holder.noteRelease(order.number, isReleased,
+                                 isReleased ? platform::handoverOf(*answer) : "", now);
     }
     this->hooks.accessChanged();
     this->sendOrders(now);
