executor: after a timeout no idle connection of before is used again

Callers would see: one 504 after the other, each at its timeout, as open connections may go silent for good while new ones work.

Cause: a request that timed out closed its own connection only; the others that lay idle beside it were used next, the newest first.

Evidence: two kept connections of a scripted upstream go silent; the first request times out, and so does the second one.

Change: a timeout drops the idle connections, which costs a connection (1 ms) for each of the next requests.

Test: test_stage 'after a request that timed out no connection of before is used' failed before (timed-out in place of answered).

--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -276,6 +276,9 @@
             return this->makeResult(wire::EXECUTE_LOST);
         }
         const bool isLate = kind == ErrorKind::UpstreamTimeout;
+        if (isLate) {
+            this->client.dropIdle(); // they may have gone silent as well
+        }
         end = isLate ? CallEnd::TimedOut : CallEnd::Lost;
         this->metrics.count(isLate ? Metric::UpstreamTimedOut : Metric::UpstreamLost);
         return this->makeResult(isLate ? wire::EXECUTE_TIMED_OUT : wire::EXECUTE_LOST);
--- a/packages/stage/tests/test_executor.cpp
+++ b/packages/stage/tests/test_executor.cpp
@@ -42,7 +42,9 @@
 
     ~TestHost() { this->thread.stop(); }
 
-    ExecuteResult run(const std::string &id)
+    ExecuteResult run(const std::string &id) { return this->start(id).get(); }
+
+    std::future<ExecuteResult> start(const std::string &id)
     {
         wire::Execute execute;
         execute.set_id(id);
@@ -54,7 +56,7 @@
         this->thread.spawn([this, execute, promise] {
             promise->set_value(this->executor.run(execute, "", {.call = ++this->calls}));
         });
-        return promise->get_future().get();
+        return promise->get_future();
     }
 
 private:
@@ -116,6 +118,33 @@
     }
 }
 
+// Guards against connections that go silent for good: each of them would cost a request its whole
+// time.
+TEST_CASE("after a request that timed out no connection of before is used", "[executor]")
+{
+    std::atomic<bool> isStalled{false};
+    std::atomic<int> waiting{0};
+    FaultyServer upstream([&](FaultyServer::Socket &socket, int request) {
+        if (isStalled && request > 1) {
+            return true; // no answer
+        }
+        // The first two requests need two connections.
+        ++waiting;
+        while (waiting < 2) {
+            std::this_thread::sleep_for(1ms);
+        }
+        return writeAll(socket, answerTo("x"));
+    });
+    TestHost host(upstream.address());
+    auto first = host.start("x");
+    auto second = host.start("x");
+    REQUIRE(first.get().reply.outcome() == wire::EXECUTE_ANSWERED);
+    REQUIRE(second.get().reply.outcome() == wire::EXECUTE_ANSWERED);
+    isStalled = true;
+    CHECK(host.run("x").reply.outcome() == wire::EXECUTE_TIMED_OUT);
+    CHECK(host.run("x").reply.outcome() == wire::EXECUTE_ANSWERED);
+}
+
 // Guards against an answer to an order that the upstream writes once more: keys would count as
 // released while work runs on them, or as not held while they are.
 TEST_CASE("an answer that is written again is not taken for the next order's", "[key_owner]")
