routing: each process starts a weighted route at a place of its own

At 91 hosts a route that has just got weights has few requests at each host, and the operators would see shares that are not theirs.

Cause: the sequence that keeps the weights in each short run began at the same place in every process, with the heaviest service. With two requests to each of 91 hosts a part with the weight 25 got none.

Evidence, in the splitter alone: the heavier of two services got 100 % at 75, 80 and 90, and 50 % at 60.

Change: a hash of the host and the route chooses the place; a route whose services or weights change begins anew. The sequence itself is as before.

Test: test_routing 'many hosts with few requests each have the weights together' failed before for four of five weights.

--- a/packages/routing/configuration.cpp
+++ b/packages/routing/configuration.cpp
@@ -1,5 +1,7 @@
 #include "routing/configuration.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
 
 namespace kumquat {
@@ -29,16 +31,42 @@
     if (route.services.size() == 1) {
         return route.services.front().service;
     }
-    std::vector<double> &credit = this->credits[route.name];
-    credit.resize(route.services.size(), 0.0);
-    double total = 0;
-    for (std::size_t i = 0; i < credit.size(); ++i) {
-        credit[i] += route.services[i].weight;
-        total += route.services[i].weight;
+    const auto found = this->splits.find(route.name);
+    if (found == this->splits.end() || found->second.services != route.services) {
+        this->splits[route.name] = this->makeSplit(route);
+    }
+    return route.services[advance(this->splits[route.name])].service;
+}
+
+RouteSplitter::Split RouteSplitter::makeSplit(const Route &route) const
+{
+    Split split{.services = route.services,
+                .credits = std::vector<std::int64_t>(route.services.size(), 0)};
+    std::uint64_t total = 0;
+    for (const ServiceWeight &service : route.services) {
+        total += service.weight;
+    }
+    // The sequence repeats after as many picks as the sum of the weights; far enough into it any
+    // place is as good as another.
+    constexpr std::uint64_t longestStart = 1000;
+    const std::uint64_t places = std::clamp(total, std::uint64_t(1), longestStart);
+    const std::uint64_t picks = hashBytes(route.name, this->seed) % places;
+    for (std::uint64_t i = 0; i < picks; ++i) {
+        advance(split);
+    }
+    return split;
+}
+
+std::size_t RouteSplitter::advance(Split &split)
+{
+    std::int64_t total = 0;
+    for (std::size_t i = 0; i < split.credits.size(); ++i) {
+        split.credits[i] += split.services[i].weight;
+        total += split.services[i].weight;
     }
-    const auto most = std::max_element(credit.begin(), credit.end());
+    const auto most = std::max_element(split.credits.begin(), split.credits.end());
     *most -= total;
-    return route.services[static_cast<std::size_t>(most - credit.begin())].service;
+    return static_cast<std::size_t>(most - split.credits.begin());
 }
 
 } // namespace kumquat
--- a/packages/routing/configuration.h
+++ b/packages/routing/configuration.h
@@ -22,6 +22,8 @@
 {
     std::string service;
     std::uint32_t weight = 0;
+
+    bool operator==(const ServiceWeight &) const = default;
 };
 
 struct Route
@@ -78,14 +80,31 @@
 // ---- RouteSplitter ----
 
 // Spreads the requests of a route over its services so that each short run of requests already has
-// their weights. Not thread-safe.
+// their weights. Each process starts at a place of its own in the sequence, as one that gets few
+// requests sees only its beginning. Not thread-safe.
 class RouteSplitter
 {
 public:
+    // `splitterSeed`: differs from process to process.
+    explicit RouteSplitter(std::uint64_t splitterSeed)
+        : seed(splitterSeed)
+    {}
+
     const std::string &pick(const Route &route);
 
 private:
-    std::map<std::string, std::vector<double>, std::less<>> credits; // by route
+    // Place in the sequence of one route.
+    struct Split
+    {
+        std::vector<ServiceWeight> services;
+        std::vector<std::int64_t> credits; // of the services; the next pick has most
+    };
+
+    Split makeSplit(const Route &route) const;
+    static std::size_t advance(Split &split);
+
+    std::uint64_t seed;
+    std::map<std::string, Split, std::less<>> splits; // by route
 };
 
 } // namespace kumquat
--- a/packages/routing/tests/test_routing.cpp
+++ b/packages/routing/tests/test_routing.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+
 #include <map>
 
 namespace kumquat {
@@ -36,7 +38,7 @@
 TEST_CASE("each short run of requests has the weights of its route", "[routing]")
 {
     const Route route = makeRoute("/a/", {{"one", 90}, {"two", 10}});
-    RouteSplitter splitter;
+    RouteSplitter splitter(7);
     for (int run = 0; run < 20; ++run) {
         std::map<std::string, int> counts;
         for (int request = 0; request < 10; ++request) {
@@ -47,6 +49,25 @@
     }
 }
 
+// Load pattern: a route that has just got weights, with two requests to each of 91 hosts. Each host
+// began with the heaviest service, so the lighter one got none.
+TEST_CASE("many hosts with few requests each have the weights together", "[routing]")
+{
+    for (const std::uint32_t weight : {55U, 60U, 75U, 80U, 90U}) {
+        const Route route = makeRoute("/a/", {{"one", weight}, {"two", 100 - weight}});
+        int first = 0;
+        int all = 0;
+        for (std::uint64_t host = 0; host < 91; ++host) {
+            RouteSplitter splitter(host);
+            for (int request = 0; request < 2; ++request, ++all) {
+                first += splitter.pick(route) == "one" ? 1 : 0;
+            }
+        }
+        INFO(weight);
+        CHECK(std::abs(100.0 * first / all - weight) < 10); // the users' bound for shares
+    }
+}
+
 TEST_CASE("a near host is used until its slots are full", "[host_picker]")
 {
     HostPicker picker;
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -1,6 +1,7 @@
 #include "stage/ingress.h"
 
 #include "base/durations.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "base/text.h"
 #include "platform/upstream.h"
@@ -73,6 +74,7 @@
     , metrics(stageMetrics)
     , settings(std::move(ingressSettings))
     , hooks(std::move(ingressHooks))
+    , splitter(hashBytes(this->settings.node))
 {}
 
 RetryBudget &Ingress::budget(const std::string &service)
