executor: a cancellation that is read together with its request counts

Cause: a request from another process runs in a fiber that starts after all messages of one read. A process that was held up finds a request and its cancellation, or the end of its connection, in one read; the cancellation found no request, and the request was sent to the upstream afterwards.

Evidence: a request and its cancellation handled in one turn of the thread reached the upstream.

Test: test_stage 'a request that is cancelled before its fiber runs is not sent' failed before (1 request at the upstream).

--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -82,6 +82,8 @@
     run->caller = caller;
     run->isIdempotent = execute.idempotent();
     run->fingerprint = fingerprintOf(execute, body);
+    const auto node = this->announced.extract(caller);
+    run->isCancelled = !node.empty() && node.mapped();
     const std::uint64_t number = ++this->lastNumber;
     this->running[number] = run;
     ExecuteResult result = this->runNow(execute, std::move(body), run, number, deadline);
@@ -101,6 +103,9 @@
                                std::uint64_t number, Time deadline)
 {
     const Time now = readBootTime();
+    if (run->isCancelled) {
+        return this->makeResult(wire::EXECUTE_REFUSED);
+    }
     if (execute.service() != this->settings.service || !this->monitor.mayServe(now)) {
         return this->makeResult(wire::EXECUTE_MISPLACED, pendingRetry);
     }
@@ -364,6 +369,11 @@
 
 void Executor::cancel(ExecuteCaller caller)
 {
+    const auto expected = this->announced.find(caller);
+    if (expected != this->announced.end()) {
+        expected->second = true;
+        return;
+    }
     for (const auto &[number, run] : this->running) {
         if (run->caller != caller || run->isCancelled) {
             continue;
@@ -383,6 +393,11 @@
 void Executor::cancelAll(std::uint64_t connection)
 {
     std::vector<ExecuteCaller> callers;
+    for (const auto &[caller, isCancelled] : this->announced) {
+        if (caller.connection == connection) {
+            callers.push_back(caller);
+        }
+    }
     for (const auto &[number, run] : this->running) {
         if (run->caller.connection == connection) {
             callers.push_back(run->caller);
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -70,6 +70,9 @@
     Executor(FiberThread &executorThread, UpstreamMonitor &upstreamMonitor, Metrics &stageMetrics,
              ExecutorSettings executorSettings, ExecutorHooks executorHooks);
 
+    // Tells of a request that a fiber will run soon, so that it can be cancelled before.
+    void announce(ExecuteCaller caller) { this->announced[caller] = false; }
+
     // Runs one request in the calling fiber and returns how it ended.
     ExecuteResult run(const wire::Execute &execute, std::string body, ExecuteCaller caller);
 
@@ -142,6 +145,7 @@
     UpstreamLife limitedLife; // for which the limiter was made
     std::uint64_t lastNumber = 0;
     std::unordered_map<std::uint64_t, RunPtr> running; // by number
+    std::map<ExecuteCaller, bool> announced;           // not running yet; true: cancelled
     std::map<ShardKey, std::uint32_t> keyCounts;
     double serviceSeconds = 0; // mean time of one request at the upstream
 };
--- a/packages/stage/tests/test_executor.cpp
+++ b/packages/stage/tests/test_executor.cpp
@@ -45,6 +45,11 @@
     ExecuteResult run(const std::string &id) { return this->start(id).get(); }
 
     std::future<ExecuteResult> start(const std::string &id)
+    {
+        return this->start(id, {.call = ++this->calls});
+    }
+
+    std::future<ExecuteResult> start(const std::string &id, ExecuteCaller caller)
     {
         wire::Execute execute;
         execute.set_id(id);
@@ -53,12 +58,28 @@
         execute.set_target("/x");
         execute.set_remaining_ms(500);
         const auto promise = std::make_shared<std::promise<ExecuteResult>>();
-        this->thread.spawn([this, execute, promise] {
-            promise->set_value(this->executor.run(execute, "", {.call = ++this->calls}));
+        this->thread.spawn([this, execute, promise, caller] {
+            promise->set_value(this->executor.run(execute, "", caller));
         });
         return promise->get_future();
     }
 
+    // Reads a request and its cancellation together, as a process does that was held up.
+    ExecuteResult runCancelled(const std::string &id)
+    {
+        std::future<ExecuteResult> result;
+        const auto promise = std::make_shared<std::promise<void>>();
+        this->thread.post([&] {
+            const ExecuteCaller caller{.connection = 1, .call = 1};
+            this->executor.announce(caller);
+            result = this->start(id, caller);
+            this->executor.cancel(caller);
+            promise->set_value();
+        });
+        promise->get_future().wait();
+        return result.get();
+    }
+
 private:
     FiberThread thread;
     UpstreamMonitor monitor{{}};
@@ -118,6 +139,21 @@
     }
 }
 
+// Guards against requests that reach an upstream long after their callers have left: a process that
+// was held up finds a request and its cancellation in one read.
+TEST_CASE("a request that is cancelled before its fiber runs is not sent", "[executor]")
+{
+    std::atomic<int> requests{0};
+    FaultyServer upstream([&](FaultyServer::Socket &socket, int) {
+        ++requests;
+        return writeAll(socket, answerTo("x"));
+    });
+    TestHost host(upstream.address());
+    CHECK(host.runCancelled("x").reply.outcome() == wire::EXECUTE_REFUSED);
+    CHECK(requests == 0);
+    CHECK(host.run("x").reply.outcome() == wire::EXECUTE_ANSWERED);
+}
+
 // Guards against connections that go silent for good: each of them would cost a request its whole
 // time.
 TEST_CASE("after a request that timed out no connection of before is used", "[executor]")
