http_server: a longer idle time holds for connections that are idle already

Callers would see: a connection that closes under a request (LOST) after operators lengthened the idle time, since they keep using connections for the time that the newest configuration states.

Cause: the end of the idle time was set when a connection became idle, and a new configuration changed it for later connections only. A shorter time still leaves connections that are idle already as they were, because their callers may not know it yet.

Test: test_net 'a longer idle time holds for connections that are idle already' failed without the change (connection closed after 200 ms in place of 5 s).

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -141,16 +141,19 @@
     std::shared_ptr<State> state;
 };
 
+using IdleConnections = std::map<HttpStream *, std::chrono::steady_clock::time_point>;
+
 // Serves one connection until it closes.
 class Connection
 {
 public:
     Connection(HttpStream::Socket socket, const HttpServerLimits &serverLimits,
-               const HttpServerHooks &serverHooks)
+               const HttpServerHooks &serverHooks, IdleConnections &idleConnections)
         : stream(
                 HttpStream::create(std::move(socket), serverLimits.maxHeaderBytes + readChunkBytes))
         , limits(serverLimits)
         , hooks(serverHooks)
+        , idle(idleConnections)
     {}
 
     void serve()
@@ -195,7 +198,10 @@
     {
         if (this->stream->buffered() == 0) {
             this->stream->expireAfter(this->limits.idleLimit);
-            if (const ErrorCode error = this->stream->readMore()) {
+            this->idle[this->stream.get()] = std::chrono::steady_clock::now();
+            const ErrorCode error = this->stream->readMore();
+            this->idle.erase(this->stream.get());
+            if (error) {
                 return error;
             }
         }
@@ -231,6 +237,7 @@
     std::shared_ptr<HttpStream> stream;
     const HttpServerLimits &limits;
     const HttpServerHooks &hooks;
+    IdleConnections &idle;
 };
 
 } // namespace
@@ -277,6 +284,18 @@
     return absl::OkStatus();
 }
 
+void HttpServer::setLimits(HttpServerLimits newLimits)
+{
+    const Duration before = std::exchange(this->limits, newLimits).idleLimit;
+    if (newLimits.idleLimit <= before) {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto &[stream, since] : this->idleSince) {
+        stream->expireAfter(since + newLimits.idleLimit - now);
+    }
+}
+
 void HttpServer::stopAccepting()
 {
     this->thread.post([self = this->shared_from_this()] {
@@ -298,7 +317,7 @@
             auto socket = std::make_shared<HttpStream::Socket>(std::move(accepted));
             ++self->connections;
             self->thread.spawn([self, socket] {
-                Connection(std::move(*socket), self->limits, self->hooks).serve();
+                Connection(std::move(*socket), self->limits, self->hooks, self->idleSince).serve();
                 --self->connections;
             });
         }
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -12,8 +12,10 @@
 #include <absl/status/status.h>
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace kumquat {
@@ -56,8 +58,9 @@
     // kernel spreads connections over them. Error: SettingsInvalid if the address cannot be bound.
     absl::Status listen(const Address &address, bool shared);
 
-    // Replaces the limits; requests that are being read keep the old ones.
-    void setLimits(HttpServerLimits newLimits) { this->limits = newLimits; }
+    // Replaces the limits; requests that are being read keep the old ones. A longer idle time holds
+    // for connections that are idle already, as their callers count on it. Call on the thread.
+    void setLimits(HttpServerLimits newLimits);
 
     // Closes the listening socket; open connections go on. Callable from any thread.
     void stopAccepting();
@@ -74,6 +77,7 @@
     FiberThread &thread;
     HttpServerLimits limits;
     HttpServerHooks hooks;
+    std::map<class HttpStream *, std::chrono::steady_clock::time_point> idleSince; // connections
     std::shared_ptr<Listener> listener;
     std::atomic<int> connections{0};
 };
--- a/packages/net/tests/test_net.cpp
+++ b/packages/net/tests/test_net.cpp
@@ -361,6 +361,28 @@
     CHECK(unfinished < 500ms);
 }
 
+// Guards against a configuration with a longer idle time that closes connections on which callers
+// may still send, as they lay idle when it came into force.
+TEST_CASE("a longer idle time holds for connections that are idle already")
+{
+    FiberThread thread("test");
+    const auto server = HttpServer::create(thread, {.idleLimit = 200ms}, echoHooks());
+    REQUIRE(server->listen(Address{"127.0.0.1", firstPort + 16}, true).ok());
+    thread.start();
+    asio::io_context io;
+    TestSocket socket(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), firstPort + 16});
+    std::this_thread::sleep_for(50ms);
+    thread.post([&] { server->setLimits({.idleLimit = 5s}); });
+    std::this_thread::sleep_for(400ms);
+    asio::write(socket, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: x\r\n\r\n")));
+    std::string received;
+    ErrorCode error;
+    asio::read_until(socket, asio::dynamic_buffer(received), "GET /x", error);
+    CHECK_FALSE(error);
+    thread.stop();
+}
+
 // Found by a hunt of the first grown site (LOST): on a host that got no processor time for a while
 // the end of the idle time and the next request were there together. The request was read and sent
 // to an upstream, but its connection had been closed.
