--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 
 namespace kumquat {
@@ -37,7 +38,11 @@
     std::uint64_t connection = 0;
     std::uint64_t call = 0;
 
-    auto operator<=>(const ExecuteCaller &) const = default;
+    bool operator==(const ExecuteCaller &) const = default;
+    bool operator<(const ExecuteCaller &other) const
+    {
+        return std::tie(this->connection, this->call) < std::tie(other.connection, other.call);
+    }
 };
 
 // ---- Hooks ----
--- a/packages/standins/platform_store.cpp
+++ b/packages/standins/platform_store.cpp
@@ -81,7 +81,7 @@
     const int faultsBefore = this->unansweredFaults;
     const bool isUnanswered = this->fault == StoreFault::Unanswered;
     lock.unlock();
-    const HttpAnswer done = isUnanswered ? HttpAnswer::lost() : this->answerNow(request);
+    HttpAnswer done = isUnanswered ? HttpAnswer::lost() : this->answerNow(request);
     lock.lock();
     if (isUnanswered || this->unansweredFaults != faultsBefore) {
         this->appended.wait(lock, [this] { return this->isStopped; });
