--- a/packages/net/tests/test_net.cpp
+++ b/packages/net/tests/test_net.cpp
@@ -367,11 +367,11 @@
 {
     FiberThread thread("test");
     const auto server = HttpServer::create(thread, {.idleLimit = 200ms}, echoHooks());
-    REQUIRE(server->listen(Address{"127.0.0.1", firstPort + 16}, true).ok());
+    REQUIRE(server->listen(Address{"127.0.0.1", firstPort + 17}, false).ok());
     thread.start();
     asio::io_context io;
     TestSocket socket(io);
-    socket.connect({asio::ip::make_address("127.0.0.1"), firstPort + 16});
+    socket.connect({asio::ip::make_address("127.0.0.1"), firstPort + 17});
     std::this_thread::sleep_for(50ms);
     thread.post([&] { server->setLimits({.idleLimit = 5s}); });
     std::this_thread::sleep_for(400ms);
