executor: a refusal that names no request is believed on a new connection only

Callers would see: 'not run' (503) for a request that runs.

Cause: a refusal without an id was taken for the answer to whatever request was under way.

Evidence: a scripted upstream answers one request, and writes a refusal without an id before its answer to the next; that one ended as 'rejected'.

Change: such a refusal counts on a connection without an earlier call; elsewhere it is skipped like a late answer.

Test: test_stage 'a refusal without an id is believed on a new connection only' failed before.

--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -69,6 +69,7 @@
     }
 
     std::shared_ptr<HttpStream> stream;
+    bool isUsed = false; // it has carried a call
     std::chrono::steady_clock::time_point idleSince;
     Duration keepAlive = Duration::max(); // the server closes an idle connection after it
 };
@@ -196,7 +197,8 @@
             return failureAfterSend(error);
         }
         const bool isInterim = parser.message.status < firstFinalStatus;
-        if (isInterim || (options.belongs && !options.belongs(parser.message))) {
+        if (isInterim
+            || (options.belongs && !options.belongs(parser.message, !connection.isUsed))) {
             continue;
         }
         if (parser.need_eof() && !options.mayEndWithConnection) {
@@ -204,6 +206,7 @@
                              "the answer has neither a length nor chunks, so it may be cut short");
         }
         stream.expireNever();
+        connection.isUsed = true;
         connection.keepAlive = keepAliveTime(parser.message);
         mayKeep = parser.keep_alive() && stream.buffered() == 0 && skipped == 0
                   && (!options.keepsConnection || options.keepsConnection(parser.message));
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -56,8 +56,9 @@
     Duration limit{}; // of the whole call
 
     // Says whether an answer belongs to this request; one that does not is a late second answer to
-    // an earlier request on the connection and is skipped. Not set: every answer does.
-    std::function<bool(const HttpResponse &)> belongs;
+    // an earlier request on the connection and is skipped. `isFirst`: there was no earlier one. Not
+    // set: every answer does.
+    std::function<bool(const HttpResponse &, bool isFirst)> belongs;
 
     // Says whether the connection may carry another call after this answer. Not set: it may.
     std::function<bool(const HttpResponse &)> keepsConnection;
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -232,9 +232,12 @@
     const UpstreamLife life = this->monitor.life();
     HttpCallOptions options{
             .limit = remaining,
+            // A refusal that names no request is believed where it can be to no other one.
             .belongs =
-                    [&execute, &life](const HttpResponse &response) {
-                        return platform::judgeUpstreamAnswer(response, execute.id(), life).isOwn;
+                    [&execute, &life](const HttpResponse &response, bool isFirst) {
+                        const platform::UpstreamVerdict verdict =
+                                platform::judgeUpstreamAnswer(response, execute.id(), life);
+                        return verdict.isOwn && (verdict.isNamed || isFirst);
                     },
             // An upstream may write a refusal once more, in place of its answer to the next
             // request.
--- a/packages/stage/tests/test_executor.cpp
+++ b/packages/stage/tests/test_executor.cpp
@@ -139,6 +139,22 @@
     }
 }
 
+// Guards against a refusal to a request on another connection that the upstream writes here.
+TEST_CASE("a refusal without an id is believed on a new connection only", "[executor]")
+{
+    std::atomic<bool> refusesFirst{false};
+    FaultyServer upstream([&](FaultyServer::Socket &socket, int request) {
+        const std::string answer = answerTo("x");
+        return writeAll(socket, refusesFirst || request > 1 ? refusal + "\r\n" + answer : answer);
+    });
+    TestHost host(upstream.address());
+    CHECK(host.run("x").reply.outcome() == wire::EXECUTE_ANSWERED);
+    CHECK(host.run("x").reply.outcome() == wire::EXECUTE_ANSWERED);
+    refusesFirst = true;
+    TestHost other(upstream.address());
+    CHECK(other.run("x").reply.outcome() == wire::EXECUTE_REJECTED);
+}
+
 // Guards against requests that reach an upstream long after their callers have left: a process that
 // was held up finds a request and its cancellation in one read.
 TEST_CASE("a request that is cancelled before its fiber runs is not sent", "[executor]")
