executor: the log says why a request was not sent and how long its grant lasted

Each such line has the rank of the request, what was left of the grant of its key when it was sent (heldMs) and the reason now. No decision changes.

--- a/packages/keyspace/range_holder.cpp
+++ b/packages/keyspace/range_holder.cpp
@@ -289,6 +289,16 @@
     return KeyAccess::Elsewhere;
 }
 
+Duration RangeHolder::heldFor(ShardKey key, Time now) const
+{
+    for (const Owned &entry : this->owned) {
+        if (entry.range.span.contains(key) && entry.isSettled()) {
+            return std::max(entry.servesUntil - now, Duration::zero());
+        }
+    }
+    return Duration::zero();
+}
+
 std::vector<MissingProof> RangeHolder::missingProofs() const
 {
     std::vector<MissingProof> missing;
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -30,7 +30,7 @@
 
 constexpr double serviceWeight = 0.05; // of one request in the mean time
 
-constexpr int statusUnavailable = 503;
+constexpr int firstServerError = 500;
 
 Fingerprint fingerprintOf(const wire::Execute &execute, const std::string &body)
 {
@@ -104,13 +104,13 @@
 {
     const Time now = readBootTime();
     if (run->isCancelled) {
-        return this->makeResult(wire::EXECUTE_REFUSED);
+        return this->makeResult(wire::EXECUTE_REFUSED, {}, "caller-gone");
     }
     if (execute.service() != this->settings.service || !this->monitor.mayServe(now)) {
         return this->makeResult(wire::EXECUTE_MISPLACED, pendingRetry);
     }
     if (!this->hooks.takesRequest(deadline)) {
-        return this->makeResult(wire::EXECUTE_REFUSED, stopRetry);
+        return this->makeResult(wire::EXECUTE_REFUSED, stopRetry, "stopping");
     }
     if (execute.has_key() && this->hooks.hasKeys()) {
         ++this->keyCounts[execute.key()];
@@ -119,17 +119,17 @@
         const bool isElsewhere =
                 this->hooks.access(execute.key(), readBootTime()) == KeyAccess::Elsewhere;
         return this->makeResult(isElsewhere ? wire::EXECUTE_MISPLACED : wire::EXECUTE_REFUSED,
-                                pendingRetry);
+                                pendingRetry, isElsewhere ? "" : "key-pending");
     }
     const RunPermit permit = this->guard.startRun(run->fingerprint, readBootTime());
     if (permit == RunPermit::Quarantined || permit == RunPermit::Wait) {
-        return this->makeResult(wire::EXECUTE_REFUSED, 1s);
+        return this->makeResult(wire::EXECUTE_REFUSED, 1s, "crashes-upstreams");
     }
     Duration retryAfter{};
     ExecuteResult result;
     CallEnd end = CallEnd::Cancelled;
     if (!this->waitForSlot(execute, run, number, deadline, retryAfter)) {
-        result = this->makeResult(wire::EXECUTE_REFUSED, retryAfter);
+        result = this->makeResult(wire::EXECUTE_REFUSED, retryAfter, run->refusal);
     } else {
         // The keys may have moved while the request waited.
         const Time sendTime = readBootTime();
@@ -146,9 +146,11 @@
     return result;
 }
 
-ExecuteResult Executor::makeResult(wire::ExecuteOutcome outcome, Duration retryAfter) const
+ExecuteResult Executor::makeResult(wire::ExecuteOutcome outcome, Duration retryAfter,
+                                   std::string_view reason) const
 {
     ExecuteResult result;
+    result.reason = reason;
     result.reply.set_outcome(outcome);
     result.reply.set_retry_after_ms(static_cast<std::uint32_t>(toMilliseconds(retryAfter)));
     return result;
@@ -186,6 +188,7 @@
                            Time deadline, Duration &retryAfter)
 {
     if (run->isCancelled) {
+        run->refusal = "caller-gone";
         return false;
     }
     const Time now = readBootTime();
@@ -199,6 +202,7 @@
     this->dispatchNext();
     if (admission.action == AdmitAction::Refuse) {
         retryAfter = admission.retryAfter;
+        run->refusal = "queue-full";
         return false;
     }
     run->isDispatched = run->isDispatched || admission.action == AdmitAction::Dispatch;
@@ -213,6 +217,7 @@
         return false;
     }
     if (!run->isDispatched) {
+        run->refusal = run->isCancelled ? "caller-gone" : "waited-in-vain";
         this->limiter.cancelWaiting(number, readBootTime());
         retryAfter = run->retryAfter;
     }
@@ -225,8 +230,11 @@
     const Time started = readBootTime();
     const Duration remaining = deadline - started;
     if (remaining < this->settings.leastRemaining || run.isCancelled) {
-        return this->makeResult(wire::EXECUTE_REFUSED);
+        return this->makeResult(wire::EXECUTE_REFUSED, {}, "no-time-left");
     }
+    const bool hasGrant = execute.has_key() && this->hooks.hasKeys();
+    const std::optional<Duration> heldFor =
+            hasGrant ? std::optional(this->hooks.heldFor(execute.key(), started)) : std::nullopt;
     run.isSent = true;
     run.call = std::make_shared<HttpCallHandle>();
     const UpstreamLife life = this->monitor.life();
@@ -254,6 +262,7 @@
             platform::encodeUpstreamRequest(execute, std::move(body), remaining, life), options);
     const Time now = readBootTime();
     ExecuteResult result = this->judge(execute, std::move(answer), run, end);
+    result.heldFor = heldFor;
     if (end == CallEnd::Answered) {
         const double sample = toSeconds(now - started);
         this->serviceSeconds += this->serviceSeconds == 0
@@ -471,12 +480,13 @@
                    Duration elapsed) const
 {
     if (result.reply.outcome() == wire::EXECUTE_ANSWERED
-        && result.reply.status() < statusUnavailable) {
+        && result.reply.status() < firstServerError) {
         return; // the process that took the request logs it
     }
     logInfo(LogPart::Upstream, "request ended at this host",
             {{"request", execute.id()},
              {"outcome", std::string(outcomeText(result.reply.outcome()))},
+             {"reason", std::string(result.reason)},
              {"status", std::to_string(result.reply.status())},
              {"key", execute.has_key() ? std::to_string(execute.key()) : "none"},
              {"upstream", this->monitor.life().id},
@@ -484,6 +494,8 @@
              {"tables", std::to_string(this->hooks.tablesEnd())},
              {"inFlight", std::to_string(this->limiter.inFlight())},
              {"waiting", std::to_string(this->limiter.waiting())},
+             {"rank", std::to_string(execute.priority())},
+             {"heldMs", result.heldFor ? std::to_string(toMilliseconds(*result.heldFor)) : "none"},
              {"remainingMs", std::to_string(execute.remaining_ms())},
              {"ms", std::to_string(toMilliseconds(elapsed))}});
 }
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -17,7 +17,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <unordered_map>
 
@@ -29,6 +31,8 @@
 {
     wire::ExecuteReply reply;
     std::string body;
+    std::string_view reason;         // why it was not sent, for the log
+    std::optional<Duration> heldFor; // what was left of the grant of its key when it was sent
 };
 
 // Who waits for a request: a connection between processes and a call on it, or this process itself
@@ -50,6 +54,7 @@
 struct ExecutorHooks
 {
     std::function<KeyAccess(ShardKey key, Time now)> access; // of a key
+    std::function<Duration(ShardKey key, Time now)> heldFor; // how long the key's grant lasts
     std::function<bool()> hasKeys;                   // the upstream's service is divided by key
     std::function<std::uint64_t()> tablesEnd;        // up to where this process has read the tables
     std::function<bool(Time deadline)> takesRequest; // false if the process exits before
@@ -117,13 +122,15 @@
         bool isDropped = false;    // by the limiter
         bool isDispatched = false; // by the limiter
         Duration retryAfter{};
+        std::string_view refusal; // why the limiter did not let it through
         Fingerprint fingerprint = 0;
         std::unique_ptr<FiberEvent> event; // a new one for each wait
         std::shared_ptr<HttpCallHandle> call;
     };
     using RunPtr = std::shared_ptr<Run>;
 
-    ExecuteResult makeResult(wire::ExecuteOutcome outcome, Duration retryAfter = {}) const;
+    ExecuteResult makeResult(wire::ExecuteOutcome outcome, Duration retryAfter = {},
+                             std::string_view reason = {}) const;
     bool waitForKey(const wire::Execute &execute, Run &run, Time deadline);
     bool waitForSlot(const wire::Execute &execute, const RunPtr &run, std::uint64_t number,
                      Time deadline, Duration &retryAfter);
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -109,6 +109,7 @@
                 .upstream = this->settings.upstream,
                 .limiter = upstreamLimiter},
                {.access = [this](ShardKey key, Time now) { return this->keys.access(key, now); },
+                .heldFor = [this](ShardKey key, Time now) { return this->keys.heldFor(key, now); },
                 .hasKeys =
                         [this] {
                             const ConfigurationPtr now = this->view.configuration();
--- a/packages/stage/tests/test_executor.cpp
+++ b/packages/stage/tests/test_executor.cpp
@@ -24,6 +24,7 @@
         , executor(this->thread, this->monitor, this->metrics,
                    {.service = "certdesk", .upstream = upstream},
                    {.access = [](ShardKey, Time) { return KeyAccess::Held; },
+                    .heldFor = [](ShardKey, Time) { return Duration::zero(); },
                     .hasKeys = [] { return false; },
                     .tablesEnd = [] { return std::uint64_t(0); },
                     .takesRequest = [](Time) { return true; }})
