keyspace: a lease covers the longest usual work on a cold key

Cause: an upstream ends work that outlasts its lease with 500. The grant in force when the work began counts; a renewal does not extend it. Grants lasted 1.1 to 1.6 s at their sending and 0.7 to 1.5 s when a request began.

Why 2.4 s: a session that falls silent is ended after 2 s anyway, and its voters must have read of that, so keys of a lost host wait hardly longer. An upstream that refuses connections is given up after the longest hold, 2.55 s in place of 1.7 s.

--- a/packages/keyspace/lease.h
+++ b/packages/keyspace/lease.h
@@ -28,9 +28,10 @@
 
 struct LeaseSettings
 {
-    // From the sending of a request to the end of the vouch that answers it. The owners of a lost
-    // host are served elsewhere after one lease; three renewals may be lost within it.
-    Duration length = 1600ms;
+    // From the sending of a request to the end of the vouch that answers it. The keys of a lost
+    // host are served elsewhere after one lease. An upstream ends work that outlasts the grant
+    // under which it began, so what is left of a grant must cover the longest usual work.
+    Duration length = 2400ms;
     Duration renewEvery = 400ms;
     double clockDrift = 0.02; // share by which a clock may be slow
 };
--- a/packages/keyspace/range_holder.h
+++ b/packages/keyspace/range_holder.h
@@ -16,6 +16,7 @@
 #include "base/names.h"
 #include "base/time.h"
 #include "keyspace/key_table.h"
+#include "keyspace/lease.h"
 
 #include <cstdint>
 #include <string>
@@ -55,11 +56,11 @@
 
 struct HolderSettings
 {
-    Duration longestHold = 1600ms; // of one grant; at most the lease
-    Duration renewEvery = 400ms;   // four renewals in the longest hold
-    Duration retryAfter = 150ms;   // after a refused or unanswered order
-    Duration leastHold = 200ms;    // a shorter rest of the lease is not worth a grant
-    double clockDrift = 0.02;      // share by which the upstream's clock may be slow
+    Duration longestHold = LeaseSettings{}.length; // of one grant; at most the lease
+    Duration renewEvery = LeaseSettings{}.renewEvery;
+    Duration retryAfter = 150ms; // after a refused or unanswered order
+    Duration leastHold = 200ms;  // a shorter rest of the lease is not worth a grant
+    double clockDrift = 0.02;    // share by which the upstream's clock may be slow
 };
 
 // ---- Proofs ----
--- a/packages/soak/soak_plan.h
+++ b/packages/soak/soak_plan.h
@@ -81,7 +81,7 @@
     std::size_t hosts = 1;
     Duration shortestGap = 150ms; // between the starts of two faults; shorter than most of them
     Duration longestGap = 1500ms;
-    Duration shortest = 200ms; // length of a fault: a lease is 1.6 s, a session ends after 2 s
+    Duration shortest = 200ms; // length of a fault: a lease is 2.4 s, a session ends after 2 s
     Duration longest = 4s;
     double killAllShare = 0.02; // of all faults
     // Of soakFaultNames and soakLinkFaults; fewer give the plans of seeds that failed before the
--- a/packages/stage/upstream_monitor.h
+++ b/packages/stage/upstream_monitor.h
@@ -4,6 +4,7 @@
 //   if (monitor.mayServe(now)) { ... send it a request ... }
 #pragma once
 
+#include "keyspace/lease.h"
 #include "platform/upstream.h"
 
 #include <cstdint>
@@ -13,8 +14,9 @@
 
 struct MonitorSettings
 {
-    Duration drain{};                // bound of the platform for requests after a goodbye
-    Duration endedAfter = 1700ms;    // without a listener; over the longest hold by a slow clock
+    Duration drain{}; // bound of the platform for requests after a goodbye
+    // Without a listener; over the longest hold by a slow clock.
+    Duration endedAfter = LeaseSettings{}.length + 150ms;
     double drainShare = 0.8;         // of it after which nothing more is sent
     std::uint32_t failuresInRow = 3; // unanswered calls after which the upstream counts as failing
 };
