upstream_monitor: an upstream that leaves when the process starts gets no request

Cause: host-1 acknowledged at 20.51 s, was killed and started again at 23.24 s. Its new process counted the time for last requests from the first heartbeat that it saw. It can't know when an earlier process acknowledged.

Why this works: a life that says that it leaves in the first heartbeat that a process sees of it gets no request from that process, so no acknowledgement can be exceeded.

Test: test_stage "an upstream that leaves when the process first hears of it gets no request" failed before.

--- a/packages/stage/tests/test_stage.cpp
+++ b/packages/stage/tests/test_stage.cpp
@@ -3,6 +3,7 @@
 #include "stage/relay_choice.h"
 #include "stage/stop_plan.h"
 #include "stage/upstream_limits.h"
+#include "stage/upstream_monitor.h"
 
 #include <catch2/catch.hpp>
 
@@ -124,6 +125,34 @@
     CHECK_FALSE(plan.mayExit(12400ms, 0));
 }
 
+platform::Heartbeat makeHeartbeat(UpstreamPhase phase, std::uint64_t sequence)
+{
+    return {.life = {.id = "i-1", .bornMs = 1}, .phase = phase, .sequence = sequence};
+}
+
+// Found by the soak (seed 5005): a process acknowledged that its upstream leaves, was killed and
+// started again, and counted the time for last requests anew: one ran 3,136 ms after the
+// acknowledgement.
+TEST_CASE("an upstream that leaves when the process first hears of it gets no request",
+          "[upstream_monitor]")
+{
+    UpstreamMonitor monitor({.drain = 2500ms});
+    CHECK(monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Draining, 7), 10s));
+    CHECK(monitor.phase() == UpstreamPhase::Draining);
+    CHECK_FALSE(monitor.mayServe(10s));
+    CHECK_FALSE(monitor.mayServe(11s));
+}
+
+TEST_CASE("an upstream that begins to leave gets requests for a while", "[upstream_monitor]")
+{
+    UpstreamMonitor monitor({.drain = 2500ms});
+    monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Ready, 7), 10s);
+    CHECK(monitor.mayServe(10s));
+    CHECK(monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Draining, 8), 11s));
+    CHECK(monitor.mayServe(12s));
+    CHECK_FALSE(monitor.mayServe(13100ms));
+}
+
 // Found by the first score of the first site: several machines had gone for good, each was
 // suspected for two seconds, and before the last one was the first one was tried again. After a
 // loss of power nobody wrote a key table.
--- a/packages/stage/upstream_monitor.cpp
+++ b/packages/stage/upstream_monitor.cpp
@@ -28,7 +28,8 @@
     const bool startsToDrain = beat.phase == UpstreamPhase::Draining
                                && (!isSameLife || this->lastPhase != UpstreamPhase::Draining);
     if (startsToDrain) {
-        this->drainingSince = now;
+        // An earlier process may have acknowledged it any time ago.
+        this->drainingSince = isSameLife ? now : now - this->settings.drain;
     }
     this->refusedAt.reset();
     const bool saidGoodbye = isSameLife && this->lastPhase == UpstreamPhase::Draining;
