--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -78,7 +78,9 @@
                             this->executor.noteAccessChanged();
                         }
                     }})
-    , monitor({.drain = this->settings.limits.drain})
+    , monitor({.service = this->settings.service,
+               .upstream = this->settings.upstream,
+               .drain = this->settings.limits.drain})
     , voter(LeaseSettings{}, this->startedAt)
     , follower(this->thread, this->store, this->view,
                {.freshRead =
@@ -327,10 +329,12 @@
 HttpResponse Stage::onHeartbeat(const HttpRequest &request)
 {
     const auto beat = platform::decodeHeartbeat(request);
-    if (!beat.ok()) {
+    if (!beat.ok() || !this->monitor.isOwn(*beat)) {
         this->metrics.count(Metric::HeartbeatsIgnored);
         logWarning(LogPart::Upstream, "heartbeat ignored",
-                   {{"reason", std::string(toStd(beat.status().message()))}});
+                   {{"reason", beat.ok() ? "of another service or address"
+                                         : std::string(toStd(beat.status().message()))},
+                    {"from", request.target}});
         return {.status = statusBadRequest};
     }
     this->metrics.count(Metric::HeartbeatsTaken);
--- a/packages/stage/tests/test_stage.cpp
+++ b/packages/stage/tests/test_stage.cpp
@@ -143,6 +143,24 @@
     CHECK_FALSE(monitor.mayServe(11s));
 }
 
+// Reported by other operators: an odd entry of another writer among those of the upstreams made
+// processes follow the list no longer.
+TEST_CASE("a heartbeat of another service or address is not the upstream's", "[upstream_monitor]")
+{
+    const Address upstream{.ip = "10.0.0.1", .port = 80};
+    const UpstreamMonitor monitor({.service = "testlog", .upstream = upstream, .drain = 2500ms});
+    platform::Heartbeat beat = makeHeartbeat(UpstreamPhase::Ready, 7);
+    beat.service = "testlog";
+    beat.address = upstream;
+    CHECK(monitor.isOwn(beat));
+    beat.address.port = 81;
+    CHECK_FALSE(monitor.isOwn(beat));
+    beat.address = upstream;
+    beat.service = "certdesk";
+    CHECK_FALSE(monitor.isOwn(beat));
+    CHECK(monitor.isOwn({.life = {.id = "i-1"}, .isGoodbye = true}));
+}
+
 TEST_CASE("an upstream that begins to leave gets requests for a while", "[upstream_monitor]")
 {
     UpstreamMonitor monitor({.drain = 2500ms});
--- a/packages/stage/upstream_monitor.cpp
+++ b/packages/stage/upstream_monitor.cpp
@@ -4,6 +4,12 @@
 
 namespace kumquat {
 
+bool UpstreamMonitor::isOwn(const platform::Heartbeat &beat) const
+{
+    return beat.isGoodbye
+           || (beat.service == this->settings.service && beat.address == this->settings.upstream);
+}
+
 bool UpstreamMonitor::applyHeartbeat(const platform::Heartbeat &beat, Time now)
 {
     const bool isSameLife =
--- a/packages/stage/upstream_monitor.h
+++ b/packages/stage/upstream_monitor.h
@@ -9,11 +9,15 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <utility>
 
 namespace kumquat {
 
 struct MonitorSettings
 {
+    std::string service; // of the upstream beside this process
+    Address upstream;
     Duration drain{}; // bound of the platform for requests after a goodbye
     // Without a listener; over the longest hold by a slow clock.
     Duration endedAfter = LeaseSettings{}.length + 150ms;
@@ -26,9 +30,13 @@
 {
 public:
     explicit UpstreamMonitor(MonitorSettings monitorSettings)
-        : settings(monitorSettings)
+        : settings(std::move(monitorSettings))
     {}
 
+    // Says whether a heartbeat may be of the upstream beside this process. Another writer may send
+    // one with another service or address, and a later birth would hide the upstream for good.
+    bool isOwn(const platform::Heartbeat &beat) const;
+
     // Takes a heartbeat. Older ones than the last, and those of an earlier life, are ignored.
     // Returns true if the life, the phase or the slots changed.
     bool applyHeartbeat(const platform::Heartbeat &beat, Time now);
