stage: a planned stop leaves no request without an answer

Reported by other operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them ones that must not run twice.

It can happen here: for 2.5 s after SIGTERM every request was taken, also one whose deadline lies after the exit, and at 0.6 s before SIGKILL the process exited whatever was in flight. Requests of others that end at the last moment, and answers that had not been written whole, could be cut with a stop of 6 s as well.

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -148,12 +148,14 @@
 {
 public:
     Connection(HttpStream::Socket socket, const HttpServerLimits &serverLimits,
-               const HttpServerHooks &serverHooks, IdleConnections &idleConnections)
+               const HttpServerHooks &serverHooks, IdleConnections &idleConnections,
+               std::atomic<int> &unansweredRequests)
         : stream(
                 HttpStream::create(std::move(socket), serverLimits.maxHeaderBytes + readChunkBytes))
         , limits(serverLimits)
         , hooks(serverHooks)
         , idle(idleConnections)
+        , unanswered(unansweredRequests)
     {}
 
     void serve()
@@ -180,9 +182,12 @@
             return false;
         }
         const bool keepAlive = parser.keep_alive();
+        ++this->unanswered;
         const HttpResponse response = this->handle(parser.message);
         const bool keepOpen = keepAlive && !this->hooks.isClosing();
-        return this->write(response, parser, keepOpen) && keepOpen;
+        const bool isWritten = this->write(response, parser, keepOpen);
+        --this->unanswered;
+        return isWritten && keepOpen;
     }
 
     HttpResponse handle(HttpRequest &request)
@@ -238,6 +243,7 @@
     const HttpServerLimits &limits;
     const HttpServerHooks &hooks;
     IdleConnections &idle;
+    std::atomic<int> &unanswered;
 };
 
 } // namespace
@@ -317,7 +323,9 @@
             auto socket = std::make_shared<HttpStream::Socket>(std::move(accepted));
             ++self->connections;
             self->thread.spawn([self, socket] {
-                Connection(std::move(*socket), self->limits, self->hooks, self->idleSince).serve();
+                Connection(std::move(*socket), self->limits, self->hooks, self->idleSince,
+                           self->unanswered)
+                        .serve();
                 --self->connections;
             });
         }
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -68,6 +68,9 @@
     // Number of open connections.
     int connectionCount() const { return this->connections.load(); }
 
+    // Number of requests that were read and whose answers have not been written whole.
+    int unansweredCount() const { return this->unanswered.load(); }
+
 private:
     struct Listener;
 
@@ -80,6 +83,7 @@
     std::map<class HttpStream *, std::chrono::steady_clock::time_point> idleSince; // connections
     std::shared_ptr<Listener> listener;
     std::atomic<int> connections{0};
+    std::atomic<int> unanswered{0};
 };
 
 } // namespace kumquat
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -421,6 +421,17 @@
     }
 }
 
+void Executor::breakOff()
+{
+    for (const auto &[number, run] : this->running) {
+        run->isCancelled = true;
+        if (run->call) {
+            run->call->cancel();
+        }
+        this->wake(*run);
+    }
+}
+
 void Executor::noteAccessChanged()
 {
     for (const auto &[number, run] : this->running) {
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -91,6 +91,9 @@
     void cancel(ExecuteCaller caller);
     void cancelAll(std::uint64_t connection);
 
+    // Ends all requests now, before this process exits: one that was sent counts as lost.
+    void breakOff();
+
     // Lets requests look again whether their keys are held.
     void noteAccessChanged();
 
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -90,9 +90,9 @@
 
 HttpResponse Ingress::handle(HttpRequest &request, CallerWatch &watch)
 {
-    ++this->active;
     this->metrics.count(Metric::RequestsTaken);
     Attempt attempt(this->thread.io());
+    this->active.insert(&attempt);
     attempt.started = readBootTime();
     watch.onGone([&attempt, this] {
         attempt.isGone = true;
@@ -118,10 +118,18 @@
     const Time now = readBootTime();
     this->metrics.addLatency(now - attempt.started, now);
     this->log(attempt, response.status);
-    --this->active;
+    this->active.erase(&attempt);
     return response;
 }
 
+void Ingress::breakOff()
+{
+    for (Attempt *attempt : this->active) {
+        attempt->deadline = readBootTime();
+        attempt->event->notify();
+    }
+}
+
 HttpResponse Ingress::serve(Attempt &attempt, std::string &body)
 {
     if (!attempt.configuration) {
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,8 +61,11 @@
     // Serves one request in the calling fiber.
     HttpResponse handle(HttpRequest &request, CallerWatch &watch);
 
+    // Answers all requests now, before this process exits: one that was sent may have run.
+    void breakOff();
+
     // Number of requests that have no answer yet.
-    std::size_t count() const { return this->active; }
+    std::size_t count() const { return this->active.size(); }
 
 private:
     struct Attempt; // one request of a caller
@@ -89,7 +93,7 @@
     RouteSplitter splitter;
     std::map<std::string, RetryBudget, std::less<>> budgets; // by service
     std::uint64_t lastCall = 0;
-    std::size_t active = 0;
+    std::set<Attempt *> active;
 };
 
 } // namespace kumquat
--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -459,6 +459,14 @@
     return absl::OkStatus();
 }
 
+std::size_t LinkServer::unsentCount() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(this->links.begin(), this->links.end(), [](const auto &entry) {
+                return entry.second != nullptr && entry.second->hasUnsent();
+            }));
+}
+
 void LinkServer::acceptNext()
 {
     this->acceptor.async_accept([this](const ErrorCode &error, Link::Socket socket) {
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -84,6 +84,7 @@
     void close();
 
     bool isOpen() const { return this->open; }
+    bool hasUnsent() const { return this->open && (this->isWriting || !this->queued.empty()); }
     Time lastReceived() const { return this->receivedAt; }
     Time lastSent() const { return this->sentAt; }
 
@@ -215,6 +216,9 @@
     // Error: SettingsInvalid if the address cannot be bound.
     absl::Status listen(const Address &address);
 
+    // Number of connections with answers that have not left yet.
+    std::size_t unsentCount() const;
+
 private:
     void acceptNext();
     void serve(Link::Socket socket);
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -249,8 +249,11 @@
     if (this->isRecordDue && !this->isRecordWriting) {
         this->writeHostRecord();
     }
-    const std::size_t inFlight = this->ingress.count() + this->executor.count();
-    if (this->stopPlan && this->stopPlan->mayExit(now, inFlight)) {
+    if (this->stopPlan && this->stopPlan->breaksOff(now)) {
+        this->ingress.breakOff();
+        this->executor.breakOff();
+    }
+    if (this->stopPlan && this->stopPlan->mayExit(now, this->countUnanswered())) {
         logInfo(LogPart::Main, "stopped",
                 {{"requests", std::to_string(this->ingress.count())},
                  {"running", std::to_string(this->executor.count())}});
@@ -259,6 +262,12 @@
     }
 }
 
+std::size_t Stage::countUnanswered() const
+{
+    return static_cast<std::size_t>(this->callerServer->unansweredCount()) + this->executor.count()
+           + this->linkServer.unsentCount();
+}
+
 // A process that is paused, or has too little processor time, answers late whatever it decides.
 void Stage::noteDelay(Time now)
 {
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -77,6 +77,7 @@
     void reload();
     void beginStop();
     bool takesRequest(Time deadline) const;
+    std::size_t countUnanswered() const; // requests in flight, and answers that have not left
 
     StageSettings settings;
     std::string path;
--- a/packages/system/platform_cluster.h
+++ b/packages/system/platform_cluster.h
@@ -32,6 +32,7 @@
     std::string directory = ".";               // of settings and logs
     bool hasProxies = false; // before the store, the upstreams and the ports between processes
     std::chrono::milliseconds workTime{5}; // of one request at an upstream
+    int stopSeconds = 6;                   // between SIGTERM and SIGKILL
 };
 
 // ---- PlatformHost ----
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <future>
 #include <set>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -214,6 +215,42 @@
     caller.checkPromises();
 }
 
+// Reported by other operators: requests that came late in the time that a planned stop has were
+// taken and passed on, and cut without an answer when it was over.
+TEST_CASE("a planned stop leaves no request without an answer", "[platform]")
+{
+    PlatformCluster cluster({.hosts = 1, .workTime = 1200ms, .stopSeconds = 2});
+    Caller caller(cluster);
+    PlatformHost &host = cluster.host(0);
+    const Time started = readBootTime();
+    while (caller.send(host, 17) != 200 && readBootTime() - started < 20s) {
+    }
+    host.process->signal(SIGTERM);
+    std::vector<std::future<HttpExchange>> exchanges;
+    for (int i = 0; i < 20; ++i) {
+        exchanges.push_back(std::async(std::launch::async, [&host, i] {
+            HttpClient client(host.callers);
+            return client.send(makeCallerRequest({.id = "stop-" + std::to_string(i),
+                                                  .key = static_cast<std::uint32_t>(i)}),
+                               4s);
+        }));
+        std::this_thread::sleep_for(80ms);
+    }
+    CHECK(host.process->waitForExit(3s) == 0);
+    std::set<std::string> unanswered;
+    for (std::size_t i = 0; i < exchanges.size(); ++i) {
+        if (exchanges[i].get().result != ExchangeResult::Answered) {
+            unanswered.insert("stop-" + std::to_string(i));
+        }
+    }
+    const std::multiset<std::string> runs = cluster.collectRuns();
+    for (const std::string &id : unanswered) {
+        INFO(id);
+        CHECK_FALSE(runs.contains(id));
+    }
+    caller.checkPromises();
+}
+
 // Found by a soak: a process that was told to stop while it was still starting died of the signal,
 // as if it had been killed.
 TEST_CASE("a process that is told to stop while it starts ends gracefully", "[platform]")
