store_follower: a host that begins to pass records on ends its hanging read

Evidence: test_platform_path "hosts that pass records on in place of lost ones end their hanging reads": five hosts, a silent store, the three relays killed at its return; 4 s later neither of the other two had the version published then, both have it with the change.

Why this works: every 200 ms a host that passes records on ends a read of the configuration that has waited longer than such a host may wait, and reads without waiting. It costs one call a host that takes over.

--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -26,6 +26,7 @@
 constexpr Duration gossipEvery = 400ms;  // news reach every host in about a second
 constexpr Duration recordDelay = 1200ms; // a host without a heartbeat makes itself known after it
 constexpr Duration recordRetry = 300ms;
+constexpr Duration followEvery = 200ms; // looks at reads that hang
 constexpr Duration logFlush = 200ms;
 constexpr Duration loggedDelay = 250ms; // of timers; half of what a late answer may take
 constexpr Duration settingsCheck = 1s;  // of a settings file that changes without a signal
@@ -201,6 +202,7 @@
     this->ticker.every(linkTick, [this](Time now) { this->links.advance(now); });
     this->ticker.every(linkTick, [this](Time now) { this->coordinator.advance(now); });
     this->ticker.every(gossipEvery, [this](Time now) { this->gossip(now); });
+    this->ticker.every(followEvery, [this](Time now) { this->follower.advance(now); });
     this->ticker.every(logFlush, [](Time) { flushLog(); });
     this->ticker.every(settingsCheck, [this](Time) { this->checkSettingsFile(); });
     this->ticker.after(recordDelay, [this](Time) {
--- a/packages/stage/store_follower.cpp
+++ b/packages/stage/store_follower.cpp
@@ -50,6 +50,15 @@
     }
 }
 
+void StoreFollower::advance(Time now)
+{
+    const Cursor &current = this->cursor(StoreTopic::Configuration);
+    const Duration longest = this->settings.relayWait + this->settings.relayMargin;
+    if (current.waiting && now - current.readAt >= longest && this->hooks.isRelay()) {
+        this->nudge(StoreTopic::Configuration);
+    }
+}
+
 bool StoreFollower::isLost() const
 {
     return std::any_of(this->cursors.begin(), this->cursors.end(),
--- a/packages/stage/store_follower.h
+++ b/packages/stage/store_follower.h
@@ -20,7 +20,8 @@
     // The same for the configuration at hosts that pass it on. A read that went unanswered is given
     // up soon after, so that news are everywhere 4 s after an outage, the users' bound.
     Duration relayWait = 1200ms;
-    Duration pause = 150ms; // after new records, so that those of many hosts come together
+    Duration relayMargin = 1200ms; // beyond it, for the answer; then a read counts as hanging
+    Duration pause = 150ms;        // after new records, so that those of many hosts come together
     Duration retryAfter = 250ms;
     Duration idleRead = 30s;    // between two reads of a topic that others wait for
     Duration idleLook = 200ms;  // between two looks whether to wait again
@@ -49,6 +50,10 @@
     // may have gone silent.
     void nudge(platform::StoreTopic topic);
 
+    // Ends a read of the configuration that waits longer than this process may wait now that it
+    // passes records on; call every 200 ms.
+    void advance(Time now);
+
     // Says whether the last call of any topic failed.
     bool isLost() const;
 
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -1,10 +1,12 @@
 // The whole path on the users' platform with real processes: stand-ins of the store and of the
 // upstreams, one kumquatstage beside each upstream.
+#include "stage/relay_choice.h"
 #include "standins/platform_caller.h"
 #include "system/platform_cluster.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
 #include <future>
@@ -200,6 +202,42 @@
     caller.checkPromises();
 }
 
+// Guards against the same incident where the hosts that notice a silent store are lost: the next
+// ones asked for 20 s before they had to look after the others, and their calls hang.
+TEST_CASE("hosts that pass records on in place of lost ones end their hanging reads", "[platform]")
+{
+    constexpr Duration disturbed = 4s; // as above
+    PlatformCluster cluster({.hosts = 5});
+    Caller caller(cluster);
+    REQUIRE(caller.waitUntilServed(hostsOf(cluster, {0, 1, 2, 3, 4}), 20s) < 20s);
+    std::vector<std::string> nodes;
+    for (const PlatformHost &host : cluster.hosts()) {
+        nodes.push_back(host.node);
+    }
+    const std::vector<std::string> relays = RelayChoice().first(nodes);
+    std::this_thread::sleep_for(2s); // so that the other hosts wait
+    cluster.store.setFault(StoreFault::Unanswered);
+    std::this_thread::sleep_for(3s);
+    cluster.store.setFault(StoreFault::None);
+    const Time restored = readBootTime();
+    std::vector<const PlatformHost *> left;
+    for (PlatformHost &host : cluster.hosts()) {
+        if (std::find(relays.begin(), relays.end(), host.node) != relays.end()) {
+            host.process->kill();
+        } else {
+            left.push_back(&host);
+        }
+    }
+    REQUIRE(left.size() == 2);
+    cluster.publish(2);
+    std::this_thread::sleep_for(restored + disturbed - readBootTime());
+    for (const PlatformHost *host : left) {
+        INFO(host->node);
+        CHECK(caller.hasRoute(*host, PlatformCluster::versionPrefix(2)));
+    }
+    caller.checkPromises();
+}
+
 TEST_CASE("a process that is told to stop hands its keys over and exits", "[platform]")
 {
     PlatformCluster cluster;
