--- a/packages/system/platform_cluster.cpp
+++ b/packages/system/platform_cluster.cpp
@@ -129,8 +129,9 @@
         host.toProcess = makeProxy(processes, advertised);
         listen["processesAdvertised"] = advertised.toString();
     }
-    const Json limits{{"drainMs", 2500},   {"stopSeconds", this->options.stopSeconds}, {"longestHoldMs", 10'000},
-                      {"retryShare", 0.2}, {"retrySlack", 60}, {"retryWindowSeconds", 10}};
+    const Json limits{{"drainMs", 2500},         {"stopSeconds", this->options.stopSeconds},
+                      {"longestHoldMs", 10'000}, {"retryShare", 0.2},
+                      {"retrySlack", 60},        {"retryWindowSeconds", 10}};
     const Json settings{{"node", node},
                         {"region", "region-" + dataCentre},
                         {"dataCentre", dataCentre},
