--- a/packages/standins/platform_endpoint.cpp
+++ b/packages/standins/platform_endpoint.cpp
@@ -137,7 +137,9 @@
         const Json status{{"state", this->isDraining ? "draining" : "ready"},
                           {"seq", ++sequence},
                           {"cold_left_ms", 0}};
-        const Json body{{"address", "127.0.0.1:" + std::to_string(this->port())},
+        const std::uint16_t advertised =
+                this->options.advertisedPort != 0 ? this->options.advertisedPort : this->port();
+        const Json body{{"address", "127.0.0.1:" + std::to_string(advertised)},
                         {"info", info},
                         {"status", status},
                         {"born", this->bornMs}};
--- a/packages/standins/platform_endpoint.h
+++ b/packages/standins/platform_endpoint.h
@@ -64,7 +64,8 @@
 
 struct EndpointOptions
 {
-    std::uint16_t port = 0; // 0: a free one
+    std::uint16_t port = 0;           // 0: a free one
+    std::uint16_t advertisedPort = 0; // in heartbeats, that of a proxy before it; 0: its own
     std::chrono::milliseconds workTime{5};
 };
 
--- a/packages/system/platform_cluster.cpp
+++ b/packages/system/platform_cluster.cpp
@@ -86,7 +86,9 @@
     const std::string id = "i-" + host.node + "-" + std::to_string(++host.lives);
     host.endpoint = std::make_unique<PlatformEndpoint>(
             id, "testlog", this->ledger,
-            EndpointOptions{.port = host.upstream.port, .workTime = this->options.workTime});
+            EndpointOptions{.port = host.upstream.port,
+                            .advertisedPort = host.advertisedUpstream.port,
+                            .workTime = this->options.workTime});
     host.endpoint->sendHeartbeatsTo(host.heartbeats);
 }
 
@@ -110,7 +112,7 @@
                       .heartbeats = freeAddress(),
                       .upstream = freeAddress(),
                       .settingsPath = this->options.directory + "/platform-" + node + ".json"};
-    Address upstream = host.upstream;
+    host.advertisedUpstream = host.upstream;
     Address storeAddress{"127.0.0.1", this->storeServer->port()};
     const Address processes = freeAddress();
     Json listen{{"callers", host.callers.toString()},
@@ -125,7 +127,7 @@
         };
         Address advertised;
         host.toStore = makeProxy(Address(storeAddress), storeAddress);
-        host.toUpstream = makeProxy(host.upstream, upstream);
+        host.toUpstream = makeProxy(host.upstream, host.advertisedUpstream);
         host.toProcess = makeProxy(processes, advertised);
         listen["processesAdvertised"] = advertised.toString();
     }
@@ -137,7 +139,7 @@
                         {"dataCentre", dataCentre},
                         {"firstStart", true},
                         {"service", "testlog"},
-                        {"upstream", upstream.toString()},
+                        {"upstream", host.advertisedUpstream.toString()},
                         {"store", storeAddress.toString()},
                         {"listen", listen},
                         {"limits", limits}};
--- a/packages/system/platform_cluster.h
+++ b/packages/system/platform_cluster.h
@@ -47,7 +47,8 @@
     Address callers;
     Address readiness;
     Address heartbeats;
-    Address upstream; // stays the same over all lives
+    Address upstream;           // stays the same over all lives
+    Address advertisedUpstream; // at which the process reaches it
     std::string settingsPath;
     std::unique_ptr<FaultProxy> toStore;
     std::unique_ptr<FaultProxy> toUpstream;
