net: requests sent ahead on a connection are handled side by side

Callers of the roll registry send further idempotent requests before the first one has its answer. Cause, each shown by a test that failed on the former code (3 of 6 in test_net "[requests_ahead]"): - one request was handled after the other, so one behind a slow one waited its whole time before its own clock started (four of 300 ms took four times as long); - bytes of a further request ended the watch for a caller that leaves, so its work went on; - a closing answer with bytes unread reset the connection, which may destroy the answer.

One fiber at a time reads; it handles what it has read, and another one goes on reading when further bytes come meanwhile, so a caller that waits costs no more than before. Answers leave in order. Requests of idempotent routes overlap; any other runs alone. At most 8 requests and 1 MB of a connection are taken; past that it is not read. A stopping process answers what it has begun and closes with the last of it; what is behind counts as not read. Before a connection is closed its input is read for up to 1 s.

--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -1,6 +1,8 @@
 // Plain HTTP messages, so that only the net package includes Boost.Beast.
 #pragma once
 
+#include "base/time.h"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +24,7 @@
     std::string target = "/"; // path and query
     std::vector<HttpField> fields;
     std::string body;
+    Time receivedAt{}; // when a server had read it
 
     // Returns the value of the first field with this name, or an empty view.
     std::string_view field(std::string_view name) const;
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -2,10 +2,9 @@
 
 #include "base/log.h"
 #include "base/text.h"
-#include "net/http_stream.h"
+#include "net/http_connection.h"
 
 #include <boost/asio/basic_socket_acceptor.hpp>
-#include <boost/beast/http/error.hpp>
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -14,31 +13,6 @@
 #include <utility>
 
 namespace kumquat {
-namespace {
-
-namespace http = boost::beast::http;
-using Tcp = asio::ip::tcp;
-
-ErrorKind kindOfReadError(const ErrorCode &error)
-{
-    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-        return ErrorKind::HeaderTooLarge;
-    }
-    if (error == http::error::body_limit) {
-        return ErrorKind::BodyTooLarge;
-    }
-    return ErrorKind::BadRequest;
-}
-
-// A read error that is answered, in contrast to a closed or broken connection.
-bool isProtocolError(const ErrorCode &error)
-{
-    return error.category() == http::make_error_code(http::error::bad_method).category()
-           && error != http::error::end_of_stream && error != http::error::partial_message;
-}
-
-} // namespace
-
 // ---- Plain messages ----
 
 bool isSameFieldName(std::string_view first, std::string_view second)
@@ -82,172 +56,20 @@
 
 // ---- Server ----
 
-struct HttpServer::Listener
+struct HttpServer::State
 {
-    explicit Listener(asio::io_context &io)
-        : acceptor(io)
-    {}
-    asio::basic_socket_acceptor<Tcp, HttpStream::Executor> acceptor;
+    IdleConnections idleSince;
+    HttpServerCounts counts;
 };
 
-namespace {
-
-// Watches the socket of a connection while its request is handled.
-class SocketWatch : public CallerWatch
-{
-public:
-    explicit SocketWatch(HttpStream &watched)
-        : stream(watched)
-        , state(std::make_shared<State>())
-    {}
-
-    ~SocketWatch() override
-    {
-        if (this->state->hook) {
-            this->state->hook = nullptr;
-            ErrorCode ignored;
-            this->stream.socket().cancel(ignored);
-        }
-    }
-
-    void onGone(std::function<void()> hook) override
-    {
-        this->state->hook = std::move(hook);
-        this->stream.socket().async_wait(
-                Tcp::socket::wait_read,
-                [watched = this->state,
-                 open = this->stream.shared_from_this()](const ErrorCode &error) {
-                    if (watched->hook && (error || isClosed(*open))) {
-                        std::exchange(watched->hook, nullptr)();
-                    }
-                });
-    }
-
-private:
-    struct State
-    {
-        std::function<void()> hook;
-    };
-
-    static bool isClosed(HttpStream &stream)
-    {
-        char byte = 0;
-        const ssize_t count =
-                recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-
-    HttpStream &stream;
-    std::shared_ptr<State> state;
-};
-
-using IdleConnections = std::map<HttpStream *, std::chrono::steady_clock::time_point>;
-
-// Serves one connection until it closes.
-class Connection
+struct HttpServer::Listener
 {
-public:
-    Connection(HttpStream::Socket socket, const HttpServerLimits &serverLimits,
-               const HttpServerHooks &serverHooks, IdleConnections &idleConnections,
-               std::atomic<int> &unansweredRequests)
-        : stream(
-                HttpStream::create(std::move(socket), serverLimits.maxHeaderBytes + readChunkBytes))
-        , limits(serverLimits)
-        , hooks(serverHooks)
-        , idle(idleConnections)
-        , unanswered(unansweredRequests)
+    explicit Listener(asio::io_context &io)
+        : acceptor(io)
     {}
-
-    void serve()
-    {
-        while (this->serveOne()) {
-        }
-        ErrorCode ignored;
-        this->stream->socket().shutdown(Tcp::socket::shutdown_both, ignored);
-    }
-
-private:
-    static constexpr std::size_t readChunkBytes = 64UL * 1024;
-
-    bool serveOne()
-    {
-        HttpRequestParser parser;
-        parser.header_limit(this->limits.maxHeaderBytes);
-        parser.body_limit(this->limits.maxBodyBytes);
-        if (const ErrorCode error = this->read(parser)) {
-            if (isProtocolError(error)) {
-                this->write(this->hooks.refuse(kindOfReadError(error)), parser, false);
-                this->drainInput();
-            }
-            return false;
-        }
-        const bool keepAlive = parser.keep_alive();
-        ++this->unanswered;
-        const HttpResponse response = this->handle(parser.message);
-        const bool keepOpen = keepAlive && !this->hooks.isClosing();
-        const bool isWritten = this->write(response, parser, keepOpen);
-        --this->unanswered;
-        return isWritten && keepOpen;
-    }
-
-    HttpResponse handle(HttpRequest &request)
-    {
-        if (!this->hooks.handleWatched) {
-            return this->hooks.handle(request);
-        }
-        SocketWatch watch(*this->stream);
-        return this->hooks.handleWatched(request, watch);
-    }
-
-    ErrorCode read(HttpRequestParser &parser)
-    {
-        if (this->stream->buffered() == 0) {
-            this->stream->expireAfter(this->limits.idleLimit);
-            this->idle[this->stream.get()] = std::chrono::steady_clock::now();
-            const ErrorCode error = this->stream->readMore();
-            this->idle.erase(this->stream.get());
-            if (error) {
-                return error;
-            }
-        }
-        this->stream->expireAfter(this->limits.messageLimit);
-        const ErrorCode error = this->stream->read(parser);
-        this->stream->expireNever();
-        return error;
-    }
-
-    bool write(const HttpResponse &response, const HttpRequestParser &parser, bool keepAlive)
-    {
-        std::string &output = this->stream->output;
-        output.clear();
-        appendResponse(output, response, parser.version, keepAlive,
-                       parser.message.method == "HEAD");
-        this->stream->expireAfter(this->limits.messageLimit);
-        return !this->stream->write(output);
-    }
-
-    // Reads what the caller still sends, so that closing does not reset the connection before the
-    // caller has read the refusal.
-    void drainInput()
-    {
-        ErrorCode ignored;
-        this->stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
-        this->stream->expireAfter(1s);
-        std::size_t total = this->stream->dropBuffered();
-        while (total < 2 * this->limits.maxBodyBytes && !this->stream->readMore()) {
-            total += this->stream->dropBuffered();
-        }
-    }
-
-    std::shared_ptr<HttpStream> stream;
-    const HttpServerLimits &limits;
-    const HttpServerHooks &hooks;
-    IdleConnections &idle;
-    std::atomic<int> &unanswered;
+    asio::basic_socket_acceptor<asio::ip::tcp, HttpStream::Executor> acceptor;
 };
 
-} // namespace
-
 std::shared_ptr<HttpServer> HttpServer::create(FiberThread &thread, HttpServerLimits limits,
                                                HttpServerHooks hooks)
 {
@@ -259,6 +81,7 @@
     : thread(serverThread)
     , limits(serverLimits)
     , hooks(std::move(serverHooks))
+    , state(std::make_unique<State>())
 {
     if (!this->hooks.isClosing) {
         this->hooks.isClosing = [] { return false; };
@@ -269,16 +92,16 @@
 {
     auto opened = std::make_shared<Listener>(this->thread.io());
     ErrorCode error;
-    const Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
     opened->acceptor.open(endpoint.protocol(), error);
-    opened->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    opened->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
     if (shared) {
         const int on = 1;
         setsockopt(opened->acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
     }
     opened->acceptor.bind(endpoint, error);
     if (!error) {
-        opened->acceptor.listen(Tcp::acceptor::max_listen_connections, error);
+        opened->acceptor.listen(asio::ip::tcp::acceptor::max_listen_connections, error);
     }
     if (error) {
         return makeError(
@@ -297,11 +120,23 @@
         return;
     }
     const auto now = std::chrono::steady_clock::now();
-    for (const auto &[stream, since] : this->idleSince) {
+    for (const auto &[stream, since] : this->state->idleSince) {
         stream->expireAfter(since + newLimits.idleLimit - now);
     }
 }
 
+HttpServer::~HttpServer() = default;
+
+int HttpServer::connectionCount() const
+{
+    return this->state->counts.connections.load();
+}
+
+int HttpServer::unansweredCount() const
+{
+    return this->state->counts.unanswered.load();
+}
+
 void HttpServer::stopAccepting()
 {
     this->thread.post([self = this->shared_from_this()] {
@@ -319,15 +154,13 @@
         if (!opened->acceptor.is_open()) {
             return;
         }
-        if (!error && self->connections.load() < self->limits.maxConnections) {
-            auto socket = std::make_shared<HttpStream::Socket>(std::move(accepted));
-            ++self->connections;
-            self->thread.spawn([self, socket] {
-                Connection(std::move(*socket), self->limits, self->hooks, self->idleSince,
-                           self->unanswered)
-                        .serve();
-                --self->connections;
-            });
+        if (!error && self->connectionCount() < self->limits.maxConnections) {
+            // The server outlives its connections, as the hook that each of them holds keeps it.
+            const auto connection = std::shared_ptr<HttpConnection>(
+                    new HttpConnection(self->thread, std::move(accepted), self->limits, self->hooks,
+                                       self->state->idleSince, self->state->counts),
+                    [self](HttpConnection *ended) { delete ended; });
+            self->thread.spawn([connection] { connection->serve(); });
         }
         self->acceptNext(opened);
     });
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -1,4 +1,5 @@
-// HTTP server over Boost.Beast: one fiber per connection.
+// HTTP server over Boost.Beast. Requests that a caller sends ahead on one connection are handled
+// side by side where that is allowed, and answered in their order.
 //
 //   HttpServer server(thread, limits, [](const HttpRequest &request) { return HttpResponse{}; });
 //   absl::Status status = server.listen(address, /*shared=*/true);
@@ -11,11 +12,8 @@
 
 #include <absl/status/status.h>
 
-#include <atomic>
-#include <chrono>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 
 namespace kumquat {
@@ -26,17 +24,27 @@
     std::uint64_t maxBodyBytes = 1024ULL * 1024;
     int maxConnections = 10'000; // further ones are closed at once
     Duration idleLimit = 75s;    // between requests
+    int maxAhead = 8; // requests of one connection without an answer; further ones are not read
+    std::uint64_t maxAheadBytes = 1024ULL * 1024; // of these requests and their answers
     Duration messageLimit = 10s; // for one whole request to arrive, or answer to leave
 };
 
-// Tells the handler of a request when its caller closes the connection.
+// What the handler of a request and the connection of its caller tell each other.
 class CallerWatch
 {
 public:
+    CallerWatch() = default;
     virtual ~CallerWatch() = default;
 
-    // Calls the hook at most once, until the handler returns.
+    CallerWatch(const CallerWatch &) = delete;
+    CallerWatch &operator=(const CallerWatch &) = delete;
+
+    // Calls the hook at most once, until the handler returns, when the caller has closed the
+    // connection.
     virtual void onGone(std::function<void()> hook) = 0;
+
+    // Lets requests behind this one run beside it, if they may overlap as well.
+    virtual void allowOthers() = 0;
 };
 
 struct HttpServerHooks
@@ -46,6 +54,8 @@
     std::function<HttpResponse(HttpRequest &, CallerWatch &)> handleWatched;
     std::function<HttpResponse(ErrorKind)> refuse; // answer to a request that is not HTTP
     std::function<bool()> isClosing;               // true: close after this answer
+    // Whether a request that was sent ahead may run beside those before it; not set: none may.
+    std::function<bool(const HttpRequest &)> mayOverlap;
 };
 
 class HttpServer : public std::enable_shared_from_this<HttpServer>
@@ -66,13 +76,16 @@
     void stopAccepting();
 
     // Number of open connections.
-    int connectionCount() const { return this->connections.load(); }
+    int connectionCount() const;
 
     // Number of requests that were read and whose answers have not been written whole.
-    int unansweredCount() const { return this->unanswered.load(); }
+    int unansweredCount() const;
+
+    ~HttpServer();
 
 private:
     struct Listener;
+    struct State; // that connections share
 
     HttpServer(FiberThread &thread, HttpServerLimits limits, HttpServerHooks hooks);
     void acceptNext(const std::shared_ptr<Listener> &opened);
@@ -80,10 +93,8 @@
     FiberThread &thread;
     HttpServerLimits limits;
     HttpServerHooks hooks;
-    std::map<class HttpStream *, std::chrono::steady_clock::time_point> idleSince; // connections
+    std::unique_ptr<State> state;
     std::shared_ptr<Listener> listener;
-    std::atomic<int> connections{0};
-    std::atomic<int> unanswered{0};
 };
 
 } // namespace kumquat
--- a/packages/net/http_stream.cpp
+++ b/packages/net/http_stream.cpp
@@ -122,9 +122,9 @@
     this->connection.non_blocking(true, ignored);
 }
 
-void HttpStream::expireAfter(Duration limit)
+void HttpStream::expireAt(Clock::time_point time)
 {
-    this->due = Clock::now() + limit;
+    this->due = time;
     if (this->due < this->armedFor) {
         this->arm();
     }
--- a/packages/net/http_stream.h
+++ b/packages/net/http_stream.h
@@ -181,6 +181,8 @@
 // deadline closes the connection and returns beast::error::timeout.
 class HttpStream : public std::enable_shared_from_this<HttpStream>
 {
+    using Clock = std::chrono::steady_clock;
+
 public:
     // Asio's default executor is type-erased and costs several virtual calls for each operation.
     using Executor = asio::io_context::executor_type;
@@ -191,7 +193,8 @@
     static std::shared_ptr<HttpStream> create(Socket socket, std::size_t maxBuffer);
 
     // Sets the deadline of the operations that follow.
-    void expireAfter(Duration limit);
+    void expireAfter(Duration limit) { this->expireAt(Clock::now() + limit); }
+    void expireAt(std::chrono::steady_clock::time_point time);
     void expireNever();
 
     ErrorCode connect(const Tcp::endpoint &endpoint);
@@ -216,7 +219,6 @@
     std::string output; // for the message being written; keeps its memory between messages
 
 private:
-    using Clock = std::chrono::steady_clock;
     using Timer = asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, Executor>;
 
     HttpStream(Socket socket, std::size_t maxBuffer);
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -93,7 +93,7 @@
     this->metrics.count(Metric::RequestsTaken);
     Attempt attempt(this->thread.io());
     this->active.insert(&attempt);
-    attempt.started = readBootTime();
+    attempt.started = request.receivedAt > Time::zero() ? request.receivedAt : readBootTime();
     watch.onGone([&attempt, this] {
         attempt.isGone = true;
         this->metrics.count(Metric::CallersGone);
@@ -113,6 +113,9 @@
         attempt.route = attempt.configuration
                                 ? attempt.configuration->match(host, attempt.execute.target())
                                 : nullptr;
+        if (attempt.route != nullptr && attempt.route->isIdempotent) {
+            watch.allowOthers();
+        }
         response = this->serve(attempt, body);
     }
     const Time now = readBootTime();
@@ -122,6 +125,14 @@
     return response;
 }
 
+bool Ingress::mayOverlap(const HttpRequest &request) const
+{
+    const ConfigurationPtr configuration = this->view.configuration();
+    const Route *route =
+            configuration ? configuration->match(request.field("Host"), request.target) : nullptr;
+    return route != nullptr && route->isIdempotent;
+}
+
 void Ingress::breakOff()
 {
     for (Attempt *attempt : this->active) {
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -61,6 +61,9 @@
     // Serves one request in the calling fiber.
     HttpResponse handle(HttpRequest &request, CallerWatch &watch);
 
+    // Says whether a request may run beside others of its connection.
+    bool mayOverlap(const HttpRequest &request) const;
+
     // Answers all requests now, before this process exits: one that was sent may have run.
     void breakOff();
 
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -173,7 +173,11 @@
                                             return this->ingress.handle(request, watch);
                                         },
                                 .refuse = refuse,
-                                .isClosing = [this] { return this->stopPlan.has_value(); }});
+                                .isClosing = [this] { return this->stopPlan.has_value(); },
+                                .mayOverlap =
+                                        [this](const HttpRequest &request) {
+                                            return this->ingress.mayOverlap(request);
+                                        }});
     this->readinessServer =
             plain([this](const HttpRequest &request) { return this->onReadiness(request); });
     this->heartbeatServer =
