keyspace: keys are granted in the answers to heartbeats as well

RangeHolder decides what is to be held as before; two functions, noteReport and answerReport, take the place of orders and their notes. What moved counts as held until a newer heartbeat no longer names it, or its time is over; a heartbeat that was overtaken, and for one longest hold those after a start, prove nothing. The length of the leases is part of the key table, as voters of any host must count with the same: one heartbeat longer than for calls. platform/ translates the rows; configuration and settings name the way, an unknown word is refused.

--- a/packages/keyspace/key_table.cpp
+++ b/packages/keyspace/key_table.cpp
@@ -1,6 +1,7 @@
 #include "keyspace/key_table.h"
 
 #include "base/compression.h"
+#include "base/durations.h"
 #include "base/errors.h"
 #include "wire/stage.pb.h"
 
@@ -9,6 +10,10 @@
 namespace kumquat {
 namespace {
 
+// Leases that no host of the platform can need are those of an odd writer.
+constexpr Duration shortestLease = 500ms;
+constexpr Duration longestLease = 1min;
+
 void encodeSession(const KeySession &session, wire::SessionRecord &record)
 {
     record.set_id(session.id);
@@ -79,6 +84,9 @@
     table.service = record.service();
     table.end = end;
     table.writer = record.writer();
+    if (record.lease_ms() != 0) {
+        table.leaseLength = std::chrono::milliseconds(record.lease_ms());
+    }
     for (const wire::SessionRecord &session : record.sessions()) {
         table.sessions.push_back(decodeSession(session));
     }
@@ -97,6 +105,7 @@
     wire::KeyTableRecord record;
     record.set_service(this->service);
     record.set_writer(this->writer);
+    record.set_lease_ms(static_cast<std::uint32_t>(toMilliseconds(this->leaseLength)));
     for (const KeySession &session : this->sessions) {
         encodeSession(session, *record.add_sessions());
     }
@@ -110,10 +119,11 @@
     return packed.SerializeAsString();
 }
 
-KeyTable KeyTable::createEmpty(std::string service)
+KeyTable KeyTable::createEmpty(std::string service, Duration leaseLength)
 {
     KeyTable table;
     table.service = std::move(service);
+    table.leaseLength = leaseLength;
     table.ranges.push_back({.span = {.first = 0, .last = lastShardKey}});
     return table;
 }
@@ -162,6 +172,9 @@
 
 bool KeyTable::isSound() const
 {
+    if (this->leaseLength < shortestLease || this->leaseLength > longestLease) {
+        return false;
+    }
     ShardKey next = 0;
     for (const KeyRange &range : this->ranges) {
         const bool inOrder = range.span.first == next && range.span.last >= range.span.first
--- a/packages/keyspace/key_table.h
+++ b/packages/keyspace/key_table.h
@@ -7,6 +7,8 @@
 // Sections: keys, sessions, ranges, KeyTable.
 #pragma once
 
+#include "base/time.h"
+
 #include <absl/status/statusor.h>
 
 #include <cstdint>
@@ -94,6 +96,11 @@
 
 // ---- KeyTable ----
 
+// Length of a lease where the table names none. The keys of a lost host are served elsewhere after
+// one lease. An upstream ends work that outlasts the grant under which it began, so what is left of
+// a grant must cover the longest usual work.
+inline constexpr Duration defaultLeaseLength = 2400ms;
+
 struct KeyTable
 {
     std::string service;
@@ -101,13 +108,16 @@
     std::vector<KeySession> sessions;
     std::vector<KeyRange> ranges; // ascending, without gaps, from 0 to lastShardKey
     std::string writer;           // node
+    // Of all sessions. It stays the same for the life of the table, as owners and voters of
+    // different hosts count with it.
+    Duration leaseLength = defaultLeaseLength;
 
     // Reads a record. Error: LogUnavailable for bytes that are no table or break its rules.
     static absl::StatusOr<KeyTable> decode(std::string_view bytes, std::uint64_t end);
     std::string encode() const;
 
     // Returns a table in which nobody owns anything.
-    static KeyTable createEmpty(std::string service);
+    static KeyTable createEmpty(std::string service, Duration leaseLength = defaultLeaseLength);
 
     // Returns the range of a key; every key has one.
     const KeyRange *find(ShardKey key) const;
@@ -122,7 +132,8 @@
     // Cuts the range that contains `key` so that one begins there.
     void splitBefore(ShardKey key);
 
-    // Says whether the ranges cover all keys in order and name only known sessions.
+    // Says whether the ranges cover all keys in order and name only known sessions, and whether the
+    // leases have a length that can be.
     bool isSound() const;
 };
 
--- a/packages/keyspace/lease.cpp
+++ b/packages/keyspace/lease.cpp
@@ -41,10 +41,10 @@
 
 // ---- VoterRole ----
 
-Duration VoterRole::longest() const
+Duration VoterRole::longest(const KeyTable &table) const
 {
     const double slow = 1 + this->settings.clockDrift;
-    return std::chrono::duration_cast<Duration>(this->settings.length * slow);
+    return std::chrono::duration_cast<Duration>(table.leaseLength * slow);
 }
 
 bool VoterRole::vouch(const KeyTable *table, std::uint64_t session, Time now)
@@ -56,14 +56,14 @@
     if (found == nullptr || !found->isActive()) {
         return false;
     }
-    this->until[session] = now + this->longest();
+    this->until[session] = now + this->longest(*table);
     return true;
 }
 
 bool VoterRole::hasReleased(const KeyTable *table, std::uint64_t session, std::uint64_t endedAt,
                             Time now) const
 {
-    if (table == nullptr || table->end < endedAt || now < this->startedAt + this->longest()) {
+    if (table == nullptr || table->end < endedAt || now < this->startedAt + this->longest(*table)) {
         return false;
     }
     const KeySession *found = table->session(session);
--- a/packages/keyspace/lease.h
+++ b/packages/keyspace/lease.h
@@ -28,10 +28,8 @@
 
 struct LeaseSettings
 {
-    // From the sending of a request to the end of the vouch that answers it. The keys of a lost
-    // host are served elsewhere after one lease. An upstream ends work that outlasts the grant
-    // under which it began, so what is left of a grant must cover the longest usual work.
-    Duration length = 2400ms;
+    // From the sending of a request to the end of the vouch that answers it; that of the key table.
+    Duration length = defaultLeaseLength;
     Duration renewEvery = 400ms;
     double clockDrift = 0.02; // share by which a clock may be slow
 };
@@ -52,6 +50,9 @@
         : settings(leaseSettings)
     {}
 
+    // Takes the length of the key table; vouches that were counted keep theirs.
+    void setLength(Duration length) { this->settings.length = length; }
+
     // Replaces the voters; vouches of those that stay go on counting.
     void setVoters(const std::vector<std::string> &nodes);
 
@@ -72,8 +73,8 @@
 
 // ---- VoterRole ----
 
-// The voter's side. It keeps its vouches in memory only, so after a start it gives no proof for one
-// lease. Not thread-safe.
+// The voter's side, for the sessions of any service. It keeps its vouches in memory only, so after
+// a start it gives no proof for one lease. Not thread-safe.
 class VoterRole
 {
 public:
@@ -95,7 +96,7 @@
                      Time now) const;
 
 private:
-    Duration longest() const; // a vouch by the slowest clock
+    Duration longest(const KeyTable &table) const; // a vouch by the slowest clock
 
     LeaseSettings settings;
     Time startedAt;
--- a/packages/keyspace/range_holder.cpp
+++ b/packages/keyspace/range_holder.cpp
@@ -148,16 +148,22 @@
     return orders;
 }
 
-void RangeHolder::orderGrant(Owned &entry, Time now, std::vector<HoldOrder> &orders)
+// Returns the longest hold that ends with the lease whatever clocks say.
+Duration RangeHolder::longestHoldNow(Time now) const
 {
-    if (!entry.isSettled() || entry.order != 0 || now < entry.nextGrant) {
-        return;
-    }
     const Duration left =
             this->leaseUntil == Time::max() ? this->settings.longestHold : this->leaseUntil - now;
     const auto byLease =
             std::chrono::duration_cast<Duration>(left / (1 + 2 * this->settings.clockDrift));
-    const Duration hold = std::min(this->settings.longestHold, byLease);
+    return std::min(this->settings.longestHold, byLease);
+}
+
+void RangeHolder::orderGrant(Owned &entry, Time now, std::vector<HoldOrder> &orders)
+{
+    if (!entry.isSettled() || entry.order != 0 || now < entry.nextGrant) {
+        return;
+    }
+    const Duration hold = this->longestHoldNow(now);
     if (hold < this->settings.leastHold) {
         return;
     }
@@ -282,7 +288,8 @@
 {
     for (const Owned &entry : this->owned) {
         if (entry.range.span.contains(key)) {
-            const bool held = entry.isSettled() && now < entry.servesUntil;
+            const bool held =
+                    entry.isSettled() && now >= entry.servesFrom && now < entry.servesUntil;
             return held ? KeyAccess::Held : KeyAccess::Pending;
         }
     }
--- a/packages/keyspace/range_holder.h
+++ b/packages/keyspace/range_holder.h
@@ -10,15 +10,20 @@
 //   for (const HoldOrder &order : holder.takeOrders(now)) { ... send it, then noteGrant(...) ... }
 //   if (holder.access(key, now) == KeyAccess::Held) { ... pass the request on ... }
 //
+// Where grants go in the answers to heartbeats, noteReport and answerReport take the place of the
+// orders and their notes.
+//
 // Sections: orders, proofs, RangeHolder.
 #pragma once
 
 #include "base/names.h"
 #include "base/time.h"
+#include "keyspace/hold_report.h"
 #include "keyspace/key_table.h"
 #include "keyspace/lease.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,6 +66,9 @@
     Duration retryAfter = 150ms; // after a refused or unanswered order
     Duration leastHold = 200ms;  // a shorter rest of the lease is not worth a grant
     double clockDrift = 0.02;    // share by which the upstream's clock may be slow
+    // Until an answer to a heartbeat has certainly arrived before a request that is sent then.
+    Duration answerTravel = 10ms;
+    std::size_t mostAnswerBytes = 3800; // of the rows of one answer; the platform allows 4 KiB
 };
 
 // ---- Proofs ----
@@ -104,6 +112,9 @@
     // Takes the time until which grants may last.
     void setLease(Time until) { this->leaseUntil = until; }
 
+    // Takes the longest time of one grant; at most the lease.
+    void setLongestHold(Duration longestHold) { this->settings.longestHold = longestHold; }
+
     // Notes that the upstream's life is over. A later life at the same address may have taken
     // grants that were meant for it, so they count until that life has released them.
     void noteUpstreamEnded(Time now);
@@ -118,6 +129,17 @@
     // Returns the calls to make now; call again after each note and at short intervals.
     std::vector<HoldOrder> takeOrders(Time now);
 
+    // Takes what the newest heartbeat of the present life says. An upstream sends a heartbeat only
+    // after it has taken or given up the answers to all earlier ones, so what is missing in it is
+    // neither held nor will be by an answer given before. An earlier process of this host may have
+    // answered newer ones, so for one longest hold after the start it proves nothing.
+    void noteReport(const HoldReport &report, Time now);
+
+    // Returns what the answer to the heartbeat of the last noteReport grants, or nothing where it
+    // can't grant: then the upstream keeps what it holds for as long as it was told before.
+    // `late`: how much later than usual the heartbeat came, as its grants count from its sending.
+    std::optional<HoldAnswer> answerReport(Duration late, Time now);
+
     KeyAccess access(ShardKey key, Time now) const;
 
     // Returns how long the grant of a held key still lasts at least, zero for other keys.
@@ -142,10 +164,12 @@
     {
         KeyRange range;
         std::string handover;
-        Time servesUntil{};  // the upstream holds the range at least so long
+        Time servesFrom{};   // the upstream holds the range from then on
+        Time servesUntil{};  // and at least so long
         Time mayHoldUntil{}; // and at most so long
         Time nextGrant{};
-        std::uint64_t order = 0; // under way, 0: none
+        std::uint64_t order = 0;     // under way, 0: none
+        std::uint64_t grantedIn = 0; // last report whose answer granted the range, 0: none
 
         bool isSettled() const { return this->range.predecessors.empty(); }
     };
@@ -182,6 +206,8 @@
         Time until{};
     };
 
+    Duration longestHoldNow(Time now) const;
+    void grantInAnswer(Owned &owned, Duration late, Time now, HoldAnswer &answer) const;
     Owned inherit(const KeyRange &range, const std::vector<Owned> &before) const;
     Time earlierGrantsEnd() const;
     void stopLost(const std::vector<Owned> &before, Time now);
@@ -197,6 +223,7 @@
     Time startedAt;
     Time leaseUntil{};
     std::uint64_t lastOrder = 0;
+    std::uint64_t lastReport = 0;
     std::vector<Owned> owned;
     std::vector<Stopping> stopping;
     std::vector<PendingGrant> grants; // unanswered ones
--- a/packages/keyspace/tests/test_ownership_model.cpp
+++ b/packages/keyspace/tests/test_ownership_model.cpp
@@ -14,6 +14,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace kumquat {
@@ -21,6 +22,8 @@
 
 constexpr Duration step = 20ms;
 constexpr int hostCount = 4;
+constexpr Duration beatEvery = 870ms;
+constexpr Duration answerWindow = 1s; // in which the answer to a heartbeat is taken
 
 // Guards that a test can take out to show that the scenarios notice.
 struct Guards
@@ -28,6 +31,8 @@
     bool proofs = true;      // ranges wait for their former owners
     bool leaseBounds = true; // grants end with the lease
     bool lateGrants = true;  // unanswered grants count as held
+    bool reportOrder = true; // a heartbeat that was overtaken says nothing
+    bool runningWork = true; // keys with requests that still run count as held
 };
 
 // An upstream: holds keys until a time by its own clock, which may be slow.
@@ -40,9 +45,90 @@
         Time until{};
     };
 
+    // One heartbeat under way; the next is sent when it has been answered or given up.
+    struct Beat
+    {
+        std::uint64_t sequence = 0;
+        Time sentAt{};
+        HoldReport report;
+    };
+
     std::vector<Hold> holds;
+    std::vector<Hold> working; // taken away, with requests that still run until then
+    std::vector<ReleasedRange> released;
+    std::optional<Beat> beat;
+    std::uint64_t sequence = 0;
+    Time nextBeat{};
     double slowness = 1;
 
+    HoldReport report(Time now, bool withWork) const
+    {
+        HoldReport report{.released = this->released};
+        for (const Hold &hold : this->holds) {
+            if (hold.until > now) {
+                report.holds.push_back({.span = hold.span, .fence = hold.fence});
+            }
+        }
+        for (const Hold &hold : this->working) {
+            if (withWork) {
+                report.holds.push_back({.span = hold.span, .fence = hold.fence});
+            }
+        }
+        return report;
+    }
+
+    // Takes an answer: holds its rows, and stops work on all other keys after `work`.
+    void take(const HoldAnswer &answer, Time sentAt, Time now, Duration work)
+    {
+        const std::vector<Hold> before = std::exchange(this->holds, {});
+        const auto length = std::chrono::duration_cast<Duration>(answer.hold * this->slowness);
+        for (const HoldRow &row : answer.rows) {
+            this->holds.push_back({row.span, row.fence, sentAt + length});
+        }
+        for (const Hold &old : before) {
+            if (old.until <= now) {
+                continue;
+            }
+            std::vector<KeySpan> left{old.span};
+            for (const HoldRow &row : answer.rows) {
+                left = without(left, row.span);
+            }
+            for (const KeySpan &span : left) {
+                this->working.push_back({span, old.fence, std::min(old.until, now + work)});
+            }
+        }
+    }
+
+    static std::vector<KeySpan> without(const std::vector<KeySpan> &spans, const KeySpan &cut)
+    {
+        std::vector<KeySpan> rest;
+        for (const KeySpan &span : spans) {
+            if (!span.overlaps(cut)) {
+                rest.push_back(span);
+                continue;
+            }
+            if (span.first < cut.first) {
+                rest.push_back({.first = span.first, .last = cut.first - 1});
+            }
+            if (span.last > cut.last) {
+                rest.push_back({.first = cut.last + 1, .last = span.last});
+            }
+        }
+        return rest;
+    }
+
+    // Moves what has ended from `working` to `released`.
+    void finishWork(Time now)
+    {
+        std::erase_if(this->working, [&](const Hold &hold) {
+            if (hold.until > now) {
+                return false;
+            }
+            this->released.push_back({.span = hold.span, .handover = "token"});
+            return true;
+        });
+    }
+
     void take(const KeySpan &span, std::uint64_t fence, Time arrived, Duration hold)
     {
         const auto length = std::chrono::duration_cast<Duration>(hold * this->slowness);
@@ -84,15 +170,17 @@
     StopProof proofs;
     KeyTable table = KeyTable::createEmpty("testlog");
     std::uint64_t session = 0;
+    std::uint64_t lastSequence = 0; // of a heartbeat
     Time renewedAt = -1h;
 };
 
 class Model
 {
 public:
-    Model(unsigned seed, Guards modelGuards)
+    Model(unsigned seed, Guards modelGuards, GrantWay grantWay = GrantWay::Call)
         : random(seed)
         , guards(modelGuards)
+        , way(grantWay)
         , load(3s)
     {
         for (int i = 0; i < hostCount; ++i) {
@@ -115,6 +203,9 @@
             this->coordinate();
             for (int i = 0; i < hostCount; ++i) {
                 this->advance(i);
+                if (this->way == GrantWay::Heartbeat) {
+                    this->advanceUpstream(i);
+                }
             }
             this->check();
         }
@@ -282,11 +373,77 @@
         this->collectProofs(index);
         const Time lease = this->guards.leaseBounds ? host.lease.validUntil() : this->now + 10s;
         host.holder.setLease(host.session != 0 ? lease : Time::zero());
+        if (this->way == GrantWay::Heartbeat) {
+            return;
+        }
         for (const HoldOrder &order : host.holder.takeOrders(this->now)) {
             this->send(index, order);
         }
     }
 
+    // Sends heartbeats of an upstream, one after the other has been answered or given up.
+    void advanceUpstream(int index)
+    {
+        ModelUpstream &upstream = this->upstreams[index];
+        upstream.finishWork(this->now);
+        if (upstream.beat && this->now >= upstream.beat->sentAt + answerWindow) {
+            upstream.beat.reset();
+        }
+        if (upstream.beat || this->now < upstream.nextBeat) {
+            return;
+        }
+        upstream.nextBeat = this->now + (upstream.working.empty() ? beatEvery : 100ms);
+        upstream.beat = {.sequence = ++upstream.sequence,
+                         .sentAt = this->now,
+                         .report = upstream.report(this->now, this->guards.runningWork)};
+        this->later(this->delay(),
+                    [this, index, beat = *upstream.beat] { this->deliver(index, beat); });
+    }
+
+    // Returns how long a message between an upstream and its host takes; some are very late.
+    Duration delay()
+    {
+        return this->chance(0.1) ? this->between(300ms, 4s) : this->between(1ms, 40ms);
+    }
+
+    void deliver(int index, const ModelUpstream::Beat &beat)
+    {
+        if (!this->isAwake(index)) {
+            this->later(100ms, [this, index, beat] { this->deliver(index, beat); });
+            return;
+        }
+        ModelHost &host = *this->hosts[index];
+        const bool isNewest = beat.sequence > host.lastSequence || !this->guards.reportOrder;
+        host.lastSequence = std::max(host.lastSequence, beat.sequence);
+        this->advance(index);
+        std::optional<HoldAnswer> answer;
+        if (isNewest) {
+            host.holder.noteReport(beat.report, this->now);
+            answer = host.table.end != 0 ? host.holder.answerReport(0s, this->now) : answer;
+        }
+        if (this->chance(0.03)) {
+            return; // lost
+        }
+        this->later(this->delay(),
+                    [this, index, beat, answer] { this->takeAnswer(index, beat, answer); });
+    }
+
+    void takeAnswer(int index, const ModelUpstream::Beat &beat,
+                    const std::optional<HoldAnswer> &answer)
+    {
+        ModelUpstream &upstream = this->upstreams[index];
+        if (!upstream.beat || upstream.beat->sequence != beat.sequence) {
+            return; // given up
+        }
+        upstream.beat.reset();
+        upstream.released.erase(upstream.released.begin(),
+                                upstream.released.begin()
+                                        + static_cast<std::ptrdiff_t>(beat.report.released.size()));
+        if (answer) {
+            upstream.take(*answer, beat.sentAt, this->now, this->between(0ms, 400ms));
+        }
+    }
+
     void renew(int index)
     {
         ModelHost &host = *this->hosts[index];
@@ -408,10 +565,18 @@
         }
     }
 
+    std::vector<ModelUpstream::Hold> allHolds(int index) const
+    {
+        std::vector<ModelUpstream::Hold> holds = this->upstreams[index].holds;
+        const auto &working = this->upstreams[index].working;
+        holds.insert(holds.end(), working.begin(), working.end());
+        return holds;
+    }
+
     void compare(int a, int b)
     {
-        for (const ModelUpstream::Hold &first : this->upstreams[a].holds) {
-            for (const ModelUpstream::Hold &second : this->upstreams[b].holds) {
+        for (const ModelUpstream::Hold &first : this->allHolds(a)) {
+            for (const ModelUpstream::Hold &second : this->allHolds(b)) {
                 if (first.span.overlaps(second.span)) {
                     this->fault = "hosts " + this->nameOf(a) + " and " + this->nameOf(b)
                                   + " hold keys from "
@@ -427,6 +592,7 @@
 
     std::mt19937 random;
     Guards guards;
+    GrantWay way;
     Time now = 100s;
     Time plannedAt{};
     Time storeAwayUntil{};
@@ -442,10 +608,10 @@
 };
 
 // Plays scenarios until one breaks a promise; returns whether one did.
-bool isNoticed(Guards guards)
+bool isNoticed(Guards guards, GrantWay way = GrantWay::Call)
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
-        if (!Model(seed, guards).play(30s).empty()) {
+        if (!Model(seed, guards, way).play(30s).empty()) {
             return true;
         }
     }
@@ -473,8 +639,27 @@
     CHECK(model.heldKeys() > 0);
 }
 
+TEST_CASE("no two upstreams hold a key at once where heartbeats are answered with grants",
+          "[ownership_model]")
+{
+    const bool holds = rc::check("in every scenario", [](unsigned seed) {
+        Model model(seed, {}, GrantWay::Heartbeat);
+        const std::string fault = model.play(30s);
+        RC_LOG() << "seed " << seed << ": " << fault;
+        RC_ASSERT(fault.empty());
+    });
+    CHECK(holds);
+    Model model(7, {}, GrantWay::Heartbeat);
+    REQUIRE(model.play(30s).empty());
+    CHECK(model.heldKeys() > 0);
+}
+
 TEST_CASE("the scenarios notice each guard that is taken out", "[ownership_model]")
 {
+    CHECK(isNoticed({.proofs = false}, GrantWay::Heartbeat));
+    CHECK(isNoticed({.leaseBounds = false}, GrantWay::Heartbeat));
+    CHECK(isNoticed({.reportOrder = false}, GrantWay::Heartbeat));
+    CHECK(isNoticed({.runningWork = false}, GrantWay::Heartbeat));
     CHECK(isNoticed({.proofs = false}));
     CHECK(isNoticed({.leaseBounds = false}));
     CHECK(isNoticed({.lateGrants = false}));
--- a/packages/routing/configuration.h
+++ b/packages/routing/configuration.h
@@ -6,10 +6,12 @@
 #pragma once
 
 #include "base/time.h"
+#include "keyspace/hold_report.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +48,7 @@
     std::string name;
     std::uint32_t maxConnections = 0; // of one upstream, from all callers
     bool hasKeys = false;             // each request's key is owned by one upstream
+    std::optional<GrantWay> grantWay; // of its keys; not set: as the settings of a process say
 };
 
 // ---- Limits ----
--- a/packages/soak/soak_main.cpp
+++ b/packages/soak/soak_main.cpp
@@ -16,6 +16,7 @@
 
 Usage:
   soak [--seed=N] [--runs=K] [--seconds=S] [--hosts=H] [--callers=C] [--directory=PATH]
+       [--grants=WAY]
   soak --regressions=FILE [--callers=C] [--directory=PATH]
 
 Options:
@@ -25,6 +26,7 @@
   --hosts=H         Hosts of one run, each with a process and an upstream [default: 6].
   --callers=C       Threads that send requests [default: 8].
   --regressions=FILE  Plays the seeds of a file: seed, seconds and hosts in a line.
+  --grants=WAY      How keys are granted to upstreams: call or heartbeat [default: call].
   --directory=PATH  Where settings, logs and timelines go, a folder a seed [default: soak].
 )";
 
@@ -64,8 +66,12 @@
         std::istringstream fields(line);
         std::uint64_t seed = 0;
         long seconds = 0;
-        if (fields >> seed >> seconds >> settings.hosts >> settings.faultKinds
-            >> settings.linkKinds) {
+        std::string way;
+        if (fields >> seed >> seconds >> settings.hosts >> settings.faultKinds >> settings.linkKinds
+            >> way) {
+            const auto known = kumquat::grantWayNames.valueOf(way);
+            holds = holds && known.has_value();
+            settings.grantWay = known.value_or(kumquat::GrantWay::Call);
             settings.length = std::chrono::seconds(seconds);
             holds = runSeed(seed, settings) && holds;
         }
@@ -78,10 +84,16 @@
 int main(int argc, const char **argv)
 {
     auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    const std::string way = options["--grants"] ? options["--grants"].asString() : "call";
+    if (!kumquat::grantWayNames.valueOf(way)) {
+        std::cerr << "--grants: " << way << "; expected call or heartbeat\n";
+        return EXIT_FAILURE;
+    }
     const kumquat::SoakSettings base{.length = std::chrono::seconds(options["--seconds"].asLong()),
                                      .hosts = static_cast<int>(options["--hosts"].asLong()),
                                      .callers = static_cast<int>(options["--callers"].asLong()),
-                                     .directory = options["--directory"].asString()};
+                                     .directory = options["--directory"].asString(),
+                                     .grantWay = *kumquat::grantWayNames.valueOf(way)};
     if (options["--regressions"]) {
         const bool holds = runRegressions(options["--regressions"].asString(), base);
         return holds ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/packages/soak/soak_run.cpp
+++ b/packages/soak/soak_run.cpp
@@ -32,7 +32,8 @@
                    .dataCentres = {"a", "b", "c"},
                    .directory = runSettings.directory,
                    .hasProxies = true,
-                   .workTime = std::chrono::milliseconds(15)})
+                   .workTime = std::chrono::milliseconds(15),
+                   .grantsInAnswers = runSettings.grantWay == GrantWay::Heartbeat})
         , callers(this->cluster, {.threads = runSettings.callers, .seed = runSettings.seed})
     {}
 
--- a/packages/soak/soak_run.h
+++ b/packages/soak/soak_run.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "keyspace/hold_report.h"
 #include "soak/soak_callers.h"
 #include "soak/soak_plan.h"
 
@@ -23,6 +24,7 @@
     int hosts = 6;
     int callers = 8;
     std::string directory = "."; // of settings, logs and the timeline
+    GrantWay grantWay = GrantWay::Call;
 
     // Until each key is served through each host after the last fault. Requirement: entries are
     // back 2 s after the store's return, a session ends after 2 s, both may follow each other.
--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -183,7 +183,10 @@
     if (known == nullptr && settled < this->settings.settle) {
         return; // hosts start at almost the same time
     }
-    const KeyTable empty = KeyTable::createEmpty(this->service);
+    const ServiceInfo *info = this->view.configuration()->service(this->service);
+    const GrantWay way = info->grantWay.value_or(this->settings.grantWay);
+    const KeyTable empty = KeyTable::createEmpty(
+            this->service, leaseLengthOf(way, this->settings.heartbeatInterval));
     const PlanInput input = this->makeInput(known != nullptr ? *known : empty, now);
     std::optional<KeyTable> next = planKeyTable(input, this->settings.planner);
     if (input.mayBalance) {
--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -38,6 +38,8 @@
     Duration settle = 500ms;      // after the last news of hosts, before the first table
     Duration statementFor = 2s;   // then the record in the store counts again
     Duration loadMemory = 3s;     // of the request rate of a key
+    GrantWay grantWay = GrantWay::Call; // for services that do not name theirs
+    Duration heartbeatInterval = 1s;    // of the upstreams
     PlannerSettings planner;
 };
 
--- a/packages/stage/key_owner.cpp
+++ b/packages/stage/key_owner.cpp
@@ -1,5 +1,6 @@
 #include "stage/key_owner.h"
 
+#include "base/durations.h"
 #include "base/errors.h"
 #include "base/log.h"
 #include "base/text.h"
@@ -43,7 +44,7 @@
 }
 
 KeyOwner::KeyOwner(FiberThread &ownerThread, const std::string &ownNode,
-                   const std::string &ownService, const Address &upstream, Duration longestHold,
+                   const std::string &ownService, const Address &upstream, Duration allowedHold,
                    ClusterView &clusterView, LinkPool &linkPool, UpstreamMonitor &upstreamMonitor,
                    KeyOwnerHooks ownerHooks)
     : thread(ownerThread)
@@ -54,8 +55,9 @@
     , monitor(upstreamMonitor)
     , hooks(std::move(ownerHooks))
     , upstreamOrders(ownerThread.io(), upstream, orderLimits)
+    , longestHold(allowedHold)
     , lease(this->leaseSettings)
-    , holder({.longestHold = std::min(this->leaseSettings.length, longestHold),
+    , holder({.longestHold = std::min(this->leaseSettings.length, allowedHold),
               .renewEvery = this->leaseSettings.renewEvery,
               .clockDrift = this->leaseSettings.clockDrift},
              readBootTime())
@@ -87,6 +89,7 @@
         this->followedLife = this->monitor.life();
     }
     this->followedEnd = table->end;
+    this->followLeaseLength(*table);
     const KeySession *session = table->activeSessionOf(this->node);
     const bool isOwn = session != nullptr && session->life == this->monitor.life()
                        && session->id != this->givenUp;
@@ -107,6 +110,15 @@
     this->proofs.prune(*table);
 }
 
+void KeyOwner::followLeaseLength(const KeyTable &table)
+{
+    this->leaseSettings.length = table.leaseLength;
+    this->lease.setLength(table.leaseLength);
+    const Duration hold = std::min(table.leaseLength, this->longestHold);
+    this->holder.setLongestHold(hold);
+    this->monitor.setLongestHold(hold);
+}
+
 std::uint64_t KeyOwner::retiredSession(Time now) const
 {
     const KeyTable *table = this->view.table(this->service);
@@ -269,11 +281,59 @@
     return reply;
 }
 
+// ---- Reports ----
+
+std::optional<HoldAnswer> KeyOwner::takeReport(const HoldReport &report, Duration late, Time now)
+{
+    this->advance(now);
+    if (this->hooks.grantWay() != GrantWay::Heartbeat) {
+        return std::nullopt;
+    }
+    this->holder.noteReport(report, now);
+    // Without the table nobody can say what the upstream is to hold.
+    std::optional<HoldAnswer> answer;
+    if (this->followedEnd != 0) {
+        answer = this->holder.answerReport(late, now);
+    }
+    this->logGrants(report, answer);
+    this->thread.spawn([this] {
+        sleepFor(this->thread.io(), HolderSettings{}.answerTravel);
+        this->hooks.accessChanged();
+    });
+    return answer;
+}
+
+// Logs what the answer changes; one that only renews is not logged.
+void KeyOwner::logGrants(const HoldReport &report, const std::optional<HoldAnswer> &answer) const
+{
+    const std::vector<HoldRow> rows = answer ? answer->rows : std::vector<HoldRow>();
+    const bool isSame = answer && report.released.empty() && rows.size() == report.holds.size()
+                        && std::equal(rows.begin(), rows.end(), report.holds.begin(),
+                                      [](const HoldRow &row, const HeldRange &held) {
+                                          return row.span == held.span && row.fence == held.fence;
+                                      });
+    if (isSame) {
+        return;
+    }
+    const Duration left = this->lease.validUntil() - readBootTime();
+    const bool isEndless = this->lease.validUntil() == Time::max();
+    logInfo(LogPart::Lease, "heartbeat answered",
+            {{"session", std::to_string(this->ownSession)},
+             {"upstream", this->monitor.life().id},
+             {"holds", std::to_string(report.holds.size())},
+             {"released", std::to_string(report.released.size())},
+             {"granted", answer ? std::to_string(rows.size()) : "none"},
+             {"holdMs", answer ? std::to_string(toMilliseconds(answer->hold)) : "none"},
+             {"leaseMs", isEndless ? "endless" : std::to_string(toMilliseconds(left))},
+             {"tables", std::to_string(this->followedEnd)}});
+}
+
 // ---- Orders ----
 
 void KeyOwner::sendOrders(Time now)
 {
-    if (!this->monitor.isKnown() || this->monitor.isRefusing()) {
+    const bool isCalled = this->hooks.grantWay() == GrantWay::Call;
+    if (!this->monitor.isKnown() || this->monitor.isRefusing() || !isCalled) {
         return;
     }
     for (const HoldOrder &order : this->holder.takeOrders(now)) {
--- a/packages/stage/key_owner.h
+++ b/packages/stage/key_owner.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace kumquat {
@@ -27,6 +28,7 @@
     std::function<void(const std::string &node, const wire::VouchReply &reply)> vouched;
     // Answers as the voter that this process itself is.
     std::function<bool(const wire::ReleaseQuery &query)> ownVoterReleased;
+    std::function<GrantWay()> grantWay; // of the own service
 };
 
 // ---- Orders ----
@@ -42,12 +44,16 @@
 {
 public:
     KeyOwner(FiberThread &ownerThread, const std::string &ownNode, const std::string &ownService,
-             const Address &upstream, Duration longestHold, ClusterView &clusterView,
+             const Address &upstream, Duration allowedHold, ClusterView &clusterView,
              LinkPool &linkPool, UpstreamMonitor &upstreamMonitor, KeyOwnerHooks ownerHooks);
 
     // Takes a change of the table, of the upstream or of the time; call every 50 ms as well.
     void advance(Time now);
 
+    // Takes what the newest heartbeat says of keys and returns what its answer grants, if anything.
+    // `late`: how much later than usual it came.
+    std::optional<HoldAnswer> takeReport(const HoldReport &report, Duration late, Time now);
+
     KeyAccess access(ShardKey key, Time now) const { return this->holder.access(key, now); }
 
     // Returns how long the grant of a held key still lasts at least.
@@ -69,10 +75,12 @@
     static constexpr Duration askEvery = 60ms; // a round trip between regions
 
     void followTable(Time now);
+    void followLeaseLength(const KeyTable &table);
     void renew(Time now);
     void askForProofs(Time now);
     void askHost(const KeyTable &table, const MissingProof &missing);
     void askVoters(const KeySession &session);
+    void logGrants(const HoldReport &report, const std::optional<HoldAnswer> &answer) const;
     void sendOrders(Time now);
     void sendOrder(const HoldOrder &order);
 
@@ -84,6 +92,7 @@
     UpstreamMonitor &monitor;
     KeyOwnerHooks hooks;
     HttpClient upstreamOrders;
+    Duration longestHold; // that the platform allows
     LeaseSettings leaseSettings;
     VouchedLease lease;
     RangeHolder holder;
--- a/packages/stage/settings.cpp
+++ b/packages/stage/settings.cpp
@@ -44,6 +44,20 @@
     return std::chrono::milliseconds(object.takeInteger(member, millisecondRange, std::nullopt));
 }
 
+bool isGrantWay(const std::string &text)
+{
+    return grantWayNames.valueOf(text).has_value();
+}
+
+GrantWay takeGrantWay(JsonObject &object)
+{
+    if (object.takeOptional("grants") == nullptr) {
+        return GrantWay::Call;
+    }
+    const std::string text = object.takeString("grants", "\"call\" or \"heartbeat\"", isGrantWay);
+    return grantWayNames.valueOf(text).value_or(GrantWay::Call);
+}
+
 StageListen takeListen(JsonObject &root, Faults &faults)
 {
     JsonObject object(root.take("listen", "an object of addresses"), "/listen", faults);
@@ -92,6 +106,10 @@
         settings.service = takeText(root, "service");
         settings.upstream = takeAddress(root, "upstream");
         settings.store = takeAddress(root, "store");
+        settings.grantWay = takeGrantWay(root);
+        constexpr std::int64_t usualHeartbeatMs = 1000;
+        settings.heartbeatInterval = std::chrono::milliseconds(
+                root.takeInteger("heartbeatMs", millisecondRange, usualHeartbeatMs));
         settings.listen = takeListen(root, faults);
         settings.limits = takeLimits(root, faults);
         root.reportUnknown();
--- a/packages/stage/settings.h
+++ b/packages/stage/settings.h
@@ -5,6 +5,7 @@
 
 #include "base/address.h"
 #include "base/time.h"
+#include "keyspace/hold_report.h"
 
 #include <absl/status/statusor.h>
 
@@ -45,6 +46,8 @@
     std::string service;     // of the upstream beside this process
     Address upstream;
     Address store;
+    GrantWay grantWay = GrantWay::Call; // for services that do not name theirs
+    Duration heartbeatInterval = 1s;    // of the upstream
     StageListen listen;
     StageLimits limits;
 };
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -8,10 +8,12 @@
 #include "platform/upstream.h"
 #include "stage/upstream_limits.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <random>
+#include <utility>
 
 namespace kumquat {
 namespace {
@@ -106,6 +108,12 @@
             .ownVoterReleased =
                     [this](const wire::ReleaseQuery &query) {
                         return this->hasVoterReleased(query);
+                    },
+            .grantWay =
+                    [this] {
+                        const ServiceInfo *info = this->ownService();
+                        return info != nullptr && info->grantWay ? *info->grantWay
+                                                                 : this->settings.grantWay;
                     }})
     , executor(this->thread, this->monitor, this->metrics,
                {.service = this->settings.service,
@@ -115,9 +123,7 @@
                 .heldFor = [this](ShardKey key, Time now) { return this->keys.heldFor(key, now); },
                 .hasKeys =
                         [this] {
-                            const ConfigurationPtr now = this->view.configuration();
-                            const ServiceInfo *info =
-                                    now ? now->service(this->settings.service) : nullptr;
+                            const ServiceInfo *info = this->ownService();
                             return info != nullptr && info->hasKeys;
                         },
                 .tablesEnd = [this] { return this->view.tablesEnd(); },
@@ -128,7 +134,9 @@
                    .takeKeyCounts = [this] { return this->executor.takeKeyCounts(); },
                    .known = [this](const std::string &node,
                                    const wire::Known &known) { this->noteKnown(node, known); },
-                   .tablesBehind = [this] { this->follower.nudge(platform::StoreTopic::Tables); }})
+                   .tablesBehind = [this] { this->follower.nudge(platform::StoreTopic::Tables); }},
+                  {.grantWay = this->settings.grantWay,
+                   .heartbeatInterval = this->settings.heartbeatInterval})
     , ingress(this->thread, this->view, this->links, this->executor, this->picker, this->metrics,
               ingressSettings(this->settings),
               {.tablesBehind =
@@ -354,10 +362,33 @@
     }
     this->metrics.count(Metric::HeartbeatsTaken);
     const Time now = readBootTime();
+    const bool isNewest = this->monitor.isNewest(*beat);
     if (this->monitor.applyHeartbeat(*beat, now)) {
         this->onUpstreamChanged(now);
     }
-    return {.status = statusOk, .fields = {{"Content-Type", "application/json"}}, .body = "{}"};
+    std::optional<HoldAnswer> granted;
+    if (isNewest) {
+        const Duration late = this->latenessOfHeartbeat(now);
+        if (beat->holding) {
+            granted = this->keys.takeReport(*beat->holding, late, now);
+        }
+    }
+    return platform::encodeHeartbeatAnswer(granted);
+}
+
+// Returns how much later than usual a heartbeat comes. An upstream takes the answer only within a
+// second of the sending, so grants of a later one do not count anyway.
+Duration Stage::latenessOfHeartbeat(Time now)
+{
+    constexpr Duration mostLate = 1s;
+    const Duration since = now - std::exchange(this->heartbeatAt, now);
+    return std::clamp(since - this->settings.heartbeatInterval, Duration::zero(), mostLate);
+}
+
+const ServiceInfo *Stage::ownService() const
+{
+    const ConfigurationPtr now = this->view.configuration();
+    return now ? now->service(this->settings.service) : nullptr;
 }
 
 void Stage::onUpstreamChanged(Time now)
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -64,6 +64,8 @@
 
     // The upstream beside this process.
     HttpResponse onHeartbeat(const HttpRequest &request);
+    Duration latenessOfHeartbeat(Time now);
+    const ServiceInfo *ownService() const;
     void onUpstreamChanged(Time now);
     void writeHostRecord();
     wire::LoadReport makeReport() const;
@@ -109,6 +111,7 @@
     bool isRecordWriting = false;
     std::uint64_t recordChange = 0;
     Time fetchedAt = -1h;
+    Time heartbeatAt{};               // of the newest heartbeat
     Time advancedAt = readBootTime(); // last
     std::size_t gossipTurn = 0;
 };
--- a/packages/stage/upstream_monitor.cpp
+++ b/packages/stage/upstream_monitor.cpp
@@ -10,6 +10,19 @@
            || (beat.service == this->settings.service && beat.address == this->settings.upstream);
 }
 
+bool UpstreamMonitor::isNewest(const platform::Heartbeat &beat) const
+{
+    if (beat.isGoodbye || beat.life != this->lastLife || !this->current) {
+        return !beat.isGoodbye && beat.life.bornMs >= this->lastLife.bornMs;
+    }
+    return beat.sequence > this->current->sequence;
+}
+
+void UpstreamMonitor::setLongestHold(Duration longestHold)
+{
+    this->settings.endedAfter = longestHold + MonitorSettings::endedSlack;
+}
+
 bool UpstreamMonitor::applyHeartbeat(const platform::Heartbeat &beat, Time now)
 {
     const bool isSameLife =
--- a/packages/stage/upstream_monitor.h
+++ b/packages/stage/upstream_monitor.h
@@ -16,11 +16,13 @@
 
 struct MonitorSettings
 {
+    // Added to the longest hold, which an upstream's slow clock stretches.
+    static constexpr Duration endedSlack = 150ms;
+
     std::string service; // of the upstream beside this process
     Address upstream;
     Duration drain{}; // bound of the platform for requests after a goodbye
-    // Without a listener; over the longest hold by a slow clock.
-    Duration endedAfter = LeaseSettings{}.length + 150ms;
+    Duration endedAfter = LeaseSettings{}.length + endedSlack; // without a listener
     double drainShare = 0.8;         // of it after which nothing more is sent
     std::uint32_t failuresInRow = 3; // unanswered calls after which the upstream counts as failing
 };
@@ -37,6 +39,12 @@
     // one with another service or address, and a later birth would hide the upstream for good.
     bool isOwn(const platform::Heartbeat &beat) const;
 
+    // Says whether a heartbeat is newer than the last one, so that its answer may grant keys.
+    bool isNewest(const platform::Heartbeat &beat) const;
+
+    // Takes the longest time of one grant, after which a life without a listener may be over.
+    void setLongestHold(Duration longestHold);
+
     // Takes a heartbeat. Older ones than the last, and those of an earlier life, are ignored.
     // Returns true if the life, the phase or the slots changed.
     bool applyHeartbeat(const platform::Heartbeat &beat, Time now);
--- a/packages/standins/platform_endpoint.cpp
+++ b/packages/standins/platform_endpoint.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto beatEvery = std::chrono::milliseconds(300);
 constexpr auto beatTimeout = std::chrono::seconds(1);
+constexpr auto beatAfterRelease = std::chrono::milliseconds(100);
 constexpr int slots = 9;
 
 } // namespace
@@ -76,6 +77,18 @@
     this->release(upstream, 0, 65'535);
 }
 
+std::vector<HoldLedger::Row> HoldLedger::rowsOf(const std::string &upstream)
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<Row> rows;
+    for (const Hold &hold : this->current) {
+        if (hold.upstream == upstream && hold.until > Clock::now()) {
+            rows.push_back({hold.first, hold.last, hold.fence});
+        }
+    }
+    return rows;
+}
+
 bool HoldLedger::holds(const std::string &upstream, std::uint32_t key)
 {
     const std::lock_guard lock(this->mutex);
@@ -132,30 +145,83 @@
 {
     int sequence = 0;
     while (!this->isStopping) {
-        const Json info{
-                {"service", this->service}, {"version", "v1"}, {"zone", "a"}, {"slots", slots}};
-        const Json status{{"state", this->isDraining ? "draining" : "ready"},
-                          {"seq", ++sequence},
-                          {"cold_left_ms", 0}};
-        const std::uint16_t advertised =
-                this->options.advertisedPort != 0 ? this->options.advertisedPort : this->port();
-        const Json body{{"address", "127.0.0.1:" + std::to_string(advertised)},
-                        {"info", info},
-                        {"status", status},
-                        {"born", this->bornMs}};
+        const bool isLeaving = this->isDraining;
+        const auto sentAt = HoldLedger::Clock::now();
         HttpClient client(address);
         const HttpExchange exchange = client.send(
-                {"PUT", "/kumquatstage/instances/" + this->id, {}, body.dump()}, beatTimeout);
+                {"PUT", "/kumquatstage/instances/" + this->id, {}, this->describe(++sequence)},
+                beatTimeout);
         constexpr int statusOk = 200;
-        const bool isAcknowledged =
-                exchange.result == ExchangeResult::Answered && exchange.answer.status == statusOk;
+        const bool isAcknowledged = exchange.result == ExchangeResult::Answered
+                                    && exchange.answer.status == statusOk
+                                    && HoldLedger::Clock::now() - sentAt < beatTimeout;
+        bool hasReleased = false;
         {
             const std::lock_guard lock(this->mutex);
-            if (isAcknowledged && status["state"] == "draining" && !this->drainAcknowledgedAt) {
+            if (isAcknowledged && isLeaving && !this->drainAcknowledgedAt) {
                 this->drainAcknowledgedAt = HoldLedger::Clock::now();
             }
+            if (isAcknowledged && this->options.grantsInAnswers) {
+                this->released.clear();
+                this->takeAnswer(exchange.answer.body, sentAt);
+                hasReleased = !this->released.empty();
+            }
+        }
+        std::this_thread::sleep_for(hasReleased ? beatAfterRelease : beatEvery);
+    }
+}
+
+// Returns the body of a heartbeat.
+std::string PlatformEndpoint::describe(int sequence)
+{
+    const std::uint16_t advertised =
+            this->options.advertisedPort != 0 ? this->options.advertisedPort : this->port();
+    Json body{{"address", "127.0.0.1:" + std::to_string(advertised)},
+              {"info",
+               {{"service", this->service}, {"version", "v1"}, {"zone", "a"}, {"slots", slots}}},
+              {"status",
+               {{"state", this->isDraining ? "draining" : "ready"},
+                {"seq", sequence},
+                {"cold_left_ms", 0}}},
+              {"born", this->bornMs}};
+    if (this->options.grantsInAnswers) {
+        body["holds"] = Json::array();
+        body["released"] = Json::array();
+        for (const HoldLedger::Row &row : this->ledger.rowsOf(this->id)) {
+            body["holds"].push_back({row.first, row.last, row.fence});
+        }
+        const std::lock_guard lock(this->mutex);
+        for (const HoldLedger::Row &row : this->released) {
+            body["released"].push_back({row.first, row.last, "handover"});
+        }
+    }
+    return body.dump();
+}
+
+// Holds what the answer to a heartbeat names and releases everything else; `mutex` is held.
+void PlatformEndpoint::takeAnswer(const std::string &text, HoldLedger::Clock::time_point sentAt)
+{
+    const Json body = Json::parse(text, nullptr, false);
+    if (!body.is_object() || !body.contains("holds")) {
+        return;
+    }
+    const auto hold = std::chrono::milliseconds(body.at("hold_ms").get<std::int64_t>())
+                      - (HoldLedger::Clock::now() - sentAt);
+    std::vector<HoldLedger::Row> rows;
+    for (const Json &row : body.at("holds")) {
+        rows.push_back({row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint32_t>(),
+                        row.at(2).get<std::uint64_t>()});
+    }
+    for (const HoldLedger::Row &held : this->ledger.rowsOf(this->id)) {
+        if (std::find(rows.begin(), rows.end(), held) == rows.end()) {
+            this->ledger.release(this->id, held.first, held.last);
+            this->released.push_back(held);
+        }
+    }
+    for (const HoldLedger::Row &row : rows) {
+        if (hold > HoldLedger::Clock::duration::zero()) {
+            this->ledger.grant(this->id, row.first, row.last, row.fence, hold);
         }
-        std::this_thread::sleep_for(beatEvery);
     }
 }
 
@@ -185,6 +251,9 @@
 
 HttpAnswer PlatformEndpoint::order(const HttpRequest &request, bool isGrant)
 {
+    if (this->options.grantsInAnswers) {
+        return {400, {}, ""};
+    }
     const Json body = Json::parse(request.body);
     const auto first = body.at("from").get<std::uint32_t>();
     const auto last = body.at("target").get<std::uint32_t>();
--- a/packages/standins/platform_endpoint.h
+++ b/packages/standins/platform_endpoint.h
@@ -38,6 +38,18 @@
                std::uint64_t fence, Clock::duration hold);
     void release(const std::string &upstream, std::uint32_t first, std::uint32_t last);
     void releaseAll(const std::string &upstream);
+
+    // One row of what an upstream holds.
+    struct Row
+    {
+        std::uint32_t first = 0;
+        std::uint32_t last = 0;
+        std::uint64_t fence = 0;
+
+        bool operator==(const Row &) const = default;
+    };
+
+    std::vector<Row> rowsOf(const std::string &upstream);
     bool holds(const std::string &upstream, std::uint32_t key);
 
     // Returns a line for each grant of keys that another upstream held, or under a fence that is
@@ -67,6 +79,7 @@
     std::uint16_t port = 0;           // 0: a free one
     std::uint16_t advertisedPort = 0; // in heartbeats, that of a proxy before it; 0: its own
     std::chrono::milliseconds workTime{5};
+    bool grantsInAnswers = false; // takes keys from answers to heartbeats, not from calls
 };
 
 class PlatformEndpoint
@@ -95,6 +108,8 @@
     HttpAnswer order(const HttpRequest &request, bool isGrant);
     HttpAnswer run(const HttpRequest &request);
     void beat(const Address &address);
+    std::string describe(int sequence);
+    void takeAnswer(const std::string &body, HoldLedger::Clock::time_point sentAt);
 
     std::string id;
     std::string service;
@@ -103,6 +118,7 @@
     std::int64_t bornMs;
     std::mutex mutex;
     std::vector<std::string> ran;
+    std::vector<HoldLedger::Row> released; // since the last heartbeat with an answer
     HoldLedger::Clock::time_point lastRunAt;
     std::optional<HoldLedger::Clock::time_point> drainAcknowledgedAt;
     std::atomic<bool> isDraining{false};
--- a/packages/system/platform_cluster.cpp
+++ b/packages/system/platform_cluster.cpp
@@ -52,12 +52,14 @@
                        "max_attempts", "weighted_clusters"};
     const Json rows{routeRow("r-1", "/v/", "non_idempotent"), routeRow("r-2", "/r/", "idempotent"),
                     routeRow("r-3", versionPrefix(version), "idempotent")};
-    const Json service{"testlog", "/health", maxConnections, true};
-    const Json config{{"version", "r" + std::to_string(version)},
-                      {"routes", {{"columns", columns}, {"rows", rows}}},
-                      {"services",
-                       {{"columns", {"name", "health_path", "max_connections", "sharded"}},
-                        {"rows", Json::array({service})}}}};
+    const Json service{"testlog", "/health", maxConnections, true,
+                       this->options.grantsInAnswers ? "heartbeat" : "call"};
+    const Json config{
+            {"version", "r" + std::to_string(version)},
+            {"routes", {{"columns", columns}, {"rows", rows}}},
+            {"services",
+             {{"columns", {"name", "health_path", "max_connections", "sharded", "grants"}},
+              {"rows", Json::array({service})}}}};
     this->store.put("keyed.op", 0, "config", config.dump());
 }
 
@@ -88,7 +90,8 @@
             id, "testlog", this->ledger,
             EndpointOptions{.port = host.upstream.port,
                             .advertisedPort = host.advertisedUpstream.port,
-                            .workTime = this->options.workTime});
+                            .workTime = this->options.workTime,
+                            .grantsInAnswers = this->options.grantsInAnswers});
     host.endpoint->sendHeartbeatsTo(host.heartbeats);
 }
 
@@ -141,6 +144,7 @@
                         {"service", "testlog"},
                         {"upstream", host.advertisedUpstream.toString()},
                         {"store", storeAddress.toString()},
+                        {"heartbeatMs", 300},
                         {"listen", listen},
                         {"limits", limits}};
     writeFile(host.settingsPath, settings.dump());
--- a/packages/system/platform_cluster.h
+++ b/packages/system/platform_cluster.h
@@ -33,6 +33,7 @@
     bool hasProxies = false; // before the store, the upstreams and the ports between processes
     std::chrono::milliseconds workTime{5}; // of one request at an upstream
     int stopSeconds = 6;                   // between SIGTERM and SIGKILL
+    bool grantsInAnswers = false; // keys are granted in answers to heartbeats, not by calls
 };
 
 // ---- PlatformHost ----
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -134,6 +134,29 @@
     caller.checkPromises();
 }
 
+// Guards the second way of granting: the same promises where an upstream takes its keys from the
+// answers to its heartbeats and no calls.
+TEST_CASE("keys granted in answers to heartbeats are served, move and return", "[platform]")
+{
+    PlatformCluster cluster({.grantsInAnswers = true});
+    Caller caller(cluster);
+    REQUIRE(caller.waitUntilServed(hostsOf(cluster, {0, 1, 2, 3}), 20s) < 20s);
+    cluster.host(1).process->kill();
+    cluster.endUpstream(cluster.host(1));
+    CHECK(caller.waitUntilServed(hostsOf(cluster, {0, 2, 3}), 15s) < 15s);
+    cluster.startProcess(cluster.host(1));
+    cluster.startUpstream(cluster.host(1));
+    cluster.host(2).process->signal(SIGTERM);
+    std::this_thread::sleep_for(1500ms);
+    CHECK(caller.waitUntilServed(hostsOf(cluster, {0, 1, 3}), 10s) < 10s);
+    CHECK(cluster.host(2).process->waitForExit(7s) == 0);
+    cluster.host(0).endpoint->setDraining();
+    std::this_thread::sleep_for(3s);
+    CHECK(cluster.ledger.rowsOf(cluster.host(0).endpoint->instance()).empty());
+    CHECK(caller.waitUntilServed(hostsOf(cluster, {1, 3}), 10s) < 10s);
+    caller.checkPromises();
+}
+
 // The lease needs no store, so an outage alone takes no key away; a paused process loses its keys
 // and must not go on with them when it wakes.
 TEST_CASE("owners go on while the store is away, and a paused one is replaced after it",
