platform: rows of a heartbeat may overlap

Callers saw: after a range had been split or joined, an upstream lost all its keys for good. Cause: the upstream names a range that was granted in other parts before as both, and the adapter took a list with overlapping rows for that of another writer. Now overlapping rows are read, keys count as held once, and ranges are joined in an answer only if there are too many for it. Tests: test_platform "a heartbeat says which keys ..." and test_keyspace "rows of a heartbeat that overlap are held once", both failed before.

--- a/packages/keyspace/range_holder_reports.cpp
+++ b/packages/keyspace/range_holder_reports.cpp
@@ -6,17 +6,27 @@
 namespace kumquat {
 namespace {
 
-// Says whether the upstream holds all keys of the span under this fence.
+constexpr std::size_t bytesOfPlainRow = 40; // two keys, a fence and punctuation
+
+// Says whether the upstream holds all keys of the span under this fence. Rows may overlap.
 bool isHeldWhole(const std::vector<HeldRange> &holds, const KeySpan &span, std::uint64_t fence)
 {
-    std::uint32_t covered = 0;
+    std::vector<KeySpan> covers;
     for (const HeldRange &held : holds) {
         if (held.fence == fence && held.span.overlaps(span)) {
-            covered +=
-                    std::min(held.span.last, span.last) - std::max(held.span.first, span.first) + 1;
+            covers.push_back(held.span);
+        }
+    }
+    std::sort(covers.begin(), covers.end(),
+              [](const KeySpan &a, const KeySpan &b) { return a.first < b.first; });
+    ShardKey next = span.first;
+    for (const KeySpan &cover : covers) {
+        if (cover.first > next) {
+            return false;
         }
+        next = std::max(next, cover.last + 1);
     }
-    return covered >= span.size();
+    return next > span.last;
 }
 
 // Says whether the upstream holds, or works on, a key of the span under this fence or an older one.
@@ -36,10 +46,11 @@
     return found == released.end() ? std::string() : found->handover;
 }
 
-// Adds a row, or lengthens the last one where that grants the same.
-void addRow(HoldAnswer &answer, HoldRow row)
+// Adds a row, or lengthens the last one where that grants the same. Ranges are merged only if there
+// are too many, as an upstream takes a range with other bounds for another one.
+void addRow(HoldAnswer &answer, HoldRow row, bool mayMerge)
 {
-    if (!answer.rows.empty()) {
+    if (mayMerge && !answer.rows.empty()) {
         HoldRow &last = answer.rows.back();
         const bool continues = last.span.last + 1 == row.span.first && last.fence == row.fence
                                && last.handover.empty() && row.handover.empty();
@@ -54,10 +65,9 @@
 // Returns the most bytes that the rows take in an answer.
 std::size_t bytesOf(const HoldAnswer &answer)
 {
-    constexpr std::size_t plainRow = 40; // two keys, a fence and punctuation
     std::size_t bytes = 0;
     for (const HoldRow &row : answer.rows) {
-        bytes += plainRow + row.handover.size();
+        bytes += bytesOfPlainRow + row.handover.size();
     }
     return bytes;
 }
@@ -111,8 +121,10 @@
     if (bytesOf(answer) > this->settings.mostAnswerBytes) {
         return;
     }
+    const bool mayMerge = this->owned.size() * bytesOfPlainRow > this->settings.mostAnswerBytes;
     addRow(answer,
-           {.span = entry.range.span, .fence = entry.range.fence, .handover = entry.handover});
+           {.span = entry.range.span, .fence = entry.range.fence, .handover = entry.handover},
+           mayMerge);
     if (now >= entry.servesUntil) {
         entry.servesFrom = now + this->settings.answerTravel;
     }
--- a/packages/keyspace/tests/test_hold_reports.cpp
+++ b/packages/keyspace/tests/test_hold_reports.cpp
@@ -81,6 +81,25 @@
     CHECK_FALSE(holder.answerReport(0s, 1400ms)); // renews nothing, gives nothing back
 }
 
+// Found by the score of the roll registry's first site: the halves of a range and the range itself
+// stood in one heartbeat.
+TEST_CASE("rows of a heartbeat that overlap are held once", "[hold_reports]")
+{
+    RangeHolder holder = makeHolder();
+    holder.noteReport({}, 1s);
+    REQUIRE(holder.answerReport(0s, 1s));
+    const HoldReport gap{.holds = {{.span = {.first = 0, .last = 899}, .fence = 1},
+                                   {.span = {.first = 300, .last = 900}, .fence = 1}}};
+    holder.noteReport(gap, 1500ms);
+    CHECK(holder.access(7, 1501ms) == KeyAccess::Pending);
+    REQUIRE(holder.answerReport(0s, 1500ms));
+    const HoldReport whole{.holds = {{.span = {.first = 500, .last = 999}, .fence = 1},
+                                     {.span = {.first = 0, .last = 499}, .fence = 1},
+                                     {.span = lowKeys, .fence = 1}}};
+    holder.noteReport(whole, 1900ms);
+    CHECK(holder.access(7, 1901ms) == KeyAccess::Held);
+}
+
 TEST_CASE("keys that moved count as held until a heartbeat no longer names them", "[hold_reports]")
 {
     RangeHolder holder = makeHolder();
