stage: a life whose clock went back takes the place of one that fell silent

Cause: lives are ordered by the time of their start. A life that was born before the present one is taken after 2.5 s without a heartbeat of the present one and three of its own; late heartbeats of a former life come while the present one sends. Test: test_stage "a life that was born before the present one by its clock ..."; it was not run against the former code, which ignores such a life always.

--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -362,12 +362,12 @@
     }
     this->metrics.count(Metric::HeartbeatsTaken);
     const Time now = readBootTime();
-    const bool isNewest = this->monitor.isNewest(*beat);
-    if (this->monitor.applyHeartbeat(*beat, now)) {
+    const HeartbeatEffect effect = this->monitor.applyHeartbeat(*beat, now);
+    if (effect == HeartbeatEffect::Changed) {
         this->onUpstreamChanged(now);
     }
     std::optional<HoldAnswer> granted;
-    if (isNewest) {
+    if (effect != HeartbeatEffect::Ignored) {
         const Duration late = this->latenessOfHeartbeat(now);
         if (beat->holding) {
             granted = this->keys.takeReport(*beat->holding, late, now);
--- a/packages/stage/tests/test_stage.cpp
+++ b/packages/stage/tests/test_stage.cpp
@@ -208,7 +208,8 @@
           "[upstream_monitor]")
 {
     UpstreamMonitor monitor({.drain = 2500ms});
-    CHECK(monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Draining, 7), 10s));
+    CHECK(monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Draining, 7), 10s)
+          == HeartbeatEffect::Changed);
     CHECK(monitor.phase() == UpstreamPhase::Draining);
     CHECK_FALSE(monitor.mayServe(10s));
     CHECK_FALSE(monitor.mayServe(11s));
@@ -232,12 +233,43 @@
     CHECK(monitor.isOwn({.life = {.id = "i-1"}, .isGoodbye = true}));
 }
 
+// The time of day of a host may jump: an upstream that started again after a step back seemed to be
+// an earlier life for as long as the step, and got neither requests nor keys.
+TEST_CASE("a life that was born before the present one by its clock is taken in its place",
+          "[upstream_monitor]")
+{
+    const auto beatOf = [](const std::string &id, std::int64_t born, std::uint64_t sequence) {
+        return platform::Heartbeat{.life = {.id = id, .bornMs = born}, .sequence = sequence};
+    };
+    UpstreamMonitor monitor({.drain = 2500ms});
+    monitor.applyHeartbeat(beatOf("new", 9000, 1), 10s);
+    // Late heartbeats of the former life do not displace one that goes on.
+    for (std::uint64_t i = 1; i <= 6; ++i) {
+        const Time now = 10s + i * 870ms;
+        CHECK(monitor.applyHeartbeat(beatOf("old", 4000, i), now) == HeartbeatEffect::Ignored);
+        CHECK(monitor.applyHeartbeat(beatOf("new", 9000, 1 + i), now) == HeartbeatEffect::Taken);
+    }
+    const Time silentSince = 10s + 6 * 870ms;
+    Time takenAt{};
+    for (std::uint64_t i = 1; i <= 6 && takenAt == Time::zero(); ++i) {
+        const Time now = silentSince + i * 870ms;
+        if (monitor.applyHeartbeat(beatOf("next", 4500, i), now) == HeartbeatEffect::Changed) {
+            takenAt = now;
+        }
+    }
+    CHECK(takenAt >= silentSince + 2500ms);
+    CHECK(takenAt <= silentSince + 4s);
+    CHECK(monitor.life().id == "next");
+    CHECK(monitor.mayServe(takenAt));
+}
+
 TEST_CASE("an upstream that begins to leave gets requests for a while", "[upstream_monitor]")
 {
     UpstreamMonitor monitor({.drain = 2500ms});
     monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Ready, 7), 10s);
     CHECK(monitor.mayServe(10s));
-    CHECK(monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Draining, 8), 11s));
+    CHECK(monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Draining, 8), 11s)
+          == HeartbeatEffect::Changed);
     CHECK(monitor.mayServe(12s));
     CHECK_FALSE(monitor.mayServe(13100ms));
 }
--- a/packages/stage/upstream_monitor.cpp
+++ b/packages/stage/upstream_monitor.cpp
@@ -10,39 +10,47 @@
            || (beat.service == this->settings.service && beat.address == this->settings.upstream);
 }
 
-bool UpstreamMonitor::isNewest(const platform::Heartbeat &beat) const
+void UpstreamMonitor::setLongestHold(Duration longestHold)
 {
-    if (beat.isGoodbye || beat.life != this->lastLife || !this->current) {
-        return !beat.isGoodbye && beat.life.bornMs >= this->lastLife.bornMs;
-    }
-    return beat.sequence > this->current->sequence;
+    this->settings.endedAfter = longestHold + MonitorSettings::endedSlack;
 }
 
-void UpstreamMonitor::setLongestHold(Duration longestHold)
+bool UpstreamMonitor::isSilentLifeReplaced(const platform::Heartbeat &beat, Time now)
 {
-    this->settings.endedAfter = longestHold + MonitorSettings::endedSlack;
+    if (beat.life != this->claimant.life) {
+        this->claimant = {.life = beat.life};
+    }
+    if (beat.sequence <= this->claimant.sequence) {
+        return false;
+    }
+    this->claimant.sequence = beat.sequence;
+    ++this->claimant.heartbeats;
+    return now - this->currentAt >= this->settings.replacedAfter
+           && this->claimant.heartbeats >= this->settings.replacingHeartbeats;
 }
 
-bool UpstreamMonitor::applyHeartbeat(const platform::Heartbeat &beat, Time now)
+HeartbeatEffect UpstreamMonitor::applyHeartbeat(const platform::Heartbeat &beat, Time now)
 {
     const bool isSameLife =
             beat.life == this->lastLife
             || (beat.isGoodbye && beat.life.id == this->lastLife.id
                 && (beat.life.bornMs == 0 || beat.life.bornMs == this->lastLife.bornMs));
-    if (!isSameLife && (beat.isGoodbye || beat.life.bornMs < this->lastLife.bornMs)) {
-        return false; // of an earlier life
+    const bool isEarlierLife = beat.life.bornMs < this->lastLife.bornMs;
+    if (!isSameLife
+        && (beat.isGoodbye || (isEarlierLife && !this->isSilentLifeReplaced(beat, now)))) {
+        return HeartbeatEffect::Ignored;
     }
     if (beat.isGoodbye) {
         if (this->lastPhase == UpstreamPhase::Ended || this->lastPhase == UpstreamPhase::Draining) {
-            return false;
+            return HeartbeatEffect::Ignored;
         }
         // It may go on serving for a while, so it leaves like one that drains.
         this->lastPhase = UpstreamPhase::Draining;
         this->drainingSince = now;
-        return true;
+        return HeartbeatEffect::Changed;
     }
     if (isSameLife && this->current && beat.sequence <= this->current->sequence) {
-        return false; // late
+        return HeartbeatEffect::Ignored; // late
     }
     const bool startsToDrain = beat.phase == UpstreamPhase::Draining
                                && (!isSameLife || this->lastPhase != UpstreamPhase::Draining);
@@ -59,9 +67,11 @@
         this->failures = 0;
     }
     this->current = beat;
+    this->currentAt = now;
+    this->claimant = {};
     this->lastLife = beat.life;
     this->lastPhase = phase;
-    return changed;
+    return changed ? HeartbeatEffect::Changed : HeartbeatEffect::Taken;
 }
 
 void UpstreamMonitor::noteRefused(Time now)
--- a/packages/stage/upstream_monitor.h
+++ b/packages/stage/upstream_monitor.h
@@ -4,6 +4,7 @@
 //   if (monitor.mayServe(now)) { ... send it a request ... }
 #pragma once
 
+#include "base/names.h"
 #include "keyspace/lease.h"
 #include "platform/upstream.h"
 
@@ -14,6 +15,17 @@
 
 namespace kumquat {
 
+enum class HeartbeatEffect : std::uint8_t {
+    Ignored, // it is late or of an earlier life
+    Taken,   // it is the newest one
+    Changed, // and the life, the phase or the slots are others than before
+};
+
+inline constexpr NameTable<HeartbeatEffect, 3> heartbeatEffectNames{
+        {{{HeartbeatEffect::Ignored, "ignored"},
+          {HeartbeatEffect::Taken, "taken"},
+          {HeartbeatEffect::Changed, "changed"}}}};
+
 struct MonitorSettings
 {
     // Added to the longest hold, which an upstream's slow clock stretches.
@@ -23,6 +35,11 @@
     Address upstream;
     Duration drain{}; // bound of the platform for requests after a goodbye
     Duration endedAfter = LeaseSettings{}.length + endedSlack; // without a listener
+    // The time of day may have gone back before an upstream started again, so a life that seems to
+    // be an earlier one is taken after this silence of the present one and so many heartbeats. Late
+    // ones of a former life come while the present one sends its own.
+    Duration replacedAfter = 2500ms;
+    std::uint32_t replacingHeartbeats = 3;
     double drainShare = 0.8;         // of it after which nothing more is sent
     std::uint32_t failuresInRow = 3; // unanswered calls after which the upstream counts as failing
 };
@@ -39,15 +56,11 @@
     // one with another service or address, and a later birth would hide the upstream for good.
     bool isOwn(const platform::Heartbeat &beat) const;
 
-    // Says whether a heartbeat is newer than the last one, so that its answer may grant keys.
-    bool isNewest(const platform::Heartbeat &beat) const;
-
     // Takes the longest time of one grant, after which a life without a listener may be over.
     void setLongestHold(Duration longestHold);
 
     // Takes a heartbeat. Older ones than the last, and those of an earlier life, are ignored.
-    // Returns true if the life, the phase or the slots changed.
-    bool applyHeartbeat(const platform::Heartbeat &beat, Time now);
+    HeartbeatEffect applyHeartbeat(const platform::Heartbeat &beat, Time now);
 
     // Notes that nothing listens on the upstream's address. Nothing may be granted to it until it
     // sends a heartbeat again.
@@ -72,8 +85,20 @@
     std::uint32_t slots() const { return this->current ? this->current->slots : 1; }
 
 private:
+    // A life that was born before the present one by its own clock, and goes on to be heard.
+    struct Claimant
+    {
+        UpstreamLife life;
+        std::uint64_t sequence = 0;
+        std::uint32_t heartbeats = 0; // since the last one of the present life
+    };
+
+    bool isSilentLifeReplaced(const platform::Heartbeat &beat, Time now);
+
     MonitorSettings settings;
     std::optional<platform::Heartbeat> current;
+    Time currentAt{};
+    Claimant claimant;
     UpstreamLife lastLife;
     UpstreamPhase lastPhase = UpstreamPhase::Absent;
     Time drainingSince{};
