stage: work that may not be repeated is waited for at a silent host

Reported by other operators: a machine that was only silent or slow for a while had its running work given up or started again elsewhere. Could happen here: a connection without a word for 1.3 s was closed with all its calls, so a request that must not run twice was answered 502 while it ran on, and its answer found no connection. It was never started again; repeatable ones are, within the budget. Now such a call keeps the silent connection until its own limit; all others end as before, and new calls take a new connection. Test: test_stage "work that may not be repeated is waited for at a silent peer"; its second call, which ends as all calls did before, is lost after 1.3 s, the first one is answered after 1.9 s.

--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -286,7 +286,8 @@
     *frame.mutable_execute() = attempt.execute;
     const Duration limit = attempt.deadline - readBootTime() + this->settings.answerSlack;
     const std::uint64_t call = this->links.call(
-            node, std::move(frame), body, limit, [waiting, event](LinkEnd end, LinkMessage answer) {
+            node, std::move(frame), body, limit,
+            [waiting, event](LinkEnd end, LinkMessage answer) {
                 wire::ExecuteReply &reply = waiting->result.reply;
                 if (end == LinkEnd::Answered && answer.head.has_execute_reply()) {
                     reply = std::move(*answer.head.mutable_execute_reply());
@@ -297,7 +298,8 @@
                 }
                 waiting->isDone = true;
                 event->notify();
-            });
+            },
+            attempt.execute.idempotent() ? LinkPatience::UntilSilent : LinkPatience::UntilLimit);
     attempt.cancelCall = [this, node, call, event] {
         this->links.cancel(node, call);
         event->notify();
--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -209,13 +209,14 @@
     ++peer.attempt;
     peer.isConnecting = false;
     peer.failedAt.reset();
+    closeSilentLinks(peer, false);
     if (peer.link) {
         peer.link->close();
     }
 }
 
 std::uint64_t LinkPool::call(const std::string &name, wire::LinkFrame head, std::string_view body,
-                             Duration limit, LinkAnswer answer)
+                             Duration limit, LinkAnswer answer, LinkPatience patience)
 {
     const Time now = readBootTime();
     const std::uint64_t number = ++this->lastCall;
@@ -230,7 +231,7 @@
     head.set_sent_ns(now.count());
     peer.waitingSince = peer.calls.empty() ? now : peer.waitingSince;
     Call &call = peer.calls[number];
-    call = {.answer = std::move(answer), .due = now + limit};
+    call = {.answer = std::move(answer), .due = now + limit, .patience = patience};
     if (peer.link && peer.link->isOpen()) {
         call.isSent = true;
         peer.link->send(head, body);
@@ -244,9 +245,11 @@
 void LinkPool::cancel(const std::string &name, std::uint64_t number)
 {
     const auto found = this->peers.find(name);
-    if (found == this->peers.end() || found->second.calls.erase(number) == 0) {
+    Calls *calls = found == this->peers.end() ? nullptr : callsWith(found->second, number);
+    if (calls == nullptr) {
         return;
     }
+    calls->erase(number);
     Peer &peer = found->second;
     std::erase_if(peer.waiting,
                   [number](const auto &entry) { return entry.first.call() == number; });
@@ -340,6 +343,8 @@
                              }
                              closed.link = nullptr;
                              this->endAll(closed);
+                         } else {
+                             endSilent(closed, attempt);
                          }
                      }});
     peer.link = link;
@@ -364,12 +369,11 @@
 {
     Peer &peer = this->peers[name];
     peer.heard = readBootTime();
-    const auto found = peer.calls.find(message.head.call());
-    if (found == peer.calls.end() || message.head.has_pong()) {
+    Calls *calls = callsWith(peer, message.head.call());
+    if (calls == nullptr || message.head.has_pong()) {
         return; // a pong, or the answer to a call that was given up
     }
-    const LinkAnswer answer = std::move(found->second.answer);
-    peer.calls.erase(found);
+    const LinkAnswer answer = std::move(calls->extract(message.head.call()).mapped().answer);
     answer(LinkEnd::Answered, std::move(message));
 }
 
@@ -381,6 +385,60 @@
     }
 }
 
+// Returns the calls of which one has this number, or nullptr.
+LinkPool::Calls *LinkPool::callsWith(Peer &peer, std::uint64_t number)
+{
+    if (peer.calls.contains(number)) {
+        return &peer.calls;
+    }
+    for (auto &[attempt, silent] : peer.silentLinks) {
+        if (silent.calls.contains(number)) {
+            return &silent.calls;
+        }
+    }
+    return nullptr;
+}
+
+void LinkPool::endSilent(Peer &peer, std::uint64_t attempt)
+{
+    const auto silent = peer.silentLinks.extract(attempt);
+    if (silent.empty()) {
+        return;
+    }
+    for (auto &[number, call] : silent.mapped().calls) {
+        call.answer(LinkEnd::Lost, {});
+    }
+}
+
+void LinkPool::closeSilentLinks(Peer &peer, bool onlyUnused)
+{
+    std::vector<std::shared_ptr<Link>> closing;
+    for (const auto &[attempt, silent] : peer.silentLinks) {
+        if (!onlyUnused || silent.calls.empty()) {
+            closing.push_back(silent.link);
+        }
+    }
+    for (const std::shared_ptr<Link> &link : closing) {
+        link->close(); // ends its calls
+    }
+}
+
+void LinkPool::endOverdue(Calls &calls, Time now)
+{
+    std::vector<LinkAnswer> overdue;
+    for (auto call = calls.begin(); call != calls.end();) {
+        if (now >= call->second.due) {
+            overdue.push_back(std::move(call->second.answer));
+            call = calls.erase(call);
+        } else {
+            ++call;
+        }
+    }
+    for (const LinkAnswer &answer : overdue) {
+        answer(LinkEnd::Lost, {});
+    }
+}
+
 void LinkPool::advance(Time now)
 {
     // After a pause of this process the messages of others still lie unread.
@@ -394,22 +452,41 @@
             peer.failedAt = now;
             this->endAll(peer);
         }
-        std::vector<LinkAnswer> overdue;
-        for (auto call = peer.calls.begin(); call != peer.calls.end();) {
-            if (now >= call->second.due) {
-                overdue.push_back(std::move(call->second.answer));
-                call = peer.calls.erase(call);
-            } else {
-                ++call;
-            }
-        }
-        for (const LinkAnswer &answer : overdue) {
-            answer(LinkEnd::Lost, {});
+        endOverdue(peer.calls, now);
+        for (auto &[attempt, silent] : peer.silentLinks) {
+            endOverdue(silent.calls, now);
         }
+        closeSilentLinks(peer, true);
         this->judgeSilence(name, peer, now);
     }
 }
 
+// Gives up a silent connection for all but the calls that wait until their limit.
+void LinkPool::setAside(const std::string &name, Peer &peer, Time now)
+{
+    SilentLink silent{.link = peer.link};
+    for (auto call = peer.calls.begin(); call != peer.calls.end();) {
+        const auto next = std::next(call);
+        if (call->second.isSent && call->second.patience == LinkPatience::UntilLimit) {
+            silent.calls.insert(peer.calls.extract(call));
+        }
+        call = next;
+    }
+    logWarning(LogPart::Mesh, "connection given up because its peer is silent",
+               {{"node", name},
+                {"ended", std::to_string(peer.calls.size())},
+                {"kept", std::to_string(silent.calls.size())}});
+    peer.failedAt = now;
+    if (silent.calls.empty()) {
+        peer.link->close();
+        return;
+    }
+    peer.silentLinks[peer.attempt] = std::move(silent);
+    ++peer.attempt; // the connection is no longer that of new calls
+    peer.link = nullptr;
+    this->endAll(peer);
+}
+
 void LinkPool::judgeSilence(const std::string &name, Peer &peer, Time now)
 {
     if (!peer.link || peer.calls.empty()) {
@@ -418,10 +495,7 @@
     // An idle connection is silent by right: the time counts from when a call began to wait.
     const Duration silence = now - std::max(peer.link->lastReceived(), peer.waitingSince);
     if (silence >= this->settings.silentAfter) {
-        logWarning(LogPart::Mesh, "connection closed because its peer is silent",
-                   {{"node", name}, {"calls", std::to_string(peer.calls.size())}});
-        peer.failedAt = now;
-        peer.link->close();
+        this->setAside(name, peer, now);
     } else if (silence >= this->settings.pingAfter
                && now - peer.link->lastSent() >= this->settings.pingAfter) {
         wire::LinkFrame ping;
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -119,6 +119,15 @@
     Duration silentAfter = 1300ms; // then the connection counts as dead; three pings were lost
 };
 
+// What becomes of a call that was sent when its peer falls silent.
+enum class LinkPatience : std::uint8_t {
+    UntilSilent, // it is given up: the work may be repeated elsewhere
+    UntilLimit,  // its connection is kept: a peer that was paused or slow still answers it
+};
+
+inline constexpr NameTable<LinkPatience, 2> linkPatienceNames{
+        {{{LinkPatience::UntilSilent, "until-silent"}, {LinkPatience::UntilLimit, "until-limit"}}}};
+
 // Connections to other processes, one for each, made when first needed. Used on one thread.
 class LinkPool
 {
@@ -132,7 +141,8 @@
     // Sends a message and calls back once, at the latest after `limit` (then with Lost). Returns
     // the number of the call, for cancel.
     std::uint64_t call(const std::string &node, wire::LinkFrame head, std::string_view body,
-                       Duration limit, LinkAnswer answer);
+                       Duration limit, LinkAnswer answer,
+                       LinkPatience patience = LinkPatience::UntilSilent);
 
     // Tells the other process that nobody waits for a call any more, and forgets it.
     void cancel(const std::string &node, std::uint64_t call);
@@ -156,6 +166,15 @@
         LinkAnswer answer;
         Time due{};
         bool isSent = false;
+        LinkPatience patience = LinkPatience::UntilSilent;
+    };
+    using Calls = std::unordered_map<std::uint64_t, Call>; // by number
+
+    // A connection to a silent peer, kept for the answers to these calls.
+    struct SilentLink
+    {
+        std::shared_ptr<Link> link;
+        Calls calls;
     };
 
     struct Peer
@@ -169,7 +188,8 @@
         Time connectedAt{};
         Time heard{};
         Time waitingSince{}; // the oldest time from which an answer is due
-        std::unordered_map<std::uint64_t, Call> calls;
+        Calls calls;
+        std::map<std::uint64_t, SilentLink> silentLinks;              // by attempt of connecting
         std::vector<std::pair<wire::LinkFrame, std::string>> waiting; // for the connection
     };
 
@@ -179,6 +199,11 @@
     void onMessage(const std::string &node, LinkMessage message);
     bool isResting(const Peer &peer, Time now) const;
     void endAll(Peer &peer);
+    static void endSilent(Peer &peer, std::uint64_t attempt);
+    static void closeSilentLinks(Peer &peer, bool onlyUnused);
+    static Calls *callsWith(Peer &peer, std::uint64_t number);
+    static void endOverdue(Calls &calls, Time now);
+    void setAside(const std::string &name, Peer &peer, Time now);
     void judgeSilence(const std::string &name, Peer &peer, Time now);
 
     FiberThread &thread;
--- a/packages/stage/tests/test_link.cpp
+++ b/packages/stage/tests/test_link.cpp
@@ -7,11 +7,14 @@
 #include <future>
 #include <mutex>
 #include <optional>
+#include <thread>
+#include <utility>
 
 namespace kumquat {
 namespace {
 
 const Address serverAddress{.ip = "127.0.0.1", .port = 28471};
+const Address pausedAddress{.ip = "127.0.0.1", .port = 28474};
 
 wire::LinkFrame makeQuery()
 {
@@ -44,6 +47,36 @@
     std::optional<LinkEnd> end;
 };
 
+// A server whose thread stands still for a while with the first message, as that of a paused
+// process, and answers then.
+struct PausedServer
+{
+    explicit PausedServer(Duration pause)
+        : thread("link-paused")
+        , server(this->thread, "paused",
+                 {.received =
+                          [this, pause](const LinkPeer &, const LinkMessage &,
+                                        const LinkReply &reply) {
+                              if (!std::exchange(this->wasPaused, true)) {
+                                  std::this_thread::sleep_for(pause);
+                              }
+                              wire::LinkFrame frame;
+                              frame.mutable_state_reply();
+                              reply(frame, "body");
+                          },
+                  .closed = [](const LinkPeer &) {}})
+    {
+        REQUIRE(this->server.listen(pausedAddress).ok());
+        this->thread.start();
+    }
+
+    ~PausedServer() { this->thread.stop(); }
+
+    FiberThread thread;
+    LinkServer server;
+    bool wasPaused = false;
+};
+
 struct Pair
 {
     explicit Pair(const std::string &serverNode, bool answers = true)
@@ -87,6 +120,34 @@
 
 } // namespace
 
+// Reported by other operators: a machine that was silent for a moment had its running work given
+// up. A request that must not run twice was answered 502 after 1.3 s, though its answer came.
+TEST_CASE("work that may not be repeated is waited for at a silent peer", "[link]")
+{
+    PausedServer paused(1900ms);
+    FiberThread thread("link-test");
+    LinkPool pool(thread, "caller", 1);
+    thread.start();
+    CallResult patient;
+    CallResult repeatable;
+    thread.post([&] {
+        pool.setAddress("paused", pausedAddress);
+        pool.call(
+                "paused", makeQuery(), "x", 4s,
+                [&](LinkEnd end, const LinkMessage &) { patient.set(end); },
+                LinkPatience::UntilLimit);
+        pool.call("paused", makeQuery(), "x", 4s,
+                  [&](LinkEnd end, const LinkMessage &) { repeatable.set(end); });
+    });
+    for (int i = 0; i < 25; ++i) {
+        thread.post([&] { pool.advance(readBootTime()); });
+        std::this_thread::sleep_for(100ms);
+    }
+    CHECK(repeatable.wait() == LinkEnd::Lost);
+    CHECK(patient.wait() == LinkEnd::Answered);
+    thread.stop();
+}
+
 TEST_CASE("a call is answered by the host that it names", "[link]")
 {
     Pair pair("right");
