stage: the first key table waits until hosts that start together are known

Seen: test_platform_path "each key is served through every host" failed (three of four hosts got no keys) in two of two runs since hosts that stand in for the relays pause for 1.5 s: the host that writes the first table knew only itself when it wrote it. The first table of a service is written 1.8 s after the last news of a host, longer than that pause, in place of 0.5 s. It concerns the first start of a system only.

--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -11,6 +11,7 @@
 #include "stage/cluster_view.h"
 #include "stage/link.h"
 #include "stage/metrics.h"
+#include "stage/relay_choice.h"
 
 #include <functional>
 #include <map>
@@ -35,9 +36,11 @@
     Duration balanceEvery = 1s;
     Duration reportLimit = 900ms; // for the answer; then the next host in the order takes over
     Duration unheardFor = 2s;     // a host that can't be reached counts as gone after it
-    Duration settle = 500ms;      // after the last news of hosts, before the first table
-    Duration statementFor = 2s;   // then the record in the store counts again
-    Duration loadMemory = 3s;     // of the request rate of a key
+    // After the last news of hosts, before the first table. The host that writes it may read
+    // records as a stand-in for the relays, and the keys would go to the few that it knows of.
+    Duration settle = RelayChoiceSettings{}.standInPause + 300ms;
+    Duration statementFor = 2s;         // then the record in the store counts again
+    Duration loadMemory = 3s;           // of the request rate of a key
     GrantWay grantWay = GrantWay::Call; // for services that do not name theirs
     Duration heartbeatInterval = 1s;    // of the upstreams
     PlannerSettings planner;
