--- a/packages/stage/tests/test_stage.cpp
+++ b/packages/stage/tests/test_stage.cpp
@@ -1,6 +1,7 @@
 // Parts of the process on the platform that need no network.
 #include "stage/acting_host.h"
 #include "stage/relay_choice.h"
+#include "stage/settings.h"
 #include "stage/stop_plan.h"
 #include "stage/upstream_limits.h"
 #include "stage/upstream_monitor.h"
@@ -215,6 +216,34 @@
     CHECK_FALSE(monitor.mayServe(11s));
 }
 
+// Guards against a misspelled way of granting that would leave a service without keys.
+TEST_CASE("settings name the way in which keys are granted, or none", "[settings]")
+{
+    const std::string listen = R"({"callers":"10.0.0.1:1","readiness":"10.0.0.1:2",
+        "heartbeats":"10.0.0.1:3","processes":"10.0.0.1:4","metrics":"10.0.0.1:5"})";
+    const std::string limits = R"({"drainMs":2500,"stopSeconds":6,"longestHoldMs":10000,
+        "retryShare":0.2,"retryWindowSeconds":10,"retrySlack":60})";
+    const auto parse = [&](const std::string &members) {
+        return parseStageSettings(R"({"node":"a","region":"r","dataCentre":"d","service":"s",
+            "upstream":"10.0.0.1:6","store":"10.0.0.2:7","listen":)"
+                                          + listen + R"(,"limits":)" + limits + members + "}",
+                                  "settings.json");
+    };
+    REQUIRE(parse("").ok());
+    CHECK(parse("")->grantWay == GrantWay::Call);
+    const auto heartbeat = parse(R"(,"grants":"heartbeat","heartbeatMs":870)");
+    REQUIRE(heartbeat.ok());
+    CHECK(heartbeat->grantWay == GrantWay::Heartbeat);
+    CHECK(heartbeat->heartbeatInterval == 870ms);
+    const auto unknown = parse(R"(,"grants":"letter")");
+    REQUIRE_FALSE(unknown.ok());
+    const std::string reason(unknown.status().message());
+    for (const char *part : {"settings.json", "/grants", "\"call\" or \"heartbeat\""}) {
+        INFO(reason);
+        CHECK(reason.find(part) != std::string::npos);
+    }
+}
+
 // Counts the reads of one topic by all hosts while they start together: each host appends a record
 // within a second and has heard of the relays 400 ms after it has read a record of each.
 std::size_t countStartReads(std::size_t hosts)
