net: callers that asked for a close are watched as well

Callers would see nothing; upstreams would go on with requests of callers that had left (GONE). Cause: since requests are handled beside the reader, only connections that stay open were watched. Found by reading; test_net "a caller that asked for a close is noticed when it leaves" failed before. Beside it, whether an answer closes is decided once, before it is written: a stop that began while it was written closed a connection that its answer had promised to keep.

--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -285,7 +285,7 @@
         this->forget(exchange);
     } else if (!exchange->isDone) {
         exchange->isStarted = true;
-        if (!this->isReading && exchange->keepAlive && this->hooks.handleWatched) {
+        if (!this->isReading && this->hooks.handleWatched) {
             this->watchWhileHandling();
         }
         exchange->response = this->handle(*exchange);
@@ -366,8 +366,8 @@
     this->isWriting = true;
     while (!this->pending.empty() && this->pending.front()->isDone && !this->isFinished) {
         const ExchangePtr exchange = this->pending.front();
-        const bool isWritten = this->write(*exchange);
-        const bool isOpen = isWritten && this->keepsOpen(*exchange);
+        const bool keepsOpen = this->keepsOpen(*exchange);
+        const bool isOpen = this->write(*exchange, keepsOpen) && keepsOpen;
         this->pending.pop_front();
         this->pendingBytes -= exchange->bytes;
         --this->counts.unanswered;
@@ -382,12 +382,11 @@
     }
 }
 
-bool HttpConnection::write(Exchange &exchange)
+bool HttpConnection::write(Exchange &exchange, bool keepsOpen)
 {
     std::string &output = this->stream->output;
     output.clear();
-    appendResponse(output, exchange.response, exchange.version, this->keepsOpen(exchange),
-                   exchange.isHead);
+    appendResponse(output, exchange.response, exchange.version, keepsOpen, exchange.isHead);
     this->stream->expireAfter(this->limits.messageLimit);
     const bool isWritten = !this->stream->write(output);
     this->stream->expireAt(this->readDue);
--- a/packages/net/http_connection.h
+++ b/packages/net/http_connection.h
@@ -76,7 +76,7 @@
 
     // Writing.
     void flush();
-    bool write(Exchange &exchange);
+    bool write(Exchange &exchange, bool keepsOpen);
     bool keepsOpen(const Exchange &exchange) const;
     void noteIdle();
     void drop();
--- a/packages/net/tests/test_requests_ahead.cpp
+++ b/packages/net/tests/test_requests_ahead.cpp
@@ -182,6 +182,24 @@
     CHECK(server.gone == 2);
 }
 
+// Found by reading: only callers that keep their connection were watched.
+TEST_CASE("a caller that asked for a close is noticed when it leaves", "[requests_ahead]")
+{
+    SlowServer server;
+    {
+        RawCaller caller(server);
+        asio::write(caller.socket, asio::buffer(std::string("GET /slow-1 HTTP/1.1\r\nHost: a\r\n"
+                                                            "Connection: close\r\n\r\n")));
+        while (server.started < 1) {
+            std::this_thread::sleep_for(5ms);
+        }
+    }
+    for (int i = 0; i < 20 && server.gone < 1; ++i) {
+        std::this_thread::sleep_for(10ms);
+    }
+    CHECK(server.gone == 1);
+}
+
 // Suspected of the late answers in KNOWN-RED.txt: the time of a request counted from its last byte,
 // so one whose body came slowly over a full link was answered long after its route's timeout.
 TEST_CASE("the time of a request counts from its first bytes", "[requests_ahead]")
