stage: waits of ready fibers are measured

Timers of a process were on time while its requests were seconds late: handlers run between fibers, so a ready fiber can wait for many others. Nothing measured this wait.

Logged: 'fibers were late', at most twice a second; waitedMs in the lines of a request at both hosts. Metrics: fiber_delays_ms, fibers_ready, fiber_age_ms, requests_here, requests_waiting. No decision depends on them.

--- a/packages/net/fibers.cpp
+++ b/packages/net/fibers.cpp
@@ -7,26 +7,94 @@
 #include <pthread.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cassert>
+#include <deque>
+#include <optional>
 
 namespace kumquat {
+
+// ---- Ready fibers ----
+
+// The fibers of one thread that are ready to run, in the order in which they were woken.
+class ReadyFibers
+{
+public:
+    void push(boost::fibers::context *fiber)
+    {
+        fiber->ready_link(this->fibers);
+        this->wokenTimes.push_back(this->now());
+    }
+
+    // Returns the next fiber, or nullptr.
+    boost::fibers::context *pop()
+    {
+        if (this->fibers.empty()) {
+            return nullptr;
+        }
+        boost::fibers::context *fiber = &this->fibers.front();
+        this->fibers.pop_front();
+        this->runningWokenAt = this->wokenTimes.front();
+        this->wokenTimes.pop_front();
+        this->longestWait = std::max(this->longestWait, this->now() - this->runningWokenAt);
+        return fiber;
+    }
+
+    bool isEmpty() const { return this->fibers.empty(); }
+
+    // Forgets the time of the last reading of the clock: handlers are going to run.
+    void beginRound() { this->roundTime.reset(); }
+
+    FiberBacklog backlog() const
+    {
+        if (this->wokenTimes.empty()) {
+            return {};
+        }
+        return {.ready = this->wokenTimes.size(),
+                .oldest = readBootTime() - this->wokenTimes.front()};
+    }
+
+    Duration takeLongestWait() { return std::exchange(this->longestWait, Duration::zero()); }
+
+    Time wokenTime() const { return this->runningWokenAt; }
+
+private:
+    // One reading of the clock serves all fibers of a round.
+    Time now()
+    {
+        if (!this->roundTime) {
+            this->roundTime = readBootTime();
+        }
+        return *this->roundTime;
+    }
+
+    boost::fibers::scheduler::ready_queue_type fibers;
+    std::deque<Time> wokenTimes; // of each of them
+    std::optional<Time> roundTime;
+    Time runningWokenAt{};
+    Duration longestWait{};
+};
+
 namespace {
 
+thread_local const ReadyFibers *fibersOfThread = nullptr;
+
 // Round-robin scheduler that waits in the io_context when no fiber is ready.
 class AsioScheduler : public boost::fibers::algo::algorithm
 {
 public:
-    AsioScheduler(std::shared_ptr<asio::io_context> io, std::shared_ptr<std::atomic<bool>> isParked)
+    AsioScheduler(std::shared_ptr<asio::io_context> io, std::shared_ptr<std::atomic<bool>> isParked,
+                  std::shared_ptr<ReadyFibers> readyFibers)
         : context(std::move(io))
         , parked(std::move(isParked))
+        , ready(std::move(readyFibers))
         , timer(*this->context)
-    {}
-
-    void awakened(boost::fibers::context *fiber) noexcept override
     {
-        fiber->ready_link(this->readyFibers);
+        fibersOfThread = this->ready.get();
     }
 
+    void awakened(boost::fibers::context *fiber) noexcept override { this->ready->push(fiber); }
+
     boost::fibers::context *pick_next() noexcept override
     {
         if (this->context->stopped()) {
@@ -35,17 +103,13 @@
         // Handlers are polled between fibers so that a busy thread still serves its sockets.
         if (++this->picksSincePoll >= picksPerPoll) {
             this->picksSincePoll = 0;
+            this->ready->beginRound();
             this->context->poll();
         }
-        if (this->readyFibers.empty()) {
-            return nullptr;
-        }
-        boost::fibers::context *fiber = &this->readyFibers.front();
-        this->readyFibers.pop_front();
-        return fiber;
+        return this->ready->pop();
     }
 
-    bool has_ready_fibers() const noexcept override { return !this->readyFibers.empty(); }
+    bool has_ready_fibers() const noexcept override { return !this->ready->isEmpty(); }
 
     void suspend_until(const std::chrono::steady_clock::time_point &until) noexcept override
     {
@@ -56,6 +120,7 @@
             this->timer.expires_at(until);
             this->timer.async_wait([](const ErrorCode &) {});
         }
+        this->ready->beginRound();
         this->context->run_one();
         this->context->poll();
         if (this->context->stopped()) {
@@ -82,14 +147,24 @@
 
     std::shared_ptr<asio::io_context> context;
     std::shared_ptr<std::atomic<bool>> parked;
+    std::shared_ptr<ReadyFibers> ready;
     asio::steady_timer timer;
     std::chrono::steady_clock::time_point armedUntil = std::chrono::steady_clock::time_point::max();
-    boost::fibers::scheduler::ready_queue_type readyFibers;
     int picksSincePoll = 0;
 };
 
 } // namespace
 
+void wakeFiber(boost::fibers::context *fiber)
+{
+    boost::fibers::context::active()->schedule(fiber);
+}
+
+Time wokenAt()
+{
+    return fibersOfThread != nullptr ? fibersOfThread->wokenTime() : readBootTime();
+}
+
 void sleepFor(asio::io_context &io, Duration duration)
 {
     asio::steady_timer timer(io, std::chrono::duration_cast<std::chrono::nanoseconds>(duration));
@@ -100,6 +175,7 @@
     : name(std::move(threadName))
     , context(std::make_shared<asio::io_context>(1))
     , parked(std::make_shared<std::atomic<bool>>(false))
+    , ready(std::make_shared<ReadyFibers>())
 {}
 
 FiberThread::~FiberThread()
@@ -126,7 +202,8 @@
 
 void FiberThread::run()
 {
-    boost::fibers::use_scheduling_algorithm<AsioScheduler>(this->context, this->parked);
+    boost::fibers::use_scheduling_algorithm<AsioScheduler>(this->context, this->parked,
+                                                           this->ready);
     const auto work = asio::make_work_guard(*this->context);
     // The thread's main fiber only waits; the scheduler runs the io_context meanwhile.
     while (true) {
@@ -146,6 +223,16 @@
     asio::post(*this->context, std::move(function));
 }
 
+FiberBacklog FiberThread::backlog() const
+{
+    return this->ready->backlog();
+}
+
+Duration FiberThread::takeLongestWait()
+{
+    return this->ready->takeLongestWait();
+}
+
 FiberEvent::FiberEvent(asio::io_context &context)
     : io(context)
     , state(std::make_shared<State>(context))
--- a/packages/net/fibers.h
+++ b/packages/net/fibers.h
@@ -7,7 +7,7 @@
 //       });
 //   });
 //
-// Sections: awaiting operations, FiberThread, FiberEvent.
+// Sections: waking fibers, awaiting operations, FiberThread, FiberEvent.
 #pragma once
 
 #include "base/time.h"
@@ -31,6 +31,15 @@
 namespace asio = boost::asio;
 using ErrorCode = boost::system::error_code;
 
+// ---- Waking fibers ----
+
+// Makes a suspended fiber of the calling thread ready to run.
+void wakeFiber(boost::fibers::context *fiber);
+
+// Returns when the running fiber was woken: what it had waited for was there by then. The boot time
+// outside of fibers.
+Time wokenAt();
+
 // ---- Awaiting operations ----
 
 // Result of an asynchronous operation: the error and, for reads and writes, the bytes moved.
@@ -118,7 +127,7 @@
     void operator()(const ErrorCode &error, std::size_t bytes = 0) const
     {
         *this->result = OperationResult{error, bytes};
-        boost::fibers::context::active()->schedule(this->waiting);
+        wakeFiber(this->waiting);
     }
 };
 
@@ -141,6 +150,16 @@
 
 // ---- FiberThread ----
 
+// Fibers of a thread that could run, but wait for it. Timers and reads are on time meanwhile, as
+// handlers run between fibers.
+struct FiberBacklog
+{
+    std::size_t ready = 0; // fibers
+    Duration oldest{};     // for how long the first of them has been ready
+};
+
+class ReadyFibers;
+
 // A thread with an io_context and a fiber scheduler that runs its handlers.
 class FiberThread
 {
@@ -167,12 +186,20 @@
 
     asio::io_context &io() { return *this->context; }
 
+    // Call on the thread.
+    FiberBacklog backlog() const;
+
+    // Returns the longest time for which a fiber was ready before it ran, since the last call. Call
+    // on the thread.
+    Duration takeLongestWait();
+
 private:
     void run();
 
     std::string name;
     std::shared_ptr<asio::io_context> context; // shared with the scheduler, which outlives run()
     std::shared_ptr<std::atomic<bool>> parked; // set by the scheduler after stop()
+    std::shared_ptr<ReadyFibers> ready;        // shared with the scheduler as well
     std::thread thread;
 };
 
--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -26,6 +26,7 @@
     std::string body;
     Time receivedAt{};   // when a server read its first bytes
     Duration readTime{}; // from then until it had read the whole request
+    Duration waitTime{}; // in which its bytes were there and its reader waited for the thread
 
     // Returns the value of the first field with this name, or an empty view.
     std::string_view field(std::string_view name) const;
--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -136,8 +136,8 @@
     HttpRequestParser parser;
     parser.header_limit(this->limits.maxHeaderBytes);
     parser.body_limit(this->limits.maxBodyBytes);
-    Time firstBytesAt{};
-    const ErrorCode error = this->readMessage(parser, firstBytesAt);
+    HttpRequest times;
+    const ErrorCode error = this->readMessage(parser, times);
     if (this->isFinished) {
         return nullptr; // a closing answer was written meanwhile: this request counts as not read
     }
@@ -154,8 +154,9 @@
     } else {
         exchange->keepAlive = parser.keep_alive();
         exchange->request = std::move(parser.message);
-        exchange->request.receivedAt = firstBytesAt;
-        exchange->request.readTime = readBootTime() - firstBytesAt;
+        exchange->request.receivedAt = times.receivedAt;
+        exchange->request.waitTime = times.waitTime;
+        exchange->request.readTime = readBootTime() - times.receivedAt;
         exchange->bytes = exchange->request.body.size() + exchange->request.target.size();
         const bool isAhead = !this->pending.empty();
         exchange->mayOverlap =
@@ -167,14 +168,16 @@
     return exchange;
 }
 
-ErrorCode HttpConnection::readMessage(HttpRequestParser &parser, Time &firstBytesAt)
+// Reads one message, and notes in `request` when.
+ErrorCode HttpConnection::readMessage(HttpRequestParser &parser, HttpRequest &request)
 {
     if (this->stream->buffered() == 0) {
         if (const ErrorCode error = this->awaitBytes()) {
             return error;
         }
+        request.waitTime = readBootTime() - wokenAt();
     }
-    firstBytesAt = readBootTime();
+    request.receivedAt = readBootTime();
     this->setReadDue(Clock::now() + this->limits.messageLimit);
     const ErrorCode error = this->stream->read(parser);
     this->setReadDue(Clock::time_point::max());
--- a/packages/net/http_connection.h
+++ b/packages/net/http_connection.h
@@ -54,7 +54,7 @@
     void serveAs(std::uint64_t ownReader);
     ExchangePtr readNext(std::uint64_t ownReader);
     ExchangePtr readExchange();
-    ErrorCode readMessage(HttpRequestParser &parser, Time &firstBytesAt);
+    ErrorCode readMessage(HttpRequestParser &parser, HttpRequest &request);
     ErrorCode awaitBytes();
     void setReadDue(Clock::time_point due);
     void waitForRoom();
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -83,7 +83,10 @@
     run->isIdempotent = execute.idempotent();
     run->fingerprint = fingerprintOf(execute, body);
     const auto node = this->announced.extract(caller);
-    run->isCancelled = !node.empty() && node.mapped();
+    if (!node.empty()) {
+        run->isCancelled = node.mapped().isCancelled;
+        run->waited = started - node.mapped().at;
+    }
     const std::uint64_t number = ++this->lastNumber;
     this->running[number] = run;
     ExecuteResult result = this->runNow(execute, std::move(body), run, number, deadline);
@@ -95,7 +98,7 @@
     result.reply.set_in_flight(load.in_flight());
     result.reply.set_slots(load.slots());
     result.reply.set_service_ms(load.service_ms());
-    this->log(execute, result, now - started);
+    this->log(execute, result, *run, now - started);
     return result;
 }
 
@@ -384,7 +387,7 @@
 {
     const auto expected = this->announced.find(caller);
     if (expected != this->announced.end()) {
-        expected->second = true;
+        expected->second.isCancelled = true;
         return;
     }
     for (const auto &[number, run] : this->running) {
@@ -406,7 +409,7 @@
 void Executor::cancelAll(std::uint64_t connection)
 {
     std::vector<ExecuteCaller> callers;
-    for (const auto &[caller, isCancelled] : this->announced) {
+    for (const auto &[caller, request] : this->announced) {
         if (caller.connection == connection) {
             callers.push_back(caller);
         }
@@ -470,6 +473,14 @@
 
 // ---- Reports ----
 
+std::size_t Executor::waitingCount() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(this->running.begin(), this->running.end(), [](const auto &entry) {
+                return !entry.second->isSent && !entry.second->isDispatched;
+            }));
+}
+
 wire::UpstreamLoad Executor::load(const std::string &node, Time now) const
 {
     wire::UpstreamLoad load;
@@ -488,7 +499,7 @@
     return std::exchange(this->keyCounts, {});
 }
 
-void Executor::log(const wire::Execute &execute, const ExecuteResult &result,
+void Executor::log(const wire::Execute &execute, const ExecuteResult &result, const Run &run,
                    Duration elapsed) const
 {
     if (result.reply.outcome() == wire::EXECUTE_ANSWERED
@@ -509,6 +520,7 @@
              {"rank", std::to_string(execute.priority())},
              {"heldMs", result.heldFor ? std::to_string(toMilliseconds(*result.heldFor)) : "none"},
              {"remainingMs", std::to_string(execute.remaining_ms())},
+             {"waitedMs", std::to_string(toMilliseconds(run.waited))},
              {"ms", std::to_string(toMilliseconds(elapsed))}});
 }
 
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -80,8 +80,9 @@
     Executor(FiberThread &executorThread, UpstreamMonitor &upstreamMonitor, Metrics &stageMetrics,
              ExecutorSettings executorSettings, ExecutorHooks executorHooks);
 
-    // Tells of a request that a fiber will run soon, so that it can be cancelled before.
-    void announce(ExecuteCaller caller) { this->announced[caller] = false; }
+    // Tells of a request that came now and that a fiber will run soon, so that it can be cancelled
+    // before.
+    void announce(ExecuteCaller caller, Time now) { this->announced[caller] = {.at = now}; }
 
     // Runs one request in the calling fiber and returns how it ended.
     ExecuteResult run(const wire::Execute &execute, std::string body, ExecuteCaller caller);
@@ -110,7 +111,17 @@
 
     std::size_t count() const { return this->running.size(); }
 
+    // Number of requests that wait for their key or for a slot.
+    std::size_t waitingCount() const;
+
 private:
+    // A request whose fiber has not run yet.
+    struct Announced
+    {
+        Time at{};
+        bool isCancelled = false;
+    };
+
     // One request in this process.
     struct Run
     {
@@ -127,6 +138,7 @@
         Duration retryAfter{};
         std::string_view refusal; // why the limiter did not let it through
         Fingerprint fingerprint = 0;
+        Duration waited{};                 // for its fiber to run first
         std::unique_ptr<FiberEvent> event; // a new one for each wait
         std::shared_ptr<HttpCallHandle> call;
     };
@@ -147,7 +159,8 @@
     void wake(Run &run) const;
     void wait(Run &run, Duration limit);
     void noteCrash(Time now);
-    void log(const wire::Execute &execute, const ExecuteResult &result, Duration elapsed) const;
+    void log(const wire::Execute &execute, const ExecuteResult &result, const Run &run,
+             Duration elapsed) const;
 
     FiberThread &thread;
     UpstreamMonitor &monitor;
@@ -160,7 +173,7 @@
     UpstreamLife limitedLife; // for which the limiter was made
     std::uint64_t lastNumber = 0;
     std::unordered_map<std::uint64_t, RunPtr> running; // by number
-    std::map<ExecuteCaller, bool> announced;           // not running yet; true: cancelled
+    std::map<ExecuteCaller, Announced> announced;
     std::map<ShardKey, std::uint32_t> keyCounts;
     double serviceSeconds = 0; // mean time of one request at the upstream
 };
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -53,6 +53,7 @@
     const Route *route = nullptr;
     Time started{};
     Duration readTime{};    // from its first bytes to the last
+    Duration waitTime{};    // in which its bytes were there and the thread was busy
     Time deadline{};        // of the answer
     std::string node;       // tried last
     std::uint32_t sent = 0; // times that an upstream may have got it
@@ -97,6 +98,7 @@
     // The time of a request counts from its first bytes: its caller waits since then.
     attempt.started = request.receivedAt > Time::zero() ? request.receivedAt : readBootTime();
     attempt.readTime = request.readTime;
+    attempt.waitTime = request.waitTime;
     watch.onGone([&attempt, this] {
         attempt.isGone = true;
         this->metrics.count(Metric::CallersGone);
@@ -440,6 +442,7 @@
              {"sent", std::to_string(attempt.sent)},
              {"moves", std::to_string(attempt.moves)},
              {"readMs", std::to_string(toMilliseconds(attempt.readTime))},
+             {"waitedMs", std::to_string(toMilliseconds(attempt.waitTime))},
              {"ms", std::to_string(elapsed.count())}});
 }
 
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -33,9 +33,14 @@
     ConfigurationVersion, // in force; 0: none
     ConfigurationAge,     // milliseconds since the store last answered a read of it
     Delays,               // milliseconds by which the timers of this process were late, in all
+    FiberDelays,          // the same for fibers that were ready and waited for the thread
+    FibersReady,          // now
+    FiberAge,             // milliseconds for which the first of them has been ready
+    RequestsHere,         // requests of all callers for the upstream beside this process, now
+    RequestsWaiting,      // of these, the ones that wait for their key or for a slot
 };
 
-inline constexpr NameTable<Metric, 18> metricNames{
+inline constexpr NameTable<Metric, 23> metricNames{
         {{{Metric::RequestsTaken, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -53,7 +58,12 @@
           {Metric::StoreCalls, "store_calls"},
           {Metric::ConfigurationVersion, "configuration_version"},
           {Metric::ConfigurationAge, "configuration_age_ms"},
-          {Metric::Delays, "timer_delays_ms"}}}};
+          {Metric::Delays, "timer_delays_ms"},
+          {Metric::FiberDelays, "fiber_delays_ms"},
+          {Metric::FibersReady, "fibers_ready"},
+          {Metric::FiberAge, "fiber_age_ms"},
+          {Metric::RequestsHere, "requests_here"},
+          {Metric::RequestsWaiting, "requests_waiting"}}}};
 
 // Used on one thread.
 class Metrics
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -31,7 +31,9 @@
 constexpr Duration followEvery = 200ms; // looks at reads that hang
 constexpr Duration logFlush = 200ms;
 constexpr Duration loggedDelay = 250ms; // of timers; half of what a late answer may take
-constexpr Duration settingsCheck = 1s;  // of a settings file that changes without a signal
+constexpr Duration loggedWait = 100ms;  // of a fiber; a request has several of them
+constexpr Duration waitLogPause = 500ms;
+constexpr Duration settingsCheck = 1s; // of a settings file that changes without a signal
 
 std::uint64_t makeIncarnation()
 {
@@ -201,6 +203,11 @@
         this->metrics.set(Metric::StoreCalls, this->store.callCount());
         this->metrics.set(Metric::ConfigurationVersion, configuration ? configuration->version : 0);
         this->metrics.set(Metric::ConfigurationAge, toMilliseconds(age));
+        const FiberBacklog backlog = this->thread.backlog();
+        this->metrics.set(Metric::FibersReady, backlog.ready);
+        this->metrics.set(Metric::FiberAge, toMilliseconds(backlog.oldest));
+        this->metrics.set(Metric::RequestsHere, this->executor.count());
+        this->metrics.set(Metric::RequestsWaiting, this->executor.waitingCount());
         return HttpResponse{.body = this->metrics.toText(now)};
     });
     const StageListen &listen = this->settings.listen;
@@ -259,6 +266,7 @@
 void Stage::advance(Time now)
 {
     this->noteDelay(now);
+    this->noteFiberWait(now);
     if (this->monitor.advance(now)) {
         this->onUpstreamChanged(now);
     }
@@ -297,6 +305,26 @@
     logWarning(LogPart::Main, "timers were late", {{"ms", std::to_string(toMilliseconds(delay))}});
 }
 
+// Timers are on time while fibers wait, as handlers go before them.
+void Stage::noteFiberWait(Time now)
+{
+    this->longestWait = std::max(this->longestWait, this->thread.takeLongestWait());
+    if (this->longestWait < loggedWait || now - this->waitLoggedAt < waitLogPause) {
+        return;
+    }
+    this->waitLoggedAt = now;
+    const Duration wait = std::exchange(this->longestWait, Duration::zero());
+    this->metrics.count(Metric::FiberDelays, toMilliseconds(wait));
+    const FiberBacklog backlog = this->thread.backlog();
+    logWarning(LogPart::Main, "fibers were late",
+               {{"ms", std::to_string(toMilliseconds(wait))},
+                {"ready", std::to_string(backlog.ready)},
+                {"oldestMs", std::to_string(toMilliseconds(backlog.oldest))},
+                {"requests", std::to_string(this->ingress.count())},
+                {"running", std::to_string(this->executor.count())},
+                {"waiting", std::to_string(this->executor.waitingCount())}});
+}
+
 // Takes what callers may send, and how long they may be idle, from the configuration.
 void Stage::applyCallerLimits()
 {
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -75,6 +75,7 @@
     bool isReady() const;
     void advance(Time now);
     void noteDelay(Time now);
+    void noteFiberWait(Time now);
     void applyCallerLimits();
     void checkSettingsFile();
     void reload();
@@ -114,6 +115,8 @@
     Time fetchedAt = -1h;
     Time heartbeatAt{};               // of the newest heartbeat
     Time advancedAt = readBootTime(); // last
+    Duration longestWait{};           // of a fiber for the thread, not logged yet
+    Time waitLoggedAt = -1h;
     std::size_t gossipTurn = 0;
 };
 
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -79,7 +79,7 @@
     if (execute.tables_end() > this->view.tablesEnd()) {
         this->fetchState(peer.node);
     }
-    this->executor.announce(caller);
+    this->executor.announce(caller, readBootTime());
     auto work = [this, caller, reply, execute = std::move(execute),
                  body = std::move(message.body)]() mutable {
         ExecuteResult result = this->executor.run(execute, std::move(body), caller);
--- a/packages/stage/tests/test_executor.cpp
+++ b/packages/stage/tests/test_executor.cpp
@@ -72,7 +72,7 @@
         const auto promise = std::make_shared<std::promise<void>>();
         this->thread.post([&] {
             const ExecuteCaller caller{.connection = 1, .call = 1};
-            this->executor.announce(caller);
+            this->executor.announce(caller, readBootTime());
             result = this->start(id, caller);
             this->executor.cancel(caller);
             promise->set_value();
