net, stage: the time of a request counts while it waits for the thread

Cause: the arrival was read from the clock when the reader's fiber ran, and at the owner's host what was left of a request counted from when its fiber ran. A request that waited for either was taken for a fresh one. The watch for a caller that leaves began with the fiber as well.

The arrival is now the time at which the bytes were read, the time left at the owner's host counts from the message, a request without time left is refused before anything is sent, and a caller of a request that has waited for 50 ms is looked for before work begins.

Failed before: test_net 'the time of a request counts from when its bytes came ...' (1,013 ms late), 'a request whose caller left before its fiber ran is not begun' (begun), test_stage 'the time of a request counts while it waits for its fiber' (sent 200 ms after it came, with a limit of 100 ms).

--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t readChunkBytes = 64UL * 1024;
 constexpr Duration drainLimit = 1s;
 
+// Before work for a request that has waited for longer, a look whether its caller is still there.
+constexpr Duration unwatchedLimit = 50ms;
+
 ErrorKind kindOfReadError(const ErrorCode &error)
 {
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
@@ -175,9 +178,9 @@
         if (const ErrorCode error = this->awaitBytes()) {
             return error;
         }
-        request.waitTime = readBootTime() - wokenAt();
     }
-    request.receivedAt = readBootTime();
+    request.receivedAt = this->stream->lastReadAt();
+    request.waitTime = readBootTime() - request.receivedAt;
     this->setReadDue(Clock::now() + this->limits.messageLimit);
     const ErrorCode error = this->stream->read(parser);
     this->setReadDue(Clock::time_point::max());
@@ -289,6 +292,9 @@
     } else if (!exchange->isDone) {
         exchange->isStarted = true;
         if (!this->isReading && this->hooks.handleWatched) {
+            if (exchange->request.waitTime >= unwatchedLimit && this->isClosedByCaller()) {
+                this->noteGone();
+            }
             this->watchWhileHandling();
         }
         exchange->response = this->handle(*exchange);
--- a/packages/net/http_stream.cpp
+++ b/packages/net/http_stream.cpp
@@ -192,6 +192,7 @@
     const OperationResult result = awaitOperation([&](auto done) {
         this->connection.async_read_some(this->buffer.prepare(size), std::move(done));
     });
+    this->readAt = wokenAt();
     this->buffer.commit(result.bytes);
     return this->resultOf(result.error);
 }
--- a/packages/net/http_stream.h
+++ b/packages/net/http_stream.h
@@ -211,6 +211,9 @@
 
     std::size_t buffered() const { return this->buffer.size(); }
 
+    // Returns when the last bytes came.
+    Time lastReadAt() const { return this->readAt; }
+
     // Drops what is in the buffer and returns its size.
     std::size_t dropBuffered();
 
@@ -235,6 +238,7 @@
     Clock::time_point due = Clock::time_point::max();
     Clock::time_point armedFor = Clock::time_point::max();
     bool expired = false;
+    Time readAt{};
     boost::beast::flat_buffer buffer;
 };
 
--- /dev/null
+++ b/packages/net/tests/test_busy_thread.cpp
@@ -0,0 +1,95 @@
+// A thread that has more ready fibers than it can run at once: what has a time must be on time.
+#include "net/tests/busy_thread.h"
+
+#include "net/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+namespace kumquat {
+namespace {
+
+// Half of the time that an answer may be late.
+constexpr Duration allowedDelay = 250ms;
+
+// Notes when it handled a request and what it was told of it.
+struct NotingServer
+{
+    NotingServer(FiberThread &thread, std::uint16_t port)
+        : address{.ip = "127.0.0.1", .port = port}
+    {
+        this->server = HttpServer::create(
+                thread, {},
+                {.handleWatched =
+                         [this](HttpRequest &request, CallerWatch &watch) {
+                             bool isGone = false;
+                             watch.onGone([&isGone] { isGone = true; });
+                             this->receivedAt = request.receivedAt;
+                             this->begun += isGone ? 0 : 1;
+                             return HttpResponse{};
+                         },
+                 .refuse =
+                         [](ErrorKind kind) {
+                             return HttpResponse{.status = errorInfo(kind).httpStatus};
+                         }});
+        REQUIRE(this->server->listen(this->address, false).ok());
+    }
+
+    Address address;
+    std::shared_ptr<HttpServer> server;
+    std::atomic<Time> receivedAt{Time{}};
+    std::atomic<int> begun{0};
+};
+
+// A caller that does not wait for its answer.
+struct PlainCaller
+{
+    explicit PlainCaller(const Address &address)
+        : socket(io)
+    {
+        this->socket.connect({asio::ip::make_address(address.ip), address.port});
+    }
+
+    void send() { asio::write(this->socket, asio::buffer(std::string(text))); }
+
+    static constexpr const char *text = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+    asio::io_context io;
+    asio::ip::tcp::socket socket;
+};
+
+} // namespace
+
+// Guards against requests that are taken for fresh ones after they have waited for the thread:
+// they were sent to upstreams seconds after their callers had left.
+TEST_CASE("the time of a request counts from when its bytes came, not from when its fiber ran",
+          "[busy_thread]")
+{
+    BusyThread busy;
+    NotingServer server(busy.thread, BusyThread::nextPort());
+    PlainCaller caller(server.address);
+    std::this_thread::sleep_for(2 * BusyThread::round); // it waits for a request
+    const Time sentAt = readBootTime();
+    caller.send();
+    waitUntil([&] { return server.receivedAt.load() != Time{}; });
+    CHECK(server.receivedAt.load() - sentAt < allowedDelay);
+}
+
+// Guards against work for a caller that left while its request waited for the thread.
+TEST_CASE("a request whose caller left before its fiber ran is not begun", "[busy_thread]")
+{
+    BusyThread busy;
+    NotingServer server(busy.thread, BusyThread::nextPort());
+    {
+        PlainCaller caller(server.address);
+        std::this_thread::sleep_for(2 * BusyThread::round);
+        caller.send();
+    }
+    std::this_thread::sleep_for(3 * BusyThread::round);
+    CHECK(server.begun == 0);
+}
+
+} // namespace kumquat
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -76,8 +76,7 @@
 
 ExecuteResult Executor::run(const wire::Execute &execute, std::string body, ExecuteCaller caller)
 {
-    const Time started = readBootTime();
-    const Time deadline = started + std::chrono::milliseconds(execute.remaining_ms());
+    const Time begun = readBootTime();
     const auto run = std::make_shared<Run>(this->thread.io());
     run->caller = caller;
     run->isIdempotent = execute.idempotent();
@@ -85,8 +84,10 @@
     const auto node = this->announced.extract(caller);
     if (!node.empty()) {
         run->isCancelled = node.mapped().isCancelled;
-        run->waited = started - node.mapped().at;
+        run->waited = begun - node.mapped().at;
     }
+    const Time started = begun - run->waited; // when it came
+    const Time deadline = started + std::chrono::milliseconds(execute.remaining_ms());
     const std::uint64_t number = ++this->lastNumber;
     this->running[number] = run;
     ExecuteResult result = this->runNow(execute, std::move(body), run, number, deadline);
@@ -109,6 +110,9 @@
     if (run->isCancelled) {
         return this->makeResult(wire::EXECUTE_REFUSED, {}, "caller-gone");
     }
+    if (deadline - now < this->settings.leastRemaining) {
+        return this->makeResult(wire::EXECUTE_REFUSED, {}, "no-time-left");
+    }
     if (execute.service() != this->settings.service || !this->monitor.mayServe(now)) {
         return this->makeResult(wire::EXECUTE_MISPLACED, pendingRetry);
     }
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -158,6 +158,12 @@
     wire::Execute &execute = attempt.execute;
     const Duration patience = std::chrono::milliseconds(execute.remaining_ms());
     attempt.deadline = attempt.started + shorter(patience, route.timeout);
+    if (attempt.isGone) {
+        return this->fail(attempt, statusBadGateway, "caller-gone");
+    }
+    if (readBootTime() >= attempt.deadline) {
+        return this->refuse(attempt, this->settings.retryAfterLost, "no-time-left");
+    }
     if (!this->hooks.takesRequest(attempt.deadline)) {
         return this->refuse(attempt, stopRetry, "stopping");
     }
--- /dev/null
+++ b/packages/stage/tests/test_late_work.cpp
@@ -0,0 +1,127 @@
+// Requests at the upstream of a process that is short of processor time.
+#include "net/tests/busy_thread.h"
+#include "net/tests/faulty_server.h"
+#include "stage/executor.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <set>
+
+namespace kumquat {
+namespace {
+
+// Half of the time that an answer may be late.
+constexpr Duration allowedDelay = 250ms;
+
+const std::string answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: x\r\nX-Server-Seal: s\r\n"
+                           "Content-Length: 4\r\n\r\nbody";
+
+// The executor beside one upstream with keys, on a thread of the test.
+class KeyedHost
+{
+public:
+    KeyedHost(FiberThread &hostThread, const Address &upstream)
+        : thread(hostThread)
+        , executor(this->thread, this->monitor, this->metrics,
+                   {.service = "testlog", .upstream = upstream},
+                   {.access =
+                            [this](ShardKey key, Time) {
+                                ++this->looks;
+                                return this->held.contains(key) ? KeyAccess::Held
+                                                                : KeyAccess::Pending;
+                            },
+                    .heldFor = [](ShardKey, Time) { return Duration(1s); },
+                    .hasKeys = [] { return true; },
+                    .tablesEnd = [] { return std::uint64_t(0); },
+                    .takesRequest = [](Time) { return true; }})
+    {
+        constexpr std::uint32_t slots = 8;
+        const Time now = readBootTime();
+        this->monitor.applyHeartbeat({.life = {.id = "i-1", .bornMs = 1},
+                                      .service = "testlog",
+                                      .address = upstream,
+                                      .slots = slots,
+                                      .sequence = 1},
+                                     now);
+        this->executor.noteUpstream(now);
+    }
+
+    // Takes a request as from another process: it comes now, and a fiber will run it. Call on the
+    // thread.
+    std::future<ExecuteResult> receive(ShardKey key, Duration remaining)
+    {
+        wire::Execute execute;
+        execute.set_id("x");
+        execute.set_service("testlog");
+        execute.set_method("POST");
+        execute.set_target("/x");
+        execute.set_has_key(true);
+        execute.set_key(key);
+        execute.set_remaining_ms(static_cast<std::uint32_t>(remaining / 1ms));
+        const auto promise = std::make_shared<std::promise<ExecuteResult>>();
+        const ExecuteCaller caller{.connection = 1, .call = ++this->calls};
+        this->executor.announce(caller, readBootTime());
+        this->thread.spawn([this, execute, promise, caller] {
+            promise->set_value(this->executor.run(execute, "", caller));
+        });
+        return promise->get_future();
+    }
+
+    // Runs a function on the thread and waits for it.
+    template <typename Function>
+    void onThread(Function function)
+    {
+        std::promise<void> done;
+        this->thread.post([&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    FiberThread &thread;
+    UpstreamMonitor monitor{{}};
+    Metrics metrics;
+    std::set<ShardKey> held; // changed on the thread only
+    std::atomic<int> looks{0};
+    std::uint64_t calls = 0;
+    Executor executor;
+};
+
+// Calls a function until the future is there; returns the time that took.
+Duration timeUntil(std::future<ExecuteResult> &result)
+{
+    const Time started = readBootTime();
+    result.wait();
+    return readBootTime() - started;
+}
+
+} // namespace
+
+// Guards against requests that reach their upstream seconds after their callers have left: what was
+// left of their time was counted from when their fiber ran.
+TEST_CASE("the time of a request counts while it waits for its fiber", "[late_work]")
+{
+    std::atomic<int> requests{0};
+    FaultyServer upstream([&](FaultyServer::Socket &socket, int) {
+        ++requests;
+        return writeAll(socket, answer);
+    });
+    FiberThread thread("late-work");
+    KeyedHost host(thread, upstream.address());
+    thread.start();
+    host.onThread([&] { host.held.insert(7); });
+    std::future<ExecuteResult> result;
+    host.onThread([&] {
+        result = host.receive(7, 100ms);
+        std::this_thread::sleep_for(200ms); // what is ready before its fiber takes longer
+    });
+    CHECK(result.get().reply.outcome() == wire::EXECUTE_REFUSED);
+    CHECK(requests == 0);
+    thread.stop();
+}
+
+} // namespace kumquat
