stage: a grant wakes only the requests that wait for its keys

Each answer to a grant woke all requests that waited at the host, for a key or a slot. A host renews the grant of each of its ranges every 400 ms, so the work grew with ranges times waiting requests, on the hosts that had the most of both.

A grant that makes keys held which were not says which, and only requests that wait for these are woken; a renewal wakes nobody. Changes of the table look once at the key of each that waits.

--- a/packages/keyspace/key_table.h
+++ b/packages/keyspace/key_table.h
@@ -44,6 +44,8 @@
     bool operator==(const KeySpan &) const = default;
 };
 
+inline constexpr KeySpan allKeys{.first = 0, .last = lastShardKey};
+
 // ---- Sessions ----
 
 // One life of an upstream process. It starts without keys.
--- a/packages/keyspace/range_holder.cpp
+++ b/packages/keyspace/range_holder.cpp
@@ -197,14 +197,15 @@
                       .fence = entry.fence});
 }
 
-void RangeHolder::noteGrant(std::uint64_t number, GrantEnd end, Time now)
+bool RangeHolder::noteGrant(std::uint64_t number, GrantEnd end, Time now)
 {
     const auto found =
             std::find_if(this->grants.begin(), this->grants.end(),
                          [number](const PendingGrant &grant) { return grant.number == number; });
     if (found == this->grants.end()) {
-        return;
+        return false;
     }
+    bool hasNew = false;
     const PendingGrant grant = *found;
     const Time mayHold = now + this->stretched(grant.hold);
     if (end == GrantEnd::Unknown) {
@@ -223,6 +224,7 @@
             entry.mayHoldUntil = std::max(entry.mayHoldUntil, mayHold);
         }
         if (end == GrantEnd::Accepted) {
+            hasNew = hasNew || entry.servesUntil <= now;
             entry.servesUntil = std::max(entry.servesUntil, grant.sentAt + grant.hold);
             entry.handover.clear();
         } else {
@@ -242,6 +244,7 @@
             entry.isUnanswered = this->mayBeGrantedLate(entry.span, entry.fence, now);
         }
     }
+    return hasNew;
 }
 
 void RangeHolder::noteRelease(std::uint64_t number, bool isAnswered, const std::string &handover,
--- a/packages/keyspace/range_holder.h
+++ b/packages/keyspace/range_holder.h
@@ -119,7 +119,8 @@
     // grants that were meant for it, so they count until that life has released them.
     void noteUpstreamEnded(Time now);
 
-    void noteGrant(std::uint64_t number, GrantEnd end, Time now);
+    // Returns whether keys are held now that were not before.
+    bool noteGrant(std::uint64_t number, GrantEnd end, Time now);
     void noteRelease(std::uint64_t number, bool isAnswered, const std::string &handover, Time now);
 
     // Takes the proof that a predecessor does not hold these keys any more.
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -122,7 +122,7 @@
     if (execute.has_key() && this->hooks.hasKeys()) {
         ++this->keyCounts[execute.key()];
     }
-    if (!this->waitForKey(execute, *run, deadline)) {
+    if (!this->waitForKey(execute, run, deadline)) {
         const bool isElsewhere =
                 this->hooks.access(execute.key(), readBootTime()) == KeyAccess::Elsewhere;
         return this->makeResult(isElsewhere ? wire::EXECUTE_MISPLACED : wire::EXECUTE_REFUSED,
@@ -164,7 +164,7 @@
 }
 
 // Returns false if the key is elsewhere or does not come in time.
-bool Executor::waitForKey(const wire::Execute &execute, Run &run, Time deadline)
+bool Executor::waitForKey(const wire::Execute &execute, const RunPtr &run, Time deadline)
 {
     if (!this->hooks.hasKeys()) {
         return true;
@@ -173,7 +173,7 @@
         return false;
     }
     const Time limit = std::min(deadline, readBootTime() + this->settings.longestPending);
-    while (!run.isCancelled) {
+    while (!run->isCancelled) {
         const Time now = readBootTime();
         switch (this->hooks.access(execute.key(), now)) {
         case KeyAccess::Held:
@@ -186,11 +186,23 @@
         if (now >= limit) {
             return false;
         }
-        this->wait(run, limit - now);
+        this->waitingForKey.emplace(execute.key(), run);
+        this->wait(*run, limit - now);
+        this->forgetWait(execute.key(), run);
     }
     return false;
 }
 
+void Executor::forgetWait(ShardKey key, const RunPtr &run)
+{
+    const auto [begin, end] = this->waitingForKey.equal_range(key);
+    const auto found =
+            std::find_if(begin, end, [&run](const auto &entry) { return entry.second == run; });
+    if (found != end) {
+        this->waitingForKey.erase(found);
+    }
+}
+
 bool Executor::waitForSlot(const wire::Execute &execute, const RunPtr &run, std::uint64_t number,
                            Time deadline, Duration &retryAfter)
 {
@@ -439,12 +451,17 @@
     }
 }
 
-void Executor::noteAccessChanged()
+void Executor::noteAccessChanged(const KeySpan &span)
 {
-    for (const auto &[number, run] : this->running) {
-        if (!run->isSent && !run->isDispatched) {
-            this->wake(*run, WakeOrder::InTurn);
+    const Time now = readBootTime();
+    auto entry = this->waitingForKey.lower_bound(span.first);
+    while (entry != this->waitingForKey.end() && entry->first <= span.last) {
+        if (this->hooks.access(entry->first, now) == KeyAccess::Pending) {
+            ++entry;
+            continue;
         }
+        this->wake(*entry->second, WakeOrder::InTurn);
+        entry = this->waitingForKey.erase(entry);
     }
 }
 
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -95,8 +95,8 @@
     // Ends all requests now, before this process exits: one that was sent counts as lost.
     void breakOff();
 
-    // Lets requests look again whether their keys are held.
-    void noteAccessChanged();
+    // Wakes the requests that wait for one of these keys if it is held, or elsewhere, by now.
+    void noteAccessChanged(const KeySpan &span);
 
     // Takes the slots of a new life of the upstream.
     void noteUpstream(Time now);
@@ -146,7 +146,8 @@
 
     ExecuteResult makeResult(wire::ExecuteOutcome outcome, Duration retryAfter = {},
                              std::string_view reason = {}) const;
-    bool waitForKey(const wire::Execute &execute, Run &run, Time deadline);
+    bool waitForKey(const wire::Execute &execute, const RunPtr &run, Time deadline);
+    void forgetWait(ShardKey key, const RunPtr &run);
     bool waitForSlot(const wire::Execute &execute, const RunPtr &run, std::uint64_t number,
                      Time deadline, Duration &retryAfter);
     ExecuteResult runNow(const wire::Execute &execute, std::string body, const RunPtr &run,
@@ -174,6 +175,7 @@
     std::uint64_t lastNumber = 0;
     std::unordered_map<std::uint64_t, RunPtr> running; // by number
     std::map<ExecuteCaller, Announced> announced;
+    std::multimap<ShardKey, RunPtr> waitingForKey; // until they are woken
     std::map<ShardKey, std::uint32_t> keyCounts;
     double serviceSeconds = 0; // mean time of one request at the upstream
 };
--- a/packages/stage/key_owner.cpp
+++ b/packages/stage/key_owner.cpp
@@ -298,7 +298,7 @@
     this->logGrants(report, answer);
     this->thread.spawn([this] {
         sleepFor(this->thread.io(), HolderSettings{}.answerTravel);
-        this->hooks.accessChanged();
+        this->hooks.accessChanged(allKeys);
     });
     return answer;
 }
@@ -369,15 +369,16 @@
     }
     if (isGrant) {
         const bool neverSent = errorKindOf(answer.status()) == ErrorKind::UpstreamUnreachable;
-        this->holder.noteGrant(order.number,
-                               neverSent ? GrantEnd::Refused : platform::judgeGrant(status), now);
+        const GrantEnd end = neverSent ? GrantEnd::Refused : platform::judgeGrant(status);
+        if (this->holder.noteGrant(order.number, end, now)) {
+            this->hooks.accessChanged(order.span);
+        }
     } else {
         // The release of a former life says nothing about the present one.
         const bool isReleased = status == statusOk && life == this->monitor.life();
         this->holder.noteRelease(order.number, isReleased,
                                  isReleased ? platform::handoverOf(*answer) : "", now);
     }
-    this->hooks.accessChanged();
     this->sendOrders(now);
 }
 
--- a/packages/stage/key_owner.h
+++ b/packages/stage/key_owner.h
@@ -23,8 +23,8 @@
 
 struct KeyOwnerHooks
 {
-    std::function<void()> accessChanged;      // a key may be held now that was not before
-    std::function<wire::UpstreamLoad()> load; // told to voters
+    std::function<void(const KeySpan &span)> accessChanged; // some may be held that were not
+    std::function<wire::UpstreamLoad()> load;               // told to voters
     std::function<void(const std::string &node, const wire::VouchReply &reply)> vouched;
     // Answers as the voter that this process itself is.
     std::function<bool(const wire::ReleaseQuery &query)> ownVoterReleased;
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -80,7 +80,7 @@
                     [this](const std::string &service) {
                         if (service == this->settings.service) {
                             this->keys.advance(readBootTime());
-                            this->executor.noteAccessChanged();
+                            this->executor.noteAccessChanged(allKeys);
                         }
                     }})
     , monitor({.service = this->settings.service,
@@ -104,7 +104,8 @@
                        }})
     , keys(this->thread, this->settings.node, this->settings.service, this->settings.upstream,
            this->settings.limits.longestHold, this->view, this->links, this->monitor,
-           {.accessChanged = [this] { this->executor.noteAccessChanged(); },
+           {.accessChanged =
+                    [this](const KeySpan &span) { this->executor.noteAccessChanged(span); },
             .load = [this] { return this->executor.load(this->settings.node, readBootTime()); },
             .vouched =
                     [this](const std::string &node, const wire::VouchReply &reply) {
--- a/packages/stage/tests/test_late_work.cpp
+++ b/packages/stage/tests/test_late_work.cpp
@@ -64,9 +64,11 @@
         const auto promise = std::make_shared<std::promise<ExecuteResult>>();
         const ExecuteCaller caller{.connection = 1, .call = ++this->calls};
         this->executor.announce(caller, readBootTime());
-        this->thread.spawn([this, execute, promise, caller] {
-            promise->set_value(this->executor.run(execute, "", caller));
-        });
+        this->thread.spawn(
+                [this, execute, promise, caller] {
+                    promise->set_value(this->executor.run(execute, "", caller));
+                },
+                WakeOrder::Last);
         return promise->get_future();
     }
 
@@ -124,4 +126,53 @@
     thread.stop();
 }
 
+// Guards against timeouts of requests that wait for a key: each was looked at by a fiber that ran
+// after all others, up to 12 s late.
+TEST_CASE("a wait for a key ends on time on a busy thread", "[late_work]")
+{
+    FaultyServer upstream([](FaultyServer::Socket &, int) { return true; });
+    BusyThread busy;
+    KeyedHost host(busy.thread, upstream.address());
+    const Time started = readBootTime();
+    std::future<ExecuteResult> result;
+    host.onThread([&] { result = host.receive(7, 400ms); });
+    CHECK(result.get().reply.outcome() == wire::EXECUTE_REFUSED);
+    CHECK(readBootTime() - started < 400ms + allowedDelay);
+}
+
+// Guards against work that grows with the product of grants and waiting requests: each grant of a
+// host, renewed every 400 ms, woke all requests that waited, whichever keys it was for.
+TEST_CASE("a grant wakes only the requests that wait for its keys", "[late_work]")
+{
+    constexpr int waiting = 100;
+    constexpr int grants = 50;
+    FaultyServer upstream(
+            [](FaultyServer::Socket &socket, int) { return writeAll(socket, answer); });
+    FiberThread thread("late-work");
+    KeyedHost host(thread, upstream.address());
+    thread.start();
+    std::vector<std::future<ExecuteResult>> results;
+    host.onThread([&] {
+        for (int key = 0; key < waiting; ++key) {
+            results.push_back(host.receive(static_cast<ShardKey>(key), 600ms));
+        }
+    });
+    waitUntil([&] { return host.looks == waiting; });
+    for (int i = 0; i < grants; ++i) {
+        host.onThread([&] { host.executor.noteAccessChanged({.first = 200, .last = 299}); });
+    }
+    CHECK(host.looks == waiting);
+    host.onThread([&] {
+        host.held.insert(7);
+        host.executor.noteAccessChanged({.first = 7, .last = 7});
+    });
+    CHECK(results[7].get().reply.outcome() == wire::EXECUTE_ANSWERED);
+    for (std::size_t key = 0; key < waiting; ++key) {
+        if (key != 7) {
+            CHECK(results[key].get().reply.outcome() == wire::EXECUTE_REFUSED);
+        }
+    }
+    thread.stop();
+}
+
 } // namespace kumquat
