stage: a grant ends with the right to give it, however late it leaves

Cause: how long a grant may last is computed when it is decided, but counts from its arrival. In between its fiber waits for the thread and for a connection; with a thread that is seconds behind the grant lasted beyond the lease.

The line of an order says its age.

Failed before (the subtraction taken out): test_stage 'a grant that waited for the thread ends with the right to give it' (sent after 600 ms with a right of 500 ms), test_keyspace '[ownership_model]' with orders that leave up to 4 s late (two upstreams hold a key); the model notices when this guard is taken out.

--- a/packages/keyspace/range_holder.cpp
+++ b/packages/keyspace/range_holder.cpp
@@ -42,6 +42,18 @@
 
 } // namespace
 
+std::optional<HoldOrder> orderToSend(const HoldOrder &order, Duration least, Time now)
+{
+    HoldOrder sent = order;
+    if (order.kind == HoldOrderKind::Grant) {
+        sent.hold -= now - order.decidedAt;
+        if (sent.hold < least) {
+            return std::nullopt;
+        }
+    }
+    return sent;
+}
+
 RangeHolder::RangeHolder(HolderSettings holderSettings, Time started)
     : settings(holderSettings)
     , startedAt(started)
@@ -180,7 +192,8 @@
                       .span = entry.range.span,
                       .fence = entry.range.fence,
                       .hold = hold,
-                      .handover = entry.handover});
+                      .handover = entry.handover,
+                      .decidedAt = now});
 }
 
 void RangeHolder::orderRelease(Stopping &entry, Time now, std::vector<HoldOrder> &orders)
@@ -194,7 +207,8 @@
     orders.push_back({.kind = HoldOrderKind::Release,
                       .number = entry.order,
                       .span = entry.span,
-                      .fence = entry.fence});
+                      .fence = entry.fence,
+                      .decidedAt = now});
 }
 
 bool RangeHolder::noteGrant(std::uint64_t number, GrantEnd end, Time now)
--- a/packages/keyspace/range_holder.h
+++ b/packages/keyspace/range_holder.h
@@ -45,8 +45,13 @@
     std::uint64_t fence = 0;
     Duration hold{};      // of a grant, from its arrival
     std::string handover; // of a grant: from the last holder, spares the warm-up
+    Time decidedAt{};
 };
 
+// Returns the order as it may be sent now: the right to grant has grown shorter since the order was
+// decided. Nothing if less than `least` of a grant is left; it counts as refused then.
+std::optional<HoldOrder> orderToSend(const HoldOrder &order, Duration least, Time now);
+
 enum class GrantEnd : std::uint8_t {
     Accepted,
     FencedOff, // the upstream has seen a higher fence
--- a/packages/keyspace/tests/test_ownership_model.cpp
+++ b/packages/keyspace/tests/test_ownership_model.cpp
@@ -33,6 +33,7 @@
     bool lateGrants = true;  // unanswered grants count as held
     bool reportOrder = true; // a heartbeat that was overtaken says nothing
     bool runningWork = true; // keys with requests that still run count as held
+    bool lateOrders = true;  // an order is looked at again when it is sent
 };
 
 // An upstream: holds keys until a time by its own clock, which may be slow.
@@ -517,8 +518,40 @@
         }
     }
 
+    // Sends an order; one of a process that is short of processor time leaves seconds after it was
+    // decided.
+    void send(int index, const HoldOrder &decided)
+    {
+        if (this->chance(0.04)) {
+            const ModelHost *sender = this->hosts[index].get();
+            this->later(this->between(100ms, 4s),
+                        [this, index, decided, sender] { this->sendLate(index, decided, sender); });
+        } else {
+            this->sendNow(index, decided);
+        }
+    }
+
+    void sendLate(int index, const HoldOrder &decided, const ModelHost *sender)
+    {
+        if (this->hosts[index].get() != sender) {
+            return; // the process was killed
+        }
+        if (!this->isAwake(index)) {
+            this->later(100ms,
+                        [this, index, decided, sender] { this->sendLate(index, decided, sender); });
+            return;
+        }
+        const Time lookAt = this->guards.lateOrders ? this->now : decided.decidedAt;
+        const auto order = orderToSend(decided, HolderSettings{}.leastHold, lookAt);
+        if (order) {
+            this->sendNow(index, *order);
+        } else {
+            this->hosts[index]->holder.noteGrant(decided.number, GrantEnd::Refused, this->now);
+        }
+    }
+
     // Calls the upstream beside a host; it may act late, or its answer may be lost.
-    void send(int index, const HoldOrder &order)
+    void sendNow(int index, const HoldOrder &order)
     {
         ModelUpstream &upstream = this->upstreams[index];
         const bool isLate = this->chance(0.06);
@@ -663,6 +696,7 @@
     CHECK(isNoticed({.proofs = false}));
     CHECK(isNoticed({.leaseBounds = false}));
     CHECK(isNoticed({.lateGrants = false}));
+    CHECK(isNoticed({.lateOrders = false}));
 }
 
 } // namespace kumquat
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -101,6 +101,24 @@
 absl::StatusOr<HttpResponse> HttpClient::call(const HttpRequest &request,
                                               const HttpCallOptions &options,
                                               const std::vector<HttpField> &extra)
+{
+    return this->callChosen([&request] { return &request; }, options, extra);
+}
+
+absl::StatusOr<HttpResponse> HttpClient::callWith(const RequestMaker &make,
+                                                  const HttpCallOptions &options)
+{
+    std::optional<HttpRequest> request;
+    const RequestChoice choose = [&]() -> const HttpRequest * {
+        request = make();
+        return request ? &*request : nullptr;
+    };
+    return this->callChosen(choose, options, {});
+}
+
+absl::StatusOr<HttpResponse> HttpClient::callChosen(const RequestChoice &choose,
+                                                    const HttpCallOptions &options,
+                                                    const std::vector<HttpField> &extra)
 {
     const auto deadline = std::chrono::steady_clock::now() + options.limit;
     const auto handle = options.handle ? options.handle : std::make_shared<HttpCallHandle>();
@@ -116,16 +134,29 @@
     if (left <= Duration::zero() || handle->isCancelled()) {
         return makeError(ErrorKind::UpstreamUnreachable, "connecting took too long");
     }
+    const HttpRequest *request = choose();
+    if (request == nullptr) {
+        this->keep(std::move(connection));
+        return makeError(ErrorKind::UpstreamUnreachable, "withdrawn before it was sent");
+    }
     handle->stream = connection->stream;
     this->busy.insert(connection.get());
     bool mayKeep = false;
-    auto answer = this->exchange(*connection, request, extra, options, left, mayKeep);
+    auto answer = this->exchange(*connection, *request, extra, options, left, mayKeep);
     this->busy.erase(connection.get());
-    if (mayKeep && static_cast<int>(this->idle.size()) < this->limits.maxIdle) {
+    if (mayKeep) {
+        this->keep(std::move(connection));
+    }
+    return answer;
+}
+
+void HttpClient::keep(ConnectionPtr connection)
+{
+    if (static_cast<int>(this->idle.size()) < this->limits.maxIdle) {
+        connection->stream->expireNever();
         connection->idleSince = std::chrono::steady_clock::now();
         this->idle.push_back(std::move(connection));
     }
-    return answer;
 }
 
 void HttpClient::cancelAll()
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -68,6 +69,9 @@
     std::shared_ptr<HttpCallHandle> handle; // not set: the call can't be cancelled
 };
 
+// Makes a request when its first byte can be sent; nothing: it is not sent any more.
+using RequestMaker = std::function<std::optional<HttpRequest>()>;
+
 class HttpClient
 {
 public:
@@ -84,6 +88,10 @@
     absl::StatusOr<HttpResponse> call(const HttpRequest &request, const HttpCallOptions &options,
                                       const std::vector<HttpField> &extra = {});
 
+    // The same for a request that depends on when it is sent: a connection may come late, and its
+    // fiber may wait for the thread. UpstreamUnreachable if none is made.
+    absl::StatusOr<HttpResponse> callWith(const RequestMaker &make, const HttpCallOptions &options);
+
     // Closes the connections that no call uses, after a sign that they may be dead.
     void dropIdle() { this->idle.clear(); }
 
@@ -96,7 +104,14 @@
     struct Connection;
     using ConnectionPtr = std::shared_ptr<Connection>;
 
+    // Returns the request to send now, or nullptr.
+    using RequestChoice = std::function<const HttpRequest *()>;
+
+    absl::StatusOr<HttpResponse> callChosen(const RequestChoice &choose,
+                                            const HttpCallOptions &options,
+                                            const std::vector<HttpField> &extra);
     ConnectionPtr takeIdle(Duration maxIdle);
+    void keep(ConnectionPtr connection); // for another call
     absl::StatusOr<ConnectionPtr> connect(Duration limit, HttpCallHandle &handle);
     absl::StatusOr<HttpResponse> exchange(Connection &connection, const HttpRequest &request,
                                           const std::vector<HttpField> &extra,
--- a/packages/stage/key_owner.cpp
+++ b/packages/stage/key_owner.cpp
@@ -43,6 +43,20 @@
     return options;
 }
 
+OrderEnd sendOrder(HttpClient &upstream, const HoldOrder &order,
+                   std::shared_ptr<HttpCallHandle> handle)
+{
+    bool isWithdrawn = false;
+    auto answer = upstream.callWith(
+            [&]() -> std::optional<HttpRequest> {
+                const auto sent = orderToSend(order, HolderSettings{}.leastHold, readBootTime());
+                isWithdrawn = !sent.has_value();
+                return sent ? std::optional(platform::encodeOrder(*sent)) : std::nullopt;
+            },
+            orderOptions(order.kind, std::move(handle)));
+    return {.answer = std::move(answer), .isWithdrawn = isWithdrawn};
+}
+
 KeyOwner::KeyOwner(FiberThread &ownerThread, const std::string &ownNode,
                    const std::string &ownService, const Address &upstream, Duration allowedHold,
                    ClusterView &clusterView, LinkPool &linkPool, UpstreamMonitor &upstreamMonitor,
@@ -346,15 +360,15 @@
     const bool isGrant = order.kind == HoldOrderKind::Grant;
     const UpstreamLife life = this->monitor.life();
     const auto handle = std::make_shared<HttpCallHandle>();
-    const auto answer = this->upstreamOrders.call(platform::encodeOrder(order),
-                                                  orderOptions(order.kind, handle));
+    const OrderEnd ended = kumquat::sendOrder(this->upstreamOrders, order, handle);
+    const auto &answer = ended.answer;
     const Time now = readBootTime();
     const int status = answer.ok() ? answer->status : 0;
     if (handle->wasRefused()) {
         this->monitor.noteRefused(now);
     } else if (answer.ok()) {
         this->monitor.noteAnswer();
-    } else if (isGrant) {
+    } else if (isGrant && !ended.isWithdrawn) {
         this->monitor.noteSilence();
         this->upstreamOrders.dropIdle();
     }
@@ -365,6 +379,8 @@
                  {"fence", std::to_string(order.fence)},
                  {"upstream", life.id},
                  {"status", std::to_string(status)},
+                 {"withdrawn", ended.isWithdrawn ? "yes" : "no"},
+                 {"ageMs", std::to_string(toMilliseconds(now - order.decidedAt))},
                  {"handover", order.handover}});
     }
     if (isGrant) {
--- a/packages/stage/key_owner.h
+++ b/packages/stage/key_owner.h
@@ -33,6 +33,17 @@
 
 // ---- Orders ----
 
+struct OrderEnd
+{
+    absl::StatusOr<HttpResponse> answer;
+    bool isWithdrawn = false; // not sent, as the right to give it has ended
+};
+
+// Sends an order in the calling fiber. A grant is as long as the right to give it still lasts when
+// its first byte leaves.
+OrderEnd sendOrder(HttpClient &upstream, const HoldOrder &order,
+                   std::shared_ptr<HttpCallHandle> handle);
+
 // Returns how an order is sent. Answers to orders carry no id, so one that the upstream writes
 // twice could stand for the next order on its connection.
 HttpCallOptions orderOptions(HoldOrderKind kind, std::shared_ptr<HttpCallHandle> handle);
--- a/packages/stage/tests/test_late_work.cpp
+++ b/packages/stage/tests/test_late_work.cpp
@@ -2,6 +2,7 @@
 #include "net/tests/busy_thread.h"
 #include "net/tests/faulty_server.h"
 #include "stage/executor.h"
+#include "stage/key_owner.h"
 
 #include <catch2/catch.hpp>
 
@@ -140,6 +141,36 @@
     CHECK(readBootTime() - started < 400ms + allowedDelay);
 }
 
+// Guards against two upstreams that hold a key: a host whose slowness had just ended sent a grant
+// that it had decided seconds before, when another upstream had the keys.
+TEST_CASE("a grant that waited for the thread ends with the right to give it", "[late_work]")
+{
+    std::atomic<int> orders{0};
+    FaultyServer upstream([&](FaultyServer::Socket &socket, int) {
+        ++orders;
+        return writeAll(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    });
+    FiberThread thread("late-work");
+    HttpClient client(thread.io(), upstream.address(), {});
+    thread.start();
+    const auto sendAfter = [&](Duration wait) {
+        const auto result = std::make_shared<std::promise<OrderEnd>>();
+        thread.post([&, wait, result] {
+            const HoldOrder order{.number = 1, .hold = 500ms, .decidedAt = readBootTime()};
+            thread.spawn([&, order, result] {
+                result->set_value(sendOrder(client, order, std::make_shared<HttpCallHandle>()));
+            });
+            std::this_thread::sleep_for(wait); // what is ready before its fiber
+        });
+        return result->get_future().get();
+    };
+    CHECK(sendAfter(0ms).answer.ok());
+    CHECK(orders == 1);
+    CHECK(sendAfter(600ms).isWithdrawn);
+    CHECK(orders == 1);
+    thread.stop();
+}
+
 // Guards against work that grows with the product of grants and waiting requests: each grant of a
 // host, renewed every 400 ms, woke all requests that waited, whichever keys it was for.
 TEST_CASE("a grant wakes only the requests that wait for its keys", "[late_work]")
