stage: a request is looked at once more when it is sent

A request that must not run twice counted as sent from when its connection was asked for. Its caller could leave, its key move or its time run out while the connection was made, or while its fiber waited for the thread, and it was sent all the same.

All that must hold for a request to be sent is now looked at when its first byte can leave: the caller, the time, the key, the upstream; what is left of its time is told from then. Requests that crash upstreams are found as before: by those that were let through to the upstream.

Failed before: test_stage 'a request whose caller leaves while a connection is made is not sent' (answered, one request at the upstream).

--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -138,15 +138,8 @@
     if (!this->waitForSlot(execute, run, number, deadline, retryAfter)) {
         result = this->makeResult(wire::EXECUTE_REFUSED, retryAfter, run->refusal);
     } else {
-        // The keys may have moved while the request waited.
-        const Time sendTime = readBootTime();
-        const bool isHeld = !this->hooks.hasKeys() || !execute.has_key()
-                            || this->hooks.access(execute.key(), sendTime) == KeyAccess::Held;
-        if (!isHeld || !this->monitor.mayServe(sendTime)) {
-            result = this->makeResult(wire::EXECUTE_MISPLACED, pendingRetry);
-        } else {
-            result = this->send(execute, std::move(body), *run, deadline, end);
-        }
+        const auto withdrawn = this->withdraw(execute, *run, deadline, readBootTime());
+        result = withdrawn ? *withdrawn : this->send(execute, std::move(body), *run, deadline, end);
         this->limiter.finish(number, end, readBootTime());
     }
     this->guard.endRun(permit, run->fingerprint, end == CallEnd::Answered);
@@ -244,22 +237,35 @@
     return run->isDispatched;
 }
 
-ExecuteResult Executor::send(const wire::Execute &execute, std::string body, Run &run,
-                             Time deadline, CallEnd &end)
+// Returns the answer to a request that must not be sent any more: it has waited, for a slot, for a
+// connection or for the thread.
+std::optional<ExecuteResult> Executor::withdraw(const wire::Execute &execute, const Run &run,
+                                                Time deadline, Time now) const
 {
-    const Time started = readBootTime();
-    const Duration remaining = deadline - started;
-    if (remaining < this->settings.leastRemaining || run.isCancelled) {
+    if (run.isCancelled) {
+        return this->makeResult(wire::EXECUTE_REFUSED, {}, "caller-gone");
+    }
+    if (deadline - now < this->settings.leastRemaining) {
         return this->makeResult(wire::EXECUTE_REFUSED, {}, "no-time-left");
     }
-    const bool hasGrant = execute.has_key() && this->hooks.hasKeys();
-    const std::optional<Duration> heldFor =
-            hasGrant ? std::optional(this->hooks.heldFor(execute.key(), started)) : std::nullopt;
-    run.isSent = true;
+    const bool isHeld = !this->hooks.hasKeys() || !execute.has_key()
+                        || this->hooks.access(execute.key(), now) == KeyAccess::Held;
+    if (!isHeld || !this->monitor.mayServe(now)) {
+        return this->makeResult(wire::EXECUTE_MISPLACED, pendingRetry);
+    }
+    return std::nullopt;
+}
+
+ExecuteResult Executor::send(const wire::Execute &execute, std::string body, Run &run,
+                             Time deadline, CallEnd &end)
+{
+    Time started = readBootTime();
+    std::optional<Duration> heldFor;
+    std::optional<ExecuteResult> withdrawn;
     run.call = std::make_shared<HttpCallHandle>();
     const UpstreamLife life = this->monitor.life();
     HttpCallOptions options{
-            .limit = remaining,
+            .limit = deadline - started,
             // A refusal that names no request is believed where it can be to no other one.
             .belongs =
                     [&execute, &life](const HttpResponse &response, bool isFirst) {
@@ -278,8 +284,25 @@
             .mayEndWithConnection = true,
             .handle = run.call};
     this->metrics.count(Metric::UpstreamSent);
-    auto answer = this->client.call(
-            platform::encodeUpstreamRequest(execute, std::move(body), remaining, life), options);
+    const auto make = [&]() -> std::optional<HttpRequest> {
+        started = readBootTime();
+        withdrawn = this->withdraw(execute, run, deadline, started);
+        if (withdrawn) {
+            return std::nullopt;
+        }
+        if (execute.has_key() && this->hooks.hasKeys()) {
+            heldFor = this->hooks.heldFor(execute.key(), started);
+        }
+        run.isSent = true;
+        return platform::encodeUpstreamRequest(execute, std::move(body), deadline - started, life);
+    };
+    auto answer = this->client.callWith(make, options);
+    if (!run.isSent && run.isCancelled) {
+        withdrawn = this->makeResult(wire::EXECUTE_REFUSED, {}, "caller-gone");
+    }
+    if (withdrawn) {
+        return *std::move(withdrawn);
+    }
     const Time now = readBootTime();
     ExecuteResult result = this->judge(execute, std::move(answer), run, end);
     result.heldFor = heldFor;
@@ -289,7 +312,7 @@
                                         ? sample
                                         : serviceWeight * (sample - this->serviceSeconds);
     }
-    if (end == CallEnd::Lost && !run.isCancelled && run.isSent) {
+    if (end == CallEnd::Lost && !run.isCancelled) {
         this->noteCrash(now);
     }
     return result;
@@ -353,7 +376,7 @@
 {
     std::vector<Fingerprint> fingerprints;
     for (const auto &[number, run] : this->running) {
-        if (run->isSent && !run->isCancelled) {
+        if (run->isDispatched && !run->isCancelled) {
             fingerprints.push_back(run->fingerprint);
         }
     }
--- a/packages/stage/tests/test_late_work.cpp
+++ b/packages/stage/tests/test_late_work.cpp
@@ -141,6 +141,38 @@
     CHECK(readBootTime() - started < 400ms + allowedDelay);
 }
 
+// Guards against requests that are sent to upstreams after their callers have left: one that must
+// not run twice counted as sent while its connection was made, and could not be cancelled.
+TEST_CASE("a request whose caller leaves while a connection is made is not sent", "[late_work]")
+{
+    std::atomic<int> requests{0};
+    FaultyServer upstream([&](FaultyServer::Socket &socket, int) {
+        ++requests;
+        return writeAll(socket, answer);
+    });
+    FiberThread thread("late-work");
+    KeyedHost host(thread, upstream.address());
+    thread.start();
+    std::future<ExecuteResult> result;
+    const auto leaves = std::make_shared<std::promise<void>>();
+    host.onThread([&] {
+        host.held.insert(7);
+        result = host.receive(7, 500ms);
+        // Runs after the fiber of the request, which waits for its connection then.
+        thread.spawn(
+                [&host, leaves] {
+                    host.executor.cancel({.connection = 1, .call = 1});
+                    leaves->set_value();
+                },
+                WakeOrder::Last);
+    });
+    leaves->get_future().wait();
+    CHECK(result.get().reply.outcome() == wire::EXECUTE_REFUSED);
+    std::this_thread::sleep_for(50ms);
+    CHECK(requests == 0);
+    thread.stop();
+}
+
 // Guards against two upstreams that hold a key: a host whose slowness had just ended sent a grant
 // that it had decided seconds before, when another upstream had the keys.
 TEST_CASE("a grant that waited for the thread ends with the right to give it", "[late_work]")
