stage: a process that is behind takes no new work

A process with more work than processor time read every request, and all of them were late: 1,075 ready fibers at a host on which 40 requests ran.

New work is now refused at once, with a wait that is true, while a fiber waits 150 ms for the thread (300 ms for requests without a key: they may be calls of running ones). The delay is the age of the oldest ready fiber, or what all ready ones need at the pace of late: the age alone tells it too late. Requests of other hosts are refused without a fiber.

--- a/packages/net/fibers.cpp
+++ b/packages/net/fibers.cpp
@@ -51,6 +51,7 @@
             return other;
         }
         this->runningWokenAt = wokenTime;
+        ++this->roundRuns;
         this->longestWait = std::max(this->longestWait, this->now() - this->runningWokenAt);
         return fiber;
     }
@@ -61,8 +62,17 @@
                            [](const Queue &queue) { return queue.fibers.empty(); });
     }
 
-    // Forgets the time of the last reading of the clock: handlers are going to run.
-    void beginRound() { this->roundTime.reset(); }
+    // Notes that handlers are going to run: the last reading of the clock is over. `wasBusy`:
+    // fibers ran without a pause since the last call.
+    void beginRound(bool wasBusy)
+    {
+        if (wasBusy && this->roundTime && this->roundRuns > 0) {
+            const Duration turn = (readBootTime() - *this->roundTime) / this->roundRuns;
+            this->meanTurn += (turn - this->meanTurn) / turnsLearnt;
+        }
+        this->roundTime.reset();
+        this->roundRuns = 0;
+    }
 
     FiberBacklog backlog() const
     {
@@ -74,6 +84,7 @@
                 backlog.oldest = std::max(backlog.oldest, present - queue.wokenTimes.front());
             }
         }
+        backlog.expected = this->meanTurn * static_cast<Duration::rep>(backlog.ready);
         return backlog;
     }
 
@@ -92,6 +103,8 @@
     // After so many other fibers one of those that begin something runs.
     static constexpr int lastEvery = 8;
 
+    static constexpr int turnsLearnt = 8; // rounds that the mean time of a turn goes back
+
     Queue &queueOf(WakeOrder order) { return this->queues[static_cast<std::size_t>(order)]; }
 
     // Returns the queue whose first fiber is next, or nullptr.
@@ -120,6 +133,8 @@
     WakeOrder pushOrder = WakeOrder::InTurn;
     int othersRun = 0; // while some that begin something were ready
     std::optional<Time> roundTime;
+    int roundRuns = 0;   // fibers that ran in it
+    Duration meanTurn{}; // of a fiber, with the handlers beside it
     Time runningWokenAt{};
     Duration longestWait{};
 };
@@ -169,7 +184,7 @@
         // Handlers are polled between fibers so that a busy thread still serves its sockets.
         if (++this->picksSincePoll >= picksPerPoll) {
             this->picksSincePoll = 0;
-            this->ready->beginRound();
+            this->ready->beginRound(true);
             this->context->poll();
         }
         return this->ready->pop();
@@ -186,7 +201,7 @@
             this->timer.expires_at(until);
             this->timer.async_wait([](const ErrorCode &) {});
         }
-        this->ready->beginRound();
+        this->ready->beginRound(false);
         this->context->run_one();
         this->context->poll();
         if (this->context->stopped()) {
--- a/packages/net/fibers.h
+++ b/packages/net/fibers.h
@@ -19,6 +19,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/fiber/context.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
@@ -183,6 +184,11 @@
 {
     std::size_t ready = 0; // fibers
     Duration oldest{};     // for how long the first of them has been ready
+    Duration expected{};   // until all of them have run, at the pace of late
+
+    // Returns how long a fiber that becomes ready now is likely to wait. The age alone tells it too
+    // late where fibers come faster than they run.
+    Duration delay() const { return std::max(this->oldest, this->expected); }
 };
 
 class ReadyFibers;
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -94,11 +94,7 @@
     this->running.erase(number);
     this->dispatchNext();
     const Time now = readBootTime();
-    result.reply.set_tables_end(this->hooks.tablesEnd());
-    const wire::UpstreamLoad load = this->load({}, now);
-    result.reply.set_in_flight(load.in_flight());
-    result.reply.set_slots(load.slots());
-    result.reply.set_service_ms(load.service_ms());
+    this->addLoad(result.reply, now);
     this->log(execute, result, *run, now - started);
     return result;
 }
@@ -156,6 +152,25 @@
     return result;
 }
 
+// Tells the sender of a request what to know for the next one.
+void Executor::addLoad(wire::ExecuteReply &reply, Time now) const
+{
+    reply.set_tables_end(this->hooks.tablesEnd());
+    const wire::UpstreamLoad load = this->load({}, now);
+    reply.set_in_flight(load.in_flight());
+    reply.set_slots(load.slots());
+    reply.set_service_ms(load.service_ms());
+}
+
+wire::ExecuteReply Executor::refuse(const wire::Execute &execute, Duration retryAfter,
+                                    std::string_view reason) const
+{
+    ExecuteResult result = this->makeResult(wire::EXECUTE_REFUSED, retryAfter, reason);
+    this->addLoad(result.reply, readBootTime());
+    this->log(execute, result, Run(this->thread.io()), Duration::zero());
+    return std::move(result.reply);
+}
+
 // Returns false if the key is elsewhere or does not come in time.
 bool Executor::waitForKey(const wire::Execute &execute, const RunPtr &run, Time deadline)
 {
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -87,6 +87,10 @@
     // Runs one request in the calling fiber and returns how it ended.
     ExecuteResult run(const wire::Execute &execute, std::string body, ExecuteCaller caller);
 
+    // Returns the answer to a request that this process does not take.
+    wire::ExecuteReply refuse(const wire::Execute &execute, Duration retryAfter,
+                              std::string_view reason) const;
+
     // Gives up a request whose caller has gone: it is not sent any more, and one that may be
     // repeated is broken off at the upstream.
     void cancel(ExecuteCaller caller);
@@ -146,6 +150,7 @@
 
     ExecuteResult makeResult(wire::ExecuteOutcome outcome, Duration retryAfter = {},
                              std::string_view reason = {}) const;
+    void addLoad(wire::ExecuteReply &reply, Time now) const;
     bool waitForKey(const wire::Execute &execute, const RunPtr &run, Time deadline);
     void forgetWait(ShardKey key, const RunPtr &run);
     bool waitForSlot(const wire::Execute &execute, const RunPtr &run, std::uint64_t number,
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -167,6 +167,10 @@
     if (!this->hooks.takesRequest(attempt.deadline)) {
         return this->refuse(attempt, stopRetry, "stopping");
     }
+    const WorkKind kind = execute.has_key() ? WorkKind::Request : WorkKind::Call;
+    if (const auto retryAfter = this->hooks.isBehind(kind)) {
+        return this->refuse(attempt, *retryAfter, "behind");
+    }
     const std::string &service = this->splitter.pick(route);
     const ServiceInfo *info = attempt.configuration->service(service);
     execute.set_service(service);
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -11,11 +11,13 @@
 #include "stage/executor.h"
 #include "stage/link.h"
 #include "stage/metrics.h"
+#include "stage/work_gate.h"
 #include "traffic/retry.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,6 +30,8 @@
 {
     std::function<void(const std::string &node, std::uint64_t tablesEnd)> tablesBehind;
     std::function<bool(Time deadline)> takesRequest; // false if the process exits before
+    // Returns after which time the caller should come back if this process is behind.
+    std::function<std::optional<Duration>(WorkKind kind)> isBehind;
 };
 
 // ---- Settings ----
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -152,7 +152,8 @@
                                this->fetchState(node);
                            }
                        },
-               .takesRequest = [this](Time deadline) { return this->takesRequest(deadline); }})
+               .takesRequest = [this](Time deadline) { return this->takesRequest(deadline); },
+               .isBehind = [this](WorkKind kind) { return this->isBehind(kind); }})
     , linkServer(
               this->thread, this->settings.node,
               {.received =
@@ -321,6 +322,7 @@
                {{"ms", std::to_string(toMilliseconds(wait))},
                 {"ready", std::to_string(backlog.ready)},
                 {"oldestMs", std::to_string(toMilliseconds(backlog.oldest))},
+                {"expectedMs", std::to_string(toMilliseconds(backlog.expected))},
                 {"requests", std::to_string(this->ingress.count())},
                 {"running", std::to_string(this->executor.count())},
                 {"waiting", std::to_string(this->executor.waitingCount())}});
@@ -381,6 +383,11 @@
     return !this->stopPlan || this->stopPlan->takesRequest(deadline, readBootTime());
 }
 
+std::optional<Duration> Stage::isBehind(WorkKind kind)
+{
+    return this->gate.refuse(this->thread.backlog().delay(), kind, readBootTime());
+}
+
 // ---- The upstream beside this process ----
 
 HttpResponse Stage::onHeartbeat(const HttpRequest &request)
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -23,6 +23,7 @@
 #include "stage/store_follower.h"
 #include "stage/ticker.h"
 #include "stage/upstream_monitor.h"
+#include "stage/work_gate.h"
 
 #include <absl/status/statusor.h>
 
@@ -81,6 +82,7 @@
     void reload();
     void beginStop();
     bool takesRequest(Time deadline) const;
+    std::optional<Duration> isBehind(WorkKind kind);
     std::size_t countUnanswered() const; // requests in flight, and answers that have not left
 
     StageSettings settings;
@@ -98,6 +100,7 @@
     VoterRole voter;
     HostPicker picker;
     RelayChoice relays;
+    WorkGate gate;
     StoreFollower follower;
     KeyOwner keys;
     Executor executor;
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -79,6 +79,14 @@
     if (execute.tables_end() > this->view.tablesEnd()) {
         this->fetchState(peer.node);
     }
+    // Without a fiber: where work comes faster than it is done, each that is refused costs little.
+    const WorkKind kind = execute.has_key() ? WorkKind::Request : WorkKind::Call;
+    if (const auto retryAfter = this->isBehind(kind)) {
+        wire::LinkFrame frame;
+        *frame.mutable_execute_reply() = this->executor.refuse(execute, *retryAfter, "behind");
+        reply(frame, {});
+        return;
+    }
     this->executor.announce(caller, readBootTime());
     auto work = [this, caller, reply, execute = std::move(execute),
                  body = std::move(message.body)]() mutable {
--- a/packages/stage/tests/test_late_work.cpp
+++ b/packages/stage/tests/test_late_work.cpp
@@ -3,6 +3,7 @@
 #include "net/tests/faulty_server.h"
 #include "stage/executor.h"
 #include "stage/key_owner.h"
+#include "stage/upstream_limits.h"
 
 #include <catch2/catch.hpp>
 
@@ -31,6 +32,8 @@
                    {.access =
                             [this](ShardKey key, Time) {
                                 ++this->looks;
+                                this->mostWaiting =
+                                        std::max(this->mostWaiting, this->executor.waitingCount());
                                 return this->held.contains(key) ? KeyAccess::Held
                                                                 : KeyAccess::Pending;
                             },
@@ -90,6 +93,7 @@
     Metrics metrics;
     std::set<ShardKey> held; // changed on the thread only
     std::atomic<int> looks{0};
+    std::size_t mostWaiting = 0; // of requests, at one time
     std::uint64_t calls = 0;
     Executor executor;
 };
--- /dev/null
+++ b/packages/stage/work_gate.h
@@ -0,0 +1,70 @@
+// Decides whether a process takes new work, by how long fibers wait for its thread. One that is
+// behind answers late whatever it takes.
+//
+//   if (const auto retryAfter = gate.refuse(thread.backlog().delay(), WorkKind::Request, now)) {
+//       ... tell the caller to come back after it ...
+//   }
+#pragma once
+
+#include "base/names.h"
+#include "base/time.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+
+namespace kumquat {
+
+enum class WorkKind : std::uint8_t {
+    Request,
+    // May be a call of a request that runs at an upstream, whose work is lost without it.
+    Call,
+};
+
+inline constexpr NameTable<WorkKind, 2> workKindNames{
+        {{{WorkKind::Request, "request"}, {WorkKind::Call, "call"}}}};
+
+struct WorkGateSettings
+{
+    // Wait of a ready fiber up to which requests are taken. A request runs several fibers one after
+    // the other at two hosts, and an answer may be half a second late; a core with a quota stands
+    // still for up to 90 ms without being behind.
+    Duration longestWait = 150ms;
+    Duration longestCallWait = 300ms; // the same for calls
+    Duration shortestRetry = 250ms;   // told to refused callers
+    Duration longestRetry = 2s;
+    Duration retryStep = 5ms;    // between callers that are refused one after the other
+    Duration refusalMemory = 1s; // without a refusal, after which they are counted anew
+};
+
+// Not thread-safe.
+class WorkGate
+{
+public:
+    explicit WorkGate(WorkGateSettings gateSettings = {})
+        : settings(gateSettings)
+    {}
+
+    // Returns nothing if new work is taken, else after which time its caller should come back: what
+    // is ready now has to be done before. `delay`: for which a fiber waits for the thread.
+    std::optional<Duration> refuse(Duration delay, WorkKind kind, Time now)
+    {
+        const bool isCall = kind == WorkKind::Call;
+        if (delay < (isCall ? this->settings.longestCallWait : this->settings.longestWait)) {
+            return std::nullopt;
+        }
+        if (now - this->refusedAt > this->settings.refusalMemory) {
+            this->refusals = 0;
+        }
+        this->refusedAt = now;
+        const Duration wait = 2 * delay + this->refusals++ * this->settings.retryStep;
+        return std::clamp(wait, this->settings.shortestRetry, this->settings.longestRetry);
+    }
+
+private:
+    WorkGateSettings settings;
+    int refusals = 0; // one after the other
+    Time refusedAt{};
+};
+
+} // namespace kumquat
