stage: requests that wait for their keys are bounded

Requests for keys whose grant had not come waited without a bound, up to 0.7 s each (seconds on a host that is behind), each with a fiber and a body. When the keys come, 64 of them find room in front of the upstream.

With 128 waiting, further ones are refused at once. Failed before: test_stage 'requests for keys that are not there yet are bounded' (1,000 waited). That this alone keeps the process under its limit is not shown.

--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -194,6 +194,9 @@
         if (now >= limit) {
             return false;
         }
+        if (this->waitingForKey.size() >= this->settings.mostPending) {
+            return false;
+        }
         this->waitingForKey.emplace(execute.key(), run);
         this->wait(*run, limit - now);
         this->forgetWait(execute.key(), run);
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -67,6 +67,8 @@
     // Requests for keys that are on their way to this host wait so long; a handover takes the time
     // of the work that runs, some 300 ms.
     Duration longestPending = 700ms;
+    // More of them are refused at once: twice what the queue in front of the upstream takes then.
+    std::size_t mostPending = 128;
     Duration leastRemaining = 5ms; // with less left a request is not sent
     LimiterSettings limiter;
 };
--- a/packages/stage/tests/test_late_work.cpp
+++ b/packages/stage/tests/test_late_work.cpp
@@ -242,4 +242,29 @@
     thread.stop();
 }
 
+// Guards against requests without end that wait for their keys: a process grew over its limit of
+// memory, and most of them could not be served when the keys came.
+TEST_CASE("requests for keys that are not there yet are bounded", "[late_work]")
+{
+    constexpr std::size_t sent = 1000;
+    FaultyServer upstream([](FaultyServer::Socket &, int) { return true; });
+    FiberThread thread("late-work");
+    KeyedHost host(thread, upstream.address());
+    thread.start();
+    std::vector<std::future<ExecuteResult>> results;
+    host.onThread([&] {
+        for (std::size_t i = 0; i < sent; ++i) {
+            results.push_back(host.receive(7, 600ms));
+        }
+    });
+    for (std::future<ExecuteResult> &result : results) {
+        const wire::ExecuteReply reply = result.get().reply;
+        CHECK(reply.outcome() == wire::EXECUTE_REFUSED);
+        CHECK(reply.retry_after_ms() > 0);
+    }
+    // Twice what may wait for a slot, and the one that looks.
+    CHECK(host.mostWaiting <= 2 * upstreamLimiter.queue + 1);
+    thread.stop();
+}
+
 } // namespace kumquat
