stage: a host that is behind is not sent work that it will refuse

A refusal tells for how long the host takes no more work of its kind (0.1 to 1 s); until then other hosts refuse requests for its keys at once, and choose another one for requests without a key.

test_stage 'a host that refuses work is asked again only after a while': 5 of 32 messages.

--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -162,10 +162,11 @@
     reply.set_service_ms(load.service_ms());
 }
 
-wire::ExecuteReply Executor::refuse(const wire::Execute &execute, Duration retryAfter,
+wire::ExecuteReply Executor::refuse(const wire::Execute &execute, const WorkRefusal &refusal,
                                     std::string_view reason) const
 {
-    ExecuteResult result = this->makeResult(wire::EXECUTE_REFUSED, retryAfter, reason);
+    ExecuteResult result = this->makeResult(wire::EXECUTE_REFUSED, refusal.retryAfter, reason);
+    result.reply.set_closed_ms(static_cast<std::uint32_t>(toMilliseconds(refusal.closedFor)));
     this->addLoad(result.reply, readBootTime());
     this->log(execute, result, Run(this->thread.io()), Duration::zero());
     return std::move(result.reply);
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -10,6 +10,7 @@
 #include "net/http_client.h"
 #include "stage/metrics.h"
 #include "stage/upstream_monitor.h"
+#include "stage/work_gate.h"
 #include "traffic/crash_guard.h"
 #include "traffic/limiter.h"
 #include "wire/stage.pb.h"
@@ -90,7 +91,7 @@
     ExecuteResult run(const wire::Execute &execute, std::string body, ExecuteCaller caller);
 
     // Returns the answer to a request that this process does not take.
-    wire::ExecuteReply refuse(const wire::Execute &execute, Duration retryAfter,
+    wire::ExecuteReply refuse(const wire::Execute &execute, const WorkRefusal &refusal,
                               std::string_view reason) const;
 
     // Gives up a request whose caller has gone: it is not sent any more, and one that may be
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -29,6 +29,11 @@
     return std::min(first, second);
 }
 
+WorkKind kindOf(const wire::Execute &execute)
+{
+    return execute.has_key() ? WorkKind::Request : WorkKind::Call;
+}
+
 HostDistance distanceOf(const HostInfo &host, const IngressSettings &own)
 {
     if (host.node == own.node) {
@@ -167,9 +172,8 @@
     if (!this->hooks.takesRequest(attempt.deadline)) {
         return this->refuse(attempt, stopRetry, "stopping");
     }
-    const WorkKind kind = execute.has_key() ? WorkKind::Request : WorkKind::Call;
-    if (const auto retryAfter = this->hooks.isBehind(kind)) {
-        return this->refuse(attempt, *retryAfter, "behind");
+    if (const auto refusal = this->hooks.isBehind(kindOf(execute))) {
+        return this->refuse(attempt, refusal->retryAfter, "behind");
     }
     const std::string &service = this->splitter.pick(route);
     const ServiceInfo *info = attempt.configuration->service(service);
@@ -222,7 +226,9 @@
     const Time now = readBootTime();
     for (const auto &[name, host] : this->view.hosts()) {
         const bool isOther = attempt.moves == 0 || name != attempt.node;
-        const bool isUp = name == this->settings.node || !this->links.isDown(name, now);
+        const bool isUp = name == this->settings.node
+                          || (!this->links.isDown(name, now)
+                              && !this->closedHosts.leftOf(name, WorkKind::Call, now));
         if (host.info.service == execute.service() && host.info.phase == UpstreamPhase::Ready
             && isOther && isUp) {
             candidates.push_back({.node = name, .distance = distanceOf(host.info, this->settings)});
@@ -252,6 +258,9 @@
         attempt.cancelCall = [this, caller] { this->executor.cancel(caller); };
         result = this->executor.run(execute, body, caller);
         attempt.cancelCall = nullptr;
+    } else if (const auto left = this->closedHosts.leftOf(node, kindOf(execute), now)) {
+        result.reply.set_outcome(wire::EXECUTE_REFUSED);
+        result.reply.set_retry_after_ms(static_cast<std::uint32_t>(toMilliseconds(*left)));
     } else if (this->links.isDown(node, now)) {
         // Known to be in vain, so the caller is told at once.
         this->links.reconnect(node);
@@ -264,6 +273,10 @@
     const bool isBroken = outcome == wire::EXECUTE_LOST || outcome == wire::EXECUTE_TIMED_OUT
                           || outcome == wire::EXECUTE_NOT_SENT;
     const Time end = readBootTime();
+    if (result.reply.closed_ms() > 0) {
+        this->closedHosts.note(node, kindOf(execute),
+                               std::chrono::milliseconds(result.reply.closed_ms()), end);
+    }
     if (result.reply.slots() > 0) {
         this->picker.noteLoad(node,
                               {.isUsable = outcome != wire::EXECUTE_MISPLACED,
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -7,6 +7,7 @@
 #include "net/http_server.h"
 #include "routing/configuration.h"
 #include "routing/host_picker.h"
+#include "stage/closed_hosts.h"
 #include "stage/cluster_view.h"
 #include "stage/executor.h"
 #include "stage/link.h"
@@ -30,8 +31,8 @@
 {
     std::function<void(const std::string &node, std::uint64_t tablesEnd)> tablesBehind;
     std::function<bool(Time deadline)> takesRequest; // false if the process exits before
-    // Returns after which time the caller should come back if this process is behind.
-    std::function<std::optional<Duration>(WorkKind kind)> isBehind;
+    // Returns nothing unless this process is behind.
+    std::function<std::optional<WorkRefusal>(WorkKind kind)> isBehind;
 };
 
 // ---- Settings ----
@@ -94,6 +95,7 @@
     LinkPool &links;
     Executor &executor;
     HostPicker &picker;
+    ClosedHosts closedHosts;
     Metrics &metrics;
     IngressSettings settings;
     IngressHooks hooks;
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -383,7 +383,7 @@
     return !this->stopPlan || this->stopPlan->takesRequest(deadline, readBootTime());
 }
 
-std::optional<Duration> Stage::isBehind(WorkKind kind)
+std::optional<WorkRefusal> Stage::isBehind(WorkKind kind)
 {
     return this->gate.refuse(this->thread.backlog().delay(), kind, readBootTime());
 }
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -82,7 +82,7 @@
     void reload();
     void beginStop();
     bool takesRequest(Time deadline) const;
-    std::optional<Duration> isBehind(WorkKind kind);
+    std::optional<WorkRefusal> isBehind(WorkKind kind);
     std::size_t countUnanswered() const; // requests in flight, and answers that have not left
 
     StageSettings settings;
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -81,9 +81,9 @@
     }
     // Without a fiber: where work comes faster than it is done, each that is refused costs little.
     const WorkKind kind = execute.has_key() ? WorkKind::Request : WorkKind::Call;
-    if (const auto retryAfter = this->isBehind(kind)) {
+    if (const auto refusal = this->isBehind(kind)) {
         wire::LinkFrame frame;
-        *frame.mutable_execute_reply() = this->executor.refuse(execute, *retryAfter, "behind");
+        *frame.mutable_execute_reply() = this->executor.refuse(execute, *refusal, "behind");
         reply(frame, {});
         return;
     }
--- a/packages/stage/tests/test_work_gate.cpp
+++ b/packages/stage/tests/test_work_gate.cpp
@@ -1,5 +1,6 @@
 // What a process takes while it is behind, without network or threads.
 #include "net/fibers.h"
+#include "stage/closed_hosts.h"
 #include "stage/work_gate.h"
 
 #include <catch2/catch.hpp>
@@ -40,8 +41,8 @@
                 .ready = this->ready.size(),
                 .oldest = this->ready.empty() ? Duration{} : now - this->ready.front(),
                 .expected = this->cost * static_cast<Duration::rep>(this->ready.size())};
-        if (const auto retryAfter = this->gate.refuse(backlog.delay(), WorkKind::Request, now)) {
-            this->retries.push_back(*retryAfter);
+        if (const auto refusal = this->gate.refuse(backlog.delay(), WorkKind::Request, now)) {
+            this->retries.push_back(refusal->retryAfter);
             this->freeAt = std::max(this->freeAt, now) + this->cost / 10;
         } else {
             this->ready.push_back(now);
@@ -72,13 +73,13 @@
     WorkGate gate;
     Duration before{};
     for (int i = 0; i < 100; ++i) {
-        const auto retryAfter = gate.refuse(200ms, WorkKind::Request, 1s);
-        REQUIRE(retryAfter.has_value());
-        CHECK(*retryAfter >= 400ms);
-        CHECK(*retryAfter > before);
-        before = *retryAfter;
+        const auto refusal = gate.refuse(200ms, WorkKind::Request, 1s);
+        REQUIRE(refusal.has_value());
+        CHECK(refusal->retryAfter >= 400ms);
+        CHECK(refusal->retryAfter > before);
+        before = refusal->retryAfter;
     }
-    CHECK(gate.refuse(10s, WorkKind::Request, 1s) == WorkGateSettings{}.longestRetry);
+    CHECK(gate.refuse(10s, WorkKind::Request, 1s)->retryAfter == WorkGateSettings{}.longestRetry);
 }
 
 // A core with a quota stands still for up to 90 ms in each tenth of a second, and is not behind.
@@ -98,4 +99,28 @@
     CHECK(gate.refuse(400ms, WorkKind::Call, 1s));
 }
 
+// Guards against a host that is behind and spends its time on refusing what all others send to it:
+// 90 hosts with 16 requests a second each for one of its keys.
+TEST_CASE("a host that refuses work is asked again only after a while", "[work_gate]")
+{
+    constexpr Duration every = Duration(1s) / 16;
+    ClosedHosts closed;
+    int sent = 0;
+    for (Time now = 1s; now < 3s; now += every) {
+        if (closed.leftOf("a-1", WorkKind::Request, now)) {
+            continue;
+        }
+        ++sent;
+        closed.note("a-1", WorkKind::Request, 500ms, now);
+    }
+    CHECK(sent <= 5); // of 32
+    CHECK_FALSE(closed.leftOf("a-2", WorkKind::Request, 3s));
+    // Calls are still taken, until one is refused; then nothing is.
+    closed.note("a-1", WorkKind::Request, 500ms, 10s);
+    CHECK_FALSE(closed.leftOf("a-1", WorkKind::Call, 10s));
+    closed.note("a-3", WorkKind::Call, 500ms, 10s);
+    CHECK(closed.leftOf("a-3", WorkKind::Request, 10s) == Duration(500ms));
+    CHECK_FALSE(closed.leftOf("a-3", WorkKind::Call, 10500ms));
+}
+
 } // namespace kumquat
--- a/packages/stage/work_gate.h
+++ b/packages/stage/work_gate.h
@@ -1,8 +1,8 @@
 // Decides whether a process takes new work, by how long fibers wait for its thread. One that is
 // behind answers late whatever it takes.
 //
-//   if (const auto retryAfter = gate.refuse(thread.backlog().delay(), WorkKind::Request, now)) {
-//       ... tell the caller to come back after it ...
+//   if (const auto refusal = gate.refuse(thread.backlog().delay(), WorkKind::Request, now)) {
+//       ... tell the caller to come back ...
 //   }
 #pragma once
 
@@ -35,6 +35,16 @@
     Duration longestRetry = 2s;
     Duration retryStep = 5ms;    // between callers that are refused one after the other
     Duration refusalMemory = 1s; // without a refusal, after which they are counted anew
+    // Other hosts send nothing for the delay, within these bounds: long enough to be worth it, and
+    // a host that has caught up soon has work again.
+    Duration shortestClosing = 100ms;
+    Duration longestClosing = 1s;
+};
+
+struct WorkRefusal
+{
+    Duration retryAfter{}; // for the caller
+    Duration closedFor{};  // for other hosts: all work of this kind is refused meanwhile
 };
 
 // Not thread-safe.
@@ -45,9 +55,9 @@
         : settings(gateSettings)
     {}
 
-    // Returns nothing if new work is taken, else after which time its caller should come back: what
-    // is ready now has to be done before. `delay`: for which a fiber waits for the thread.
-    std::optional<Duration> refuse(Duration delay, WorkKind kind, Time now)
+    // Returns nothing if new work is taken, else when to come back: what is ready now has to be
+    // done before. `delay`: for which a fiber waits for the thread.
+    std::optional<WorkRefusal> refuse(Duration delay, WorkKind kind, Time now)
     {
         const bool isCall = kind == WorkKind::Call;
         if (delay < (isCall ? this->settings.longestCallWait : this->settings.longestWait)) {
@@ -58,7 +68,10 @@
         }
         this->refusedAt = now;
         const Duration wait = 2 * delay + this->refusals++ * this->settings.retryStep;
-        return std::clamp(wait, this->settings.shortestRetry, this->settings.longestRetry);
+        return WorkRefusal{.retryAfter = std::clamp(wait, this->settings.shortestRetry,
+                                                    this->settings.longestRetry),
+                           .closedFor = std::clamp(delay, this->settings.shortestClosing,
+                                                   this->settings.longestClosing)};
     }
 
 private:
