net: the pace of fibers counts the handlers beside them

Where handlers take most of the time of a thread, the time until all ready fibers have run was told too short: a round counted from its first woken fiber, after the handlers before it. test_net and test_stage passed.

--- a/packages/net/fibers.cpp
+++ b/packages/net/fibers.cpp
@@ -66,12 +66,12 @@
     // fibers ran without a pause since the last call.
     void beginRound(bool wasBusy)
     {
-        if (wasBusy && this->roundTime && this->roundRuns > 0) {
-            const Duration turn = (readBootTime() - *this->roundTime) / this->roundRuns;
-            this->meanTurn += (turn - this->meanTurn) / turnsLearnt;
-        }
+        const Time before = this->roundTime.value_or(Time::zero());
         this->roundTime.reset();
-        this->roundRuns = 0;
+        const int runs = std::exchange(this->roundRuns, 0);
+        if (wasBusy && runs > 0) {
+            this->meanTurn += ((this->now() - before) / runs - this->meanTurn) / turnsLearnt;
+        }
     }
 
     FiberBacklog backlog() const
