net: the time of a first request counts while its connection waits for a fiber

Callers make a new connection for each further attempt. Its first request was read when the fiber of the connection ran, and its time counted from there: on a host that is behind it looked fresh after seconds.

--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -174,12 +174,13 @@
 // Reads one message, and notes in `request` when.
 ErrorCode HttpConnection::readMessage(HttpRequestParser &parser, HttpRequest &request)
 {
+    const bool cameBefore = this->cameBeforeReader();
     if (this->stream->buffered() == 0) {
         if (const ErrorCode error = this->awaitBytes()) {
             return error;
         }
     }
-    request.receivedAt = this->stream->lastReadAt();
+    request.receivedAt = cameBefore ? this->acceptedAt : this->stream->lastReadAt();
     request.waitTime = readBootTime() - request.receivedAt;
     this->setReadDue(Clock::now() + this->limits.messageLimit);
     const ErrorCode error = this->stream->read(parser);
@@ -253,6 +254,17 @@
     }
 }
 
+// Says whether the first request came while the connection waited for its fiber. Nothing tells
+// when, so its time counts from the accepting of the connection.
+bool HttpConnection::cameBeforeReader()
+{
+    if (std::exchange(this->hasRead, true) || readBootTime() - this->acceptedAt < unwatchedLimit) {
+        return false;
+    }
+    char byte = 0;
+    return recv(this->stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool HttpConnection::isClosedByCaller()
 {
     char byte = 0;
--- a/packages/net/http_connection.h
+++ b/packages/net/http_connection.h
@@ -63,6 +63,7 @@
     void watchWhileHandling();
     void onReadable(const ErrorCode &error);
     bool isClosedByCaller();
+    bool cameBeforeReader();
     void noteGone();
     void drainInput();
 
@@ -89,9 +90,11 @@
     HttpServerCounts &counts;
     std::deque<ExchangePtr> pending; // oldest first
     std::uint64_t pendingBytes = 0;  // of requests and of answers that can't be written yet
-    std::uint64_t reader = 0;        // which fiber reads; grows when another one takes over
-    bool isReading = false;          // the reader reads, or waits to; it does not handle a request
-    bool isAwaiting = false;         // the reader waits for the first bytes of a request
+    Time acceptedAt = readBootTime();
+    bool hasRead = false;     // a request, or waited for one
+    std::uint64_t reader = 0; // which fiber reads; grows when another one takes over
+    bool isReading = false;   // the reader reads, or waits to; it does not handle a request
+    bool isAwaiting = false;  // the reader waits for the first bytes of a request
     Clock::time_point readDue = Clock::time_point::max(); // of what the reader does
     bool isWatching = false;                              // onReadable will be called
     bool isWriting = false;
--- a/packages/net/tests/test_busy_thread.cpp
+++ b/packages/net/tests/test_busy_thread.cpp
@@ -133,6 +133,19 @@
     CHECK(server.receivedAt.load() - sentAt < allowedDelay);
 }
 
+// Guards against the same on a new connection, as callers make for each further attempt.
+TEST_CASE("the time of a request counts while its connection waits for a fiber", "[busy_thread]")
+{
+    BusyThread busy;
+    NotingServer server(busy.thread, BusyThread::nextPort());
+    std::this_thread::sleep_for(BusyThread::round / 2); // it listens
+    PlainCaller caller(server.address);
+    const Time sentAt = readBootTime();
+    caller.send();
+    waitUntil([&] { return server.receivedAt.load() != Time{}; });
+    CHECK(server.receivedAt.load() - sentAt < allowedDelay);
+}
+
 // Guards against work for a caller that left while its request waited for the thread.
 TEST_CASE("a request whose caller left before its fiber ran is not begun", "[busy_thread]")
 {
