--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -139,8 +139,8 @@
     HttpRequestParser parser;
     parser.header_limit(this->limits.maxHeaderBytes);
     parser.body_limit(this->limits.maxBodyBytes);
-    HttpRequest times;
-    const ErrorCode error = this->readMessage(parser, times);
+    Arrival arrival;
+    const ErrorCode error = this->readMessage(parser, arrival);
     if (this->isFinished) {
         return nullptr; // a closing answer was written meanwhile: this request counts as not read
     }
@@ -157,9 +157,9 @@
     } else {
         exchange->keepAlive = parser.keep_alive();
         exchange->request = std::move(parser.message);
-        exchange->request.receivedAt = times.receivedAt;
-        exchange->request.waitTime = times.waitTime;
-        exchange->request.readTime = readBootTime() - times.receivedAt;
+        exchange->request.receivedAt = arrival.at;
+        exchange->request.waitTime = arrival.waited;
+        exchange->request.readTime = readBootTime() - arrival.at;
         exchange->bytes = exchange->request.body.size() + exchange->request.target.size();
         const bool isAhead = !this->pending.empty();
         exchange->mayOverlap =
@@ -171,8 +171,7 @@
     return exchange;
 }
 
-// Reads one message, and notes in `request` when.
-ErrorCode HttpConnection::readMessage(HttpRequestParser &parser, HttpRequest &request)
+ErrorCode HttpConnection::readMessage(HttpRequestParser &parser, Arrival &arrival)
 {
     const bool cameBefore = this->cameBeforeReader();
     if (this->stream->buffered() == 0) {
@@ -180,8 +179,8 @@
             return error;
         }
     }
-    request.receivedAt = cameBefore ? this->acceptedAt : this->stream->lastReadAt();
-    request.waitTime = readBootTime() - request.receivedAt;
+    arrival.at = cameBefore ? this->acceptedAt : this->stream->lastReadAt();
+    arrival.waited = readBootTime() - arrival.at;
     this->setReadDue(Clock::now() + this->limits.messageLimit);
     const ErrorCode error = this->stream->read(parser);
     this->setReadDue(Clock::time_point::max());
--- a/packages/net/http_connection.h
+++ b/packages/net/http_connection.h
@@ -50,11 +50,18 @@
     using ExchangePtr = std::shared_ptr<Exchange>;
     using Clock = std::chrono::steady_clock;
 
+    // Of the first bytes of a request.
+    struct Arrival
+    {
+        Time at{};
+        Duration waited{}; // from then until its reader ran
+    };
+
     // Reading.
     void serveAs(std::uint64_t ownReader);
     ExchangePtr readNext(std::uint64_t ownReader);
     ExchangePtr readExchange();
-    ErrorCode readMessage(HttpRequestParser &parser, HttpRequest &request);
+    ErrorCode readMessage(HttpRequestParser &parser, Arrival &arrival);
     ErrorCode awaitBytes();
     void setReadDue(Clock::time_point due);
     void waitForRoom();
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -134,7 +134,7 @@
     if (!this->waitForSlot(execute, run, number, deadline, retryAfter)) {
         result = this->makeResult(wire::EXECUTE_REFUSED, retryAfter, run->refusal);
     } else {
-        const auto withdrawn = this->withdraw(execute, *run, deadline, readBootTime());
+        const auto withdrawn = this->judgeBeforeSend(execute, *run, deadline, readBootTime());
         result = withdrawn ? *withdrawn : this->send(execute, std::move(body), *run, deadline, end);
         this->limiter.finish(number, end, readBootTime());
     }
@@ -258,8 +258,8 @@
 
 // Returns the answer to a request that must not be sent any more: it has waited, for a slot, for a
 // connection or for the thread.
-std::optional<ExecuteResult> Executor::withdraw(const wire::Execute &execute, const Run &run,
-                                                Time deadline, Time now) const
+std::optional<ExecuteResult> Executor::judgeBeforeSend(const wire::Execute &execute, const Run &run,
+                                                       Time deadline, Time now) const
 {
     if (run.isCancelled) {
         return this->makeResult(wire::EXECUTE_REFUSED, {}, "caller-gone");
@@ -305,7 +305,7 @@
     this->metrics.count(Metric::UpstreamSent);
     const auto make = [&]() -> std::optional<HttpRequest> {
         started = readBootTime();
-        withdrawn = this->withdraw(execute, run, deadline, started);
+        withdrawn = this->judgeBeforeSend(execute, run, deadline, started);
         if (withdrawn) {
             return std::nullopt;
         }
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -162,8 +162,8 @@
                          std::uint64_t number, Time deadline);
     ExecuteResult send(const wire::Execute &execute, std::string body, Run &run, Time deadline,
                        CallEnd &end);
-    std::optional<ExecuteResult> withdraw(const wire::Execute &execute, const Run &run,
-                                          Time deadline, Time now) const;
+    std::optional<ExecuteResult> judgeBeforeSend(const wire::Execute &execute, const Run &run,
+                                                 Time deadline, Time now) const;
     ExecuteResult judge(const wire::Execute &execute, absl::StatusOr<HttpResponse> answer,
                         const Run &run, CallEnd &end);
     void dispatchNext();
--- a/packages/stage/key_owner.h
+++ b/packages/stage/key_owner.h
@@ -41,8 +41,8 @@
 
 // Sends an order in the calling fiber. A grant is as long as the right to give it still lasts when
 // its first byte leaves.
-OrderEnd sendOrder(HttpClient &upstream, const HoldOrder &order,
-                   std::shared_ptr<HttpCallHandle> handle);
+OrderEnd sendOrderTo(HttpClient &upstream, const HoldOrder &order,
+                     std::shared_ptr<HttpCallHandle> handle);
 
 // Returns how an order is sent. Answers to orders carry no id, so one that the upstream writes
 // twice could stand for the next order on its connection.
--- a/packages/stage/tests/test_late_work.cpp
+++ b/packages/stage/tests/test_late_work.cpp
@@ -194,7 +194,7 @@
         thread.post([&, wait, result] {
             const HoldOrder order{.number = 1, .hold = 500ms, .decidedAt = readBootTime()};
             thread.spawn([&, order, result] {
-                result->set_value(sendOrder(client, order, std::make_shared<HttpCallHandle>()));
+                result->set_value(sendOrderTo(client, order, std::make_shared<HttpCallHandle>()));
             });
             std::this_thread::sleep_for(wait); // what is ready before its fiber
         });
