net: the busy thread of the tests waits until its fibers have begun

It slept for a tenth of a round, so the time that making 1,000 fibers takes on a loaded machine counted as a late answer. The checks and their bounds are the same.

--- a/packages/net/tests/busy_thread.h
+++ b/packages/net/tests/busy_thread.h
@@ -41,13 +41,14 @@
         this->thread.start();
         for (int i = 0; i < fibers; ++i) {
             this->thread.spawn([this] {
+                ++this->begun;
                 while (!this->isCalm) {
                     spin(turn);
                     boost::this_fiber::yield();
                 }
             });
         }
-        std::this_thread::sleep_for(round / 10); // until all of them are ready
+        waitUntil([this] { return this->begun == fibers; }); // making them takes time as well
     }
 
     ~BusyThread()
@@ -65,6 +66,7 @@
 
     FiberThread thread;
     std::atomic<bool> isCalm{false};
+    std::atomic<int> begun{0};
 };
 
 } // namespace kumquat
