stage: messages that are late on their way are measured

On the large site callers' requests took 0.8 s at the hosts that write the key table, and nothing in the logs said where: timers and fibers were on time. The delay of a message on its way was computed and in no log.

Now: the line "messages were late" (how long, from whom, from how many peers: one host that sends late is named by all its peers, one that reads late names many), delayedMs of a request at its owner's host, goneMs, the time after which a process noticed that a caller had left, the size of a key table that was written, and the metric message_delays_ms.

--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -236,7 +236,8 @@
                  {"end", std::to_string(table.end)},
                  {"outcome", std::string(platform::appendEndNames.nameOf(result.end))},
                  {"sessions", std::to_string(table.sessions.size())},
-                 {"ranges", std::to_string(table.ranges.size())}});
+                 {"ranges", std::to_string(table.ranges.size())},
+                 {"bytes", std::to_string(bytes.size())}});
         switch (result.end) {
         case AppendEnd::Done:
             this->metrics.count(Metric::TablesWritten);
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -85,6 +85,7 @@
     if (!node.empty()) {
         run->isCancelled = node.mapped().isCancelled;
         run->waited = begun - node.mapped().at;
+        run->delayed = node.mapped().delayed;
     }
     const Time started = begun - run->waited; // when it came
     const Time deadline = started + std::chrono::milliseconds(execute.remaining_ms());
@@ -586,6 +587,7 @@
              {"rank", std::to_string(execute.priority())},
              {"heldMs", result.heldFor ? std::to_string(toMilliseconds(*result.heldFor)) : "none"},
              {"remainingMs", std::to_string(execute.remaining_ms())},
+             {"delayedMs", std::to_string(toMilliseconds(run.delayed))},
              {"waitedMs", std::to_string(toMilliseconds(run.waited))},
              {"ms", std::to_string(toMilliseconds(elapsed))}});
 }
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -84,8 +84,11 @@
              ExecutorSettings executorSettings, ExecutorHooks executorHooks);
 
     // Tells of a request that came now and that a fiber will run soon, so that it can be cancelled
-    // before.
-    void announce(ExecuteCaller caller, Time now) { this->announced[caller] = {.at = now}; }
+    // before. `delayed`: on its way to this process.
+    void announce(ExecuteCaller caller, Time now, Duration delayed = {})
+    {
+        this->announced[caller] = {.at = now, .delayed = delayed};
+    }
 
     // Runs one request in the calling fiber and returns how it ended.
     ExecuteResult run(const wire::Execute &execute, std::string body, ExecuteCaller caller);
@@ -126,6 +129,7 @@
     struct Announced
     {
         Time at{};
+        Duration delayed{};
         bool isCancelled = false;
     };
 
@@ -145,6 +149,7 @@
         Duration retryAfter{};
         std::string_view refusal; // why the limiter did not let it through
         Fingerprint fingerprint = 0;
+        Duration delayed{};                // on its way to this process
         Duration waited{};                 // for its fiber to run first
         std::unique_ptr<FiberEvent> event; // a new one for each wait
         std::shared_ptr<HttpCallHandle> call;
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -64,6 +64,7 @@
     std::uint32_t sent = 0; // times that an upstream may have got it
     int moves = 0;          // from host to host
     bool isGone = false;    // the caller closed its connection
+    Duration goneAfter{};   // time after which this was noticed
     std::string_view outcome;
     std::uint64_t tablesEnd = 0;
     std::function<void()> cancelCall;
@@ -106,6 +107,7 @@
     attempt.waitTime = request.waitTime;
     watch.onGone([&attempt, this] {
         attempt.isGone = true;
+        attempt.goneAfter = readBootTime() - attempt.started;
         this->metrics.count(Metric::CallersGone);
         if (attempt.cancelCall) {
             attempt.cancelCall();
@@ -469,6 +471,8 @@
              {"moves", std::to_string(attempt.moves)},
              {"readMs", std::to_string(toMilliseconds(attempt.readTime))},
              {"waitedMs", std::to_string(toMilliseconds(attempt.waitTime))},
+             {"goneMs",
+              attempt.isGone ? std::to_string(toMilliseconds(attempt.goneAfter)) : "none"},
              {"ms", std::to_string(elapsed.count())}});
 }
 
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -34,13 +34,14 @@
     ConfigurationAge,     // milliseconds since the store last answered a read of it
     Delays,               // milliseconds by which the timers of this process were late, in all
     FiberDelays,          // the same for fibers that were ready and waited for the thread
+    MessageDelays,        // the same for messages of other processes that were late on their way
     FibersReady,          // now
     FiberAge,             // milliseconds for which the first of them has been ready
     RequestsHere,         // requests of all callers for the upstream beside this process, now
     RequestsWaiting,      // of these, the ones that wait for their key or for a slot
 };
 
-inline constexpr NameTable<Metric, 23> metricNames{
+inline constexpr NameTable<Metric, 24> metricNames{
         {{{Metric::RequestsTaken, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -60,6 +61,7 @@
           {Metric::ConfigurationAge, "configuration_age_ms"},
           {Metric::Delays, "timer_delays_ms"},
           {Metric::FiberDelays, "fiber_delays_ms"},
+          {Metric::MessageDelays, "message_delays_ms"},
           {Metric::FibersReady, "fibers_ready"},
           {Metric::FiberAge, "fiber_age_ms"},
           {Metric::RequestsHere, "requests_here"},
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -269,6 +269,7 @@
 {
     this->noteDelay(now);
     this->noteFiberWait(now);
+    this->noteLateMessages(now);
     if (this->monitor.advance(now)) {
         this->onUpstreamChanged(now);
     }
@@ -328,6 +329,22 @@
                 {"waiting", std::to_string(this->executor.waitingCount())}});
 }
 
+// Messages wait in the queues of both hosts and of the network between them, where no timer and no
+// fiber is late.
+void Stage::noteLateMessages(Time now)
+{
+    const auto line = this->lateMessages.take(now);
+    if (!line) {
+        return;
+    }
+    this->metrics.count(Metric::MessageDelays, toMilliseconds(line->longest));
+    logWarning(LogPart::Mesh, "messages were late",
+               {{"ms", std::to_string(toMilliseconds(line->longest))},
+                {"from", line->from},
+                {"messages", std::to_string(line->messages)},
+                {"peers", std::to_string(line->peers)}});
+}
+
 // Takes what callers may send, and how long they may be idle, from the configuration.
 void Stage::applyCallerLimits()
 {
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -15,6 +15,7 @@
 #include "stage/executor.h"
 #include "stage/ingress.h"
 #include "stage/key_owner.h"
+#include "stage/late_messages.h"
 #include "stage/link.h"
 #include "stage/metrics.h"
 #include "stage/relay_choice.h"
@@ -77,6 +78,7 @@
     void advance(Time now);
     void noteDelay(Time now);
     void noteFiberWait(Time now);
+    void noteLateMessages(Time now);
     void applyCallerLimits();
     void checkSettingsFile();
     void reload();
@@ -120,6 +122,7 @@
     Time advancedAt = readBootTime(); // last
     Duration longestWait{};           // of a fiber for the thread, not logged yet
     Time waitLoggedAt = -1h;
+    LateMessages lateMessages; // of other processes
     std::size_t gossipTurn = 0;
 };
 
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -23,6 +23,7 @@
     const Time now = readBootTime();
     wire::LinkFrame answer;
     this->coordinator.noteHeard(peer.node);
+    this->lateMessages.note(peer.node, message.delayed);
     switch (message.head.content_case()) {
     case wire::LinkFrame::kExecute:
         this->onExecute(peer, std::move(message), reply);
@@ -87,7 +88,7 @@
         reply(frame, {});
         return;
     }
-    this->executor.announce(caller, readBootTime());
+    this->executor.announce(caller, readBootTime(), message.delayed);
     auto work = [this, caller, reply, execute = std::move(execute),
                  body = std::move(message.body)]() mutable {
         ExecuteResult result = this->executor.run(execute, std::move(body), caller);
