link: a call that is given up is cancelled on the connection that carries it

What callers saw: work went on after their host had given it up. A connection that is silent for 1.3 s is set aside for the calls that must be waited for; the others ended without a word to the other host, which read them when it could and began them. A later cancellation went to the next connection, where its number names another call or none.

Cancellations go where the call went, also for calls that end at their limit. Found by reading. test_stage "a call that is given up is cancelled on the connection that carries it" got no cancellation on the former code (0 == 1).

--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -231,7 +231,10 @@
     head.set_sent_ns(now.count());
     peer.waitingSince = peer.calls.empty() ? now : peer.waitingSince;
     Call &call = peer.calls[number];
-    call = {.answer = std::move(answer), .due = now + limit, .patience = patience};
+    call = {.answer = std::move(answer),
+            .due = now + limit,
+            .isWork = head.has_execute(),
+            .patience = patience};
     if (peer.link && peer.link->isOpen()) {
         call.isSent = true;
         peer.link->send(head, body);
@@ -245,21 +248,29 @@
 void LinkPool::cancel(const std::string &name, std::uint64_t number)
 {
     const auto found = this->peers.find(name);
-    Calls *calls = found == this->peers.end() ? nullptr : callsWith(found->second, number);
-    if (calls == nullptr) {
+    if (found == this->peers.end()) {
         return;
     }
-    calls->erase(number);
     Peer &peer = found->second;
+    const std::optional<CarriedCall> carried = extractCall(peer, number);
     std::erase_if(peer.waiting,
                   [number](const auto &entry) { return entry.first.call() == number; });
-    if (peer.link && peer.link->isOpen()) {
-        wire::LinkFrame frame;
-        frame.set_call(number);
-        frame.set_sent_ns(readBootTime().count());
-        frame.mutable_cancel();
-        peer.link->send(frame, {});
+    if (carried) {
+        sendCancel(carried->link, number, carried->call);
+    }
+}
+
+// On the connection that carries the call: on another one its number names nothing.
+void LinkPool::sendCancel(const std::shared_ptr<Link> &link, std::uint64_t number, const Call &call)
+{
+    if (!link || !link->isOpen() || !call.isSent || !call.isWork) {
+        return;
     }
+    wire::LinkFrame frame;
+    frame.set_call(number);
+    frame.set_sent_ns(readBootTime().count());
+    frame.mutable_cancel();
+    link->send(frame, {});
 }
 
 bool LinkPool::isDown(const std::string &name, Time now) const
@@ -369,12 +380,13 @@
 {
     Peer &peer = this->peers[name];
     peer.heard = readBootTime();
-    Calls *calls = callsWith(peer, message.head.call());
-    if (calls == nullptr || message.head.has_pong()) {
-        return; // a pong, or the answer to a call that was given up
+    if (message.head.has_pong()) {
+        return;
+    }
+    const std::optional<CarriedCall> carried = extractCall(peer, message.head.call());
+    if (carried) { // else the answer to a call that was given up
+        carried->call.answer(LinkEnd::Answered, std::move(message));
     }
-    const LinkAnswer answer = std::move(calls->extract(message.head.call()).mapped().answer);
-    answer(LinkEnd::Answered, std::move(message));
 }
 
 void LinkPool::endAll(Peer &peer)
@@ -385,18 +397,18 @@
     }
 }
 
-// Returns the calls of which one has this number, or nullptr.
-LinkPool::Calls *LinkPool::callsWith(Peer &peer, std::uint64_t number)
+// Takes out the call with this number, if there is one.
+std::optional<LinkPool::CarriedCall> LinkPool::extractCall(Peer &peer, std::uint64_t number)
 {
-    if (peer.calls.contains(number)) {
-        return &peer.calls;
+    if (auto call = peer.calls.extract(number)) {
+        return CarriedCall{.link = peer.link, .call = std::move(call.mapped())};
     }
     for (auto &[attempt, silent] : peer.silentLinks) {
-        if (silent.calls.contains(number)) {
-            return &silent.calls;
+        if (auto call = silent.calls.extract(number)) {
+            return CarriedCall{.link = silent.link, .call = std::move(call.mapped())};
         }
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 void LinkPool::endSilent(Peer &peer, std::uint64_t attempt)
@@ -423,11 +435,12 @@
     }
 }
 
-void LinkPool::endOverdue(Calls &calls, Time now)
+void LinkPool::endOverdue(Calls &calls, const std::shared_ptr<Link> &link, Time now)
 {
     std::vector<LinkAnswer> overdue;
     for (auto call = calls.begin(); call != calls.end();) {
         if (now >= call->second.due) {
+            sendCancel(link, call->first, call->second);
             overdue.push_back(std::move(call->second.answer));
             call = calls.erase(call);
         } else {
@@ -452,9 +465,9 @@
             peer.failedAt = now;
             this->endAll(peer);
         }
-        endOverdue(peer.calls, now);
+        endOverdue(peer.calls, peer.link, now);
         for (auto &[attempt, silent] : peer.silentLinks) {
-            endOverdue(silent.calls, now);
+            endOverdue(silent.calls, silent.link, now);
         }
         closeSilentLinks(peer, true);
         this->judgeSilence(name, peer, now);
@@ -481,6 +494,9 @@
         peer.link->close();
         return;
     }
+    for (const auto &[number, call] : peer.calls) {
+        sendCancel(peer.link, number, call);
+    }
     peer.silentLinks[peer.attempt] = std::move(silent);
     ++peer.attempt; // the connection is no longer that of new calls
     peer.link = nullptr;
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -166,6 +166,7 @@
         LinkAnswer answer;
         Time due{};
         bool isSent = false;
+        bool isWork = false; // a request, which the other process is told to end
         LinkPatience patience = LinkPatience::UntilSilent;
     };
     using Calls = std::unordered_map<std::uint64_t, Call>; // by number
@@ -177,6 +178,13 @@
         Calls calls;
     };
 
+    // A call that was taken out, and the connection that carries it.
+    struct CarriedCall
+    {
+        std::shared_ptr<Link> link;
+        Call call;
+    };
+
     struct Peer
     {
         Address address;
@@ -201,8 +209,10 @@
     void endAll(Peer &peer);
     static void endSilent(Peer &peer, std::uint64_t attempt);
     static void closeSilentLinks(Peer &peer, bool onlyUnused);
-    static Calls *callsWith(Peer &peer, std::uint64_t number);
-    static void endOverdue(Calls &calls, Time now);
+    static std::optional<CarriedCall> extractCall(Peer &peer, std::uint64_t number);
+    static void sendCancel(const std::shared_ptr<Link> &link, std::uint64_t number,
+                           const Call &call);
+    static void endOverdue(Calls &calls, const std::shared_ptr<Link> &link, Time now);
     void setAside(const std::string &name, Peer &peer, Time now);
     void judgeSilence(const std::string &name, Peer &peer, Time now);
 
--- a/packages/stage/tests/test_link.cpp
+++ b/packages/stage/tests/test_link.cpp
@@ -209,4 +209,53 @@
     thread.stop();
 }
 
+// Guards against work that goes on after its caller's host has given it up: the cancellation went
+// to a newer connection, where it named another call or none.
+TEST_CASE("a call that is given up is cancelled on the connection that carries it", "[link]")
+{
+    std::atomic<int> works{0};
+    std::atomic<std::uint64_t> worked{0};    // connection of the work
+    std::atomic<std::uint64_t> cancelled{0}; // connection of the cancellation
+    FiberThread serverThread("link-slow");
+    LinkServer server(
+            serverThread, "slow",
+            {.received =
+                     [&](const LinkPeer &peer, const LinkMessage &message, const LinkReply &) {
+                         if (message.head.has_execute() && ++works == 1) {
+                             worked = peer.number;
+                             std::this_thread::sleep_for(1900ms); // reads nothing
+                         } else if (message.head.has_cancel()) {
+                             cancelled = peer.number;
+                         }
+                     },
+             .closed = [](const LinkPeer &) {}});
+    const Address address{.ip = "127.0.0.1", .port = 28475};
+    REQUIRE(server.listen(address).ok());
+    serverThread.start();
+    FiberThread thread("link-test");
+    LinkPool pool(thread, "caller", 1);
+    thread.start();
+    CallResult repeatable;
+    thread.post([&] {
+        pool.setAddress("slow", address);
+        wire::LinkFrame work;
+        work.mutable_execute();
+        pool.call("slow", work, "x", 4s,
+                  [&](LinkEnd end, const LinkMessage &) { repeatable.set(end); });
+        // Keeps the connection open after the other call is given up.
+        pool.call(
+                "slow", work, "x", 4s, [](LinkEnd, const LinkMessage &) {},
+                LinkPatience::UntilLimit);
+    });
+    for (int i = 0; i < 25; ++i) {
+        thread.post([&] { pool.advance(readBootTime()); });
+        std::this_thread::sleep_for(100ms);
+    }
+    CHECK(repeatable.wait() == LinkEnd::Lost);
+    CHECK(works == 2);
+    CHECK(cancelled == worked);
+    thread.stop();
+    serverThread.stop();
+}
+
 } // namespace kumquat
