stage: a key table goes from host to host, a few copies each

Requests, cancellations, answers and pongs waited behind the tables, in the network, where no timer is late. A caller that left after 0.1 s had its request begun 0.7 s later.

A copy now carries the list of hosts to which its receiver passes it on: one copy to each other region, one to each other data centre of the own region, four in the own one, so 8 at most on that site and 2 between regions in place of some 150. A head that does not answer is left out. Hosts of other services get the table the same way and need not ask for it.

--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -257,22 +257,16 @@
     });
 }
 
-// Tells the hosts of the service at once, as some wait for their turn to read the store.
+// Tells all hosts at once, as most of them do not read tables from the store.
 void Coordinator::push(const std::string &bytes, std::uint64_t end)
 {
-    wire::LinkFrame frame;
-    wire::StateReply &state = *frame.mutable_state_reply();
-    *state.mutable_known() = this->view.known();
-    wire::StateItem &item = *state.add_tables();
+    wire::StateReply news;
+    *news.mutable_known() = this->view.known();
+    wire::StateItem &item = *news.add_tables();
     item.set_key(this->service);
     item.set_offset(end - 1);
     item.set_value(bytes);
-    for (const auto &[name, host] : this->view.hosts()) {
-        if (name != this->node && host.info.service == this->service) {
-            this->links.call(name, frame, {}, this->settings.reportLimit,
-                             [](LinkEnd, const LinkMessage &) {});
-        }
-    }
+    this->hooks.spread(news);
 }
 
 } // namespace kumquat
--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -27,6 +27,7 @@
     std::function<std::map<ShardKey, std::uint32_t>()> takeKeyCounts;
     std::function<void(const std::string &node, const wire::Known &known)> known;
     std::function<void()> tablesBehind; // the store has records that this host has not read
+    std::function<void(const wire::StateReply &news)> spread; // sends news to all hosts
 };
 
 struct CoordinatorSettings
--- /dev/null
+++ b/packages/stage/spread.h
@@ -0,0 +1,37 @@
+// Plans how news goes to many hosts: each host sends a few copies, and passes the rest of the list
+// on with them. One copy goes to each other region, one to each other data centre of the own
+// region, and the hosts of the own data centre share the list in equal parts.
+//
+//   for (const SpreadPart &part : planSpread(own, hosts)) {
+//       ... send the news to part.head, which passes it on to part.rest ...
+//   }
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+struct SpreadHost
+{
+    std::string node;
+    std::string dataCentre;
+    std::string region;
+};
+
+struct SpreadPart
+{
+    std::string head;              // gets the news from this host
+    std::vector<std::string> rest; // get it from the head
+};
+
+// Parts of the own data centre. With 9 data centres in 3 regions a host sends 8 copies at most, and
+// 300 hosts are reached after 5 hops.
+inline constexpr std::size_t spreadParts = 4;
+
+// Each host stands in one part once; in its part the first one of `hosts` is the head.
+std::vector<SpreadPart> planSpread(const SpreadHost &own, const std::vector<SpreadHost> &hosts,
+                                   std::size_t parts = spreadParts);
+
+} // namespace kumquat
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -141,7 +141,12 @@
                    .takeKeyCounts = [this] { return this->executor.takeKeyCounts(); },
                    .known = [this](const std::string &node,
                                    const wire::Known &known) { this->noteKnown(node, known); },
-                   .tablesBehind = [this] { this->follower.nudge(platform::StoreTopic::Tables); }},
+                   .tablesBehind = [this] { this->follower.nudge(platform::StoreTopic::Tables); },
+                   .spread =
+                           [this](const wire::StateReply &news) {
+                               this->spread(std::make_shared<wire::StateReply>(news),
+                                            this->knownNodes());
+                           }},
                   {.grantWay = this->settings.grantWay,
                    .heartbeatInterval = this->settings.heartbeatInterval})
     , ingress(this->thread, this->view, this->links, this->executor, this->picker, this->metrics,
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -10,6 +10,7 @@
 #include "net/http_server.h"
 #include "platform/store.h"
 #include "routing/host_picker.h"
+#include "stage/awaited_table.h"
 #include "stage/cluster_view.h"
 #include "stage/coordinator.h"
 #include "stage/executor.h"
@@ -20,6 +21,7 @@
 #include "stage/metrics.h"
 #include "stage/relay_choice.h"
 #include "stage/settings.h"
+#include "stage/spread.h"
 #include "stage/stop_plan.h"
 #include "stage/store_follower.h"
 #include "stage/ticker.h"
@@ -61,7 +63,11 @@
     // What others know.
     wire::Known known() const;
     void noteKnown(const std::string &node, const wire::Known &known);
+    bool isTableOverdue(std::uint64_t end);
     void fetchState(const std::string &node);
+    void spread(const std::shared_ptr<const wire::StateReply> &news,
+                const std::vector<std::string> &nodes);
+    void sendPart(const std::shared_ptr<const wire::StateReply> &news, const SpreadPart &part);
     void gossip(Time now);
     std::vector<std::string> knownNodes() const;
 
@@ -118,6 +124,7 @@
     bool isRecordWriting = false;
     std::uint64_t recordChange = 0;
     Time fetchedAt = -1h;
+    AwaitedTable awaitedTable;
     Time heartbeatAt{};               // of the newest heartbeat
     Time advancedAt = readBootTime(); // last
     Duration longestWait{};           // of a fiber for the thread, not logged yet
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -57,11 +57,16 @@
         *answer.mutable_state_reply() = this->view.stateSince(message.head.state_query().known());
         reply(answer, {});
         break;
-    case wire::LinkFrame::kStateReply:
-        this->onState(peer.node, message.head.state_reply());
+    case wire::LinkFrame::kStateReply: {
+        wire::StateReply &news = *message.head.mutable_state_reply();
+        this->onState(peer.node, news);
         answer.mutable_load_ack();
         reply(answer, {});
+        const std::vector<std::string> nodes(news.pass_on().begin(), news.pass_on().end());
+        news.clear_pass_on();
+        this->spread(std::make_shared<wire::StateReply>(std::move(news)), nodes);
         break;
+    }
     default:
         logWarning(LogPart::Mesh, "message of an unknown kind dropped", {{"node", peer.node}});
         break;
@@ -77,7 +82,7 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(message.delayed).count();
     const auto left = static_cast<std::int64_t>(execute.remaining_ms()) - delayed;
     execute.set_remaining_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0)));
-    if (execute.tables_end() > this->view.tablesEnd()) {
+    if (this->isTableOverdue(execute.tables_end())) {
         this->fetchState(peer.node);
     }
     // Without a fiber: where work comes faster than it is done, each that is refused costs little.
@@ -156,11 +161,21 @@
             node,
             {.readsStore = known.reads_store(), .hasAddress = this->view.host(node) != nullptr},
             readBootTime());
-    if (this->view.isBehind(known)) {
+    wire::Known missing = known;
+    if (!this->isTableOverdue(known.tables_end())) {
+        missing.clear_tables_end();
+    }
+    if (this->view.isBehind(missing)) {
         this->fetchState(node);
     }
 }
 
+// Says whether this process has heard of a newer key table for a while and has not got it.
+bool Stage::isTableOverdue(std::uint64_t end)
+{
+    return this->awaitedTable.isOverdue(end, this->view.tablesEnd(), readBootTime());
+}
+
 void Stage::fetchState(const std::string &node)
 {
     const Time now = readBootTime();
@@ -186,6 +201,47 @@
                      });
 }
 
+// Sends news to these hosts, a few copies from here.
+void Stage::spread(const std::shared_ptr<const wire::StateReply> &news,
+                   const std::vector<std::string> &nodes)
+{
+    const Time now = readBootTime();
+    std::vector<SpreadHost> hosts;
+    std::vector<SpreadHost> down; // no good heads
+    for (const std::string &name : nodes) {
+        const KnownHost *host = this->view.host(name);
+        if (host == nullptr || name == this->settings.node) {
+            continue; // one that is not known here hears of the news by itself
+        }
+        (this->links.isDown(name, now) ? down : hosts)
+                .push_back({.node = name,
+                            .dataCentre = host->info.dataCentre,
+                            .region = host->info.region});
+    }
+    hosts.insert(hosts.end(), down.begin(), down.end());
+    const SpreadHost own{.node = this->settings.node,
+                         .dataCentre = this->settings.dataCentre,
+                         .region = this->settings.region};
+    for (const SpreadPart &part : planSpread(own, hosts)) {
+        this->sendPart(news, part);
+    }
+}
+
+void Stage::sendPart(const std::shared_ptr<const wire::StateReply> &news, const SpreadPart &part)
+{
+    wire::LinkFrame frame;
+    *frame.mutable_state_reply() = *news;
+    for (const std::string &node : part.rest) {
+        frame.mutable_state_reply()->add_pass_on(node);
+    }
+    this->links.call(part.head, frame, {}, gossipLimit,
+                     [this, news, rest = part.rest](LinkEnd end, const LinkMessage &) {
+                         if (end != LinkEnd::Answered && !rest.empty()) {
+                             this->spread(news, rest);
+                         }
+                     });
+}
+
 std::vector<std::string> Stage::knownNodes() const
 {
     std::vector<std::string> nodes;
