http_connection: a caller that left while bytes lay unread is noticed

What callers saw: work begun for them after they had given up, as their request had not been read. A process looked for a close before it began a request only if the request had waited 50 ms for its fiber; how long the bytes lay in the socket before is not known to it. And bytes that are not read, behind a request with "Connection: close" or behind as many requests as are taken, hid the close until the next answer.

It looks before each request (one system call), and every 200 ms while bytes lie unread; the state of the connection tells of the close behind them. Three cases of test_net failed before: "a request that lay unread until its caller left is not begun", "a caller that leaves is noticed behind bytes that are not read", "... while its requests wait for room".

--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/beast/http/error.hpp>
 
+#include <poll.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -15,9 +17,12 @@
 constexpr std::size_t readChunkBytes = 64UL * 1024;
 constexpr Duration drainLimit = 1s;
 
-// Before work for a request that has waited for longer, a look whether its caller is still there.
+// A first request that came within this time of its connection counts from when it was read.
 constexpr Duration unwatchedLimit = 50ms;
 
+// Between two looks whether the caller is there while bytes of it lie unread.
+constexpr Duration unreadLook = 200ms;
+
 ErrorKind kindOfReadError(const ErrorCode &error)
 {
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
@@ -85,6 +90,7 @@
     , hooks(serverHooks)
     , idle(idleConnections)
     , counts(serverCounts)
+    , unreadTimer(connectionThread.io())
 {
     ++this->counts.connections;
 }
@@ -215,7 +221,10 @@
 {
     while (!this->hasRoom() && !this->isFinished && !this->isGone) {
         this->room = std::make_shared<FiberEvent>(this->thread.io());
-        this->room->waitFor(this->limits.messageLimit);
+        const bool hasRoomNow = this->room->waitFor(unreadLook);
+        if (!hasRoomNow && this->isClosedByCaller()) {
+            this->noteGone();
+        }
     }
 }
 
@@ -250,9 +259,20 @@
         this->noteGone();
     } else if (this->hasRoom() && this->pending.back()->keepAlive) {
         this->passOnReading();
+    } else {
+        this->lookAgainSoon();
     }
 }
 
+// The bytes that lie unread would end a wait for more of them at once.
+void HttpConnection::lookAgainSoon()
+{
+    this->isWatching = true;
+    this->unreadTimer.expires_after(unreadLook);
+    this->unreadTimer.async_wait(
+            [self = this->shared_from_this()](const ErrorCode &) { self->onReadable({}); });
+}
+
 // Says whether the first request came while the connection waited for its fiber. Nothing tells
 // when, so its time counts from the accepting of the connection.
 bool HttpConnection::cameBeforeReader()
@@ -266,10 +286,14 @@
 
 bool HttpConnection::isClosedByCaller()
 {
+    const int handle = this->stream->socket().native_handle();
     char byte = 0;
-    const ssize_t count =
-            recv(this->stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    const ssize_t count = recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0) { // the close may be behind these bytes
+        pollfd state{.fd = handle, .events = POLLRDHUP, .revents = 0};
+        return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    }
+    return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 void HttpConnection::noteGone()
@@ -304,7 +328,8 @@
     } else if (!exchange->isDone) {
         exchange->isStarted = true;
         if (!this->isReading && this->hooks.handleWatched) {
-            if (exchange->request.waitTime >= unwatchedLimit && this->isClosedByCaller()) {
+            // Nothing tells how long the request lay unread, and the close came behind it.
+            if (this->isClosedByCaller()) {
                 this->noteGone();
             }
             this->watchWhileHandling();
--- a/packages/net/http_connection.h
+++ b/packages/net/http_connection.h
@@ -69,6 +69,7 @@
     void passOnReading();
     void watchWhileHandling();
     void onReadable(const ErrorCode &error);
+    void lookAgainSoon();
     bool isClosedByCaller();
     bool cameBeforeReader();
     void noteGone();
@@ -108,6 +109,7 @@
     bool isGone = false;              // the caller has closed the connection
     bool isFinished = false;          // nothing more is written
     std::shared_ptr<FiberEvent> room; // the reader waits for an answer to be written
+    asio::steady_timer unreadTimer;   // of a look at the connection while bytes lie unread
 };
 
 } // namespace kumquat
--- a/packages/net/tests/test_busy_thread.cpp
+++ b/packages/net/tests/test_busy_thread.cpp
@@ -6,6 +6,7 @@
 #include "net/tests/faulty_server.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <catch2/catch.hpp>
@@ -59,6 +60,12 @@
 
     void send() { asio::write(this->socket, asio::buffer(std::string(text))); }
 
+    void readAnswer()
+    {
+        std::string answer;
+        asio::read_until(this->socket, asio::dynamic_buffer(answer), "\r\n\r\n");
+    }
+
     static constexpr const char *text = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
     asio::io_context io;
     asio::ip::tcp::socket socket;
@@ -160,4 +167,23 @@
     CHECK(server.begun == 0);
 }
 
+// Guards against work for a caller that gave up because its request lay unread: nothing tells for
+// how long bytes were in a socket before the thread came to read them.
+TEST_CASE("a request that lay unread until its caller left is not begun", "[busy_thread]")
+{
+    FiberThread thread("unread");
+    thread.start();
+    NotingServer server(thread, BusyThread::nextPort());
+    {
+        PlainCaller caller(server.address);
+        caller.send();
+        caller.readAnswer();
+        thread.post([] { std::this_thread::sleep_for(300ms); }); // reads nothing meanwhile
+        caller.send();
+    }
+    std::this_thread::sleep_for(600ms);
+    CHECK(server.begun == 1);
+    thread.stop();
+}
+
 } // namespace kumquat
--- a/packages/net/tests/test_requests_ahead.cpp
+++ b/packages/net/tests/test_requests_ahead.cpp
@@ -200,6 +200,45 @@
     CHECK(server.gone == 1);
 }
 
+// Guards against work for callers that have left: bytes behind the request that is handled hid the
+// close, and nobody looked again.
+TEST_CASE("a caller that leaves is noticed behind bytes that are not read", "[requests_ahead]")
+{
+    SlowServer server;
+    {
+        RawCaller caller(server);
+        asio::write(caller.socket, asio::buffer(std::string("GET /slow-1 HTTP/1.1\r\nHost: a\r\n"
+                                                            "Connection: close\r\n\r\n")));
+        while (server.started < 1) {
+            std::this_thread::sleep_for(5ms);
+        }
+        asio::write(caller.socket, asio::buffer(std::string("x")));
+        std::this_thread::sleep_for(20ms); // it is there before the close
+    }
+    for (int i = 0; i < 50 && server.gone < 1; ++i) {
+        std::this_thread::sleep_for(10ms);
+    }
+    CHECK(server.gone == 1);
+}
+
+// Guards against the same where as many requests were sent ahead as are taken.
+TEST_CASE("a caller that leaves is noticed while its requests wait for room", "[requests_ahead]")
+{
+    SlowServer server({.maxAhead = 2});
+    {
+        RawCaller caller(server);
+        caller.send({"/slow-1", "/slow-2", "/slow-3", "/slow-4"});
+        while (server.started < 2) {
+            std::this_thread::sleep_for(5ms);
+        }
+    }
+    for (int i = 0; i < 50 && server.gone < 2; ++i) {
+        std::this_thread::sleep_for(10ms);
+    }
+    CHECK(server.gone == 2);
+    CHECK(server.started == 2);
+}
+
 // Suspected of the late answers in KNOWN-RED.txt: the time of a request counted from its last byte,
 // so one whose body came slowly over a full link was answered long after its route's timeout.
 TEST_CASE("the time of a request counts from its first bytes", "[requests_ahead]")
