link: the usual time of a message on its way is that of late

Found by reading: the delay of a message was counted from the shortest one since the connection was made. The clocks of two hosts drift apart, by 0.18 s an hour at a usual 50 ppm, so on a connection that stays open all messages become late, and requests lose that time. It counts from the shortest one of the last 10 to 20 s. test_stage "clocks that drift apart make no message late" is new with the class.

--- /dev/null
+++ b/packages/stage/delay_meter.h
@@ -0,0 +1,39 @@
+// Tells how much longer than usual a message was on its way, from the clocks of two hosts that do
+// not agree. The usual time is the shortest one of late, so clocks that drift apart do not count.
+//
+//   Duration delayed = meter.excessOf(receivedAt - sentAt, receivedAt);
+#pragma once
+
+#include "base/time.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+// Not thread-safe.
+class DelayMeter
+{
+public:
+    // `difference`: of the receiver's clock at the receipt and the sender's at the sending.
+    Duration excessOf(Duration difference, Time now)
+    {
+        if (now - this->begunAt >= window) {
+            this->shortestBefore = this->shortest;
+            this->shortest = Duration::max();
+            this->begunAt = now;
+        }
+        this->shortest = std::min(this->shortest, difference);
+        return difference - std::min(this->shortest, this->shortestBefore);
+    }
+
+private:
+    // A connection that is late for longer counts as a slow one. Clocks that are apart by a
+    // hundredth drift by 200 ms in two windows.
+    static constexpr Duration window = 10s;
+
+    Time begunAt{};
+    Duration shortest = Duration::max();       // in this window
+    Duration shortestBefore = Duration::max(); // in the one before
+};
+
+} // namespace kumquat
--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -116,9 +116,8 @@
             return false;
         }
         message.body.assign(bytes + prefixBytes + headLength, bodyLength);
-        const Duration delay = this->receivedAt - Duration(message.head.sent_ns());
-        this->shortestDelay = std::min(this->shortestDelay, delay);
-        message.delayed = delay - this->shortestDelay;
+        message.delayed = this->delays.excessOf(this->receivedAt - Duration(message.head.sent_ns()),
+                                                this->receivedAt);
         at += length;
         this->hooks.received(std::move(message));
     }
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -17,6 +17,7 @@
 #include "base/names.h"
 #include "base/time.h"
 #include "net/fibers.h"
+#include "stage/delay_meter.h"
 #include "wire/stage.pb.h"
 
 #include <absl/status/status.h>
@@ -41,7 +42,7 @@
 {
     wire::LinkFrame head;
     std::string body;
-    Duration delayed{}; // on the way, beyond the shortest delay seen on the connection
+    Duration delayed{}; // on the way, beyond the shortest time of late on the connection
 };
 
 // How a call ended.
@@ -102,8 +103,8 @@
     std::string queued;
     std::string writing;
     std::string input;
-    std::size_t inputUsed = 0;                // bytes of `input` that hold data
-    Duration shortestDelay = Duration::max(); // between the two boot clocks
+    std::size_t inputUsed = 0; // bytes of `input` that hold data
+    DelayMeter delays;
     Time receivedAt{};
     Time sentAt{};
 };
--- a/packages/stage/tests/test_link.cpp
+++ b/packages/stage/tests/test_link.cpp
@@ -209,6 +209,28 @@
     thread.stop();
 }
 
+TEST_CASE("a message is late by what it takes beyond the usual time", "[link]")
+{
+    DelayMeter meter;
+    CHECK(meter.excessOf(-5s + 30ms, 100s) == Duration::zero()); // the clocks differ by 5 s
+    CHECK(meter.excessOf(-5s + 830ms, 101s) == 800ms);
+    CHECK(meter.excessOf(-5s + 30ms, 102s) == Duration::zero());
+}
+
+// Found by reading: on a connection that stays open for hours all messages would have counted as
+// late, as the clocks of two hosts drift apart.
+TEST_CASE("clocks that drift apart make no message late", "[link]")
+{
+    constexpr double drift = 50e-6; // a usual quartz
+    DelayMeter meter;
+    Duration longest{};
+    for (Time now = 0s; now < 24h; now += 1s) {
+        const auto apart = std::chrono::duration_cast<Duration>(now * drift);
+        longest = std::max(longest, meter.excessOf(30ms + apart, now));
+    }
+    CHECK(longest < 5ms);
+}
+
 // Guards against work that goes on after its caller's host has given it up: the cancellation went
 // to a newer connection, where it named another call or none.
 TEST_CASE("a call that is given up is cancelled on the connection that carries it", "[link]")
