executor: a host that has not heard of a caller for a while does not work for it

Class of the fault: an end (here: the caller has left) takes the same way as new work, and a host that hears nothing goes on. On a slow connection between two processes the cancellation comes as late as the request before it, and on a silent one not at all.

The owner's host knows for each connection up to when it has heard of all callers that left there, as messages come in order. It sends a request to the upstream only while that is at most 300 ms old (1.3 s for requests with keys). One that was held up for longer on its way is refused; for one that has waited the caller's host is asked by a ping. Work that may be repeated ends when that host answers nothing for 1.3 s, when it has given the call up itself. An earlier version, which answers no pings, is believed.

--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -81,6 +81,7 @@
     run->caller = caller;
     run->isIdempotent = execute.idempotent();
     run->fingerprint = fingerprintOf(execute, body);
+    run->newsLimit = execute.has_key() ? this->settings.silentLimit : this->settings.newsLimit;
     const auto node = this->announced.extract(caller);
     if (!node.empty()) {
         run->isCancelled = node.mapped().isCancelled;
@@ -110,6 +111,10 @@
     if (deadline - now < this->settings.leastRemaining) {
         return this->makeResult(wire::EXECUTE_REFUSED, {}, "no-time-left");
     }
+    if (run->delayed > run->newsLimit) {
+        // News of its caller would be held up as well.
+        return this->makeResult(wire::EXECUTE_REFUSED, pendingRetry, "held-up");
+    }
     if (execute.service() != this->settings.service || !this->monitor.mayServe(now)) {
         return this->makeResult(wire::EXECUTE_MISPLACED, pendingRetry);
     }
@@ -134,6 +139,9 @@
     CallEnd end = CallEnd::Cancelled;
     if (!this->waitForSlot(execute, run, number, deadline, retryAfter)) {
         result = this->makeResult(wire::EXECUTE_REFUSED, retryAfter, run->refusal);
+    } else if (!this->waitForNews(*run, deadline)) {
+        result = this->makeResult(wire::EXECUTE_REFUSED, pendingRetry, "caller-silent");
+        this->limiter.finish(number, end, readBootTime());
     } else {
         const auto withdrawn = this->judgeBeforeSend(execute, *run, deadline, readBootTime());
         result = withdrawn ? *withdrawn : this->send(execute, std::move(body), *run, deadline, end);
@@ -216,6 +224,64 @@
     }
 }
 
+Duration Executor::newsAge(const Run &run, Time now) const
+{
+    const bool isOwn = run.caller.connection == 0;
+    return isOwn || !this->hooks.newsAge ? Duration::zero()
+                                         : this->hooks.newsAge(run.caller.connection, now);
+}
+
+// Waits until the host of the caller has said whether the caller has left. Returns false if it does
+// not say so in time.
+bool Executor::waitForNews(Run &run, Time deadline)
+{
+    const Time limit = std::min(deadline, readBootTime() + this->settings.newsWait);
+    while (!run.isCancelled) {
+        const Time now = readBootTime();
+        if (this->newsAge(run, now) <= run.newsLimit) {
+            return true;
+        }
+        if (now >= limit) {
+            return false;
+        }
+        this->hooks.askForNews(run.caller.connection);
+        run.awaitsNews = true;
+        this->wait(run, limit - now);
+        run.awaitsNews = false;
+    }
+    return true; // what follows sees that it was cancelled
+}
+
+void Executor::noteNews(std::uint64_t connection)
+{
+    for (const auto &[number, run] : this->running) {
+        if (run->awaitsNews && run->caller.connection == connection) {
+            this->wake(*run, WakeOrder::InTurn);
+        }
+    }
+}
+
+// Asks for news before they are needed, and ends work whose caller's host has fallen silent.
+void Executor::askForNews(Time now)
+{
+    if (!this->hooks.newsAge) {
+        return;
+    }
+    for (const auto &[number, run] : this->running) {
+        const bool canEnd = !run->isSent || run->isIdempotent;
+        const Duration limit = run->isSent ? this->settings.silentLimit : run->newsLimit;
+        const Duration age = this->newsAge(*run, now);
+        if (run->isCancelled || !canEnd || age < limit / 2) {
+            continue;
+        }
+        if (run->isSent && age >= limit && this->hooks.isSilent(run->caller.connection)) {
+            this->cancelRun(*run);
+        } else {
+            this->hooks.askForNews(run->caller.connection);
+        }
+    }
+}
+
 bool Executor::waitForSlot(const wire::Execute &execute, const RunPtr &run, std::uint64_t number,
                            Time deadline, Duration &retryAfter)
 {
@@ -456,15 +522,20 @@
         if (run->isSent && !run->isIdempotent) {
             return; // it runs to its end: breaking it off would leave its effect unknown
         }
-        run->isCancelled = true;
-        if (run->call) {
-            run->call->cancel();
-        }
-        this->wake(*run, WakeOrder::First);
+        this->cancelRun(*run);
         return;
     }
 }
 
+void Executor::cancelRun(Run &run)
+{
+    run.isCancelled = true;
+    if (run.call) {
+        run.call->cancel();
+    }
+    this->wake(run, WakeOrder::First);
+}
+
 void Executor::cancelAll(std::uint64_t connection)
 {
     std::vector<ExecuteCaller> callers;
@@ -486,11 +557,7 @@
 void Executor::breakOff()
 {
     for (const auto &[number, run] : this->running) {
-        run->isCancelled = true;
-        if (run->call) {
-            run->call->cancel();
-        }
-        this->wake(*run, WakeOrder::First);
+        this->cancelRun(*run);
     }
 }
 
@@ -533,6 +600,7 @@
 {
     this->limiter.advance(now);
     this->dispatchNext();
+    this->askForNews(now);
 }
 
 // ---- Reports ----
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "net/http_client.h"
+#include "stage/link.h"
 #include "stage/metrics.h"
 #include "stage/upstream_monitor.h"
 #include "stage/work_gate.h"
@@ -59,6 +60,11 @@
     std::function<bool()> hasKeys;                   // the upstream's service is divided by key
     std::function<std::uint64_t()> tablesEnd;        // up to where this process has read the tables
     std::function<bool(Time deadline)> takesRequest; // false if the process exits before
+    // Of the processes that sent the requests, by connection; not set: all are always known.
+    // For how long nothing is known of the callers there.
+    std::function<Duration(std::uint64_t connection, Time now)> newsAge;
+    std::function<void(std::uint64_t connection)> askForNews; // noteNews follows
+    std::function<bool(std::uint64_t connection)> isSilent;   // it does not answer
 };
 
 struct ExecutorSettings
@@ -71,6 +77,14 @@
     // More of them are refused at once: twice what the queue in front of the upstream takes then.
     std::size_t mostPending = 128;
     Duration leastRemaining = 5ms; // with less left a request is not sent
+    // A request is sent only while this process has heard of all callers that left longer ago: no
+    // work may begin half a second after its caller has left, and noticing that, a connection to
+    // the upstream and the request itself take time as well.
+    Duration newsLimit = 300ms;
+    // The same for requests with keys: no other host serves them. Then a silent connection counts
+    // as dead at the other end, too, and work that may be repeated is ended.
+    Duration silentLimit = LinkSettings{}.silentAfter;
+    Duration newsWait = 150ms; // for an answer, two round trips between regions
     LimiterSettings limiter;
 };
 
@@ -105,13 +119,16 @@
     // Ends all requests now, before this process exits: one that was sent counts as lost.
     void breakOff();
 
+    // Wakes the requests that wait for news of the callers of a connection.
+    void noteNews(std::uint64_t connection);
+
     // Wakes the requests that wait for one of these keys if it is held, or elsewhere, by now.
     void noteAccessChanged(const KeySpan &span);
 
     // Takes the slots of a new life of the upstream.
     void noteUpstream(Time now);
 
-    // Drops requests that wait in vain; call every 50 ms.
+    // Drops requests that wait in vain and looks after the callers of all; call every 50 ms.
     void advance(Time now);
 
     wire::UpstreamLoad load(const std::string &node, Time now) const;
@@ -144,6 +161,7 @@
         bool isIdempotent = false;
         bool isCancelled = false;
         bool isSent = false;
+        bool awaitsNews = false;
         bool isDropped = false;    // by the limiter
         bool isDispatched = false; // by the limiter
         Duration retryAfter{};
@@ -153,6 +171,7 @@
         Duration waited{};                 // for its fiber to run first
         std::unique_ptr<FiberEvent> event; // a new one for each wait
         std::shared_ptr<HttpCallHandle> call;
+        Duration newsLimit{}; // age of news with which it is sent
     };
     using RunPtr = std::shared_ptr<Run>;
 
@@ -161,6 +180,9 @@
     void addLoad(wire::ExecuteReply &reply, Time now) const;
     bool waitForKey(const wire::Execute &execute, const RunPtr &run, Time deadline);
     void forgetWait(ShardKey key, const RunPtr &run);
+    Duration newsAge(const Run &run, Time now) const;
+    bool waitForNews(Run &run, Time deadline);
+    void askForNews(Time now);
     bool waitForSlot(const wire::Execute &execute, const RunPtr &run, std::uint64_t number,
                      Time deadline, Duration &retryAfter);
     ExecuteResult runNow(const wire::Execute &execute, std::string body, const RunPtr &run,
@@ -172,6 +194,7 @@
     ExecuteResult judge(const wire::Execute &execute, absl::StatusOr<HttpResponse> answer,
                         const Run &run, CallEnd &end);
     void dispatchNext();
+    void cancelRun(Run &run);
     void wake(Run &run, WakeOrder order) const;
     void wait(Run &run, Duration limit);
     void noteCrash(Time now);
--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -338,25 +338,13 @@
     }
     peer.failedAt.reset();
     peer.connectedAt = readBootTime();
-    const std::shared_ptr<Link> link = Link::create(
-            std::move(*socket),
-            {.received = [this,
-                          name](LinkMessage message) { this->onMessage(name, std::move(message)); },
-             .closed =
-                     [this, name, attempt] {
-                         Peer &closed = this->peers[name];
-                         if (closed.attempt == attempt) {
-                             // One that never answered is not worth another try at once.
-                             const bool isUseless = closed.heard < closed.connectedAt;
-                             if (isUseless) {
-                                 closed.failedAt = readBootTime();
-                             }
-                             closed.link = nullptr;
-                             this->endAll(closed);
-                         } else {
-                             endSilent(closed, attempt);
-                         }
-                     }});
+    const std::shared_ptr<Link> link =
+            Link::create(std::move(*socket),
+                         {.received =
+                                  [this, name, attempt](LinkMessage message) {
+                                      this->onMessage(name, attempt, std::move(message));
+                                  },
+                          .closed = [this, name, attempt] { this->onClosed(name, attempt); }});
     peer.link = link;
     link->start();
     wire::LinkFrame hello;
@@ -364,6 +352,7 @@
     hello.mutable_hello()->set_node(this->node);
     hello.mutable_hello()->set_incarnation(this->incarnation);
     hello.mutable_hello()->set_receiver(name);
+    hello.mutable_hello()->set_answers_pings(true);
     link->send(hello, {});
     for (auto &[head, body] : std::exchange(peer.waiting, {})) {
         const auto call = peer.calls.find(head.call());
@@ -375,10 +364,36 @@
     }
 }
 
-void LinkPool::onMessage(const std::string &name, LinkMessage message)
+void LinkPool::onClosed(const std::string &name, std::uint64_t attempt)
+{
+    Peer &peer = this->peers[name];
+    if (peer.attempt != attempt) {
+        endSilent(peer, attempt);
+        return;
+    }
+    if (peer.heard < peer.connectedAt) {
+        peer.failedAt = readBootTime(); // one that never answered is not worth another try at once
+    }
+    peer.link = nullptr;
+    this->endAll(peer);
+}
+
+void LinkPool::onMessage(const std::string &name, std::uint64_t attempt, LinkMessage message)
 {
     Peer &peer = this->peers[name];
     peer.heard = readBootTime();
+    if (message.head.has_ping()) {
+        const auto silent = peer.silentLinks.find(attempt);
+        const std::shared_ptr<Link> &link =
+                silent != peer.silentLinks.end() ? silent->second.link : peer.link;
+        wire::LinkFrame pong;
+        pong.set_sent_ns(peer.heard.count());
+        pong.mutable_pong();
+        if (link) {
+            link->send(pong, {});
+        }
+        return;
+    }
     if (message.head.has_pong()) {
         return;
     }
@@ -556,6 +571,18 @@
             }));
 }
 
+void LinkServer::ping(std::uint64_t connection)
+{
+    const auto found = this->links.find(connection);
+    if (found == this->links.end() || found->second == nullptr) {
+        return;
+    }
+    wire::LinkFrame frame;
+    frame.set_sent_ns(readBootTime().count());
+    frame.mutable_ping();
+    found->second->send(frame, {});
+}
+
 void LinkServer::acceptNext()
 {
     this->acceptor.async_accept([this](const ErrorCode &error, Link::Socket socket) {
@@ -579,6 +606,13 @@
             this->links[number]->close();
             return;
         }
+        if (message.head.has_hello()) {
+            peer->node = message.head.hello().node();
+            peer->answersPings = message.head.hello().answers_pings();
+        }
+        if (this->hooks.heard) {
+            this->hooks.heard(*peer, this->links[number]->lastReceived() - message.delayed);
+        }
         const std::uint64_t call = message.head.call();
         const LinkReply reply = [weak, call](wire::LinkFrame head, std::string_view body) {
             const std::shared_ptr<Link> link = weak.lock();
@@ -588,13 +622,11 @@
                 link->send(head, body);
             }
         };
-        if (message.head.has_hello()) {
-            peer->node = message.head.hello().node();
-        } else if (message.head.has_ping()) {
+        if (message.head.has_ping()) {
             wire::LinkFrame pong;
             pong.mutable_pong();
             reply(pong, {});
-        } else {
+        } else if (!message.head.has_hello() && !message.head.has_pong()) {
             this->hooks.received(*peer, std::move(message), reply);
         }
     };
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -205,7 +205,8 @@
     void connect(const std::string &node, Peer &peer);
     void onConnected(const std::string &node, std::uint64_t attempt, const ErrorCode &error,
                      const std::shared_ptr<Link::Socket> &socket);
-    void onMessage(const std::string &node, LinkMessage message);
+    void onClosed(const std::string &node, std::uint64_t attempt);
+    void onMessage(const std::string &node, std::uint64_t attempt, LinkMessage message);
     bool isResting(const Peer &peer, Time now) const;
     void endAll(Peer &peer);
     static void endSilent(Peer &peer, std::uint64_t attempt);
@@ -234,8 +235,9 @@
 // One connection that another process made.
 struct LinkPeer
 {
-    std::uint64_t number = 0; // of the connection, never used again
-    std::string node;         // empty before it said its name
+    std::uint64_t number = 0;  // of the connection, never used again
+    std::string node;          // empty before it said its name
+    bool answersPings = false; // an earlier version does not
 };
 
 class LinkServer
@@ -245,6 +247,9 @@
     {
         std::function<void(const LinkPeer &peer, LinkMessage message, LinkReply reply)> received;
         std::function<void(const LinkPeer &peer)> closed;
+        // Any message came, also one that `received` does not get. `sentAt`: by the clock of this
+        // process, without the usual time on the way.
+        std::function<void(const LinkPeer &peer, Time sentAt)> heard;
     };
 
     LinkServer(FiberThread &serverThread, std::string ownNode, Hooks serverHooks);
@@ -252,6 +257,9 @@
     // Error: SettingsInvalid if the address cannot be bound.
     absl::Status listen(const Address &address);
 
+    // Asks the other end of a connection for a sign of life.
+    void ping(std::uint64_t connection);
+
     // Number of connections with answers that have not left yet.
     std::size_t unsentCount() const;
 
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -134,7 +134,19 @@
                             return info != nullptr && info->hasKeys;
                         },
                 .tablesEnd = [this] { return this->view.tablesEnd(); },
-                .takesRequest = [this](Time deadline) { return this->takesRequest(deadline); }})
+                .takesRequest = [this](Time deadline) { return this->takesRequest(deadline); },
+                .newsAge = [this](std::uint64_t connection,
+                                  Time now) { return this->callerNews.age(connection, now); },
+                .askForNews =
+                        [this](std::uint64_t connection) {
+                            if (this->callerNews.takeQuestion(connection, readBootTime())) {
+                                this->linkServer.ping(connection);
+                            }
+                        },
+                .isSilent =
+                        [this](std::uint64_t connection) {
+                            return this->callerNews.isSilent(connection);
+                        }})
     , coordinator(this->thread, this->settings.node, this->settings.service, this->view,
                   this->links, this->store, this->metrics,
                   {.makeReport = [this] { return this->makeReport(); },
@@ -165,7 +177,18 @@
                        [this](const LinkPeer &peer, LinkMessage message, const LinkReply &reply) {
                            this->onMessage(peer, std::move(message), reply);
                        },
-               .closed = [this](const LinkPeer &peer) { this->executor.cancelAll(peer.number); }})
+               .closed =
+                       [this](const LinkPeer &peer) {
+                           this->callerNews.noteClosed(peer.number);
+                           this->executor.cancelAll(peer.number);
+                       },
+               .heard =
+                       [this](const LinkPeer &peer, Time sentAt) {
+                           if (peer.answersPings) {
+                               this->callerNews.note(peer.number, sentAt);
+                               this->executor.noteNews(peer.number);
+                           }
+                       }})
 {}
 
 absl::StatusOr<std::unique_ptr<Stage>> Stage::create(StageSettings settings, std::string path)
@@ -279,6 +302,7 @@
         this->onUpstreamChanged(now);
     }
     this->keys.advance(now);
+    this->callerNews.advance(now);
     this->executor.advance(now);
     if (this->isRecordDue && !this->isRecordWriting) {
         this->writeHostRecord();
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -11,6 +11,7 @@
 #include "platform/store.h"
 #include "routing/host_picker.h"
 #include "stage/awaited_table.h"
+#include "stage/caller_news.h"
 #include "stage/cluster_view.h"
 #include "stage/coordinator.h"
 #include "stage/executor.h"
@@ -111,6 +112,7 @@
     WorkGate gate;
     StoreFollower follower;
     KeyOwner keys;
+    CallerNews callerNews;
     Executor executor;
     Coordinator coordinator;
     Ingress ingress;
--- a/packages/standins/platform_caller.cpp
+++ b/packages/standins/platform_caller.cpp
@@ -5,14 +5,17 @@
 HttpRequest makeCallerRequest(const CallerRequest &request)
 {
     const std::string usual = request.isIdempotent ? "/r/" : "/v/";
-    return {request.isIdempotent ? "GET" : "POST",
-            (request.prefix.empty() ? usual : request.prefix) + "x",
-            {{"Host", "shop.example"},
-             {"X-Attempt-Id", request.id},
-             {"X-Deadline-Remaining", std::to_string(request.patience.count())},
-             {"X-Shard-Key", std::to_string(request.key)}},
-            request.isIdempotent ? "" : "body of " + request.id,
-            {}};
+    HttpRequest made{request.isIdempotent ? "GET" : "POST",
+                     (request.prefix.empty() ? usual : request.prefix) + "x",
+                     {{"Host", "shop.example"},
+                      {"X-Attempt-Id", request.id},
+                      {"X-Deadline-Remaining", std::to_string(request.patience.count())}},
+                     request.isIdempotent ? "" : "body of " + request.id,
+                     {}};
+    if (request.key) {
+        made.fields.push_back({"X-Shard-Key", std::to_string(*request.key)});
+    }
+    return made;
 }
 
 bool isOwnAnswer(const HttpAnswer &answer, const std::string &id)
--- a/packages/standins/platform_caller.h
+++ b/packages/standins/platform_caller.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace kumquat {
@@ -16,7 +17,7 @@
 struct CallerRequest
 {
     std::string id;
-    std::uint32_t key = 0;
+    std::optional<std::uint32_t> key = 0; // none: for a service that is not divided by key
     bool isIdempotent = false;
     std::string prefix; // of the path; empty: that of the route of such requests
     std::chrono::milliseconds patience{1500};
--- a/packages/system/platform_cluster.cpp
+++ b/packages/system/platform_cluster.cpp
@@ -52,7 +52,7 @@
                        "max_attempts", "weighted_clusters"};
     const Json rows{routeRow("r-1", "/v/", "non_idempotent"), routeRow("r-2", "/r/", "idempotent"),
                     routeRow("r-3", versionPrefix(version), "idempotent")};
-    const Json service{"testlog", "/health", maxConnections, true,
+    const Json service{"testlog", "/health", maxConnections, this->options.hasKeys,
                        this->options.grantsInAnswers ? "heartbeat" : "call"};
     const Json config{
             {"version", "r" + std::to_string(version)},
--- a/packages/system/platform_cluster.h
+++ b/packages/system/platform_cluster.h
@@ -34,6 +34,7 @@
     std::chrono::milliseconds workTime{5}; // of one request at an upstream
     int stopSeconds = 6;                   // between SIGTERM and SIGKILL
     bool grantsInAnswers = false; // keys are granted in answers to heartbeats, not by calls
+    bool hasKeys = true;          // the service is divided by key
 };
 
 // ---- PlatformHost ----
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -338,3 +338,37 @@
     CHECK(written == static_cast<ssize_t>(settings.size()));
     CHECK(host.process->waitForExit(7s) == 0);
 }
+
+// Guards against GONE: requests that reach their upstream long after their callers have left, as
+// the connection between two processes is slow and the cancellation waits behind them.
+TEST_CASE("a request whose caller left while it was on its way is not begun", "[platform]")
+{
+    constexpr int callers = 20;
+    PlatformCluster cluster({.hosts = 2, .hasProxies = true, .hasKeys = false});
+    PlatformHost &entry = cluster.host(0);
+    PlatformHost &worker = cluster.host(1);
+    const auto send = [&](const std::string &id, Duration patience) {
+        HttpClient client(entry.callers);
+        return client.send(makeCallerRequest({.id = id, .key = std::nullopt}), patience);
+    };
+    const auto isServed = [&](int attempt) {
+        const HttpExchange exchange = send("first-" + std::to_string(attempt), 2s);
+        return exchange.result == ExchangeResult::Answered && exchange.answer.status == 200;
+    };
+    cluster.endUpstream(entry); // all requests go to the other host
+    int attempt = 0;
+    while (attempt < 100 && !isServed(++attempt)) {
+        std::this_thread::sleep_for(100ms);
+    }
+    REQUIRE(attempt < 100);
+    std::this_thread::sleep_for(1s); // the usual time on the way is known
+    worker.toProcess->set({.fault = LinkFault::Delayed, .delay = 800ms});
+    for (int i = 0; i < callers; ++i) {
+        send("left-" + std::to_string(i), 50ms);
+    }
+    std::this_thread::sleep_for(2s);
+    const std::vector<std::string> runs = worker.endpoint->runs();
+    CHECK(std::count_if(runs.begin(), runs.end(),
+                        [](const std::string &id) { return id.starts_with("left-"); })
+          == 0);
+}
