--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -116,9 +116,8 @@
             return false;
         }
         message.body.assign(bytes + prefixBytes + headLength, bodyLength);
-        const Duration delay = this->receivedAt - Duration(message.head.sent_ns());
-        this->shortestDelay = std::min(this->shortestDelay, delay);
-        message.delayed = delay - this->shortestDelay;
+        message.delayed = this->delays.excessOf(this->receivedAt - Duration(message.head.sent_ns()),
+                                                this->receivedAt);
         at += length;
         this->hooks.received(std::move(message));
     }
@@ -231,7 +230,10 @@
     head.set_sent_ns(now.count());
     peer.waitingSince = peer.calls.empty() ? now : peer.waitingSince;
     Call &call = peer.calls[number];
-    call = {.answer = std::move(answer), .due = now + limit, .patience = patience};
+    call = {.answer = std::move(answer),
+            .due = now + limit,
+            .isWork = head.has_execute(),
+            .patience = patience};
     if (peer.link && peer.link->isOpen()) {
         call.isSent = true;
         peer.link->send(head, body);
@@ -245,23 +247,31 @@
 void LinkPool::cancel(const std::string &name, std::uint64_t number)
 {
     const auto found = this->peers.find(name);
-    Calls *calls = found == this->peers.end() ? nullptr : callsWith(found->second, number);
-    if (calls == nullptr) {
+    if (found == this->peers.end()) {
         return;
     }
-    calls->erase(number);
     Peer &peer = found->second;
+    const std::optional<CarriedCall> carried = extractCall(peer, number);
     std::erase_if(peer.waiting,
                   [number](const auto &entry) { return entry.first.call() == number; });
-    if (peer.link && peer.link->isOpen()) {
-        wire::LinkFrame frame;
-        frame.set_call(number);
-        frame.set_sent_ns(readBootTime().count());
-        frame.mutable_cancel();
-        peer.link->send(frame, {});
+    if (carried) {
+        sendCancel(carried->link, number, carried->call);
     }
 }
 
+// On the connection that carries the call: on another one its number names nothing.
+void LinkPool::sendCancel(const std::shared_ptr<Link> &link, std::uint64_t number, const Call &call)
+{
+    if (!link || !link->isOpen() || !call.isSent || !call.isWork) {
+        return;
+    }
+    wire::LinkFrame frame;
+    frame.set_call(number);
+    frame.set_sent_ns(readBootTime().count());
+    frame.mutable_cancel();
+    link->send(frame, {});
+}
+
 bool LinkPool::isDown(const std::string &name, Time now) const
 {
     const auto found = this->peers.find(name);
@@ -328,25 +338,13 @@
     }
     peer.failedAt.reset();
     peer.connectedAt = readBootTime();
-    const std::shared_ptr<Link> link = Link::create(
-            std::move(*socket),
-            {.received = [this,
-                          name](LinkMessage message) { this->onMessage(name, std::move(message)); },
-             .closed =
-                     [this, name, attempt] {
-                         Peer &closed = this->peers[name];
-                         if (closed.attempt == attempt) {
-                             // One that never answered is not worth another try at once.
-                             const bool isUseless = closed.heard < closed.connectedAt;
-                             if (isUseless) {
-                                 closed.failedAt = readBootTime();
-                             }
-                             closed.link = nullptr;
-                             this->endAll(closed);
-                         } else {
-                             endSilent(closed, attempt);
-                         }
-                     }});
+    const std::shared_ptr<Link> link =
+            Link::create(std::move(*socket),
+                         {.received =
+                                  [this, name, attempt](LinkMessage message) {
+                                      this->onMessage(name, attempt, std::move(message));
+                                  },
+                          .closed = [this, name, attempt] { this->onClosed(name, attempt); }});
     peer.link = link;
     link->start();
     wire::LinkFrame hello;
@@ -354,6 +352,7 @@
     hello.mutable_hello()->set_node(this->node);
     hello.mutable_hello()->set_incarnation(this->incarnation);
     hello.mutable_hello()->set_receiver(name);
+    hello.mutable_hello()->set_answers_pings(true);
     link->send(hello, {});
     for (auto &[head, body] : std::exchange(peer.waiting, {})) {
         const auto call = peer.calls.find(head.call());
@@ -365,16 +364,43 @@
     }
 }
 
-void LinkPool::onMessage(const std::string &name, LinkMessage message)
+void LinkPool::onClosed(const std::string &name, std::uint64_t attempt)
+{
+    Peer &peer = this->peers[name];
+    if (peer.attempt != attempt) {
+        endSilent(peer, attempt);
+        return;
+    }
+    if (peer.heard < peer.connectedAt) {
+        peer.failedAt = readBootTime(); // one that never answered is not worth another try at once
+    }
+    peer.link = nullptr;
+    this->endAll(peer);
+}
+
+void LinkPool::onMessage(const std::string &name, std::uint64_t attempt, LinkMessage message)
 {
     Peer &peer = this->peers[name];
     peer.heard = readBootTime();
-    Calls *calls = callsWith(peer, message.head.call());
-    if (calls == nullptr || message.head.has_pong()) {
-        return; // a pong, or the answer to a call that was given up
+    if (message.head.has_ping()) {
+        const auto silent = peer.silentLinks.find(attempt);
+        const std::shared_ptr<Link> &link =
+                silent != peer.silentLinks.end() ? silent->second.link : peer.link;
+        wire::LinkFrame pong;
+        pong.set_sent_ns(peer.heard.count());
+        pong.mutable_pong();
+        if (link) {
+            link->send(pong, {});
+        }
+        return;
+    }
+    if (message.head.has_pong()) {
+        return;
+    }
+    const std::optional<CarriedCall> carried = extractCall(peer, message.head.call());
+    if (carried) { // else the answer to a call that was given up
+        carried->call.answer(LinkEnd::Answered, std::move(message));
     }
-    const LinkAnswer answer = std::move(calls->extract(message.head.call()).mapped().answer);
-    answer(LinkEnd::Answered, std::move(message));
 }
 
 void LinkPool::endAll(Peer &peer)
@@ -385,18 +411,18 @@
     }
 }
 
-// Returns the calls of which one has this number, or nullptr.
-LinkPool::Calls *LinkPool::callsWith(Peer &peer, std::uint64_t number)
+// Takes out the call with this number, if there is one.
+std::optional<LinkPool::CarriedCall> LinkPool::extractCall(Peer &peer, std::uint64_t number)
 {
-    if (peer.calls.contains(number)) {
-        return &peer.calls;
+    if (auto call = peer.calls.extract(number)) {
+        return CarriedCall{.link = peer.link, .call = std::move(call.mapped())};
     }
     for (auto &[attempt, silent] : peer.silentLinks) {
-        if (silent.calls.contains(number)) {
-            return &silent.calls;
+        if (auto call = silent.calls.extract(number)) {
+            return CarriedCall{.link = silent.link, .call = std::move(call.mapped())};
         }
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 void LinkPool::endSilent(Peer &peer, std::uint64_t attempt)
@@ -423,11 +449,12 @@
     }
 }
 
-void LinkPool::endOverdue(Calls &calls, Time now)
+void LinkPool::endOverdue(Calls &calls, const std::shared_ptr<Link> &link, Time now)
 {
     std::vector<LinkAnswer> overdue;
     for (auto call = calls.begin(); call != calls.end();) {
         if (now >= call->second.due) {
+            sendCancel(link, call->first, call->second);
             overdue.push_back(std::move(call->second.answer));
             call = calls.erase(call);
         } else {
@@ -452,9 +479,9 @@
             peer.failedAt = now;
             this->endAll(peer);
         }
-        endOverdue(peer.calls, now);
+        endOverdue(peer.calls, peer.link, now);
         for (auto &[attempt, silent] : peer.silentLinks) {
-            endOverdue(silent.calls, now);
+            endOverdue(silent.calls, silent.link, now);
         }
         closeSilentLinks(peer, true);
         this->judgeSilence(name, peer, now);
@@ -481,6 +508,9 @@
         peer.link->close();
         return;
     }
+    for (const auto &[number, call] : peer.calls) {
+        sendCancel(peer.link, number, call);
+    }
     peer.silentLinks[peer.attempt] = std::move(silent);
     ++peer.attempt; // the connection is no longer that of new calls
     peer.link = nullptr;
@@ -541,6 +571,18 @@
             }));
 }
 
+void LinkServer::ping(std::uint64_t connection)
+{
+    const auto found = this->links.find(connection);
+    if (found == this->links.end() || found->second == nullptr) {
+        return;
+    }
+    wire::LinkFrame frame;
+    frame.set_sent_ns(readBootTime().count());
+    frame.mutable_ping();
+    found->second->send(frame, {});
+}
+
 void LinkServer::acceptNext()
 {
     this->acceptor.async_accept([this](const ErrorCode &error, Link::Socket socket) {
@@ -564,6 +606,13 @@
             this->links[number]->close();
             return;
         }
+        if (message.head.has_hello()) {
+            peer->node = message.head.hello().node();
+            peer->answersPings = message.head.hello().answers_pings();
+        }
+        if (this->hooks.heard) {
+            this->hooks.heard(*peer, this->links[number]->lastReceived() - message.delayed);
+        }
         const std::uint64_t call = message.head.call();
         const LinkReply reply = [weak, call](wire::LinkFrame head, std::string_view body) {
             const std::shared_ptr<Link> link = weak.lock();
@@ -573,13 +622,11 @@
                 link->send(head, body);
             }
         };
-        if (message.head.has_hello()) {
-            peer->node = message.head.hello().node();
-        } else if (message.head.has_ping()) {
+        if (message.head.has_ping()) {
             wire::LinkFrame pong;
             pong.mutable_pong();
             reply(pong, {});
-        } else {
+        } else if (!message.head.has_hello() && !message.head.has_pong()) {
             this->hooks.received(*peer, std::move(message), reply);
         }
     };
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -17,6 +17,7 @@
 #include "base/names.h"
 #include "base/time.h"
 #include "net/fibers.h"
+#include "stage/delay_meter.h"
 #include "wire/stage.pb.h"
 
 #include <absl/status/status.h>
@@ -41,7 +42,7 @@
 {
     wire::LinkFrame head;
     std::string body;
-    Duration delayed{}; // on the way, beyond the shortest delay seen on the connection
+    Duration delayed{}; // on the way, beyond the shortest time of late on the connection
 };
 
 // How a call ended.
@@ -102,8 +103,8 @@
     std::string queued;
     std::string writing;
     std::string input;
-    std::size_t inputUsed = 0;                // bytes of `input` that hold data
-    Duration shortestDelay = Duration::max(); // between the two boot clocks
+    std::size_t inputUsed = 0; // bytes of `input` that hold data
+    DelayMeter delays;
     Time receivedAt{};
     Time sentAt{};
 };
@@ -166,6 +167,7 @@
         LinkAnswer answer;
         Time due{};
         bool isSent = false;
+        bool isWork = false; // a request, which the other process is told to end
         LinkPatience patience = LinkPatience::UntilSilent;
     };
     using Calls = std::unordered_map<std::uint64_t, Call>; // by number
@@ -177,6 +179,13 @@
         Calls calls;
     };
 
+    // A call that was taken out, and the connection that carries it.
+    struct CarriedCall
+    {
+        std::shared_ptr<Link> link;
+        Call call;
+    };
+
     struct Peer
     {
         Address address;
@@ -196,13 +205,16 @@
     void connect(const std::string &node, Peer &peer);
     void onConnected(const std::string &node, std::uint64_t attempt, const ErrorCode &error,
                      const std::shared_ptr<Link::Socket> &socket);
-    void onMessage(const std::string &node, LinkMessage message);
+    void onClosed(const std::string &node, std::uint64_t attempt);
+    void onMessage(const std::string &node, std::uint64_t attempt, LinkMessage message);
     bool isResting(const Peer &peer, Time now) const;
     void endAll(Peer &peer);
     static void endSilent(Peer &peer, std::uint64_t attempt);
     static void closeSilentLinks(Peer &peer, bool onlyUnused);
-    static Calls *callsWith(Peer &peer, std::uint64_t number);
-    static void endOverdue(Calls &calls, Time now);
+    static std::optional<CarriedCall> extractCall(Peer &peer, std::uint64_t number);
+    static void sendCancel(const std::shared_ptr<Link> &link, std::uint64_t number,
+                           const Call &call);
+    static void endOverdue(Calls &calls, const std::shared_ptr<Link> &link, Time now);
     void setAside(const std::string &name, Peer &peer, Time now);
     void judgeSilence(const std::string &name, Peer &peer, Time now);
 
@@ -223,8 +235,9 @@
 // One connection that another process made.
 struct LinkPeer
 {
-    std::uint64_t number = 0; // of the connection, never used again
-    std::string node;         // empty before it said its name
+    std::uint64_t number = 0;  // of the connection, never used again
+    std::string node;          // empty before it said its name
+    bool answersPings = false; // an earlier version does not
 };
 
 class LinkServer
@@ -234,6 +247,9 @@
     {
         std::function<void(const LinkPeer &peer, LinkMessage message, LinkReply reply)> received;
         std::function<void(const LinkPeer &peer)> closed;
+        // Any message came, also one that `received` does not get. `sentAt`: by the clock of this
+        // process, without the usual time on the way.
+        std::function<void(const LinkPeer &peer, Time sentAt)> heard;
     };
 
     LinkServer(FiberThread &serverThread, std::string ownNode, Hooks serverHooks);
@@ -241,6 +257,9 @@
     // Error: SettingsInvalid if the address cannot be bound.
     absl::Status listen(const Address &address);
 
+    // Asks the other end of a connection for a sign of life.
+    void ping(std::uint64_t connection);
+
     // Number of connections with answers that have not left yet.
     std::size_t unsentCount() const;
 
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -134,14 +134,31 @@
                             return info != nullptr && info->hasKeys;
                         },
                 .tablesEnd = [this] { return this->view.tablesEnd(); },
-                .takesRequest = [this](Time deadline) { return this->takesRequest(deadline); }})
+                .takesRequest = [this](Time deadline) { return this->takesRequest(deadline); },
+                .newsAge = [this](std::uint64_t connection,
+                                  Time now) { return this->callerNews.age(connection, now); },
+                .askForNews =
+                        [this](std::uint64_t connection) {
+                            if (this->callerNews.takeQuestion(connection, readBootTime())) {
+                                this->linkServer.ping(connection);
+                            }
+                        },
+                .isSilent =
+                        [this](std::uint64_t connection) {
+                            return this->callerNews.isSilent(connection);
+                        }})
     , coordinator(this->thread, this->settings.node, this->settings.service, this->view,
                   this->links, this->store, this->metrics,
                   {.makeReport = [this] { return this->makeReport(); },
                    .takeKeyCounts = [this] { return this->executor.takeKeyCounts(); },
                    .known = [this](const std::string &node,
                                    const wire::Known &known) { this->noteKnown(node, known); },
-                   .tablesBehind = [this] { this->follower.nudge(platform::StoreTopic::Tables); }},
+                   .tablesBehind = [this] { this->follower.nudge(platform::StoreTopic::Tables); },
+                   .spread =
+                           [this](const wire::StateReply &news) {
+                               this->spread(std::make_shared<wire::StateReply>(news),
+                                            this->knownNodes());
+                           }},
                   {.grantWay = this->settings.grantWay,
                    .heartbeatInterval = this->settings.heartbeatInterval})
     , ingress(this->thread, this->view, this->links, this->executor, this->picker, this->metrics,
@@ -160,7 +177,18 @@
                        [this](const LinkPeer &peer, LinkMessage message, const LinkReply &reply) {
                            this->onMessage(peer, std::move(message), reply);
                        },
-               .closed = [this](const LinkPeer &peer) { this->executor.cancelAll(peer.number); }})
+               .closed =
+                       [this](const LinkPeer &peer) {
+                           this->callerNews.noteClosed(peer.number);
+                           this->executor.cancelAll(peer.number);
+                       },
+               .heard =
+                       [this](const LinkPeer &peer, Time sentAt) {
+                           if (peer.answersPings) {
+                               this->callerNews.note(peer.number, sentAt);
+                               this->executor.noteNews(peer.number);
+                           }
+                       }})
 {}
 
 absl::StatusOr<std::unique_ptr<Stage>> Stage::create(StageSettings settings, std::string path)
@@ -269,10 +297,12 @@
 {
     this->noteDelay(now);
     this->noteFiberWait(now);
+    this->noteLateMessages(now);
     if (this->monitor.advance(now)) {
         this->onUpstreamChanged(now);
     }
     this->keys.advance(now);
+    this->callerNews.advance(now);
     this->executor.advance(now);
     if (this->isRecordDue && !this->isRecordWriting) {
         this->writeHostRecord();
@@ -328,6 +358,22 @@
                 {"waiting", std::to_string(this->executor.waitingCount())}});
 }
 
+// Messages wait in the queues of both hosts and of the network between them, where no timer and no
+// fiber is late.
+void Stage::noteLateMessages(Time now)
+{
+    const auto line = this->lateMessages.take(now);
+    if (!line) {
+        return;
+    }
+    this->metrics.count(Metric::MessageDelays, toMilliseconds(line->longest));
+    logWarning(LogPart::Mesh, "messages were late",
+               {{"ms", std::to_string(toMilliseconds(line->longest))},
+                {"from", line->from},
+                {"messages", std::to_string(line->messages)},
+                {"peers", std::to_string(line->peers)}});
+}
+
 // Takes what callers may send, and how long they may be idle, from the configuration.
 void Stage::applyCallerLimits()
 {
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -10,15 +10,19 @@
 #include "net/http_server.h"
 #include "platform/store.h"
 #include "routing/host_picker.h"
+#include "stage/awaited_table.h"
+#include "stage/caller_news.h"
 #include "stage/cluster_view.h"
 #include "stage/coordinator.h"
 #include "stage/executor.h"
 #include "stage/ingress.h"
 #include "stage/key_owner.h"
+#include "stage/late_messages.h"
 #include "stage/link.h"
 #include "stage/metrics.h"
 #include "stage/relay_choice.h"
 #include "stage/settings.h"
+#include "stage/spread.h"
 #include "stage/stop_plan.h"
 #include "stage/store_follower.h"
 #include "stage/ticker.h"
@@ -60,7 +64,11 @@
     // What others know.
     wire::Known known() const;
     void noteKnown(const std::string &node, const wire::Known &known);
+    bool isTableOverdue(std::uint64_t end);
     void fetchState(const std::string &node);
+    void spread(const std::shared_ptr<const wire::StateReply> &news,
+                const std::vector<std::string> &nodes);
+    void sendPart(const std::shared_ptr<const wire::StateReply> &news, const SpreadPart &part);
     void gossip(Time now);
     std::vector<std::string> knownNodes() const;
 
@@ -77,6 +85,7 @@
     void advance(Time now);
     void noteDelay(Time now);
     void noteFiberWait(Time now);
+    void noteLateMessages(Time now);
     void applyCallerLimits();
     void checkSettingsFile();
     void reload();
@@ -103,6 +112,7 @@
     WorkGate gate;
     StoreFollower follower;
     KeyOwner keys;
+    CallerNews callerNews;
     Executor executor;
     Coordinator coordinator;
     Ingress ingress;
@@ -116,10 +126,12 @@
     bool isRecordWriting = false;
     std::uint64_t recordChange = 0;
     Time fetchedAt = -1h;
+    AwaitedTable awaitedTable;
     Time heartbeatAt{};               // of the newest heartbeat
     Time advancedAt = readBootTime(); // last
     Duration longestWait{};           // of a fiber for the thread, not logged yet
     Time waitLoggedAt = -1h;
+    LateMessages lateMessages; // of other processes
     std::size_t gossipTurn = 0;
 };
 
