link: a ping of the other host is no answer; connections of a process share their delay

The owner's host sends pings of its own now, and any byte from it counted as a sign that it gets what it is sent. With a connection that is cut one way, callers' hosts would have gone on sending to it until TCP gives up (3 s) in place of 0.6 s. Only answers, pongs and parts of messages count. A ping is answered after the handlers that are due, so that callers that have left by then are cancelled before.

The delay of a message was measured for each connection by itself, so one that is made while the way is full took its own late messages for the usual ones, and neither their time nor the age of their news was counted. The connections of one process share their measure; one that was idle for long begins anew.

--- a/packages/stage/delay_meter.h
+++ b/packages/stage/delay_meter.h
@@ -18,7 +18,8 @@
     Duration excessOf(Duration difference, Time now)
     {
         if (now - this->begunAt >= window) {
-            this->shortestBefore = this->shortest;
+            const bool isNext = now - this->begunAt < 2 * window;
+            this->shortestBefore = isNext ? this->shortest : Duration::max();
             this->shortest = Duration::max();
             this->begunAt = now;
         }
@@ -27,7 +28,7 @@
     }
 
 private:
-    // A connection that is late for longer counts as a slow one. Clocks that are apart by a
+    // What is late for longer counts as slow. Clocks that are apart by a
     // hundredth drift by 200 ms in two windows.
     static constexpr Duration window = 10s;
 
--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -61,6 +61,7 @@
     : socket(std::move(linkSocket))
     , hooks(std::move(linkHooks))
     , receivedAt(readBootTime())
+    , answeredAt(this->receivedAt)
     , sentAt(this->receivedAt)
 {
     setOptions(this->socket);
@@ -109,6 +110,7 @@
             return false;
         }
         if (this->inputUsed - at < length) {
+            this->answeredAt = this->receivedAt; // a part of a message
             break;
         }
         LinkMessage message;
@@ -116,9 +118,13 @@
             return false;
         }
         message.body.assign(bytes + prefixBytes + headLength, bodyLength);
-        message.delayed = this->delays.excessOf(this->receivedAt - Duration(message.head.sent_ns()),
-                                                this->receivedAt);
+        message.receivedAt = this->receivedAt;
+        message.delayed = this->delays->excessOf(
+                this->receivedAt - Duration(message.head.sent_ns()), this->receivedAt);
         at += length;
+        if (!message.head.has_ping()) {
+            this->answeredAt = this->receivedAt;
+        }
         this->hooks.received(std::move(message));
     }
     std::memmove(this->input.data(), this->input.data() + at, this->inputUsed - at);
@@ -381,19 +387,12 @@
 void LinkPool::onMessage(const std::string &name, std::uint64_t attempt, LinkMessage message)
 {
     Peer &peer = this->peers[name];
-    peer.heard = readBootTime();
     if (message.head.has_ping()) {
         const auto silent = peer.silentLinks.find(attempt);
-        const std::shared_ptr<Link> &link =
-                silent != peer.silentLinks.end() ? silent->second.link : peer.link;
-        wire::LinkFrame pong;
-        pong.set_sent_ns(peer.heard.count());
-        pong.mutable_pong();
-        if (link) {
-            link->send(pong, {});
-        }
+        this->answerPing(silent != peer.silentLinks.end() ? silent->second.link : peer.link);
         return;
     }
+    peer.heard = readBootTime();
     if (message.head.has_pong()) {
         return;
     }
@@ -403,6 +402,19 @@
     }
 }
 
+// After the handlers that are due: a caller that has left by now is cancelled before.
+void LinkPool::answerPing(const std::shared_ptr<Link> &link)
+{
+    this->thread.post([link] {
+        if (link) {
+            wire::LinkFrame pong;
+            pong.set_sent_ns(readBootTime().count());
+            pong.mutable_pong();
+            link->send(pong, {});
+        }
+    });
+}
+
 void LinkPool::endAll(Peer &peer)
 {
     peer.waiting.clear();
@@ -593,6 +605,18 @@
     });
 }
 
+void LinkServer::takeHello(LinkPeer &peer, const wire::LinkHello &hello)
+{
+    peer.node = hello.node();
+    peer.answersPings = hello.answers_pings();
+    auto &[incarnation, meter] = this->delays[hello.node()];
+    if (!meter || incarnation != hello.incarnation()) {
+        incarnation = hello.incarnation();
+        meter = std::make_shared<DelayMeter>();
+    }
+    this->links[peer.number]->shareDelays(meter);
+}
+
 void LinkServer::serve(Link::Socket socket)
 {
     const auto peer = std::make_shared<LinkPeer>(LinkPeer{.number = ++this->lastNumber});
@@ -607,11 +631,9 @@
             return;
         }
         if (message.head.has_hello()) {
-            peer->node = message.head.hello().node();
-            peer->answersPings = message.head.hello().answers_pings();
-        }
-        if (this->hooks.heard) {
-            this->hooks.heard(*peer, this->links[number]->lastReceived() - message.delayed);
+            this->takeHello(*peer, message.head.hello());
+        } else if (this->hooks.heard) {
+            this->hooks.heard(*peer, message.receivedAt - message.delayed);
         }
         const std::uint64_t call = message.head.call();
         const LinkReply reply = [weak, call](wire::LinkFrame head, std::string_view body) {
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -42,7 +42,10 @@
 {
     wire::LinkFrame head;
     std::string body;
-    Duration delayed{}; // on the way, beyond the shortest time of late on the connection
+    Time receivedAt{};
+    // On the way, beyond the shortest time of late from that process; also by this process's own
+    // late reading.
+    Duration delayed{};
 };
 
 // How a call ended.
@@ -84,9 +87,14 @@
     // Resets the connection, so that what is still on its way is dropped.
     void close();
 
+    // Measures delays together with other connections of the same process: those of a new one can
+    // be late from the first message on.
+    void shareDelays(std::shared_ptr<DelayMeter> meter) { this->delays = std::move(meter); }
+
     bool isOpen() const { return this->open; }
     bool hasUnsent() const { return this->open && (this->isWriting || !this->queued.empty()); }
-    Time lastReceived() const { return this->receivedAt; }
+    // Of bytes other than pings: those tell only that the way from there is open.
+    Time lastReceived() const { return this->answeredAt; }
     Time lastSent() const { return this->sentAt; }
 
 private:
@@ -104,8 +112,9 @@
     std::string writing;
     std::string input;
     std::size_t inputUsed = 0; // bytes of `input` that hold data
-    DelayMeter delays;
+    std::shared_ptr<DelayMeter> delays = std::make_shared<DelayMeter>();
     Time receivedAt{};
+    Time answeredAt{};
     Time sentAt{};
 };
 
@@ -206,6 +215,7 @@
     void onConnected(const std::string &node, std::uint64_t attempt, const ErrorCode &error,
                      const std::shared_ptr<Link::Socket> &socket);
     void onClosed(const std::string &node, std::uint64_t attempt);
+    void answerPing(const std::shared_ptr<Link> &link);
     void onMessage(const std::string &node, std::uint64_t attempt, LinkMessage message);
     bool isResting(const Peer &peer, Time now) const;
     void endAll(Peer &peer);
@@ -237,7 +247,7 @@
 {
     std::uint64_t number = 0;  // of the connection, never used again
     std::string node;          // empty before it said its name
-    bool answersPings = false; // an earlier version does not
+    bool answersPings = false; // from this side; an earlier version does not
 };
 
 class LinkServer
@@ -266,6 +276,7 @@
 private:
     void acceptNext();
     void serve(Link::Socket socket);
+    void takeHello(LinkPeer &peer, const wire::LinkHello &hello);
 
     FiberThread &thread;
     std::string node;
@@ -273,6 +284,8 @@
     asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
     std::uint64_t lastNumber = 0;
     std::map<std::uint64_t, std::shared_ptr<Link>> links;
+    // Of each process that has connected, by node and incarnation; the last one of a node stays.
+    std::map<std::string, std::pair<std::uint64_t, std::shared_ptr<DelayMeter>>> delays;
 };
 
 } // namespace kumquat
--- a/packages/stage/tests/test_link.cpp
+++ b/packages/stage/tests/test_link.cpp
@@ -215,6 +215,74 @@
     CHECK(meter.excessOf(-5s + 30ms, 100s) == Duration::zero()); // the clocks differ by 5 s
     CHECK(meter.excessOf(-5s + 830ms, 101s) == 800ms);
     CHECK(meter.excessOf(-5s + 30ms, 102s) == Duration::zero());
+    CHECK(meter.excessOf(-5s + 90ms, 160s) == Duration::zero()); // what was usual is long ago
+}
+
+// Guards against GONE: a connection that is made while the way is full knows no better time than
+// that of its own late messages, so these counted as fresh.
+TEST_CASE("a new connection knows the usual time of the one before", "[link]")
+{
+    std::atomic<Duration> delayed{Duration{}};
+    FiberThread thread("link-test");
+    LinkServer server(thread, "right",
+                      {.received = [&](const LinkPeer &, const LinkMessage &message,
+                                       const LinkReply &) { delayed = message.delayed; },
+                       .closed = [](const LinkPeer &) {}});
+    const Address address{.ip = "127.0.0.1", .port = 28476};
+    REQUIRE(server.listen(address).ok());
+    thread.start();
+    std::vector<std::shared_ptr<Link>> links; // used on the thread
+    const auto connect = [&](Duration late) {
+        thread.post([&, late] {
+            Link::Socket socket(thread.io());
+            socket.connect({asio::ip::make_address(address.ip), address.port});
+            links.push_back(Link::create(
+                    std::move(socket), {.received = [](const LinkMessage &) {}, .closed = [] {}}));
+            links.back()->start();
+            wire::LinkFrame frame;
+            frame.set_sent_ns((readBootTime() - late).count());
+            frame.mutable_hello()->set_node("caller");
+            frame.mutable_hello()->set_incarnation(1);
+            frame.mutable_hello()->set_receiver("right");
+            links.back()->send(frame, {});
+            frame.mutable_state_query();
+            links.back()->send(frame, {});
+        });
+        std::this_thread::sleep_for(200ms);
+    };
+    connect(Duration::zero());
+    CHECK(delayed.load() < 100ms);
+    connect(800ms);
+    CHECK(delayed.load() > 700ms);
+    thread.stop();
+}
+
+// Guards against requests that go on to a host that gets none of them: its own questions are no
+// answers.
+TEST_CASE("pings of a host do not hide that it does not answer", "[link]")
+{
+    std::uint64_t connection = 0; // used on the thread
+    FiberThread thread("link-test");
+    LinkServer server(thread, "mute",
+                      {.received = [&](const LinkPeer &peer, const LinkMessage &,
+                                       const LinkReply &) { connection = peer.number; },
+                       .closed = [](const LinkPeer &) {}});
+    LinkPool pool(thread, "caller", 1);
+    const Address address{.ip = "127.0.0.1", .port = 28477};
+    REQUIRE(server.listen(address).ok());
+    thread.start();
+    thread.post([&] {
+        pool.setAddress("mute", address);
+        pool.call("mute", makeQuery(), "", 5s, [](LinkEnd, const LinkMessage &) {});
+    });
+    for (int i = 0; i < 9; ++i) {
+        thread.post([&] { server.ping(connection); });
+        std::this_thread::sleep_for(100ms);
+    }
+    std::promise<bool> result;
+    thread.post([&] { result.set_value(pool.isDown("mute", readBootTime())); });
+    CHECK(result.get_future().get());
+    thread.stop();
 }
 
 // Found by reading: on a connection that stays open for hours all messages would have counted as
