--- a/packages/stage/caller_news.h
+++ b/packages/stage/caller_news.h
@@ -1,6 +1,6 @@
 // Knows for each connection of another process up to when this process has heard of all callers
 // that left there. Messages of a connection come in the order in which they were sent, so one that
-// was sent at a time brings all cancellations of before.
+// was sent at a time brings the cancellations for all closes that its host had noticed by then.
 //
 //   news.note(connection, sentAt); // any message came
 //   if (news.age(connection, now) > limit) { ... a caller may have left ... }
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -111,10 +111,6 @@
     if (deadline - now < this->settings.leastRemaining) {
         return this->makeResult(wire::EXECUTE_REFUSED, {}, "no-time-left");
     }
-    if (run->delayed > run->newsLimit) {
-        // News of its caller would be held up as well.
-        return this->makeResult(wire::EXECUTE_REFUSED, pendingRetry, "held-up");
-    }
     if (execute.service() != this->settings.service || !this->monitor.mayServe(now)) {
         return this->makeResult(wire::EXECUTE_MISPLACED, pendingRetry);
     }
@@ -130,6 +126,9 @@
         return this->makeResult(isElsewhere ? wire::EXECUTE_MISPLACED : wire::EXECUTE_REFUSED,
                                 pendingRetry, isElsewhere ? "" : "key-pending");
     }
+    if (!this->waitForNews(*run, deadline)) { // before it takes a slot
+        return this->refuseSilent();
+    }
     const RunPermit permit = this->guard.startRun(run->fingerprint, readBootTime());
     if (permit == RunPermit::Quarantined || permit == RunPermit::Wait) {
         return this->makeResult(wire::EXECUTE_REFUSED, 1s, "crashes-upstreams");
@@ -140,7 +139,7 @@
     if (!this->waitForSlot(execute, run, number, deadline, retryAfter)) {
         result = this->makeResult(wire::EXECUTE_REFUSED, retryAfter, run->refusal);
     } else if (!this->waitForNews(*run, deadline)) {
-        result = this->makeResult(wire::EXECUTE_REFUSED, pendingRetry, "caller-silent");
+        result = this->refuseSilent();
         this->limiter.finish(number, end, readBootTime());
     } else {
         const auto withdrawn = this->judgeBeforeSend(execute, *run, deadline, readBootTime());
@@ -161,6 +160,15 @@
     return result;
 }
 
+// Returns the answer to a request whose caller may have left. Its host sends nothing more for a
+// moment: what follows would be as late.
+ExecuteResult Executor::refuseSilent() const
+{
+    ExecuteResult result = this->makeResult(wire::EXECUTE_REFUSED, pendingRetry, "caller-silent");
+    result.reply.set_closed_ms(static_cast<std::uint32_t>(toMilliseconds(this->settings.newsWait)));
+    return result;
+}
+
 // Tells the sender of a request what to know for the next one.
 void Executor::addLoad(wire::ExecuteReply &reply, Time now) const
 {
@@ -235,16 +243,17 @@
 // not say so in time.
 bool Executor::waitForNews(Run &run, Time deadline)
 {
+    constexpr double freshPart = 0.67; // of the limit: some of it passes until the request is sent
     const Time limit = std::min(deadline, readBootTime() + this->settings.newsWait);
     while (!run.isCancelled) {
         const Time now = readBootTime();
-        if (this->newsAge(run, now) <= run.newsLimit) {
+        if (this->newsAge(run, now) <= run.newsLimit * freshPart) {
             return true;
         }
-        if (now >= limit) {
+        if (now >= limit || run.isDropped || this->hooks.isSilent(run.caller.connection)) {
             return false;
         }
-        this->hooks.askForNews(run.caller.connection);
+        this->hooks.sendQuestion(run.caller.connection);
         run.awaitsNews = true;
         this->wait(run, limit - now);
         run.awaitsNews = false;
@@ -277,7 +286,7 @@
         if (run->isSent && age >= limit && this->hooks.isSilent(run->caller.connection)) {
             this->cancelRun(*run);
         } else {
-            this->hooks.askForNews(run->caller.connection);
+            this->hooks.sendQuestion(run->caller.connection);
         }
     }
 }
@@ -334,6 +343,9 @@
     if (deadline - now < this->settings.leastRemaining) {
         return this->makeResult(wire::EXECUTE_REFUSED, {}, "no-time-left");
     }
+    if (this->newsAge(run, now) > run.newsLimit) {
+        return this->refuseSilent();
+    }
     const bool isHeld = !this->hooks.hasKeys() || !execute.has_key()
                         || this->hooks.access(execute.key(), now) == KeyAccess::Held;
     if (!isHeld || !this->monitor.mayServe(now)) {
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -63,8 +63,8 @@
     // Of the processes that sent the requests, by connection; not set: all are always known.
     // For how long nothing is known of the callers there.
     std::function<Duration(std::uint64_t connection, Time now)> newsAge;
-    std::function<void(std::uint64_t connection)> askForNews; // noteNews follows
-    std::function<bool(std::uint64_t connection)> isSilent;   // it does not answer
+    std::function<void(std::uint64_t connection)> sendQuestion; // noteNews follows an answer
+    std::function<bool(std::uint64_t connection)> isSilent;     // it does not answer
 };
 
 struct ExecutorSettings
@@ -81,8 +81,8 @@
     // work may begin half a second after its caller has left, and noticing that, a connection to
     // the upstream and the request itself take time as well.
     Duration newsLimit = 300ms;
-    // The same for requests with keys: no other host serves them. Then a silent connection counts
-    // as dead at the other end, too, and work that may be repeated is ended.
+    // The same for requests with keys: no other host serves them. Work that may be repeated is
+    // ended after it, as the host of its caller has given up a connection that is silent so long.
     Duration silentLimit = LinkSettings{}.silentAfter;
     Duration newsWait = 150ms; // for an answer, two round trips between regions
     LimiterSettings limiter;
@@ -175,6 +175,7 @@
     };
     using RunPtr = std::shared_ptr<Run>;
 
+    ExecuteResult refuseSilent() const;
     ExecuteResult makeResult(wire::ExecuteOutcome outcome, Duration retryAfter = {},
                              std::string_view reason = {}) const;
     void addLoad(wire::ExecuteReply &reply, Time now) const;
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -137,7 +137,7 @@
                 .takesRequest = [this](Time deadline) { return this->takesRequest(deadline); },
                 .newsAge = [this](std::uint64_t connection,
                                   Time now) { return this->callerNews.age(connection, now); },
-                .askForNews =
+                .sendQuestion =
                         [this](std::uint64_t connection) {
                             if (this->callerNews.takeQuestion(connection, readBootTime())) {
                                 this->linkServer.ping(connection);
