--- a/packages/stage/awaited_table.h
+++ b/packages/stage/awaited_table.h
@@ -29,7 +29,7 @@
     }
 
 private:
-    static constexpr Duration grace = 150ms; // five hops between hosts take less
+    static constexpr Duration grace = 150ms; // five hops between hosts that answer take less
 
     std::uint64_t awaitedEnd = 0; // heard of first
     Time since{};
--- a/packages/stage/spread.cpp
+++ b/packages/stage/spread.cpp
@@ -34,6 +34,7 @@
         }
     }
     std::vector<SpreadPart> result;
+    result.reserve(regions.size() + dataCentres.size() + parts);
     for (auto &[name, part] : regions) {
         result.push_back(std::move(part));
     }
--- a/packages/stage/spread.h
+++ b/packages/stage/spread.h
@@ -30,7 +30,7 @@
 // 300 hosts are reached after 5 hops.
 inline constexpr std::size_t spreadParts = 4;
 
-// Each host stands in one part once; in its part the first one of `hosts` is the head.
+// Each host stands in one part once; the order of `hosts` chooses the heads.
 std::vector<SpreadPart> planSpread(const SpreadHost &own, const std::vector<SpreadHost> &hosts,
                                    std::size_t parts = spreadParts);
 
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -34,6 +34,7 @@
 #include <filesystem>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace kumquat {
@@ -126,6 +127,7 @@
     bool isRecordWriting = false;
     std::uint64_t recordChange = 0;
     Time fetchedAt = -1h;
+    std::set<std::string> fetching; // nodes that were asked for news and have not answered
     AwaitedTable awaitedTable;
     Time heartbeatAt{};               // of the newest heartbeat
     Time advancedAt = readBootTime(); // last
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration gossipLimit = 900ms; // for an answer; three round trips between regions at least
+constexpr Duration spreadLimit = 400ms; // the same for news; then its list goes another way
 constexpr Duration fetchPause = 50ms;   // between two requests for news
 
 } // namespace
@@ -179,14 +180,17 @@
 void Stage::fetchState(const std::string &node)
 {
     const Time now = readBootTime();
-    if (now - this->fetchedAt < fetchPause || node.empty()) {
+    const bool isUnderWay = this->fetching.contains(node);
+    if (now - this->fetchedAt < fetchPause || node.empty() || isUnderWay) {
         return;
     }
     this->fetchedAt = now;
+    this->fetching.insert(node);
     wire::LinkFrame frame;
     *frame.mutable_state_query()->mutable_known() = this->known();
     this->links.call(node, frame, {}, gossipLimit,
                      [this, node](LinkEnd end, const LinkMessage &answer) {
+                         this->fetching.erase(node);
                          if (end == LinkEnd::Answered) {
                              const wire::StateReply &state = answer.head.state_reply();
                              this->onState(node, state);
@@ -207,8 +211,13 @@
 {
     const Time now = readBootTime();
     std::vector<SpreadHost> hosts;
-    std::vector<SpreadHost> down; // no good heads
-    for (const std::string &name : nodes) {
+    std::vector<SpreadHost> down;            // no good heads
+    std::vector<std::string> turned = nodes; // each time other heads: one may be frozen
+    if (!turned.empty()) {
+        const auto turn = static_cast<std::ptrdiff_t>(news->known().tables_end() % turned.size());
+        std::rotate(turned.begin(), turned.begin() + turn, turned.end());
+    }
+    for (const std::string &name : turned) {
         const KnownHost *host = this->view.host(name);
         if (host == nullptr || name == this->settings.node) {
             continue; // one that is not known here hears of the news by itself
@@ -234,7 +243,7 @@
     for (const std::string &node : part.rest) {
         frame.mutable_state_reply()->add_pass_on(node);
     }
-    this->links.call(part.head, frame, {}, gossipLimit,
+    this->links.call(part.head, frame, {}, spreadLimit,
                      [this, news, rest = part.rest](LinkEnd end, const LinkMessage &) {
                          if (end != LinkEnd::Answered && !rest.empty()) {
                              this->spread(news, rest);
