--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -21,7 +21,7 @@
 constexpr Duration unwatchedLimit = 50ms;
 
 // Between two looks whether the caller is there while bytes of it lie unread.
-constexpr Duration unreadLook = 200ms;
+constexpr Duration unreadLook = 100ms;
 
 ErrorKind kindOfReadError(const ErrorCode &error)
 {
@@ -459,6 +459,7 @@
 void HttpConnection::drop()
 {
     this->isFinished = true;
+    this->unreadTimer.cancel();
     this->counts.unanswered -= static_cast<int>(this->pending.size());
     const std::deque<ExchangePtr> dropped = std::exchange(this->pending, {});
     for (const ExchangePtr &exchange : dropped) {
