system: answers without end, end to end with real processes

Guards against the operators' report of an endpoint whose bytes never end: the process beside it ran out of memory and the requests of its other clients ended with it. 48 callers at an upstream of 32 slots; requests for keys of a sound host go through the same process meanwhile and must all be answered with 200 within 1.5 s.

The stand-ins get endless answers by target and a number of slots.

--- a/packages/standins/http.cpp
+++ b/packages/standins/http.cpp
@@ -108,6 +108,9 @@
     // Writes an answer; returns whether the connection can be used further.
     static bool writeAnswer(Tcp::socket &socket, const HttpAnswer &answer);
 
+    // Writes until the connection has ended.
+    static void writeEndless(Tcp::socket &socket, EndlessBytes &bytes);
+
     void serveConnection(Tcp::socket socket);
     void acceptConnections(const std::shared_ptr<State> &self);
     bool addDescriptor(int descriptor);
@@ -152,6 +155,21 @@
     return !error && !answer.isCut;
 }
 
+void HttpServer::State::writeEndless(Tcp::socket &socket, EndlessBytes &bytes)
+{
+    ++bytes.begun;
+    const int open = ++bytes.open;
+    int most = bytes.mostOpen;
+    while (most < open && !bytes.mostOpen.compare_exchange_weak(most, open)) {
+    }
+    Error error;
+    bytes.written += asio::write(socket, asio::buffer(bytes.first), error);
+    while (!error) {
+        bytes.written += asio::write(socket, asio::buffer(bytes.then), error);
+    }
+    --bytes.open;
+}
+
 void HttpServer::State::serveConnection(Tcp::socket socket)
 {
     const int descriptor = socket.native_handle();
@@ -160,6 +178,10 @@
     beast::flat_buffer buffer;
     while (const auto request = readRequest(socket, buffer)) {
         const HttpAnswer answer = this->handler(*request);
+        if (answer.endless) {
+            writeEndless(socket, *answer.endless);
+            break;
+        }
         if (answer.isLost || !writeAnswer(socket, answer)) {
             break;
         }
--- a/packages/standins/http.h
+++ b/packages/standins/http.h
@@ -12,6 +12,8 @@
 
 #include <absl/status/statusor.h>
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -50,13 +52,25 @@
     std::int64_t queryInt(std::string_view name, std::int64_t fallback) const;
 };
 
+// Bytes of a faulty server that never end; counts over all connections that get them.
+struct EndlessBytes
+{
+    std::string first;
+    std::string then; // again and again until the connection closes
+    std::atomic<int> begun{0};
+    std::atomic<int> open{0};
+    std::atomic<int> mostOpen{0};
+    std::atomic<std::uint64_t> written{0};
+};
+
 struct HttpAnswer
 {
     int status = 200;
     HttpFields fields;
     std::string body;
-    bool isLost = false; // server: close the connection without an answer
-    bool isCut = false;  // server: close the connection after half of the body
+    bool isLost = false;                     // server: close the connection without an answer
+    bool isCut = false;                      // server: close the connection after half of the body
+    std::shared_ptr<EndlessBytes> endless{}; // server: written in place of an answer
 
     static HttpAnswer lost() { return {0, {}, {}, true, false}; }
 };
--- a/packages/standins/platform_endpoint.cpp
+++ b/packages/standins/platform_endpoint.cpp
@@ -12,7 +12,6 @@
 constexpr auto beatEvery = std::chrono::milliseconds(300);
 constexpr auto beatTimeout = std::chrono::seconds(1);
 constexpr auto beatAfterRelease = std::chrono::milliseconds(100);
-constexpr int slots = 9;
 
 } // namespace
 
@@ -178,7 +177,10 @@
             this->options.advertisedPort != 0 ? this->options.advertisedPort : this->port();
     Json body{{"address", "127.0.0.1:" + std::to_string(advertised)},
               {"info",
-               {{"service", this->service}, {"version", "v1"}, {"zone", "a"}, {"slots", slots}}},
+               {{"service", this->service},
+                {"version", "v1"},
+                {"zone", "a"},
+                {"slots", this->options.slots}}},
               {"status",
                {{"state", this->isDraining ? "draining" : "ready"},
                 {"seq", sequence},
@@ -241,8 +243,23 @@
     return this->ran;
 }
 
+void PlatformEndpoint::setEndless(const std::string &target, std::shared_ptr<EndlessBytes> bytes)
+{
+    const std::lock_guard lock(this->mutex);
+    this->endless[target] = std::move(bytes);
+}
+
 HttpAnswer PlatformEndpoint::answer(const HttpRequest &request)
 {
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->endless.find(request.target);
+        if (found != this->endless.end()) {
+            HttpAnswer answer;
+            answer.endless = found->second;
+            return answer;
+        }
+    }
     if (request.target == "/kumquatstage/grant" || request.target == "/kumquatstage/release") {
         return this->order(request, request.target == "/kumquatstage/grant");
     }
--- a/packages/standins/platform_endpoint.h
+++ b/packages/standins/platform_endpoint.h
@@ -80,6 +80,7 @@
     std::uint16_t advertisedPort = 0; // in heartbeats, that of a proxy before it; 0: its own
     std::chrono::milliseconds workTime{5};
     bool grantsInAnswers = false; // takes keys from answers to heartbeats, not from calls
+    int slots = 9;
 };
 
 class PlatformEndpoint
@@ -97,6 +98,9 @@
     void sendHeartbeatsTo(const Address &address);
     void setDraining() { this->isDraining = true; }
 
+    // Answers all later requests for a target with bytes without end.
+    void setEndless(const std::string &target, std::shared_ptr<EndlessBytes> bytes);
+
     // Returns how long after the acknowledgement of its leaving the last request began, or 0.
     std::chrono::milliseconds servedAfterDrain();
 
@@ -118,6 +122,7 @@
     std::int64_t bornMs;
     std::mutex mutex;
     std::vector<std::string> ran;
+    std::map<std::string, std::shared_ptr<EndlessBytes>> endless; // by target
     std::vector<HoldLedger::Row> released; // since the last heartbeat with an answer
     HoldLedger::Clock::time_point lastRunAt;
     std::optional<HoldLedger::Clock::time_point> drainAcknowledgedAt;
--- a/packages/system/platform_cluster.cpp
+++ b/packages/system/platform_cluster.cpp
@@ -91,7 +91,8 @@
             EndpointOptions{.port = host.upstream.port,
                             .advertisedPort = host.advertisedUpstream.port,
                             .workTime = this->options.workTime,
-                            .grantsInAnswers = this->options.grantsInAnswers});
+                            .grantsInAnswers = this->options.grantsInAnswers,
+                            .slots = this->options.slots});
     host.endpoint->sendHeartbeatsTo(host.heartbeats);
 }
 
--- a/packages/system/platform_cluster.h
+++ b/packages/system/platform_cluster.h
@@ -35,6 +35,7 @@
     int stopSeconds = 6;                   // between SIGTERM and SIGKILL
     bool grantsInAnswers = false; // keys are granted in answers to heartbeats, not by calls
     bool hasKeys = true;          // the service is divided by key
+    int slots = 9;                // of each upstream
 };
 
 // ---- PlatformHost ----
