--- a/packages/keyspace/key_table.h
+++ b/packages/keyspace/key_table.h
@@ -66,9 +66,10 @@
     std::uint64_t id = 0;
     std::string node; // host whose process grants the keys to the upstream
     UpstreamInstance instance;
-    std::uint32_t slots = 1;               // number of requests that the upstream runs concurrently
-    std::vector<std::string> voters;       // nodes; a majority of them must vote for the session
-    std::vector<std::string> formerVoters; // previous voters, until the owner has read the new ones
+    std::uint32_t slots = 1;         // number of requests that the upstream runs concurrently
+    std::vector<std::string> voters; // nodes; a majority of them must vote for the session
+    // Previous voters, until no grant of the owner depends on them any more.
+    std::vector<std::string> formerVoters;
     std::uint64_t endedAt = 0; // offset after the record that ended the session; 0: active
     bool stopped = false;      // ended, and known to hold no keys
     bool leaving = false;      // the session is assigned no more keys
--- a/packages/keyspace/lease.cpp
+++ b/packages/keyspace/lease.cpp
@@ -39,6 +39,44 @@
     return ends[last];
 }
 
+// ---- VoterChange ----
+
+void VoterChange::note(const std::vector<std::string> &nodes, std::uint64_t tableEnd, Time now)
+{
+    if (nodes != this->voters) {
+        this->voters = nodes;
+        this->changedAt = now;
+        this->endBefore = this->end;
+    }
+    this->end = tableEnd;
+}
+
+std::uint64_t VoterChange::settledEnd(Duration leaseLength, Time now) const
+{
+    const double slowFactor = 1 + LeaseSettings{}.clockDrift;
+    const auto grantLength = std::chrono::duration_cast<Duration>(leaseLength * slowFactor);
+    return now >= this->changedAt + grantLength ? this->end : this->endBefore;
+}
+
+// ---- TableFreshness ----
+
+void TableFreshness::note(Time asOf)
+{
+    if (asOf >= this->startedAt) {
+        this->currentAt = std::max(this->currentAt.value_or(asOf), asOf);
+    }
+}
+
+std::optional<Duration> TableFreshness::age(Time now) const
+{
+    return this->currentAt ? std::optional<Duration>(now - *this->currentAt) : std::nullopt;
+}
+
+Time TableFreshness::leaseLimit() const
+{
+    return this->currentAt ? *this->currentAt + this->settings.freshFor : Time::zero();
+}
+
 // ---- LeaseVoter ----
 
 Duration LeaseVoter::maxVoteLength(const KeyTable &table) const
@@ -82,7 +120,8 @@
     this->released[session].insert(voter);
 }
 
-bool StopProof::hasMajority(std::uint64_t session, const std::vector<std::string> &voters) const
+bool StopProof::hasNoMajorityLeft(std::uint64_t session,
+                                  const std::vector<std::string> &voters) const
 {
     const auto found = this->released.find(session);
     const std::size_t count =
@@ -92,7 +131,7 @@
                             voters.begin(), voters.end(), [&](const std::string &voter) {
                                 return found->second.contains(voter);
                             }));
-    return count >= voterMajority(voters.size());
+    return voters.size() - count < voterMajority(voters.size()) || voters.empty();
 }
 
 bool StopProof::isStopped(const KeyTable &table, std::uint64_t session) const
@@ -109,14 +148,34 @@
     if (found->isActive() || found->voters.empty() || hadNoVoters) {
         return false;
     }
-    return this->hasMajority(session, found->voters)
-           && this->hasMajority(session, found->formerVoters);
+    return this->hasNoMajorityLeft(session, found->voters)
+           && this->hasNoMajorityLeft(session, found->formerVoters);
+}
+
+void StopProof::noteTable(const KeyTable &table, Time now)
+{
+    for (const KeySession &session : table.sessions) {
+        if (!session.isActive()) {
+            this->endedSince.try_emplace(session.id, now);
+        }
+    }
+}
+
+bool StopProof::hasExpired(std::uint64_t session, Time now) const
+{
+    const auto found = this->endedSince.find(session);
+    const auto wait = std::chrono::duration_cast<Duration>(this->settings.freshFor
+                                                           * (1 + this->settings.clockDrift));
+    return found != this->endedSince.end() && now >= found->second + wait;
 }
 
 void StopProof::prune(const KeyTable &table)
 {
-    std::erase_if(this->released,
-                  [&](const auto &entry) { return table.session(entry.first) == nullptr; });
+    const auto isForgotten = [&](const auto &entry) {
+        return table.session(entry.first) == nullptr;
+    };
+    std::erase_if(this->released, isForgotten);
+    std::erase_if(this->endedSince, isForgotten);
 }
 
 } // namespace kumquat
--- a/packages/keyspace/lease.h
+++ b/packages/keyspace/lease.h
@@ -2,14 +2,19 @@
 //
 // An owner asks its voters to vote for its session. While a majority of the votes is valid, no
 // other process can have proof that the session has stopped: a voter gives that proof only after it
-// has read the record that ended the session and after its own last vote has expired. Leases do not
+// has read the record that ended the session and after its own last vote has expired. Votes do not
 // need the store, so owners keep working during an outage of the store.
 //
+// Voters may be lost for good and never give that proof. An owner therefore also stops once its key
+// table has not been compared with the store for `freshFor`, and a session that was ended longer
+// ago has stopped whatever became of its voters.
+//
 //   lease.setVoters(session.voters);
 //   lease.noteVote("node-7", sentAt);
-//   if (now < lease.validUntil()) { ... renew the grants ... }
+//   freshness.note(askedAt);
+//   if (now < std::min(lease.validUntil(), freshness.leaseLimit())) { ... renew the grants ... }
 //
-// Sections: settings, QuorumLease, LeaseVoter, StopProof.
+// Sections: settings, QuorumLease, VoterChange, TableFreshness, LeaseVoter, StopProof.
 #pragma once
 
 #include "base/time.h"
@@ -17,6 +22,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -32,6 +38,9 @@
     // table.
     Duration length = defaultLeaseLength;
     Duration renewEvery = 400ms;
+    // Time without a current key table after which an owner stops. Outages of the store take up to
+    // 9 s, and the table is compared with the store every 3 s or less.
+    Duration freshFor = 12s;
     double clockDrift = 0.02; // fraction by which a clock may be slow
 };
 
@@ -73,6 +82,59 @@
     std::map<std::string, Time> voteEnds; // by voter
 };
 
+// ---- VoterChange ----
+
+// Tells from which key tables the voters come on which the present grants of an owner depend. A
+// grant outlasts a change of the voters by up to one lease. Not thread-safe.
+class VoterChange
+{
+public:
+    // `started`: start of this process. An earlier process on this host may have used other voters.
+    explicit VoterChange(Time started)
+        : changedAt(started)
+    {}
+
+    // Records the voters of the own session in a table that ends at `tableEnd`.
+    void note(const std::vector<std::string> &nodes, std::uint64_t tableEnd, Time now);
+
+    // Returns an end of the tables: all grants depend on voters of tables up to it or later ones.
+    std::uint64_t settledEnd(Duration leaseLength, Time now) const;
+
+private:
+    std::vector<std::string> voters;
+    std::uint64_t endBefore = 0; // of the last table with the voters before
+    std::uint64_t end = 0;       // of the last table
+    Time changedAt;
+};
+
+// ---- TableFreshness ----
+
+// Tracks how current the key tables of this process are. Not thread-safe.
+class TableFreshness
+{
+public:
+    explicit TableFreshness(Time started, LeaseSettings leaseSettings = {})
+        : settings(leaseSettings)
+        , startedAt(started)
+    {}
+
+    // Records that this process has read all tables that were in the store at `asOf`. Times before
+    // the start of the process are ignored: an earlier process on this host may have confirmed
+    // newer voters than the table of that time names.
+    void note(Time asOf);
+
+    // Returns the time since the tables were current, or std::nullopt if it is unknown.
+    std::optional<Duration> age(Time now) const;
+
+    // Returns the time until which an owner may act on the tables; zero if it is unknown.
+    Time leaseLimit() const;
+
+private:
+    LeaseSettings settings;
+    Time startedAt;
+    std::optional<Time> currentAt;
+};
+
 // ---- LeaseVoter ----
 
 // The voter's side, for the sessions of any service. It keeps its votes in memory only, so for one
@@ -115,18 +177,27 @@
     // Records that a voter has released the session (LeaseVoter::hasReleased).
     void noteRelease(std::uint64_t session, const std::string &voter);
 
-    // Returns whether a majority of each set of voters has released an ended session, or the table
-    // marks it as stopped. A session that is not in the table has stopped, because only stopped
-    // sessions are removed from it.
+    // Returns whether so many voters have released an ended session that neither set of voters has
+    // a majority left for it, or the table marks it as stopped. A session that is not in the table
+    // has stopped, because only stopped sessions are removed from it.
     bool isStopped(const KeyTable &table, std::uint64_t session) const;
 
+    // Records which sessions a table that was read at `now` names as ended.
+    void noteTable(const KeyTable &table, Time now);
+
+    // Returns whether a session was ended so long ago that the owner's key table can no longer
+    // count as current (TableFreshness), with or without its voters.
+    bool hasExpired(std::uint64_t session, Time now) const;
+
     // Discards the releases of sessions that are not in the table.
     void prune(const KeyTable &table);
 
 private:
-    bool hasMajority(std::uint64_t session, const std::vector<std::string> &voters) const;
+    bool hasNoMajorityLeft(std::uint64_t session, const std::vector<std::string> &voters) const;
 
+    LeaseSettings settings;
     std::map<std::uint64_t, std::set<std::string>> released; // voters by session
+    std::map<std::uint64_t, Time> endedSince; // by session; when this process learnt of its end
 };
 
 } // namespace kumquat
--- a/packages/keyspace/range_planner.cpp
+++ b/packages/keyspace/range_planner.cpp
@@ -47,6 +47,7 @@
         , settings(plannerSettings)
         , next(*planInput.table)
         , weights(planInput.load->rates(planInput.now), this->assumedKeyRate())
+        , mayEnd(this->mayEndSilent())
     {}
 
     std::optional<KeyTable> plan()
@@ -82,7 +83,9 @@
     // Voters.
     void chooseVoters();
     std::vector<std::string> pickVoters(const KeySession &session) const;
+    std::optional<std::vector<std::string>> replaceVoters(const KeySession &session) const;
     bool isVoterUnavailable(const std::string &node) const;
+    bool isVoterStopping(const std::string &node) const;
 
     // Ranges.
     void moveFromLeaving();
@@ -108,6 +111,7 @@
     const PlannerSettings &settings;
     KeyTable next;
     KeyWeights weights;
+    bool mayEnd; // silent sessions may be ended, and lost voters may be left without replacement
     bool hasChanged = false;
 };
 
@@ -166,7 +170,6 @@
 
 void Planner::endSessions()
 {
-    const bool mayEnd = this->mayEndSilent();
     for (KeySession &session : this->next.sessions) {
         if (!session.isActive()) {
             continue;
@@ -183,7 +186,7 @@
         // so a session without a report is not silent.
         const bool isSilent = found != nullptr && found->silence >= this->settings.endAfter;
         const bool isOwn = session.node == this->input.node;
-        if (mayEnd && !isOwn && isSilent) {
+        if (this->mayEnd && !isOwn && isSilent) {
             this->endSession(session, false);
         }
     }
@@ -267,6 +270,12 @@
     return info == nullptr || !info->isReachable;
 }
 
+bool Planner::isVoterStopping(const std::string &node) const
+{
+    const HostInfo *info = this->host(node);
+    return info != nullptr && info->isStopping;
+}
+
 // Picks voters that rarely fail together: each in another data centre if possible, with those of
 // the owner's region first.
 std::vector<std::string> Planner::pickVoters(const KeySession &session) const
@@ -280,7 +289,7 @@
     };
     std::vector<Choice> choices;
     for (const HostInfo &info : this->input.hosts) {
-        if (info.node == session.node || !info.isReachable) {
+        if (info.node == session.node || !info.isReachable || info.isStopping) {
             continue;
         }
         const bool sameRegion = ownHost != nullptr && ownHost->region == info.region;
@@ -309,6 +318,31 @@
     return picked;
 }
 
+// Returns the voters to use instead of the present ones, or std::nullopt to keep them.
+//
+// A set of fewer voters is chosen only if the lease could not be renewed otherwise. It is safe:
+// until the owner has read the new set, both sets must give proof that the session has stopped.
+std::optional<std::vector<std::string>> Planner::replaceVoters(const KeySession &session) const
+{
+    std::size_t left = 0;
+    std::size_t unavailable = 0;
+    for (const std::string &voter : session.voters) {
+        const bool isUnavailable = this->isVoterUnavailable(voter);
+        unavailable += isUnavailable ? 1 : 0;
+        left += !isUnavailable && !this->isVoterStopping(voter) ? 1 : 0;
+    }
+    const std::size_t others = std::max<std::size_t>(1, this->input.hosts.size()) - 1;
+    const bool hasTooFew = session.voters.size() < std::min(this->settings.voters, others);
+    const bool hasLostLease = left < voterMajority(session.voters.size());
+    if (!hasTooFew && unavailable == 0 && !hasLostLease) {
+        return std::nullopt;
+    }
+    std::vector<std::string> voters = this->pickVoters(session);
+    const bool mayBeCutOff = (unavailable > 0 || voters.empty()) && !this->mayEnd;
+    const bool mayUse = voters.size() >= session.voters.size() || (hasLostLease && !mayBeCutOff);
+    return mayUse && voters != session.voters ? std::optional(std::move(voters)) : std::nullopt;
+}
+
 void Planner::chooseVoters()
 {
     for (KeySession &session : this->next.sessions) {
@@ -316,24 +350,25 @@
             continue;
         }
         const SessionReport *found = this->report(session.id);
-        const bool hasRead = found != nullptr && found->tablesEnd >= this->input.table->end;
-        if (!session.formerVoters.empty() && hasRead) {
-            session.formerVoters.clear(); // not a change of its own: written with the next one
+        const bool usesVoters = found != nullptr && found->votersEnd >= this->input.table->end;
+        if (!session.formerVoters.empty() && usesVoters) {
+            // Written with the next change, but at once if a lost voter could be missed in a proof.
+            this->hasChanged =
+                    this->hasChanged
+                    || std::any_of(session.formerVoters.begin(), session.formerVoters.end(),
+                                   [this](const std::string &voter) {
+                                       return this->isVoterUnavailable(voter);
+                                   });
+            session.formerVoters.clear();
         }
-        const std::size_t possible = std::min(
-                this->settings.voters, std::max<std::size_t>(1, this->input.hosts.size()) - 1);
-        const bool hasTooFew = session.voters.size() < possible;
-        const bool hasUnavailable = std::any_of(
-                session.voters.begin(), session.voters.end(),
-                [this](const std::string &node) { return this->isVoterUnavailable(node); });
-        if ((!hasTooFew && !hasUnavailable) || !session.formerVoters.empty()) {
+        if (!session.formerVoters.empty()) {
             continue;
         }
-        std::vector<std::string> voters = this->pickVoters(session);
-        if (voters.size() < session.voters.size() || voters == session.voters) {
+        std::optional<std::vector<std::string>> voters = this->replaceVoters(session);
+        if (!voters) {
             continue;
         }
-        session.formerVoters = std::exchange(session.voters, std::move(voters));
+        session.formerVoters = std::exchange(session.voters, *std::move(voters));
         if (session.formerVoters.empty() && this->input.table->session(session.id) != nullptr) {
             // Until the session's host has read the new voters, it keeps working without any vote,
             // so the host itself remains a former voter.
--- a/packages/keyspace/range_planner.h
+++ b/packages/keyspace/range_planner.h
@@ -43,6 +43,7 @@
     std::uint32_t slots = 1;
     UpstreamPhase phase = UpstreamPhase::Absent;
     bool isReachable = true; // from the host that runs the planner
+    bool isStopping = false; // its process is shutting down
 };
 
 // The last report about a session by its host.
@@ -55,6 +56,7 @@
     bool isStopping = false;     // its process is shutting down
     double serviceSeconds = 0;   // mean time of one request; 0: unknown
     std::uint64_t tablesEnd = 0; // `end` of the table that the host has read
+    std::uint64_t votersEnd = 0; // its grants depend on voters of tables up to this end, or later
     std::vector<std::uint64_t> unsettled; // fences of ranges that wait for a predecessor
 };
 
--- a/packages/keyspace/tests/test_ownership_model.cpp
+++ b/packages/keyspace/tests/test_ownership_model.cpp
@@ -34,6 +34,13 @@
     bool reportOrder = true; // a heartbeat that arrives after a newer one is ignored
     bool runningWork = true; // keys with requests that are still running count as held
     bool lateOrders = true;  // an order is checked again when it is sent
+    bool freshTables = true; // owners stop without a current key table
+};
+
+enum class Faults : std::uint8_t {
+    None,    // also no late messages
+    Passing, // hosts freeze, are cut off or restart; the store is unavailable
+    Lasting, // besides, hosts are lost for good, and groups of hosts are cut off from all others
 };
 
 // An upstream, which holds keys until a time by its own clock. The clock may be slow.
@@ -165,27 +172,32 @@
         : voter(LeaseSettings{}, started)
         , lease(LeaseSettings{})
         , holder({}, started)
-    {
-        this->voter.noteFreshRead();
-    }
+        , freshness(started)
+        , voterChange(started)
+    {}
 
     LeaseVoter voter;
     QuorumLease lease;
     RangeHolder holder;
     StopProof proofs;
+    TableFreshness freshness;
+    VoterChange voterChange;
     KeyTable table = KeyTable::createEmpty("testlog");
     std::uint64_t session = 0;
     std::uint64_t lastSequence = 0; // of the newest heartbeat received
     Time renewedAt = -1h;
+    Time readAt = -1h;
 };
 
 class OwnershipModel
 {
 public:
-    OwnershipModel(unsigned seed, Guards modelGuards, GrantMode modelGrantMode = GrantMode::Call)
+    OwnershipModel(unsigned seed, Guards modelGuards, GrantMode modelGrantMode = GrantMode::Call,
+                   Faults modelFaults = Faults::Passing)
         : random(seed)
         , guards(modelGuards)
         , grantMode(modelGrantMode)
+        , faults(modelFaults)
         , load(3s)
     {
         for (int i = 0; i < hostCount; ++i) {
@@ -194,9 +206,14 @@
             this->upstreams.back().clockFactor = this->chance(0.5) ? 1.02 : 1.0;
             this->frozenUntil.push_back(Time::zero());
             this->cutUntil.push_back(Time::zero());
+            this->apartUntil.push_back(Time::zero());
+            this->lost.push_back(false);
         }
     }
 
+    // Loses a host for good, with its process and its upstream.
+    void lose(int host) { this->lost[host] = true; }
+
     // Runs the scenario. Returns a description of the first violation, or an empty string.
     std::string run(Duration length)
     {
@@ -217,22 +234,43 @@
         return this->violation;
     }
 
+    // Runs on and returns the number of keys that some upstream holds at any time of `length`. Keys
+    // that move are not held for a moment.
+    std::uint32_t heldKeysWithin(Duration length)
+    {
+        std::vector<bool> isHeld(lastShardKey + 1);
+        const Time end = this->now + length;
+        while (this->now < end) {
+            this->run(tick);
+            this->addHeldKeys(isHeld);
+        }
+        return static_cast<std::uint32_t>(std::count(isHeld.begin(), isHeld.end(), true));
+    }
+
     // Number of keys that some upstream holds at the end.
     std::uint32_t heldKeys() const
     {
-        std::uint32_t held = 0;
-        for (const ModelUpstream &upstream : this->upstreams) {
-            for (const ModelUpstream::Hold &hold : upstream.holds) {
-                held += hold.until > this->now ? hold.span.size() : 0;
+        std::vector<bool> isHeld(lastShardKey + 1);
+        this->addHeldKeys(isHeld);
+        return static_cast<std::uint32_t>(std::count(isHeld.begin(), isHeld.end(), true));
+    }
+
+private:
+    void addHeldKeys(std::vector<bool> &isHeld) const
+    {
+        for (int i = 0; i < hostCount; ++i) {
+            for (const ModelUpstream::Hold &hold : this->upstreams[i].holds) {
+                if (hold.until > this->now && !this->lost[i]) {
+                    std::fill_n(isHeld.begin() + hold.span.first, hold.span.size(), true);
+                }
             }
         }
-        return held;
     }
 
-private:
     bool chance(double share)
     {
-        return std::uniform_real_distribution<>(0, 1)(this->random) < share;
+        return this->faults != Faults::None
+               && std::uniform_real_distribution<>(0, 1)(this->random) < share;
     }
 
     Duration between(Duration minimum, Duration maximum)
@@ -243,10 +281,20 @@
 
     std::string nameOf(int host) const { return std::string(1, static_cast<char>('a' + host)); }
     int indexOf(const std::string &node) const { return node[0] - 'a'; }
-    bool isAwake(int host) const { return this->now >= this->frozenUntil[host]; }
+    bool isAwake(int host) const
+    {
+        return this->now >= this->frozenUntil[host] && !this->lost[host];
+    }
+    bool isApart(int host) const { return this->now < this->apartUntil[host]; }
     bool isLinked(int a, int b) const
     {
-        return this->now >= this->cutUntil[a] && this->now >= this->cutUntil[b];
+        return this->now >= this->cutUntil[a] && this->now >= this->cutUntil[b]
+               && this->isApart(a) == this->isApart(b);
+    }
+    bool reachesStore(int host) const
+    {
+        return this->isAwake(host) && !this->isApart(host) && this->now >= this->cutUntil[host]
+               && this->now >= this->storeDownUntil;
     }
 
     void schedule(Duration delay, std::function<void()> work)
@@ -265,6 +313,12 @@
 
     void injectFaults()
     {
+        if (this->faults == Faults::None) {
+            return;
+        }
+        if (this->faults == Faults::Lasting) {
+            this->injectLastingFaults();
+        }
         const int host = static_cast<int>(this->random() % hostCount);
         if (this->chance(0.004)) {
             this->frozenUntil[host] = this->now + this->between(500ms, 5s);
@@ -274,14 +328,65 @@
         }
         if (this->chance(0.002)) {
             // The process is killed and restarts; its upstream keeps the keys that it holds.
-            this->hosts[host] = std::make_unique<ModelHost>(this->now);
-            this->hosts[host]->table = this->stored;
+            this->restart(host);
         }
         if (this->chance(0.002)) {
             this->storeDownUntil = this->now + this->between(500ms, 5s);
         }
     }
 
+    void restart(int host)
+    {
+        this->hosts[host] = std::make_unique<ModelHost>(this->now);
+        const int other = static_cast<int>(this->random() % hostCount);
+        if (this->reachesStore(host)) {
+            this->hosts[host]->table = this->stored;
+            this->hosts[host]->voter.noteFreshRead();
+            this->hosts[host]->freshness.note(this->now);
+        } else if (other != host && this->isLinked(host, other)) {
+            this->hosts[host]->table = this->hosts[other]->table; // may be out of date
+        }
+    }
+
+    void injectLastingFaults()
+    {
+        if (this->chance(0.001)) {
+            // Some hosts are cut off from the store and from the other hosts, but not from each
+            // other.
+            const Time end = this->now + this->between(5s, 25s);
+            for (int i = 0; i < hostCount; ++i) {
+                this->apartUntil[i] = this->chance(0.5) ? end : Time::zero();
+            }
+        }
+        if (this->chance(0.0004)) {
+            for (int i = 1 + static_cast<int>(this->random() % hostCount); i < hostCount; ++i) {
+                this->lose(i);
+            }
+        }
+        if (this->chance(0.0006)) {
+            this->lose(1 + static_cast<int>(this->random() % (hostCount - 1)));
+        }
+    }
+
+    // Compares the key table of a host with that of the store.
+    void readStore(int index)
+    {
+        ModelHost &host = *this->hosts[index];
+        if (!this->reachesStore(index) || this->now < host.readAt + 400ms) {
+            return;
+        }
+        host.readAt = this->now;
+        this->schedule(this->between(5ms, 200ms),
+                       [this, index, reader = &host, askedAt = this->now, table = this->stored] {
+                           if (this->hosts[index].get() != reader || !this->reachesStore(index)) {
+                               return;
+                           }
+                           this->deliverTable(index, table);
+                           reader->voter.noteFreshRead();
+                           reader->freshness.note(askedAt);
+                       });
+    }
+
     // Plans on the first host that is awake and connected. All hosts read the new table after a
     // delay.
     void planTable()
@@ -292,7 +397,8 @@
         this->plannedAt = this->now;
         int writer = 0;
         while (writer < hostCount
-               && !(this->isAwake(writer) && this->now >= this->cutUntil[writer])) {
+               && !(this->isAwake(writer) && this->now >= this->cutUntil[writer]
+                    && !this->isApart(writer))) {
             ++writer;
         }
         if (writer == hostCount) {
@@ -307,6 +413,9 @@
                         .now = this->now};
         for (int i = 0; i < hostCount; ++i) {
             const bool isLeaving = this->chance(0.02);
+            if (this->isAwake(i) && this->isLinked(i, writer)) {
+                this->reachedAt[i] = this->now;
+            }
             input.hosts.push_back(
                     {.node = this->nameOf(i),
                      .dataCentre = this->nameOf(i),
@@ -314,7 +423,8 @@
                      .service = "testlog",
                      .instance = {.id = "i-" + this->nameOf(i), .startedMs = 1},
                      .slots = 9,
-                     .phase = isLeaving ? UpstreamPhase::Draining : UpstreamPhase::Ready});
+                     .phase = isLeaving ? UpstreamPhase::Draining : UpstreamPhase::Ready,
+                     .isReachable = this->now - this->reachedAt[i] < 2s});
             ModelHost &host = *this->hosts[i];
             if (host.session != 0) {
                 SessionReport &report = input.reports[host.session];
@@ -322,6 +432,7 @@
                 this->heardAt[i] = isHeard ? this->now : this->heardAt[i];
                 report.silence = this->now - this->heardAt[i];
                 report.tablesEnd = host.table.end;
+                report.votersEnd = host.voterChange.settledEnd(host.table.leaseLength, this->now);
                 report.unsettled = host.holder.unsettledFences();
             }
         }
@@ -342,7 +453,10 @@
 
     void deliverTable(int index, const KeyTable &table)
     {
-        if (!this->isAwake(index) || this->now < this->cutUntil[index]) {
+        if (!this->isAwake(index) || this->now < this->cutUntil[index] || this->isApart(index)) {
+            if (this->lost[index]) {
+                return;
+            }
             this->schedule(100ms, [this, index, table] { this->deliverTable(index, table); });
             return;
         }
@@ -357,10 +471,25 @@
             host.lease.reset();
             host.session = id;
         }
-        host.lease.setVoters(own != nullptr ? own->voters : std::vector<std::string>());
-        host.holder.setLease(own != nullptr ? host.lease.validUntil() : Time::zero());
+        const auto voters = own != nullptr ? own->voters : std::vector<std::string>();
+        host.lease.setVoters(voters);
+        host.voterChange.note(voters, host.table.end, this->now);
+        host.holder.setLease(this->leaseEnd(host));
         host.holder.assign(host.table, id, this->now);
         host.proofs.prune(host.table);
+        host.proofs.noteTable(host.table, this->now);
+    }
+
+    Time leaseEnd(const ModelHost &host) const
+    {
+        if (host.session == 0) {
+            return Time::zero();
+        }
+        if (!this->guards.leaseBounds) {
+            return this->now + 10s;
+        }
+        const Time votes = host.lease.validUntil();
+        return this->guards.freshTables ? std::min(votes, host.freshness.leaseLimit()) : votes;
     }
 
     void advance(int index)
@@ -376,9 +505,9 @@
             host.renewedAt = this->now;
             this->renew(index);
         }
+        this->readStore(index);
         this->collectProofs(index);
-        const Time lease = this->guards.leaseBounds ? host.lease.validUntil() : this->now + 10s;
-        host.holder.setLease(host.session != 0 ? lease : Time::zero());
+        host.holder.setLease(this->leaseEnd(host));
         if (this->grantMode == GrantMode::Heartbeat) {
             return;
         }
@@ -468,22 +597,27 @@
             }
             const Time sentAt = this->now;
             const ModelHost *requester = this->hosts[index].get();
-            this->schedule(this->between(1ms, 100ms), [this, index, peer, voter, sentAt,
-                                                       requester] {
-                ModelHost &owner = *this->hosts[index];
-                if (!this->isAwake(peer) || &owner != requester) {
-                    return;
-                }
-                ModelHost &other = *this->hosts[peer];
-                const bool voted = other.voter.vote(&other.table, owner.session, this->now);
-                const std::uint64_t id = owner.session;
-                this->schedule(this->between(1ms, 100ms), [this, index, voter, sentAt, voted, id] {
-                    ModelHost &answered = *this->hosts[index];
-                    if (voted && answered.session == id) {
-                        answered.lease.noteVote(voter, sentAt);
-                    }
-                });
-            });
+            this->schedule(
+                    this->between(1ms, 100ms), [this, index, peer, voter, sentAt, requester] {
+                        ModelHost &owner = *this->hosts[index];
+                        if (!this->isAwake(peer) || &owner != requester) {
+                            return;
+                        }
+                        ModelHost &other = *this->hosts[peer];
+                        const bool voted = other.voter.vote(&other.table, owner.session, this->now);
+                        const std::uint64_t id = owner.session;
+                        const auto age = other.freshness.age(this->now);
+                        const std::uint64_t end = other.table.end;
+                        this->schedule(this->between(1ms, 100ms), [=, this] {
+                            ModelHost &answered = *this->hosts[index];
+                            if (&answered == requester && age && end <= answered.table.end) {
+                                answered.freshness.note(sentAt - *age);
+                            }
+                            if (voted && answered.session == id) {
+                                answered.lease.noteVote(voter, sentAt);
+                            }
+                        });
+                    });
         }
     }
 
@@ -493,7 +627,8 @@
         for (const MissingProof &missing : host.holder.missingProofs()) {
             const std::uint64_t id = missing.predecessor.session;
             const KeySession *former = host.table.session(id);
-            if (!this->guards.proofs || host.proofs.isStopped(host.table, id)) {
+            if (!this->guards.proofs || host.proofs.isStopped(host.table, id)
+                || host.proofs.hasExpired(id, this->now)) {
                 host.holder.notePredecessorStopped(missing.predecessor, missing.span, "");
                 continue;
             }
@@ -641,6 +776,7 @@
     std::mt19937 random;
     Guards guards;
     GrantMode grantMode;
+    Faults faults;
     Time now = 100s;
     Time plannedAt{};
     Time storeDownUntil{};
@@ -650,16 +786,21 @@
     std::vector<ModelUpstream> upstreams;
     std::vector<Time> frozenUntil;
     std::vector<Time> cutUntil;
+    std::vector<Time> apartUntil; // cut off together with the other hosts for which it is set
+    std::vector<bool> lost;
     std::map<int, Time> heardAt;
+    std::map<int, Time> reachedAt;
     std::multimap<Time, std::function<void()>> scheduled;
     std::string violation;
 };
 
 // Runs scenarios until one finds a violation. Returns whether one did.
-bool isDetected(Guards guards, GrantMode grantMode = GrantMode::Call)
+bool isDetected(Guards guards, GrantMode grantMode = GrantMode::Call,
+                Faults faults = Faults::Passing)
 {
+    const Duration length = faults == Faults::Lasting ? 60s : 30s;
     for (unsigned seed = 1; seed <= 60; ++seed) {
-        if (!OwnershipModel(seed, guards, grantMode).run(30s).empty()) {
+        if (!OwnershipModel(seed, guards, grantMode, faults).run(length).empty()) {
             return true;
         }
     }
@@ -713,6 +854,53 @@
     CHECK(isDetected({.leaseBounds = false}));
     CHECK(isDetected({.lateGrants = false}));
     CHECK(isDetected({.lateOrders = false}));
+    CHECK(isDetected({.freshTables = false}, GrantMode::Call, Faults::Lasting));
+}
+
+// Guards against a takeover from an owner that is out of touch with its successor but not lost.
+TEST_CASE("no two upstreams hold a key at once while hosts are lost or cut off in groups",
+          "[ownership_model]")
+{
+    for (const GrantMode grantMode : {GrantMode::Call, GrantMode::Heartbeat}) {
+        const bool holds = rc::check("in every scenario", [grantMode](unsigned seed) {
+            OwnershipModel model(seed, {}, grantMode, Faults::Lasting);
+            const std::string violation = model.run(60s);
+            RC_LOG() << "seed " << seed << ": " << violation;
+            RC_ASSERT(violation.empty());
+        });
+        CHECK(holds);
+    }
+}
+
+// Guards against keys that are never served again: with their owner also most of its voters are
+// gone, and nobody is left to prove that it has stopped.
+TEST_CASE("the hosts that are left hold all keys again after a loss of any number of hosts",
+          "[ownership_model]")
+{
+    constexpr Duration recovery = 18s; // the end of silent sessions and TableFreshness
+    for (int left = 1; left < hostCount; ++left) {
+        OwnershipModel model(7, {}, GrantMode::Call, Faults::None);
+        REQUIRE(model.run(10s).empty());
+        for (int i = left; i < hostCount; ++i) {
+            model.lose(i);
+        }
+        REQUIRE(model.run(recovery).empty());
+        INFO(left << " hosts left");
+        CHECK(model.heldKeysWithin(2s) == lastShardKey + 1);
+    }
+}
+
+// The same for hosts that are lost one after the other, each after the voters were replaced.
+TEST_CASE("the last host holds all keys after the others were lost one by one", "[ownership_model]")
+{
+    OwnershipModel model(7, {}, GrantMode::Call, Faults::None);
+    REQUIRE(model.run(10s).empty());
+    for (int i = hostCount - 1; i > 0; --i) {
+        model.lose(i);
+        REQUIRE(model.run(8s).empty());
+        INFO(i << " hosts left");
+        CHECK(model.heldKeysWithin(2s) == lastShardKey + 1);
+    }
 }
 
 } // namespace kumquat
--- a/packages/keyspace/tests/test_range_planner.cpp
+++ b/packages/keyspace/tests/test_range_planner.cpp
@@ -57,6 +57,7 @@
     {
         for (const KeySession &session : this->table.sessions) {
             this->reports[session.id].tablesEnd = this->table.end;
+            this->reports[session.id].votersEnd = this->table.end;
         }
     }
 
@@ -333,6 +334,65 @@
     CHECK_FALSE(planKeyTable(cluster.input(), cluster.settings).has_value());
 }
 
+// Guards against a service that never serves its keys again: of three hosts one is lost for good,
+// each of the others needs its vote, and a set of fewer voters was never chosen.
+TEST_CASE("lost voters are left without replacement if no other host can replace them",
+          "[range_planner]")
+{
+    Cluster cluster;
+    cluster.hosts.resize(3);
+    cluster.settle();
+    REQUIRE(cluster.table.activeSessionOf("a")->voters.size() == 2);
+    cluster.host("c").isReachable = false;
+    cluster.reports[cluster.table.activeSessionOf("c")->id].silence = 3s;
+    cluster.settle();
+    CHECK(cluster.table.activeSessionOf("a")->voters == std::vector<std::string>{"b"});
+    CHECK(cluster.table.activeSessionOf("b")->voters == std::vector<std::string>{"a"});
+}
+
+// The same with three voters, of which two are lost.
+TEST_CASE("a session keeps its lease after the loss of most of its voters", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    for (const char *name : {"c", "d"}) {
+        cluster.host(name).isReachable = false;
+        cluster.reports[cluster.table.activeSessionOf(name)->id].silence = 3s;
+    }
+    cluster.settle();
+    CHECK(cluster.table.activeSessionOf("a")->voters == std::vector<std::string>{"b"});
+}
+
+// Guards against a takeover that no voter can prove: a host that is only cut off from its voters
+// must not go on without them at once.
+TEST_CASE("a host that may be cut off keeps its voters at first", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.hosts.resize(3);
+    cluster.settle();
+    for (const char *name : {"b", "c"}) {
+        cluster.host(name).isReachable = false;
+        cluster.reports[cluster.table.activeSessionOf(name)->id].silence = 3s;
+    }
+    PlanInput input = cluster.input();
+    input.planningFor = 3s;
+    CHECK_FALSE(planKeyTable(input, cluster.settings).has_value());
+}
+
+// Guards against a gap in the lease: a voter that is shutting down is known to be lost soon.
+TEST_CASE("a voter that is shutting down is left out before it is gone", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.hosts.resize(3);
+    cluster.settle();
+    cluster.host("c").isStopping = true;
+    cluster.settle();
+    CHECK(cluster.table.activeSessionOf("a")->voters == std::vector<std::string>{"b"});
+    cluster.host("c").isStopping = false;
+    cluster.settle();
+    CHECK(cluster.table.activeSessionOf("a")->voters.size() == 2);
+}
+
 // Guards against two owners: a session that does not know its first voters yet would keep working
 // without any vote while these voters prove that it has stopped.
 TEST_CASE("a session without voters has its own host as a voter until it has read of others",
--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -79,10 +79,10 @@
         return;
     }
     this->links.call(writer, frame, {}, this->settings.reportTimeout,
-                     [this, writer](CallOutcome outcome, const LinkMessage &answer) {
+                     [this, writer, now](CallOutcome outcome, const LinkMessage &answer) {
                          if (outcome == CallOutcome::Answered) {
                              this->writerChoice.noteHeard(writer);
-                             this->hooks.knownReceived(writer, answer.head.load_ack().known());
+                             this->hooks.knownReceived(writer, answer.head.load_ack().known(), now);
                          } else {
                              this->writerChoice.noteSilent(writer, readBootTime());
                          }
@@ -110,6 +110,7 @@
                     .isStopping = report.stopping(),
                     .serviceSeconds = decodeServiceTime(report.service_ms()),
                     .tablesEnd = report.known().tables_end(),
+                    .votersEnd = report.voters_end(),
                     .unsettled = {report.unsettled().begin(), report.unsettled().end()}};
 }
 
@@ -126,6 +127,7 @@
     this->hostStatuses[reporter] = {.instance = instance,
                                     .slots = std::max(1U, report.slots()),
                                     .phase = decodePhase(report.phase()),
+                                    .isStopping = report.stopping(),
                                     .at = now};
 }
 
@@ -152,6 +154,7 @@
             info.instance = status->second.instance;
             info.slots = status->second.slots;
             info.phase = status->second.phase;
+            info.isStopping = status->second.isStopping;
         }
     }
     for (const auto &[session, report] : this->reports) {
@@ -196,6 +199,7 @@
     }
     if (next) {
         this->logEndedSessions(input, *next);
+        this->logLostVoters(*input.table, *next);
         this->write(*std::move(next));
     }
 }
@@ -224,6 +228,21 @@
     }
 }
 
+void Coordinator::logLostVoters(const KeyTable &before, const KeyTable &next) const
+{
+    for (const KeySession &session : next.sessions) {
+        const KeySession *earlier = before.session(session.id);
+        if (earlier != nullptr && session.voters.size() < earlier->voters.size()) {
+            logInfo(LogPart::Slots, "lost voters are not replaced",
+                    {{"service", this->service},
+                     {"session", std::to_string(session.id)},
+                     {"node", session.node},
+                     {"voters", std::to_string(session.voters.size())},
+                     {"before", std::to_string(earlier->voters.size())}});
+        }
+    }
+}
+
 void Coordinator::write(KeyTable table)
 {
     this->isWriting = true;
--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -26,8 +26,9 @@
 {
     std::function<wire::LoadReport()> makeReport; // report of this host, without key counts
     std::function<std::map<ShardKey, std::uint32_t>()> takeKeyCounts;
-    // Called with how far another process has read.
-    std::function<void(const std::string &node, const wire::Known &known)> knownReceived;
+    // Called with how far another process has read, by its answer to a call made at `askedAt`.
+    std::function<void(const std::string &node, const wire::Known &known, Time askedAt)>
+            knownReceived;
     std::function<void()> tablesOutdated; // the store has records that this host has not read
     std::function<void(const wire::StateReply &update)> broadcast; // sends new state to all hosts
 };
@@ -85,6 +86,7 @@
         UpstreamInstance instance;
         std::uint32_t slots = 1;
         UpstreamPhase phase = UpstreamPhase::Absent;
+        bool isStopping = false; // the process on the host is shutting down
         Time at{};
     };
 
@@ -94,6 +96,7 @@
     void noteSessions(const KeyTable &table, Time now);
     void plan(Time now);
     void logEndedSessions(const PlanInput &input, const KeyTable &next) const;
+    void logLostVoters(const KeyTable &before, const KeyTable &next) const;
     PlanInput makeInput(const KeyTable &table, Time now) const;
     void write(KeyTable table);
     void broadcastTable(const std::string &bytes, std::uint64_t end);
--- a/packages/stage/key_owner.cpp
+++ b/packages/stage/key_owner.cpp
@@ -61,17 +61,19 @@
 KeyOwner::KeyOwner(FiberThread &ownerThread, const std::string &ownNode,
                    const std::string &ownService, const Address &upstream, Duration allowedMaxHold,
                    ClusterView &clusterView, LinkPool &linkPool, UpstreamMonitor &upstreamMonitor,
-                   KeyOwnerHooks ownerHooks)
+                   const TableFreshness &tableFreshness, KeyOwnerHooks ownerHooks)
     : thread(ownerThread)
     , node(ownNode)
     , service(ownService)
     , view(clusterView)
     , links(linkPool)
     , monitor(upstreamMonitor)
+    , freshness(tableFreshness)
     , hooks(std::move(ownerHooks))
     , upstreamOrders(ownerThread.io(), upstream, orderLimits)
     , platformMaxHold(allowedMaxHold)
     , lease(this->leaseSettings)
+    , voterChange(readBootTime())
     , holder({.maxHold = std::min(this->leaseSettings.length, allowedMaxHold),
               .renewEvery = this->leaseSettings.renewEvery,
               .clockDrift = this->leaseSettings.clockDrift},
@@ -81,6 +83,7 @@
 void KeyOwner::advance(Time now)
 {
     this->applyTable(now);
+    this->holder.setLease(this->leaseEnd());
     if (this->ownSession != 0 && now - this->lastRenewalAt >= this->leaseSettings.renewEvery) {
         this->renew(now);
     }
@@ -120,10 +123,13 @@
         this->ownSession = id;
         this->lastRenewalAt = -1h;
     }
-    this->lease.setVoters(isOwn ? session->voters : std::vector<std::string>());
-    this->holder.setLease(isOwn ? this->lease.validUntil() : Time::zero());
+    const std::vector<std::string> voters = isOwn ? session->voters : std::vector<std::string>();
+    this->lease.setVoters(voters);
+    this->voterChange.note(voters, table->end, now);
+    this->holder.setLease(this->leaseEnd());
     this->holder.assign(*table, id, now);
     this->proofs.prune(*table);
+    this->proofs.noteTable(*table, now);
 }
 
 void KeyOwner::applyLeaseLength(const KeyTable &table)
@@ -146,6 +152,13 @@
 
 // ---- Lease ----
 
+// Returns the time until which grants may last; zero without a session.
+Time KeyOwner::leaseEnd() const
+{
+    return this->ownSession == 0 ? Time::zero()
+                                 : std::min(this->lease.validUntil(), this->freshness.leaseLimit());
+}
+
 void KeyOwner::renew(Time now)
 {
     this->lastRenewalAt = now;
@@ -170,10 +183,10 @@
                              const wire::VouchReply &reply = answer.head.vouch_reply();
                              if (reply.granted() && id == this->ownSession) {
                                  this->lease.noteVote(voter, now);
-                                 this->holder.setLease(this->lease.validUntil());
+                                 this->holder.setLease(this->leaseEnd());
                                  this->sendOrders(readBootTime());
                              }
-                             this->hooks.voterReplied(voter, reply);
+                             this->hooks.voterReplied(voter, reply, now);
                          });
     }
 }
@@ -194,11 +207,12 @@
     std::vector<std::uint64_t> asked;
     for (const MissingProof &proof : missing) {
         const std::uint64_t id = proof.predecessor.session;
-        if (this->proofs.isStopped(*table, id)) {
+        const bool isStopped = this->proofs.isStopped(*table, id);
+        if (isStopped || this->proofs.hasExpired(id, now)) {
             logInfo(LogPart::Lease, "former owner has stopped",
                     {{"session", std::to_string(id)},
                      {"keys", spanText(proof.span)},
-                     {"proof", "voters or table"}});
+                     {"proof", isStopped ? "voters or table" : "time since its end"}});
             this->holder.notePredecessorStopped(proof.predecessor, proof.span, {});
             continue;
         }
@@ -333,8 +347,7 @@
     if (isSame) {
         return;
     }
-    const Duration left = this->lease.validUntil() - readBootTime();
-    const bool isEndless = this->lease.validUntil() == Time::max();
+    const Duration left = this->leaseEnd() - readBootTime();
     logInfo(LogPart::Lease, "heartbeat answered",
             {{"session", std::to_string(this->ownSession)},
              {"upstream", this->monitor.instance().id},
@@ -342,7 +355,7 @@
              {"released", std::to_string(report.released.size())},
              {"granted", answer ? std::to_string(rows.size()) : "none"},
              {"holdMs", answer ? std::to_string(toMilliseconds(answer->hold)) : "none"},
-             {"leaseMs", isEndless ? "endless" : std::to_string(toMilliseconds(left))},
+             {"leaseMs", std::to_string(toMilliseconds(left))},
              {"tables", std::to_string(this->appliedTableEnd)}});
 }
 
--- a/packages/stage/key_owner.h
+++ b/packages/stage/key_owner.h
@@ -26,7 +26,9 @@
 {
     std::function<void(const KeySpan &span)> accessChanged; // keys of the span may be held now
     std::function<wire::UpstreamLoad()> load;               // load of the upstream, sent to voters
-    std::function<void(const std::string &node, const wire::VouchReply &reply)> voterReplied;
+    // Called with the answer to a vote request that was sent at `askedAt`.
+    std::function<void(const std::string &node, const wire::VouchReply &reply, Time askedAt)>
+            voterReplied;
     // Says whether this process, which may itself be a voter of the session, has released it.
     std::function<bool(const wire::ReleaseQuery &query)> ownVoterReleased;
     std::function<GrantMode()> grantMode; // of the service of this process
@@ -58,7 +60,8 @@
 public:
     KeyOwner(FiberThread &ownerThread, const std::string &ownNode, const std::string &ownService,
              const Address &upstream, Duration allowedMaxHold, ClusterView &clusterView,
-             LinkPool &linkPool, UpstreamMonitor &upstreamMonitor, KeyOwnerHooks ownerHooks);
+             LinkPool &linkPool, UpstreamMonitor &upstreamMonitor,
+             const TableFreshness &tableFreshness, KeyOwnerHooks ownerHooks);
 
     // Applies changes of the key table and of the upstream, renews the lease and sends due orders.
     // Call after each change and every 50 ms.
@@ -80,6 +83,12 @@
     // held keys, or 0.
     std::uint64_t retiredSession(Time now) const;
 
+    // Returns from which key tables the voters come on which the present grants depend.
+    std::uint64_t votersEnd(Time now) const
+    {
+        return this->voterChange.settledEnd(this->leaseSettings.length, now);
+    }
+
     std::vector<std::uint64_t> unsettledFences() const { return this->holder.unsettledFences(); }
     bool holdsNothing(Time now) const { return this->holder.holdsNothing(now); }
 
@@ -93,6 +102,7 @@
     void applyTable(Time now);
     void applyLeaseLength(const KeyTable &table);
     void renew(Time now);
+    Time leaseEnd() const;
     void askForProofs(Time now);
     void askHost(const KeyTable &table, const MissingProof &missing);
     void askVoters(const KeySession &session);
@@ -106,11 +116,13 @@
     ClusterView &view;
     LinkPool &links;
     UpstreamMonitor &monitor;
+    const TableFreshness &freshness;
     KeyOwnerHooks hooks;
     HttpClient upstreamOrders;
     Duration platformMaxHold; // longest grant that the platform allows
     LeaseSettings leaseSettings;
     QuorumLease lease;
+    VoterChange voterChange;
     RangeHolder holder;
     StopProof proofs;
     std::uint64_t ownSession = 0;
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -87,6 +87,7 @@
                .upstream = this->settings.upstream,
                .drainPeriod = this->settings.limits.drainPeriod})
     , voter(LeaseSettings{}, this->startedAt)
+    , freshness(this->startedAt)
     , follower(
               this->thread, this->store, this->view,
               {.freshRead =
@@ -95,6 +96,12 @@
                                this->voter.noteFreshRead();
                            }
                        },
+               .caughtUp =
+                       [this](platform::StoreTopic topic, Time asOf) {
+                           if (topic == platform::StoreTopic::Tables) {
+                               this->freshness.note(asOf);
+                           }
+                       },
                .isRelay =
                        [this] { return this->relays.isRelay(this->settings.node, readBootTime()); },
                .pause =
@@ -103,14 +110,15 @@
                                                         readBootTime() - this->startedAt);
                        }})
     , keys(this->thread, this->settings.node, this->settings.service, this->settings.upstream,
-           this->settings.limits.maxHold, this->view, this->links, this->monitor,
+           this->settings.limits.maxHold, this->view, this->links, this->monitor, this->freshness,
            {.accessChanged =
                     [this](const KeySpan &span) { this->executor.noteAccessChanged(span); },
             .load = [this] { return this->executor.load(this->settings.node, readBootTime()); },
             .voterReplied =
-                    [this](const std::string &node, const wire::VouchReply &reply) {
+                    [this](const std::string &node, const wire::VouchReply &reply, Time askedAt) {
                         this->picker.noteLoad(node, decodeLoad(reply.load()), readBootTime());
                         this->noteKnown(node, reply.known());
+                        this->noteTableAge(reply.known(), askedAt);
                     },
             .ownVoterReleased =
                     [this](const wire::ReleaseQuery &query) {
@@ -148,22 +156,24 @@
                        [this](std::uint64_t connection) {
                            return this->callerFreshness.isSilent(connection);
                        }})
-    , coordinator(
-              this->thread, this->settings.node, this->settings.service, this->view, this->links,
-              this->store, this->metrics,
-              {.makeReport = [this] { return this->makeReport(); },
-               .takeKeyCounts = [this] { return this->executor.takeKeyCounts(); },
-               .knownReceived = [this](const std::string &node,
-                                       const wire::Known &known) { this->noteKnown(node, known); },
-               .tablesOutdated =
-                       [this] { this->follower.requestRead(platform::StoreTopic::Tables); },
-               .broadcast =
-                       [this](const wire::StateReply &update) {
-                           this->broadcast(std::make_shared<wire::StateReply>(update),
-                                           this->knownNodes());
-                       }},
-              {.grantMode = this->settings.grantMode,
-               .heartbeatInterval = this->settings.heartbeatInterval})
+    , coordinator(this->thread, this->settings.node, this->settings.service, this->view,
+                  this->links, this->store, this->metrics,
+                  {.makeReport = [this] { return this->makeReport(); },
+                   .takeKeyCounts = [this] { return this->executor.takeKeyCounts(); },
+                   .knownReceived =
+                           [this](const std::string &node, const wire::Known &known, Time askedAt) {
+                               this->noteKnown(node, known);
+                               this->noteTableAge(known, askedAt);
+                           },
+                   .tablesOutdated =
+                           [this] { this->follower.requestRead(platform::StoreTopic::Tables); },
+                   .broadcast =
+                           [this](const wire::StateReply &update) {
+                               this->broadcast(std::make_shared<wire::StateReply>(update),
+                                               this->knownNodes());
+                           }},
+                  {.grantMode = this->settings.grantMode,
+                   .heartbeatInterval = this->settings.heartbeatInterval})
     , ingress(this->thread, this->view, this->links, this->executor, this->picker, this->metrics,
               ingressSettings(this->settings),
               {.noteTablesEnd =
@@ -548,6 +558,7 @@
     report.set_upstream_id(this->monitor.instance().id);
     report.set_born_ms(this->monitor.instance().startedMs);
     report.set_retired(this->keys.retiredSession(now));
+    report.set_voters_end(this->keys.votersEnd(now));
     return report;
 }
 
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -67,6 +67,7 @@
     // State exchange: configuration, hosts and key tables that other processes know.
     wire::Known known() const;
     void noteKnown(const std::string &node, const wire::Known &known);
+    void noteTableAge(const wire::Known &known, Time askedAt);
     bool isTableOverdue(std::uint64_t end);
     void fetchState(const std::string &node);
     void broadcast(const std::shared_ptr<const wire::StateReply> &update,
@@ -111,6 +112,7 @@
     ClusterView view;
     UpstreamMonitor monitor;
     LeaseVoter voter;
+    TableFreshness freshness;
     HostPicker picker;
     RelayChoice relays;
     AdmissionGate gate;
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -2,6 +2,7 @@
 // Sections: messages of other processes, state exchange.
 #include "stage/stage.h"
 
+#include "base/durations.h"
 #include "base/log.h"
 #include "base/text.h"
 #include "platform/configuration.h"
@@ -56,6 +57,7 @@
         break;
     case wire::LinkFrame::kStateQuery:
         *answer.mutable_state_reply() = this->view.stateSince(message.head.state_query().known());
+        *answer.mutable_state_reply()->mutable_known() = this->known();
         reply(answer, {});
         break;
     case wire::LinkFrame::kStateReply: {
@@ -155,9 +157,21 @@
 {
     wire::Known known = this->view.known();
     known.set_reads_store(!this->follower.isStoreLost());
+    if (const auto age = this->freshness.age(readBootTime())) {
+        known.set_tables_age_ms(static_cast<std::uint32_t>(toMilliseconds(*age) + 1)); // rounded up
+    }
     return known;
 }
 
+// Learns how current the key tables of this process are from another process that has not read more
+// of them. `askedAt`: when this process sent the call whose answer holds `known`.
+void Stage::noteTableAge(const wire::Known &known, Time askedAt)
+{
+    if (known.has_tables_age_ms() && known.tables_end() <= this->view.tablesEnd()) {
+        this->freshness.note(askedAt - std::chrono::milliseconds(known.tables_age_ms()));
+    }
+}
+
 void Stage::noteKnown(const std::string &node, const wire::Known &known)
 {
     this->relays.noteHeard(
@@ -192,7 +206,7 @@
     wire::LinkFrame frame;
     *frame.mutable_state_query()->mutable_known() = this->known();
     this->links.call(node, frame, {}, gossipTimeout,
-                     [this, node](CallOutcome outcome, const LinkMessage &answer) {
+                     [this, node, now](CallOutcome outcome, const LinkMessage &answer) {
                          this->fetchesInProgress.erase(node);
                          if (outcome == CallOutcome::Answered) {
                              const wire::StateReply &state = answer.head.state_reply();
@@ -200,6 +214,7 @@
                              // The answer contains everything that was missing.
                              this->view.noteHostsEnd(state.known().hosts_end());
                              this->view.noteTablesEnd(state.known().tables_end());
+                             this->noteTableAge(state.known(), now);
                          } else if (outcome == CallOutcome::NotSent) {
                              // The node's address may be unknown; the store has the same records.
                              this->follower.requestRead(platform::StoreTopic::Hosts);
@@ -288,12 +303,13 @@
             continue;
         }
         this->links.call(node, frame, {}, gossipTimeout,
-                         [this, node](CallOutcome outcome, const LinkMessage &answer) {
+                         [this, node, now](CallOutcome outcome, const LinkMessage &answer) {
                              if (outcome == CallOutcome::Answered) {
                                  const wire::VouchReply &reply = answer.head.vouch_reply();
                                  this->picker.noteLoad(node, decodeLoad(reply.load()),
                                                        readBootTime());
                                  this->noteKnown(node, reply.known());
+                                 this->noteTableAge(reply.known(), now);
                              }
                          });
     }
--- a/packages/stage/store_follower.cpp
+++ b/packages/stage/store_follower.cpp
@@ -52,10 +52,12 @@
 
 void StoreFollower::advance(Time now)
 {
-    const Cursor &current = this->cursor(StoreTopic::Configuration);
-    const Duration maxAge = this->settings.relayMaxWait + this->settings.relayWaitMargin;
-    if (current.waiting && now - current.readAt >= maxAge && this->hooks.isRelay()) {
-        this->requestRead(StoreTopic::Configuration);
+    for (const auto &entry : storeTopicNames.entries) {
+        const Cursor &current = this->cursor(entry.value);
+        const Duration maxAge = this->relayWait(entry.value) + this->settings.relayWaitMargin;
+        if (current.waiting && now - current.readAt >= maxAge && this->hooks.isRelay()) {
+            this->requestRead(entry.value);
+        }
     }
 }
 
@@ -106,10 +108,12 @@
 {
     Duration retry = this->settings.retryDelay;
     while (true) {
+        const Time askedAt = readBootTime();
         const auto batch = this->store.readNewest(topic);
         this->noteResult(topic, batch.status());
         if (batch.ok()) {
             this->apply(topic, *batch);
+            this->hooks.caughtUp(topic, askedAt);
             return;
         }
         sleepFor(this->thread.io(), retry);
@@ -132,14 +136,25 @@
 Duration StoreFollower::waitTime(StoreTopic topic)
 {
     const Cursor &current = this->cursor(topic);
-    const bool isRelay = this->hooks.isRelay();
     if (current.isReadRequested || current.hasFailed) {
         return Duration::zero();
     }
-    if (topic == StoreTopic::Configuration) {
-        return isRelay ? this->settings.relayMaxWait : this->settings.maxWait;
+    if (this->hooks.isRelay()) {
+        return this->relayWait(topic);
+    }
+    return topic == StoreTopic::Configuration ? this->settings.maxWait : Duration::zero();
+}
+
+Duration StoreFollower::relayWait(StoreTopic topic) const
+{
+    switch (topic) {
+    case StoreTopic::Configuration:
+        return this->settings.relayMaxWait;
+    case StoreTopic::Tables:
+        return this->settings.relayTableWait;
+    default:
+        return this->settings.maxWait;
     }
-    return isRelay ? this->settings.maxWait : Duration::zero();
 }
 
 absl::Status StoreFollower::readMore(StoreTopic topic, Duration wait)
@@ -147,6 +162,7 @@
     Cursor &current = this->cursor(topic);
     current.waiting = std::make_shared<HttpCallHandle>();
     const std::shared_ptr<HttpCallHandle> handle = current.waiting;
+    const Time askedAt = readBootTime();
     const auto batch = this->store.readFrom(topic, current.end, wait, handle);
     current.waiting = nullptr;
     if (!batch.ok()) {
@@ -160,6 +176,9 @@
         return absl::OkStatus();
     }
     this->apply(topic, *batch);
+    if (batch->isComplete) {
+        this->hooks.caughtUp(topic, askedAt);
+    }
     if (!batch->records.empty()) {
         this->pauseAfterRecords(topic);
     }
--- a/packages/stage/store_follower.h
+++ b/packages/stage/store_follower.h
@@ -18,6 +18,9 @@
 struct FollowerSettings
 {
     Duration maxWait = 20s; // of one read that waits for new records; the store allows 30 s
+    // Maximum wait of a relay for a new key table. The answer also shows that there is none, which
+    // owners need every few seconds (TableFreshness).
+    Duration relayTableWait = 2s;
     // Maximum wait of a relay for a new configuration. A read without an answer is abandoned
     // `relayWaitMargin` after this time, so that a new configuration is on all hosts within 4 s
     // after an outage, as the users require.
@@ -35,6 +38,8 @@
     // Called when a topic has been read up to an end that was queried after the start of the
     // process.
     std::function<void(platform::StoreTopic topic)> freshRead;
+    // Called when all records that the store had at `asOf` have been read.
+    std::function<void(platform::StoreTopic topic, Time asOf)> caughtUp;
     // Says whether this process is a relay, which waits for records on behalf of other hosts.
     std::function<bool()> isRelay;
     std::function<Duration()> pause; // returns the time to wait after new records
@@ -55,8 +60,8 @@
     // `maxRetryDelay` are ignored.
     void requestRead(platform::StoreTopic topic);
 
-    // Cancels a read of the configuration that waits longer than a relay may wait, if this process
-    // has become a relay meanwhile. Call every 200 ms.
+    // Cancels a read that waits longer than a relay may wait, if this process has become a relay
+    // meanwhile. Call every 200 ms.
     void advance(Time now);
 
     // Says whether the last read of any topic failed.
@@ -83,6 +88,7 @@
     void readNewest(platform::StoreTopic topic);
     bool isReadDue(platform::StoreTopic topic);
     Duration waitTime(platform::StoreTopic topic);
+    Duration relayWait(platform::StoreTopic topic) const;
     absl::Status readMore(platform::StoreTopic topic, Duration wait);
     void pauseAfterRecords(platform::StoreTopic topic);
     void apply(platform::StoreTopic topic, const platform::StoreBatch &batch);
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -137,6 +137,24 @@
     caller.checkGuarantees();
 }
 
+// Guards against keys that are never served again: the leases of the other hosts needed the vote of
+// a host that was lost for good, and no other host could replace it as a voter.
+TEST_CASE("all keys are served again after hosts were lost for good", "[platform]")
+{
+    constexpr Duration bound = 15s; // the users' bound for recovery
+    PlatformCluster cluster({.hosts = 3});
+    Caller caller(cluster);
+    REQUIRE(caller.waitUntilServed(selectHosts(cluster, {0, 1, 2}), 20s) < 20s);
+    for (std::size_t lost = 2; lost > 0; --lost) {
+        cluster.host(lost).process->kill();
+        cluster.endUpstream(cluster.host(lost));
+        std::this_thread::sleep_for(4s); // the leases of before end
+        const auto others = lost == 2 ? selectHosts(cluster, {0, 1}) : selectHosts(cluster, {0});
+        CHECK(caller.waitUntilServed(others, bound) < bound);
+    }
+    caller.checkGuarantees();
+}
+
 // Covers the grant mode "heartbeat": the guarantees also hold if an upstream receives its grants in
 // heartbeat replies instead of calls.
 TEST_CASE("keys granted in answers to heartbeats are served, move and return", "[platform]")
