stage: an upstream that has left is not used by the next process

Cause: only the memory of the killed process knew of the leave. The next one took the first heartbeat for the present, did not read its host's record and replaced it. The leave was acknowledged before the record was written.

Change: the record is read before the upstream is used and before the record is written; it keeps that an instance has announced its end; a leave is acknowledged when the store has it. The same record now tells a late heartbeat of an earlier instance from a current one.

--- a/packages/stage/cluster_view.cpp
+++ b/packages/stage/cluster_view.cpp
@@ -100,6 +100,8 @@
     host = {.info = decodeHost(record),
             .address = *address,
             .incarnation = record.incarnation(),
+            .change = record.change(),
+            .isLeaving = record.leaving(),
             .offset = offset,
             .bytes = bytes};
     this->hostsReadEnd += offset == this->hostsReadEnd ? 1 : 0;
--- a/packages/stage/cluster_view.h
+++ b/packages/stage/cluster_view.h
@@ -31,6 +31,8 @@
     HostInfo info;
     Address address;               // for messages from other processes
     std::uint64_t incarnation = 0; // of the process on the host
+    std::uint64_t change = 0;      // grows with each record of this incarnation
+    bool isLeaving = false;        // the upstream has announced that it will end
     std::uint64_t offset = 0;      // of the host's record in the store
     std::string bytes;             // encoded record, to forward to other processes
 };
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -28,6 +28,8 @@
 constexpr Duration gossipInterval = 400ms; // new state reaches every host in about a second
 constexpr Duration recordDelay = 1200ms;   // until a host without a heartbeat writes its record
 constexpr Duration recordRetry = 300ms;
+// Wait for the store before a leave is refused; an upstream waits one second for the answer.
+constexpr Duration leaveRecordLimit = 800ms;
 constexpr Duration followInterval = 200ms; // between checks for store reads that hang
 constexpr Duration logFlushInterval = 200ms;
 constexpr Duration minLoggedDelay = 250ms; // of timers; half of the allowed delay of an answer
@@ -75,6 +77,7 @@
                     [this](const KnownHost &host) {
                         this->links.setAddress(host.info.node, host.address);
                         this->coordinator.noteHostChanged(readBootTime());
+                        this->checkOwnRecord(host);
                     },
             .tableChanged =
                     [this](const std::string &service) {
@@ -85,7 +88,8 @@
                     }})
     , monitor({.service = this->settings.service,
                .upstream = this->settings.upstream,
-               .drainPeriod = this->settings.limits.drainPeriod})
+               .drainPeriod = this->settings.limits.drainPeriod,
+               .awaitsRecord = true})
     , voter(LeaseSettings{}, this->startedAt)
     , freshness(this->startedAt)
     , follower(
@@ -100,6 +104,9 @@
                        [this](platform::StoreTopic topic, Time asOf) {
                            if (topic == platform::StoreTopic::Tables) {
                                this->freshness.note(asOf);
+                           } else if (topic == platform::StoreTopic::Hosts
+                                      && !this->monitor.isRestored()) {
+                               this->restoreUpstream(readBootTime());
                            }
                        },
                .isRelay =
@@ -317,9 +324,7 @@
     this->keys.advance(now);
     this->callerFreshness.advance(now);
     this->executor.advance(now);
-    if (this->isRecordDue && !this->isWritingRecord) {
-        this->writeHostRecord();
-    }
+    this->writeHostRecord();
     if (this->shutdownSchedule && this->shutdownSchedule->mustAbort(now)) {
         this->ingress.abortAll();
         this->executor.abortAll();
@@ -464,12 +469,26 @@
                     {"from", request.target}});
         return {.status = statusBadRequest};
     }
-    this->metrics.count(Metric::HeartbeatsAccepted);
     const Time now = readBootTime();
     const HeartbeatEffect effect = this->monitor.applyHeartbeat(*beat, now);
     if (effect == HeartbeatEffect::Changed) {
         this->onUpstreamChanged(now);
     }
+    // An acknowledged leave binds the next process on this host too, so it is acknowledged only if
+    // that process will know of it.
+    const bool isLeave = beat->isDeregistration || beat->phase == UpstreamPhase::Draining;
+    const bool isUnknown = beat->isDeregistration && !this->monitor.isKnown()
+                           && beat->instance.id != this->monitor.instance().id;
+    if (!this->monitor.isRestored() || (isLeave && (isUnknown || !this->waitForLeaveRecord()))) {
+        this->metrics.count(Metric::HeartbeatsIgnored);
+        logWarning(LogPart::Upstream, "heartbeat not acknowledged",
+                   {{"upstream", beat->instance.id},
+                    {"reason", !this->monitor.isRestored() ? "record of this host not read yet"
+                               : isUnknown                 ? "leave of an unknown instance"
+                                                           : "leave not stored yet"}});
+        return {.status = statusUnavailable};
+    }
+    this->metrics.count(Metric::HeartbeatsAccepted);
     std::optional<HoldAnswer> granted;
     if (effect != HeartbeatEffect::Ignored) {
         const Duration late = this->heartbeatLateness(now);
@@ -509,8 +528,57 @@
     this->coordinator.reportSoon();
 }
 
+// Continues with what the process before this one has recorded.
+void Stage::restoreUpstream(Time now)
+{
+    RecordedUpstream recorded;
+    if (const KnownHost *host = this->view.host(this->settings.node)) {
+        recorded = {.instance = host->info.instance,
+                    .phase = host->info.phase,
+                    .isLeaving = host->isLeaving};
+    }
+    this->monitor.restore(recorded, now);
+    this->recordedLeave = recorded.isLeaving ? recorded.instance : UpstreamInstance();
+    logInfo(LogPart::Upstream, "state of the upstream restored",
+            {{"upstream", recorded.instance.id},
+             {"born", std::to_string(recorded.instance.startedMs)},
+             {"phase", std::string(upstreamPhaseNames.nameOf(recorded.phase))},
+             {"leaving", recorded.isLeaving ? "yes" : "no"}});
+}
+
+// Waits until the store has the leave of the upstream. Returns false if that takes too long.
+bool Stage::waitForLeaveRecord()
+{
+    this->writeHostRecord();
+    const Time end = readBootTime() + leaveRecordLimit;
+    for (Time now = readBootTime();
+         this->monitor.isLeaving() && this->recordedLeave != this->monitor.instance() && now < end;
+         now = readBootTime()) {
+        FiberEvent stored(this->thread.io());
+        this->leaveWaits.push_back(&stored);
+        stored.waitFor(end - now);
+        std::erase(this->leaveWaits, &stored);
+    }
+    return !this->monitor.isLeaving() || this->recordedLeave == this->monitor.instance();
+}
+
+// Writes the record of this host again if an older one, whose answer was lost, was appended later.
+void Stage::checkOwnRecord(const KnownHost &host)
+{
+    const bool isOlder = host.incarnation != this->incarnation || host.change < this->recordChange;
+    if (host.info.node == this->settings.node && this->storedRecordEnd != 0
+        && host.offset >= this->storedRecordEnd && isOlder) {
+        this->isRecordDue = true;
+    }
+}
+
+// Writes the record of this host if it is due. The record of the process before this one must have
+// been read, because the new record replaces it.
 void Stage::writeHostRecord()
 {
+    if (!this->isRecordDue || this->isWritingRecord || !this->monitor.isRestored()) {
+        return;
+    }
     this->isRecordDue = false;
     this->isWritingRecord = true;
     wire::HostRecord record;
@@ -525,13 +593,22 @@
     record.set_slots(this->monitor.slots());
     record.set_phase(encodePhase(this->monitor.phase()));
     record.set_change(++this->recordChange);
-    this->thread.spawn([this, bytes = record.SerializeAsString()] {
+    record.set_leaving(this->monitor.isLeaving());
+    const UpstreamInstance leave =
+            this->monitor.isLeaving() ? this->monitor.instance() : UpstreamInstance();
+    this->thread.spawn([this, leave, bytes = record.SerializeAsString()] {
         const platform::AppendResult result = this->store.append(
                 platform::StoreTopic::Hosts, this->settings.node, bytes, std::nullopt);
         logInfo(LogPart::Log, "record of this host written",
                 {{"outcome", std::string(platform::appendOutcomeNames.nameOf(result.outcome))},
                  {"phase", std::string(upstreamPhaseNames.nameOf(this->monitor.phase()))}});
-        if (result.outcome != platform::AppendOutcome::Done) {
+        if (result.outcome == platform::AppendOutcome::Done) {
+            this->storedRecordEnd = result.endOffset;
+            this->recordedLeave = leave;
+            for (FiberEvent *wait : this->leaveWaits) {
+                wait->notify();
+            }
+        } else {
             sleepFor(this->thread.io(), recordRetry);
             this->isRecordDue = true;
         }
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -80,6 +80,9 @@
     // The upstream beside this process.
     HttpResponse onHeartbeat(const HttpRequest &request);
     Duration heartbeatLateness(Time now);
+    void restoreUpstream(Time now);
+    bool waitForLeaveRecord();
+    void checkOwnRecord(const KnownHost &host);
     const ServiceInfo *ownService() const;
     void onUpstreamChanged(Time now);
     void writeHostRecord();
@@ -131,6 +134,9 @@
     bool isRecordDue = false; // the record of this host in the store is out of date
     bool isWritingRecord = false;
     std::uint64_t recordChange = 0;
+    std::uint64_t storedRecordEnd = 0;    // offset after the last stored record of this process
+    UpstreamInstance recordedLeave;       // instance whose leave is in the store
+    std::vector<FiberEvent *> leaveWaits; // notified when `recordedLeave` changes
     Time lastFetchAt = -1h;
     std::set<std::string> fetchesInProgress; // nodes that have not answered a state query yet
     AwaitedTable awaitedTable;
--- a/packages/stage/tests/test_stage.cpp
+++ b/packages/stage/tests/test_stage.cpp
@@ -205,6 +205,44 @@
     CHECK_FALSE(monitor.mayServe(11s));
 }
 
+// Guards against an upstream that is used again after it has left: after a restart of the process a
+// heartbeat arrives that was sent before the leave.
+TEST_CASE("a late heartbeat does not bring back an upstream that left before a restart",
+          "[upstream_monitor]")
+{
+    UpstreamMonitor monitor({.drainPeriod = 2500ms, .awaitsRecord = true});
+    monitor.restore({.instance = {.id = "i-1", .startedMs = 1},
+                     .phase = UpstreamPhase::Ended,
+                     .isLeaving = true},
+                    10s);
+    monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Ready, 3), 11s);
+    CHECK(monitor.phase() == UpstreamPhase::Draining);
+    CHECK_FALSE(monitor.mayServe(11s));
+}
+
+// The same for a heartbeat of an earlier instance.
+TEST_CASE("a late heartbeat of an earlier instance is ignored after a restart",
+          "[upstream_monitor]")
+{
+    UpstreamMonitor monitor({.awaitsRecord = true});
+    monitor.restore({.instance = {.id = "i-2", .startedMs = 2}, .phase = UpstreamPhase::Ready},
+                    10s);
+    CHECK(monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Ready, 3), 11s)
+          == HeartbeatEffect::Ignored);
+    CHECK_FALSE(monitor.isKnown());
+}
+
+TEST_CASE("an upstream is not used before the record of its host is read", "[upstream_monitor]")
+{
+    UpstreamMonitor monitor({.awaitsRecord = true});
+    CHECK(monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Ready, 3), 10s)
+          == HeartbeatEffect::Ignored);
+    CHECK_FALSE(monitor.mayServe(10s));
+    monitor.restore({}, 11s);
+    monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Ready, 4), 12s);
+    CHECK(monitor.mayServe(12s));
+}
+
 // Guards against a misspelled grant mode, which would leave a service without keys.
 TEST_CASE("settings name a known grant mode or none", "[settings]")
 {
--- a/packages/stage/upstream_monitor.cpp
+++ b/packages/stage/upstream_monitor.cpp
@@ -15,6 +15,17 @@
     this->settings.endedAfter = maxHold + MonitorSettings::endedSlack;
 }
 
+void UpstreamMonitor::restore(const RecordedUpstream &recorded, Time now)
+{
+    this->settings.awaitsRecord = false;
+    this->lastInstance = recorded.instance;
+    this->lastPhase = recorded.phase;
+    this->hasLeft = recorded.isLeaving;
+    // The earlier process may have acknowledged the drain at any time.
+    this->drainingSince = now - this->settings.drainPeriod;
+    this->currentAt = now;
+}
+
 bool UpstreamMonitor::isSilentInstanceReplaced(const platform::Heartbeat &beat, Time now)
 {
     if (beat.instance != this->candidate.instance) {
@@ -31,6 +42,9 @@
 
 HeartbeatEffect UpstreamMonitor::applyHeartbeat(const platform::Heartbeat &beat, Time now)
 {
+    if (!this->isRestored()) {
+        return HeartbeatEffect::Ignored;
+    }
     const bool isSameInstance =
             beat.instance == this->lastInstance
             || (beat.isDeregistration && beat.instance.id == this->lastInstance.id
@@ -43,27 +57,29 @@
         return HeartbeatEffect::Ignored;
     }
     if (beat.isDeregistration) {
-        if (this->lastPhase == UpstreamPhase::Ended || this->lastPhase == UpstreamPhase::Draining) {
+        if (this->hasLeft) {
             return HeartbeatEffect::Ignored;
         }
-        // The upstream may still serve for a while, so it is treated like a draining one.
-        this->lastPhase = UpstreamPhase::Draining;
-        this->drainingSince = now;
+        this->hasLeft = true;
+        if (this->lastPhase != UpstreamPhase::Ended) {
+            // The upstream may still serve for a while, so it is treated like a draining one.
+            this->lastPhase = UpstreamPhase::Draining;
+            this->drainingSince = now;
+        }
         return HeartbeatEffect::Changed;
     }
     if (isSameInstance && this->current && beat.sequence <= this->current->sequence) {
         return HeartbeatEffect::Ignored; // out of order
     }
-    const bool startsToDrain = beat.phase == UpstreamPhase::Draining
-                               && (!isSameInstance || this->lastPhase != UpstreamPhase::Draining);
+    const bool wasLeaving = isSameInstance && this->hasLeft;
+    const bool startsToDrain = beat.phase == UpstreamPhase::Draining && !wasLeaving;
     if (startsToDrain) {
         // A previous process on this host may have acknowledged the drain at any earlier time, so
         // the drain period counts as over.
         this->drainingSince = isSameInstance ? now : now - this->settings.drainPeriod;
     }
     this->refusedAt.reset();
-    const bool wasDraining = isSameInstance && this->lastPhase == UpstreamPhase::Draining;
-    const UpstreamPhase phase = wasDraining ? UpstreamPhase::Draining : beat.phase;
+    const UpstreamPhase phase = wasLeaving ? UpstreamPhase::Draining : beat.phase;
     const bool changed = !isSameInstance || phase != this->lastPhase
                          || (this->current && this->current->slots != beat.slots);
     if (!isSameInstance) {
@@ -74,6 +90,7 @@
     this->candidate = {};
     this->lastInstance = beat.instance;
     this->lastPhase = phase;
+    this->hasLeft = wasLeaving || startsToDrain;
     return changed ? HeartbeatEffect::Changed : HeartbeatEffect::Accepted;
 }
 
--- a/packages/stage/upstream_monitor.h
+++ b/packages/stage/upstream_monitor.h
@@ -27,6 +27,14 @@
           {HeartbeatEffect::Accepted, "taken"},
           {HeartbeatEffect::Changed, "changed"}}}};
 
+// What an earlier process on this host recorded in the store about the upstream.
+struct RecordedUpstream
+{
+    UpstreamInstance instance; // not known: nothing is recorded
+    UpstreamPhase phase = UpstreamPhase::Absent;
+    bool isLeaving = false; // the instance has announced that it will end
+};
+
 struct MonitorSettings
 {
     // Added to the maximum hold, because a hold lasts longer if the upstream's clock is slow.
@@ -43,6 +51,8 @@
     Duration replacedAfter = 2500ms;
     std::uint32_t replacingHeartbeats = 3;
     double drainShare = 0.8; // of `drainPeriod`, after which no more requests are sent
+    // An earlier process may have run on this host: the upstream is not used before restore().
+    bool awaitsRecord = false;
     // Unanswered calls after which the upstream counts as failing.
     std::uint32_t maxConsecutiveFailures = 3;
 };
@@ -64,8 +74,14 @@
     // after this time plus `endedSlack`.
     void setMaxHold(Duration maxHold);
 
+    // Applies the record of this host, read from the store after the start of the process. A late
+    // heartbeat of an instance that had left or ended by then is not taken for a current one.
+    void restore(const RecordedUpstream &recorded, Time now);
+
+    bool isRestored() const { return !this->settings.awaitsRecord; }
+
     // Applies a heartbeat. It is ignored if it is older than the last one or of an earlier
-    // instance.
+    // instance, and before restore().
     HeartbeatEffect applyHeartbeat(const platform::Heartbeat &beat, Time now);
 
     // Notes that nothing listens on the upstream's address. Nothing may be granted to it until it
@@ -87,6 +103,7 @@
     bool isFailing() const { return this->failures >= this->settings.maxConsecutiveFailures; }
     bool isRefusing() const { return this->refusedAt.has_value(); }
     bool isKnown() const { return this->current.has_value(); }
+    bool isLeaving() const { return this->hasLeft; }
     UpstreamPhase phase() const;
     const UpstreamInstance &instance() const { return this->lastInstance; }
     std::uint32_t slots() const { return this->current ? this->current->slots : 1; }
@@ -108,6 +125,7 @@
     Candidate candidate;
     UpstreamInstance lastInstance;
     UpstreamPhase lastPhase = UpstreamPhase::Absent;
+    bool hasLeft = false; // the last instance has announced that it will end, which is final
     Time drainingSince{};
     std::optional<Time> refusedAt; // time since which nothing listens
     std::uint32_t failures = 0;    // consecutive unanswered calls
--- a/packages/standins/platform_endpoint.cpp
+++ b/packages/standins/platform_endpoint.cpp
@@ -13,6 +13,9 @@
 constexpr auto heartbeatTimeout = std::chrono::seconds(1);
 constexpr auto heartbeatIntervalAfterRelease = std::chrono::milliseconds(100);
 
+constexpr int statusOk = 200;
+constexpr auto instancePath = "/kumquatstage/instances/";
+
 } // namespace
 
 // ---- HoldLedger ----
@@ -127,13 +130,33 @@
 }
 
 void PlatformEndpoint::stop()
+{
+    this->endHeartbeats();
+    this->server.reset();
+    this->ledger.releaseAll(this->id);
+}
+
+void PlatformEndpoint::endHeartbeats()
 {
     this->isStopping = true;
     if (this->heartbeatThread.joinable()) {
         this->heartbeatThread.join();
     }
-    this->server.reset();
-    this->ledger.releaseAll(this->id);
+}
+
+bool PlatformEndpoint::deregister(const Address &address)
+{
+    this->endHeartbeats();
+    const std::string body = Json{{"born", this->startedMs}}.dump();
+    const HttpExchange exchange = HttpClient(address).send(
+            {"DELETE", instancePath + this->id, {}, body}, heartbeatTimeout);
+    return exchange.result == ExchangeResult::Answered && exchange.answer.status == statusOk;
+}
+
+void PlatformEndpoint::sendLateHeartbeat(const Address &address)
+{
+    HttpClient(address).send({"PUT", instancePath + this->id, {}, this->makeHeartbeat(1)},
+                             heartbeatTimeout);
 }
 
 void PlatformEndpoint::sendHeartbeatsTo(const Address &address)
@@ -148,10 +171,9 @@
         const bool isLeaving = this->isDraining;
         const auto sentAt = HoldLedger::Clock::now();
         HttpClient client(address);
-        const HttpExchange exchange = client.send(
-                {"PUT", "/kumquatstage/instances/" + this->id, {}, this->makeHeartbeat(++sequence)},
-                heartbeatTimeout);
-        constexpr int statusOk = 200;
+        const HttpExchange exchange =
+                client.send({"PUT", instancePath + this->id, {}, this->makeHeartbeat(++sequence)},
+                            heartbeatTimeout);
         const bool isAcknowledged = exchange.result == ExchangeResult::Answered
                                     && exchange.answer.status == statusOk
                                     && HoldLedger::Clock::now() - sentAt < heartbeatTimeout;
--- a/packages/standins/platform_endpoint.h
+++ b/packages/standins/platform_endpoint.h
@@ -100,6 +100,13 @@
     void sendHeartbeatsTo(const Address &address);
     void setDraining() { this->isDraining = true; }
 
+    // Ends the heartbeats and deregisters. Returns whether that was acknowledged. The upstream goes
+    // on serving.
+    bool deregister(const Address &address);
+
+    // Sends a heartbeat as it was before the upstream deregistered.
+    void sendLateHeartbeat(const Address &address);
+
     // Answers all later requests for a target with endless bytes.
     void setEndlessAnswer(const std::string &target, std::shared_ptr<EndlessBytes> bytes);
 
@@ -115,6 +122,7 @@
     HttpAnswer answer(const HttpRequest &request);
     HttpAnswer handleGrantCall(const HttpRequest &request, bool isGrant);
     HttpAnswer run(const HttpRequest &request);
+    void endHeartbeats();
     void runHeartbeatLoop(const Address &address);
     std::string makeHeartbeat(int sequence);
     void applyHeartbeatAnswer(const std::string &body, HoldLedger::Clock::time_point sentAt);
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -155,6 +155,42 @@
     caller.checkGuarantees();
 }
 
+// Guards against an upstream that is used again after it has left: the process that acknowledged
+// its leave is killed, and the next one takes a late heartbeat for a current one.
+TEST_CASE("an upstream that has left gets no request from the next process on its host",
+          "[platform]")
+{
+    constexpr Duration drainPeriod = 2500ms;
+    PlatformCluster cluster({.hosts = 2});
+    Caller caller(cluster);
+    REQUIRE(caller.waitUntilServed(selectHosts(cluster, {0, 1}), 20s) < 20s);
+    PlatformHost &left = cluster.host(1);
+    REQUIRE(left.endpoint->deregister(left.heartbeats));
+    left.process->kill();
+    cluster.startProcess(left);
+    std::this_thread::sleep_for(1s);
+    left.endpoint->sendLateHeartbeat(left.heartbeats);
+    std::this_thread::sleep_for(drainPeriod + 1s);
+    const std::size_t runsBefore = left.endpoint->runs().size();
+    CHECK(caller.waitUntilServed(selectHosts(cluster, {0, 1}), 15s) < 15s);
+    CHECK(left.endpoint->runs().size() == runsBefore);
+    caller.checkGuarantees();
+}
+
+// Guards against an acknowledged leave that only the memory of one process knows.
+TEST_CASE("a leave is acknowledged only if the store has it", "[platform]")
+{
+    PlatformCluster cluster({.hosts = 2});
+    Caller caller(cluster);
+    REQUIRE(caller.waitUntilServed(selectHosts(cluster, {0, 1}), 20s) < 20s);
+    PlatformHost &host = cluster.host(1);
+    cluster.store.setFault(StoreFault::Down);
+    CHECK_FALSE(host.endpoint->deregister(host.heartbeats));
+    cluster.store.setFault(StoreFault::None);
+    std::this_thread::sleep_for(1s);
+    CHECK(host.endpoint->deregister(host.heartbeats));
+}
+
 // Covers the grant mode "heartbeat": the guarantees also hold if an upstream receives its grants in
 // heartbeat replies instead of calls.
 TEST_CASE("keys granted in answers to heartbeats are served, move and return", "[platform]")
