stage: a request that crashes upstreams is refused at every host

Cause: a crash counted only if the upstream already refused connections when the request's connection broke. The refusal shows later, when the request is gone, so nothing was counted, or others were. Each host counted for itself.

Crashes go to all hosts; gossip repeats quarantined requests for hosts that missed them. A request is refused after three crashes; after two it runs without other suspects, and an answer clears it everywhere. Crashes within 300 ms count as one, so that a mass failure quarantines no frequent request.

--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -3,6 +3,7 @@
 #include "base/durations.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "base/text.h"
 #include "platform/upstream.h"
 
 #include <algorithm>
@@ -73,6 +74,7 @@
     , hooks(std::move(executorHooks))
     , client(executorThread.io(), this->settings.upstream, upstreamLimits)
     , limiter(1, 1, false, readBootTime(), this->settings.limiter)
+    , guard(this->settings.crashes)
 {}
 
 // ---- One request ----
@@ -150,7 +152,10 @@
         result = withdrawn ? *withdrawn : this->send(execute, std::move(body), *run, deadline, end);
         this->limiter.finish(number, end, readBootTime());
     }
-    this->guard.endRun(permit, run->fingerprint, end == CallEnd::Answered);
+    const bool isCleared = this->guard.endRun(permit, run->fingerprint, end == CallEnd::Answered);
+    if (isCleared && this->hooks.suspectCleared) {
+        this->hooks.suspectCleared(run->fingerprint);
+    }
     return result;
 }
 
@@ -353,6 +358,9 @@
     if (this->callerAge(run, now) > run.callerAgeLimit) {
         return this->refuseStaleCaller();
     }
+    if (this->guard.isQuarantined(run.fingerprint, now)) {
+        return this->makeResult(wire::EXECUTE_REFUSED, 1s, "crashes-upstreams");
+    }
     const bool isHeld = !this->hooks.hasKeys() || !execute.has_key()
                         || this->hooks.access(execute.key(), now) == KeyAccess::Held;
     if (!isHeld || !this->monitor.mayServe(now)) {
@@ -420,8 +428,9 @@
                                         ? sample
                                         : serviceWeight * (sample - this->serviceSeconds);
     }
-    if (end == CallEnd::Lost && !run.isCancelled) {
-        this->noteCrash(now);
+    const bool mayHaveRun = result.reply.outcome() == wire::EXECUTE_LOST;
+    if (end == CallEnd::Lost && mayHaveRun && !run.isCancelled) {
+        this->crashWatch.noteLost(instance, run.fingerprint, now);
     }
     return result;
 }
@@ -480,21 +489,43 @@
     return result;
 }
 
-// A connection that breaks while a request runs may mean that the upstream crashed. The crash guard
-// watches the requests that ran then, so that a request which crashes every upstream is blocked.
-void Executor::noteCrash(Time now)
+// ---- Crashes ----
+
+// Counts the requests that were lost in a crash of the upstream, so that a request which crashes
+// every upstream is refused at all hosts.
+void Executor::watchCrashes(Time now)
 {
-    std::vector<Fingerprint> fingerprints;
-    for (const auto &[number, run] : this->running) {
-        if (run->isDispatched && !run->isCancelled) {
-            fingerprints.push_back(run->fingerprint);
-        }
+    if (const auto crash = this->crashWatch.takeCrash(this->monitor.instance(),
+                                                      this->monitor.isRefusing(), now)) {
+        logWarning(LogPart::Upstream, "upstream crashed",
+                   {{"crash", std::to_string(crash->crashId)},
+                    {"lost", std::to_string(crash->fingerprints.size())}});
+        this->guard.noteCrash(crash->fingerprints, crash->crashId, now);
     }
-    if (this->monitor.isRefusing()) {
-        const std::uint64_t crash =
-                hashBytes(this->monitor.instance().id,
-                          static_cast<std::uint64_t>(this->monitor.instance().startedMs));
-        this->guard.noteCrash(fingerprints, crash, now);
+    if (const auto report = this->guard.takeReport(now); report && this->hooks.crashed) {
+        this->hooks.crashed(*report);
+    }
+    if (this->crashWatch.takeProbe(now)) {
+        this->thread.spawn([this] { this->probeUpstream(); });
+    }
+}
+
+// Connects to the upstream without sending anything, to see whether something listens there.
+void Executor::probeUpstream()
+{
+    const auto handle = std::make_shared<HttpCallHandle>();
+    const auto sendNothing = [] { return std::optional<HttpRequest>(); };
+    const absl::Status status =
+            this->client
+                    .callWith(sendNothing, {.limit = this->settings.crashProbeLimit,
+                                            .maxIdle = Duration::zero(),
+                                            .handle = handle})
+                    .status();
+    if (handle->wasRefused()) {
+        logInfo(LogPart::Upstream, "nothing listens at the upstream after a lost request",
+                {{"upstream", this->monitor.instance().id},
+                 {"reason", std::string(toStd(status.message()))}});
+        this->monitor.noteRefused(readBootTime());
     }
 }
 
@@ -626,6 +657,7 @@
     this->limiter.advance(now);
     this->dispatchNext();
     this->probeCallers(now);
+    this->watchCrashes(now);
 }
 
 // ---- Reports ----
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -9,6 +9,7 @@
 
 #include "net/http_client.h"
 #include "stage/admission_gate.h"
+#include "stage/crash_watch.h"
 #include "stage/link.h"
 #include "stage/metrics.h"
 #include "stage/upstream_monitor.h"
@@ -69,6 +70,10 @@
     // Sends a probe; noteCallersFresh is called when its reply arrives.
     std::function<void(std::uint64_t connection)> sendProbe;
     std::function<bool(std::uint64_t connection)> isSilent; // whether the process does not answer
+    // The next two hooks tell the other processes about requests that may crash upstreams. Each may
+    // be empty.
+    std::function<void(const CrashReport &crash)> crashed;
+    std::function<void(Fingerprint fingerprint)> suspectCleared;
 };
 
 struct ExecutorSettings
@@ -91,6 +96,14 @@
     Duration silentLimit = LinkSettings{}.silentAfter;
     Duration probeWait = 150ms; // wait for the reply to a probe; two round trips between regions
     LimiterSettings limiter;
+    // A request is refused after its third crash. A suspect that was sound would be answered when
+    // it runs without other suspects, after the second one.
+    CrashGuardSettings crashes{.quarantineCrashes = 3,
+                               .suspectCrashes = 2,
+                               .minCrashSpacing = 300ms,
+                               .crashLifetime = 10min,
+                               .maxFingerprints = 4096};
+    Duration crashProbeLimit = 400ms; // for the connection that shows whether the upstream listens
 };
 
 // ---- Executor ----
@@ -130,6 +143,10 @@
     // Wakes the requests that wait for one of these keys if the key is now held here or elsewhere.
     void noteAccessChanged(const KeySpan &span);
 
+    // Requests that may crash upstreams. Every process refuses a request that crashed upstreams of
+    // any hosts.
+    CrashGuard &crashGuard() { return this->guard; }
+
     // Applies the slots of a new instance of the upstream.
     void noteUpstream(Time now);
 
@@ -205,7 +222,8 @@
     void cancelRun(Run &run);
     void wake(Run &run, WakeOrder order) const;
     void wait(Run &run, Duration limit);
-    void noteCrash(Time now);
+    void watchCrashes(Time now);
+    void probeUpstream();
     void log(const wire::Execute &execute, const ExecuteResult &result, const Run &run,
              Duration elapsed) const;
 
@@ -216,6 +234,7 @@
     ExecutorHooks hooks;
     HttpClient client;
     EndpointLimiter limiter;
+    CrashWatch crashWatch;
     CrashGuard guard;
     UpstreamInstance limitedInstance; // instance that the limiter was made for
     std::uint64_t lastNumber = 0;
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -162,7 +162,10 @@
                .isSilent =
                        [this](std::uint64_t connection) {
                            return this->callerFreshness.isSilent(connection);
-                       }})
+                       },
+               .crashed = [this](const CrashReport &crash) { this->broadcastCrash(crash); },
+               .suspectCleared =
+                       [this](Fingerprint fingerprint) { this->broadcastCleared(fingerprint); }})
     , coordinator(this->thread, this->settings.node, this->settings.service, this->view,
                   this->links, this->store, this->metrics,
                   {.makeReport = [this] { return this->makeReport(); },
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -75,6 +75,10 @@
     void sendBranch(const std::shared_ptr<const wire::StateReply> &update,
                     const BroadcastBranch &branch);
     void gossip(Time now);
+    void broadcastCrash(const CrashReport &crash);
+    void broadcastCleared(Fingerprint fingerprint);
+    void addQuarantined(wire::Vouch &request, Time now);
+    void applyQuarantined(const wire::Vouch &request, Time now);
     std::vector<std::string> knownNodes() const;
 
     // The upstream beside this process.
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -1,5 +1,5 @@
 // Messages between Stage and other processes.
-// Sections: messages of other processes, state exchange.
+// Sections: messages of other processes, state exchange, requests that crash upstreams.
 #include "stage/stage.h"
 
 #include "base/durations.h"
@@ -12,9 +12,10 @@
 namespace kumquat {
 namespace {
 
-constexpr Duration gossipTimeout = 900ms;    // at least three round trips between regions
-constexpr Duration broadcastTimeout = 400ms; // then other hosts become heads of the branch
-constexpr Duration fetchInterval = 50ms;     // between two state queries
+constexpr Duration gossipTimeout = 900ms;      // at least three round trips between regions
+constexpr Duration broadcastTimeout = 400ms;   // then other hosts become heads of the branch
+constexpr Duration fetchInterval = 50ms;       // between two state queries
+constexpr std::size_t maxQuarantinedSent = 16; // per message
 
 } // namespace
 
@@ -120,6 +121,7 @@
     *answer.mutable_known() = this->known();
     *answer.mutable_load() = this->executor.load(this->settings.node, readBootTime());
     reply(frame, {});
+    this->applyQuarantined(request, readBootTime());
     if (!request.load().node().empty()) {
         this->picker.noteLoad(request.load().node(), decodeLoad(request.load()), readBootTime());
     }
@@ -151,6 +153,14 @@
     for (const wire::StateItem &item : state.tables()) {
         this->view.applyTable(item.key(), item.offset(), item.value());
     }
+    CrashGuard &guard = this->executor.crashGuard();
+    for (const wire::CrashNotice &notice : state.crashes()) {
+        guard.applyRecord({notice.fingerprints().begin(), notice.fingerprints().end()},
+                          notice.crash(), readBootTime());
+    }
+    for (const Fingerprint fingerprint : state.cleared()) {
+        guard.clear(fingerprint);
+    }
 }
 
 wire::Known Stage::known() const
@@ -293,6 +303,7 @@
     wire::Vouch &request = *frame.mutable_vouch();
     *request.mutable_known() = this->known();
     *request.mutable_load() = this->executor.load(this->settings.node, now);
+    this->addQuarantined(request, now);
     const std::vector<std::string> nodes = this->knownNodes();
     // One of the relays, which wait for records of the store, and one of all hosts.
     const std::vector<std::string> relayNodes = this->relays.preferred(nodes);
@@ -315,4 +326,45 @@
     }
 }
 
+// ---- Requests that crash upstreams ----
+
+// Tells all hosts at once, because the request may come again at any of them.
+void Stage::broadcastCrash(const CrashReport &crash)
+{
+    const auto update = std::make_shared<wire::StateReply>();
+    *update->mutable_known() = this->view.known();
+    wire::CrashNotice &notice = *update->add_crashes();
+    notice.set_crash(crash.crashId);
+    notice.mutable_fingerprints()->Add(crash.fingerprints.begin(), crash.fingerprints.end());
+    this->broadcast(update, this->knownNodes());
+}
+
+void Stage::broadcastCleared(Fingerprint fingerprint)
+{
+    const auto update = std::make_shared<wire::StateReply>();
+    *update->mutable_known() = this->view.known();
+    update->add_cleared(fingerprint);
+    this->broadcast(update, this->knownNodes());
+}
+
+// Repeats quarantined requests in gossip, for hosts that have missed the crashes or restarted.
+void Stage::addQuarantined(wire::Vouch &request, Time now)
+{
+    for (const auto &row : this->executor.crashGuard().quarantined(maxQuarantinedSent, now)) {
+        wire::QuarantinedRequest &added = *request.add_quarantined();
+        added.set_fingerprint(row.fingerprint);
+        added.set_crashes(row.crashes);
+        added.set_last_crash(row.lastCrashId);
+        added.set_age_ms(static_cast<std::uint32_t>(toMilliseconds(now - row.lastCrash)));
+    }
+}
+
+void Stage::applyQuarantined(const wire::Vouch &request, Time now)
+{
+    for (const wire::QuarantinedRequest &row : request.quarantined()) {
+        this->executor.crashGuard().importCount(row.fingerprint(), row.crashes(), row.last_crash(),
+                                                now - std::chrono::milliseconds(row.age_ms()));
+    }
+}
+
 } // namespace kumquat
--- a/packages/standins/platform_endpoint.cpp
+++ b/packages/standins/platform_endpoint.cpp
@@ -325,6 +325,10 @@
         this->startedRequests.push_back(requestId);
         this->lastRunAt = HoldLedger::Clock::now();
     }
+    if (request.target.starts_with(crashPrefix)) {
+        this->hasCrashed = true;
+        return HttpAnswer::lost();
+    }
     std::this_thread::sleep_for(this->options.workTime);
     return {200,
             {{"X-Attempt-Id", requestId}, {"X-Server-Seal", "seal"}},
--- a/packages/standins/platform_endpoint.h
+++ b/packages/standins/platform_endpoint.h
@@ -110,6 +110,11 @@
     // Answers all later requests for a target with endless bytes.
     void setEndlessAnswer(const std::string &target, std::shared_ptr<EndlessBytes> bytes);
 
+    // Requests for targets that begin so break their connections without an answer, as in a crash.
+    // The caller ends the upstream when takeCrash() says so.
+    static constexpr auto crashPrefix = "/r/crash/";
+    bool takeCrash() { return this->hasCrashed.exchange(false); }
+
     // Returns the time from the acknowledgement of the upstream's drain to the start of its last
     // request, or 0 if no request started after the acknowledgement.
     std::chrono::milliseconds servedAfterDrain();
@@ -140,6 +145,7 @@
     std::optional<HoldLedger::Clock::time_point> drainAcknowledgedAt;
     std::atomic<bool> isDraining{false};
     std::atomic<bool> isStopping{false};
+    std::atomic<bool> hasCrashed{false};
     std::unique_ptr<HttpServer> server;
     std::thread heartbeatThread;
 };
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -320,6 +320,70 @@
     caller.checkGuarantees();
 }
 
+// Guards against a request that crashes each upstream that runs it and is sent on without end: the
+// crash shows after the request has ended, and each host counted for itself.
+TEST_CASE("a request that crashes upstreams is refused at every host after the third crash",
+          "[platform]")
+{
+    constexpr Duration contactPeriod = 4s; // until all hosts must know of the crashes
+    constexpr int allowedRetries = 3;
+    constexpr int requests = 12;
+    PlatformCluster cluster({.hosts = 4, .hasKeys = false});
+    int sent = 0;
+    int crashes = 0;
+    const auto send = [&](PlatformHost &host, const std::string &prefix) {
+        HttpClient client(host.callers);
+        const HttpExchange exchange =
+                client.send(makeCallerRequest({.id = "request-" + std::to_string(++sent),
+                                               .key = std::nullopt,
+                                               .isIdempotent = true,
+                                               .prefix = prefix}),
+                            2s);
+        return exchange.result == ExchangeResult::Answered ? exchange.answer.status : 0;
+    };
+    // Sends the request and restarts the upstreams that crash meanwhile.
+    const auto sendCrashing = [&](PlatformHost &host) {
+        auto status = std::async(std::launch::async,
+                                 [&] { return send(host, PlatformEndpoint::crashPrefix); });
+        std::vector<PlatformHost *> ended;
+        bool isAnswered = false;
+        while (!isAnswered) {
+            isAnswered = status.wait_for(5ms) == std::future_status::ready;
+            for (PlatformHost &each : cluster.hosts()) {
+                if (each.endpoint && each.endpoint->takeCrash()) {
+                    ++crashes;
+                    cluster.endUpstream(each);
+                    ended.push_back(&each);
+                }
+            }
+        }
+        std::this_thread::sleep_for(500ms);
+        for (PlatformHost *each : ended) {
+            cluster.startUpstream(*each);
+        }
+        return status.get();
+    };
+    const Time started = readBootTime();
+    while (send(cluster.host(0), "") != 200 && readBootTime() - started < 20s) {
+    }
+    std::this_thread::sleep_for(2s);
+    for (std::size_t i = 0; i < 3; ++i) {
+        sendCrashing(cluster.host(i));
+    }
+    REQUIRE(crashes >= 3);
+    std::this_thread::sleep_for(contactPeriod);
+    crashes = 0;
+    int lastStatus = 0;
+    for (std::size_t i = 0; i < requests; ++i) {
+        lastStatus = sendCrashing(cluster.host(i % 4));
+    }
+    CHECK(crashes <= allowedRetries);
+    CHECK(lastStatus == 503);
+    for (PlatformHost &host : cluster.hosts()) {
+        CHECK(send(host, "") == 200);
+    }
+}
+
 TEST_CASE("a process that is told to stop hands its keys over and exits", "[platform]")
 {
     PlatformCluster cluster;
--- a/packages/traffic/crash_guard.cpp
+++ b/packages/traffic/crash_guard.cpp
@@ -61,7 +61,8 @@
         return RunPermit::Quarantined;
     }
     const auto found = this->suspects.find(fingerprint);
-    const bool isSuspect = found != this->suspects.end() && found->second.activeCrashes() > 0
+    const bool isSuspect = found != this->suspects.end()
+                           && found->second.activeCrashes() >= this->settings.suspectCrashes
                            && now - found->second.lastCrash < this->settings.crashLifetime;
     if (!isSuspect) {
         return RunPermit::Free;
@@ -73,19 +74,38 @@
     return RunPermit::Alone;
 }
 
-void CrashGuard::endRun(RunPermit permit, Fingerprint fingerprint, bool isAnswered)
+bool CrashGuard::endRun(RunPermit permit, Fingerprint fingerprint, bool isAnswered)
 {
-    if (permit != RunPermit::Alone) {
-        return;
+    this->isSuspectRunning = this->isSuspectRunning && permit != RunPermit::Alone;
+    if (isAnswered) {
+        this->clear(fingerprint);
     }
-    this->isSuspectRunning = false;
+    return isAnswered && permit == RunPermit::Alone;
+}
+
+void CrashGuard::clear(Fingerprint fingerprint)
+{
     const auto found = this->suspects.find(fingerprint);
-    if (isAnswered && found != this->suspects.end()) {
+    if (found != this->suspects.end()) {
         // The crash ids are kept, so that records read later do not count the same crashes again.
         found->second.clearedCrashes = found->second.totalCrashes();
     }
 }
 
+std::vector<CrashGuard::Quarantined> CrashGuard::quarantined(std::size_t limit, Time now) const
+{
+    std::vector<Quarantined> result;
+    for (const auto &[fingerprint, suspect] : this->suspects) {
+        if (result.size() < limit && this->isQuarantined(fingerprint, now)) {
+            result.push_back({.fingerprint = fingerprint,
+                              .crashes = static_cast<std::uint32_t>(suspect.activeCrashes()),
+                              .lastCrashId = suspect.crashIds.back(),
+                              .lastCrash = suspect.lastCrash});
+        }
+    }
+    return result;
+}
+
 std::optional<CrashReport> CrashGuard::takeReport(Time now)
 {
     const std::optional<Time> due = this->nextReport();
@@ -113,6 +133,9 @@
     if (known != entry.crashIds.end()) {
         return;
     }
+    const bool isSameFailure =
+            entry.totalCrashes() > 0 && now < entry.lastCrash + this->settings.minCrashSpacing;
+    entry.clearedCrashes += isSameFailure ? 1 : 0; // known, but not counted
     entry.crashIds.push_back(crashId);
     if (entry.crashIds.size() > maxCrashIds) {
         entry.crashIds.erase(entry.crashIds.begin());
--- a/packages/traffic/crash_guard.h
+++ b/packages/traffic/crash_guard.h
@@ -31,14 +31,19 @@
 struct CrashGuardSettings
 {
     std::size_t quarantineCrashes = 2; // distinct crashes after which a fingerprint is quarantined
-    Duration quarantineTime = 10min;   // measured from the last crash
-    Duration crashLifetime = 24h;      // how long a crash counts
-    Duration reportInterval = 1s;      // minimum time between two records
+    std::size_t suspectCrashes = 1;    // crashes after which it is a suspect
+    // Crashes of one fingerprint within this time count as one. In a mass failure many upstreams
+    // crash at once, and a frequent request may have been running at several of them.
+    Duration minCrashSpacing{};
+    Duration quarantineTime = 10min;      // measured from the last crash
+    Duration crashLifetime = 24h;         // how long a crash counts
+    Duration reportInterval = 1s;         // minimum time between two records
     std::size_t maxFingerprints = 65'536; // beyond it the one with the oldest crash is forgotten
     std::size_t maxReports = 64;          // unreported crashes; beyond it the oldest is dropped
 };
 
-// Tells whether a request may run at the upstream now. A suspect is a request with a counted crash.
+// Tells whether a request may run at the upstream now. A suspect is a request with
+// `suspectCrashes` counted crashes.
 enum class RunPermit : std::uint8_t {
     Free,        // not a suspect; it may run
     Alone,       // a suspect, and no other suspect runs; it may run
@@ -73,9 +78,24 @@
     // Asks whether a request may run. After Free or Alone, endRun must be called.
     RunPermit startRun(Fingerprint fingerprint, Time now);
 
-    // Ends a run. If a request that ran Alone got a complete answer, all its crashes so far are
-    // cleared.
-    void endRun(RunPermit permit, Fingerprint fingerprint, bool isAnswered);
+    // Ends a run. If the request got a complete answer, all its crashes so far are cleared. Returns
+    // true if it was a suspect, so that other processes should clear it as well.
+    bool endRun(RunPermit permit, Fingerprint fingerprint, bool isAnswered);
+
+    // Clears all crashes so far of a request that was answered elsewhere.
+    void clear(Fingerprint fingerprint);
+
+    // One quarantined request, to tell other processes.
+    struct Quarantined
+    {
+        Fingerprint fingerprint = 0;
+        std::uint32_t crashes = 0;
+        std::uint64_t lastCrashId = 0;
+        Time lastCrash{};
+    };
+
+    // Returns up to `limit` quarantined requests.
+    std::vector<Quarantined> quarantined(std::size_t limit, Time now) const;
 
     // Returns the next record to append, at most one per reportInterval.
     std::optional<CrashReport> takeReport(Time now);
--- a/packages/traffic/tests/test_traffic.cpp
+++ b/packages/traffic/tests/test_traffic.cpp
@@ -202,6 +202,54 @@
     REQUIRE_FALSE(guard.isQuarantined(frequent, 4s));
 }
 
+// Guards against the quarantine of a frequent request after a mass failure.
+TEST_CASE("crashes at the same time count as one")
+{
+    CrashGuard guard({.quarantineCrashes = 3, .suspectCrashes = 2, .minCrashSpacing = 300ms});
+    for (std::uint64_t crash = 1; crash <= 8; ++crash) {
+        guard.applyRecord({1}, crash, 1s);
+    }
+    REQUIRE(guard.startRun(1, 2s) == RunPermit::Free);
+    guard.applyRecord({1}, 9, 2s);
+    REQUIRE(guard.startRun(1, 3s) == RunPermit::Alone);
+    REQUIRE_FALSE(guard.isQuarantined(1, 3s));
+    guard.applyRecord({1}, 10, 3s);
+    REQUIRE(guard.isQuarantined(1, 3s));
+}
+
+// Guards against sound requests that are refused elsewhere although one upstream has answered them.
+TEST_CASE("an answered suspect is cleared at every process")
+{
+    const CrashGuardSettings settings{.quarantineCrashes = 3, .suspectCrashes = 2};
+    CrashGuard guard(settings);
+    CrashGuard other(settings);
+    for (CrashGuard *each : {&guard, &other}) {
+        each->applyRecord({1}, 100, 1s);
+        each->applyRecord({1}, 101, 2s);
+    }
+    REQUIRE(guard.startRun(1, 3s) == RunPermit::Alone);
+    REQUIRE(guard.endRun(RunPermit::Alone, 1, true));
+    other.clear(1);
+    REQUIRE(other.startRun(1, 3s) == RunPermit::Free);
+    other.applyRecord({1}, 102, 4s);
+    REQUIRE_FALSE(other.isQuarantined(1, 4s));
+}
+
+// Guards against a process that has missed the crashes and sends a quarantined request on.
+TEST_CASE("a quarantine is passed on to other processes")
+{
+    CrashGuard guard;
+    guard.applyRecord({1, 2}, 100, 1s);
+    guard.applyRecord({1}, 101, 2s);
+    const auto quarantined = guard.quarantined(16, 3s);
+    REQUIRE(quarantined.size() == 1);
+    CrashGuard other;
+    other.importCount(quarantined[0].fingerprint, quarantined[0].crashes,
+                      quarantined[0].lastCrashId, quarantined[0].lastCrash);
+    REQUIRE(other.isQuarantined(1, 3s));
+    REQUIRE_FALSE(other.isQuarantined(2, 3s));
+}
+
 // Guards against a log flooded by crash reports, and against memory that grows with each crash.
 TEST_CASE("crash reports are limited in rate and number")
 {
