stage: the first heartbeat after a restart counts as a change

A process that restarted beside a running upstream used one slot of it for good.

Cause: since the record of the host is restored, the first heartbeat of the recorded instance changed neither instance nor phase, so the executor never learnt the number of slots. The first heartbeat of a process is now always a change. The test "the first heartbeat after a restart is a change" failed before.

--- a/packages/stage/tests/test_stage.cpp
+++ b/packages/stage/tests/test_stage.cpp
@@ -220,7 +220,18 @@
     CHECK_FALSE(monitor.mayServe(11s));
 }
 
-// The same for a heartbeat of an earlier instance.
+// Guards against a process that uses one slot of an upstream after a restart, because it never
+// learns the number of slots: the record of the host does not hold it.
+TEST_CASE("the first heartbeat after a restart is a change", "[upstream_monitor]")
+{
+    UpstreamMonitor monitor({.awaitsRecord = true});
+    monitor.restore({.instance = {.id = "i-1", .startedMs = 1}, .phase = UpstreamPhase::Ready},
+                    10s);
+    CHECK(monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Ready, 3), 11s)
+          == HeartbeatEffect::Changed);
+}
+
+// Guards against a late heartbeat of an earlier instance that is taken for the current one.
 TEST_CASE("a late heartbeat of an earlier instance is ignored after a restart",
           "[upstream_monitor]")
 {
--- a/packages/stage/upstream_monitor.cpp
+++ b/packages/stage/upstream_monitor.cpp
@@ -80,8 +80,8 @@
     }
     this->refusedAt.reset();
     const UpstreamPhase phase = wasLeaving ? UpstreamPhase::Draining : beat.phase;
-    const bool changed = !isSameInstance || phase != this->lastPhase
-                         || (this->current && this->current->slots != beat.slots);
+    const bool changed = !this->current || !isSameInstance || phase != this->lastPhase
+                         || this->current->slots != beat.slots;
     if (!isSameInstance) {
         this->failures = 0;
     }
