admission: one module decides whether an upstream may run a request

The decision about places, cold upstreams, links and calls was not made anywhere: a route's allowed_regions were not read, so requests reached upstreams of all regions. decide() weighs the figures of all parts, at the host of the caller and again at the host of the upstream.

--- a/packages/routing/configuration.h
+++ b/packages/routing/configuration.h
@@ -34,9 +34,11 @@
     std::string host;
     std::string prefix; // begins and ends with a slash
     bool isIdempotent = false;
-    Duration timeout{};                  // maximum time that a caller waits
-    Duration objective{};                // target time; answers within it have the most value
-    std::uint32_t priority = 0;          // 0 is the highest
+    bool hasLargeAnswers = false;            // a download; its requests are idempotent
+    std::vector<std::string> allowedRegions; // whose upstreams may run it; empty: all
+    Duration timeout{};                      // maximum time that a caller waits
+    Duration objective{};                    // target time; answers within it have the most value
+    std::uint32_t priority = 0;              // 0 is the highest
     std::uint32_t maxAttempts = 1;       // maximum number of upstreams to which one request is sent
     std::vector<ServiceWeight> services; // one or more, which share the requests by weight
 };
@@ -46,8 +48,9 @@
 struct ServiceInfo
 {
     std::string name;
-    std::uint32_t maxConnections = 0;   // maximum for one upstream, from all callers
-    bool hasKeys = false;               // each key is owned by one upstream at a time
+    std::uint32_t maxConnections = 0; // maximum for one upstream, from all callers
+    bool hasKeys = false;             // each key is owned by one upstream at a time
+    double coldPerSecond = 0; // requests that a cold upstream tolerates per second; 0: no limit
     std::optional<GrantMode> grantMode; // for its keys; not set: that of the process settings
 };
 
--- a/packages/routing/host_picker.cpp
+++ b/packages/routing/host_picker.cpp
@@ -25,6 +25,14 @@
     state.reportedAt = now;
 }
 
+const HostLoad *HostPicker::recentLoad(const std::string &node, Time now) const
+{
+    const auto found = this->states.find(node);
+    const bool isRecent = found != this->states.end()
+                          && now - found->second.reportedAt < this->settings.loadReportMaxAge;
+    return isRecent ? &found->second.load : nullptr;
+}
+
 void HostPicker::noteSent(const std::string &node)
 {
     ++this->states[node].sent;
@@ -96,14 +104,17 @@
     const double service =
             state.load.serviceSeconds > 0 ? state.load.serviceSeconds : assumedService;
     const std::uint32_t inFlight = std::max(isFresh ? state.load.inFlight : 0, state.sent);
-    const double slots = std::max(1U, state.load.slots);
+    const std::uint32_t usable =
+            state.load.usableSlots > 0 ? state.load.usableSlots : state.load.slots;
+    const double slots = std::max(1U, usable);
     // A request starts at once if a slot is free; otherwise it waits for other requests.
     const double waiting = std::max(0.0, inFlight + 1 - slots) / slots;
     const double share = inFlight / slots; // distributes requests while slots are free
     const double avoid = now < state.avoidUntil ? avoidPenalty : 0;
     const double unusable = isFresh && !state.load.isUsable ? avoidPenalty : 0;
     const double failing = this->failedShare(state, now) * toSeconds(this->settings.failureCost);
-    return distance + service * (1 + waiting + share / 2) + failing + avoid + unusable;
+    const double limited = isFresh ? toSeconds(state.load.coldWait + state.load.linkWait) : 0;
+    return distance + service * (1 + waiting + share / 2) + failing + avoid + unusable + limited;
 }
 
 std::optional<std::string> HostPicker::pick(const std::vector<HostCandidate> &candidates, Time now)
--- a/packages/routing/host_picker.h
+++ b/packages/routing/host_picker.h
@@ -29,6 +29,10 @@
     std::uint32_t inFlight = 0; // requests at the upstream
     std::uint32_t slots = 1;    // requests that the upstream runs concurrently
     double serviceSeconds = 0;  // mean time of one request; 0: unknown
+    // Concurrency beyond which the throughput of the upstream stops growing; 0: unknown.
+    std::uint32_t usableSlots = 0;
+    Duration coldWait{}; // until a cold upstream takes the next request; 0: it is not cold
+    Duration linkWait{}; // until the link of the host has sent what waits for it
 };
 
 struct HostCandidate
@@ -66,6 +70,9 @@
 
     void noteLoad(const std::string &node, const HostLoad &load, Time now);
 
+    // Returns the last report of the host, nullptr if there is none or it is too old.
+    const HostLoad *recentLoad(const std::string &node, Time now) const;
+
     // Records that a request was sent to the host; noteEnd follows.
     void noteSent(const std::string &node);
 
--- a/packages/stage/cluster_view.cpp
+++ b/packages/stage/cluster_view.cpp
@@ -60,7 +60,10 @@
     return {.isUsable = load.usable(),
             .inFlight = load.in_flight(),
             .slots = std::max(1U, load.slots()),
-            .serviceSeconds = decodeServiceTime(load.service_ms())};
+            .serviceSeconds = decodeServiceTime(load.service_ms()),
+            .usableSlots = load.usable_slots(),
+            .coldWait = std::chrono::milliseconds(load.cold_wait_ms()),
+            .linkWait = std::chrono::milliseconds(load.link_wait_ms())};
 }
 
 void ClusterView::applyConfiguration(Configuration newer, std::string bytes,
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -7,6 +7,7 @@
 // Sections: results, hooks, Executor.
 #pragma once
 
+#include "admission/decision.h"
 #include "net/http_client.h"
 #include "stage/admission_gate.h"
 #include "stage/crash_watch.h"
@@ -70,6 +71,13 @@
     // Sends a probe; noteCallersFresh is called when its reply arrives.
     std::function<void(std::uint64_t connection)> sendProbe;
     std::function<bool(std::uint64_t connection)> isSilent; // whether the process does not answer
+    // What limits work at the upstream now. `execute`: the request, nullptr for any request. Not
+    // set: nothing does.
+    std::function<AdmissionFigures(const wire::Execute *execute, Time now)> figures;
+    // Concurrency beyond which the throughput of the upstream stops growing; 0: unknown.
+    std::function<std::uint32_t()> usableSlots;
+    // A request is sent to the upstream now.
+    std::function<void(const wire::Execute &execute, Time now)> sending;
     // The next two hooks tell the other processes about requests that may crash upstreams. Each may
     // be empty.
     std::function<void(const CrashReport &crash)> crashed;
@@ -214,6 +222,8 @@
                          std::uint64_t number, Time deadline);
     ExecuteResult send(const wire::Execute &execute, std::string body, Run &run, Time deadline,
                        CallEnd &end);
+    std::optional<ExecuteResult> checkAdmission(const wire::Execute &execute, Time deadline,
+                                                Time now) const;
     std::optional<ExecuteResult> checkBeforeSend(const wire::Execute &execute, const Run &run,
                                                  Time deadline, Time now) const;
     ExecuteResult classifyAnswer(const wire::Execute &execute, absl::StatusOr<HttpResponse> answer,
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -46,6 +46,12 @@
     return host.region == own.region ? HostDistance::SameRegion : HostDistance::OtherRegion;
 }
 
+std::string_view refusalText(std::uint32_t reason)
+{
+    return reason == 0 ? "owner-full"
+                       : admissionReasonNames.nameOf(static_cast<AdmissionReason>(reason));
+}
+
 } // namespace
 
 struct Ingress::Attempt
@@ -61,8 +67,10 @@
     Duration readTime{};          // from the first to the last byte of the request
     Duration waitTime{};          // for which the bytes of the request waited for the busy thread
     Time deadline{};              // by which the caller needs the answer
+    Verdict verdict;              // why the last choice of a host found none
     std::string node;             // host that was tried last
     std::uint32_t sent = 0;       // number of times that an upstream may have received the request
+    bool wasLost = false;         // an earlier attempt may have run
     int moves = 0;                // number of times that the request was sent to another host
     bool isDisconnected = false;  // the caller closed its connection
     Duration disconnectedAfter{}; // from the start of the request until the disconnect was detected
@@ -186,6 +194,10 @@
     execute.set_idempotent(route.isIdempotent);
     execute.set_priority(route.priority);
     execute.set_route_hash(hashBytes(route.name));
+    execute.set_large_answer(route.hasLargeAnswers);
+    for (const std::string &region : route.allowedRegions) {
+        execute.add_allowed_regions(region);
+    }
     const bool hasKeys = info != nullptr && info->hasKeys;
     if (hasKeys && !execute.has_key()) {
         return this->fail(attempt, statusBadRequest, "no-key");
@@ -201,7 +213,7 @@
     while (true) {
         attempt.node = this->chooseHost(attempt);
         if (attempt.node.empty()) {
-            return this->refuse(attempt, this->settings.retryAfterLost, "no-owner");
+            return this->refuseWithoutHost(attempt);
         }
         const ExecuteResult result = this->sendTo(attempt.node, attempt, body);
         if (attempt.isDisconnected) {
@@ -216,25 +228,68 @@
     }
 }
 
+// Answers a request that no host may run now.
+HttpResponse Ingress::refuseWithoutHost(Attempt &attempt)
+{
+    const bool hasReason = attempt.verdict.reason != AdmissionReason::None;
+    const std::string_view reason =
+            hasReason ? admissionReasonNames.nameOf(attempt.verdict.reason) : "no-owner";
+    if (attempt.wasLost) {
+        return this->fail(attempt, statusBadGateway, reason); // an earlier attempt may have run
+    }
+    const Duration retryAfter = attempt.verdict.retryAfter;
+    return this->refuse(attempt,
+                        retryAfter > Duration::zero() ? retryAfter : this->settings.retryAfterLost,
+                        reason);
+}
+
+// Returns whether the upstream of a host may get the request now. Keeps the refusal that ends first
+// for the answer to the caller.
+bool Ingress::isAdmitted(Attempt &attempt, const HostInfo &host, Time now)
+{
+    AdmissionFigures figures{.region = host.region};
+    if (const HostLoad *load = this->picker.recentLoad(host.node, now)) {
+        figures.coldWait = load->coldWait;
+        figures.linkWait = load->linkWait;
+    }
+    const Verdict verdict = decide({.allowedRegions = &attempt.route->allowedRegions,
+                                    .hasKey = attempt.execute.has_key(),
+                                    .isCall = attempt.execute.is_call(),
+                                    .remaining = attempt.deadline - now},
+                                   figures);
+    const bool isSooner = attempt.verdict.reason == AdmissionReason::None
+                          || verdict.retryAfter < attempt.verdict.retryAfter;
+    if (verdict.action != AdmissionAction::Run && isSooner) {
+        attempt.verdict = verdict;
+    }
+    return verdict.action == AdmissionAction::Run;
+}
+
 // Returns the host of the owner of the key, or of the best upstream of a service without keys.
-std::string Ingress::chooseHost(const Attempt &attempt)
+// Empty if there is none that may run the request.
+std::string Ingress::chooseHost(Attempt &attempt)
 {
+    attempt.verdict = {};
+    const Time now = readBootTime();
     const wire::Execute &execute = attempt.execute;
     if (execute.has_key()) {
         const KeyTable *table = this->view.table(execute.service());
         const KeyRange *range = table != nullptr ? table->find(execute.key()) : nullptr;
         const KeySession *owner = range != nullptr ? table->session(range->owner) : nullptr;
+        const KnownHost *host = owner != nullptr ? this->view.host(owner->node) : nullptr;
+        if (host != nullptr && !this->isAdmitted(attempt, host->info, now)) {
+            return {};
+        }
         return owner != nullptr ? owner->node : std::string();
     }
     std::vector<HostCandidate> candidates;
-    const Time now = readBootTime();
     for (const auto &[name, host] : this->view.hosts()) {
         const bool isOther = attempt.moves == 0 || name != attempt.node;
         const bool isUp = name == this->settings.node
                           || (!this->links.isDown(name, now)
                               && !this->hostBackoff.remainingBackoff(name, WorkKind::Call, now));
         if (host.info.service == execute.service() && host.info.phase == UpstreamPhase::Ready
-            && isOther && isUp) {
+            && isOther && isUp && this->isAdmitted(attempt, host.info, now)) {
             candidates.push_back({.node = name, .distance = distanceOf(host.info, this->settings)});
         }
     }
@@ -286,7 +341,10 @@
                               {.isUsable = outcome != wire::EXECUTE_MISPLACED,
                                .inFlight = result.reply.in_flight(),
                                .slots = result.reply.slots(),
-                               .serviceSeconds = decodeServiceTime(result.reply.service_ms())},
+                               .serviceSeconds = decodeServiceTime(result.reply.service_ms()),
+                               .usableSlots = result.reply.usable_slots(),
+                               .coldWait = std::chrono::milliseconds(result.reply.cold_wait_ms()),
+                               .linkWait = std::chrono::milliseconds(result.reply.link_wait_ms())},
                               end);
     }
     const bool hasFailed =
@@ -376,6 +434,9 @@
     case wire::EXECUTE_REFUSED:
     case wire::EXECUTE_NOT_SENT:
         // The request was not sent to an upstream, so another host may run it if it has no key.
+        if (result.reply.reason() == static_cast<std::uint32_t>(AdmissionReason::CallsRefused)) {
+            return false; // its calls would be refused wherever it ran
+        }
         return !hasKey && ++attempt.moves <= 2 && left > this->settings.moveRetry * 2;
     case wire::EXECUTE_REJECTED:
     case wire::EXECUTE_LOST:
@@ -386,6 +447,7 @@
     ++attempt.sent;
     ++attempt.moves;
     const bool mayHaveRun = outcome == wire::EXECUTE_LOST;
+    attempt.wasLost = attempt.wasLost || mayHaveRun;
     const bool hasAttempts = attempt.sent < attempt.route->maxAttempts;
     if ((mayHaveRun && !attempt.route->isIdempotent) || !hasAttempts || (hasKey && !mayHaveRun)) {
         return false;
@@ -412,7 +474,7 @@
         break;
     case wire::EXECUTE_REFUSED:
         return mayHaveRun ? this->fail(attempt, statusBadGateway, "refused-after-lost")
-                          : this->refuse(attempt, retryAfter, "owner-full");
+                          : this->refuse(attempt, retryAfter, refusalText(result.reply.reason()));
     case wire::EXECUTE_MISPLACED:
         return mayHaveRun ? this->fail(attempt, statusBadGateway, "moved-after-lost")
                           : this->refuse(attempt, orLost(retryAfter), "key-moving");
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -86,7 +86,9 @@
 
     HttpResponse serve(Attempt &attempt, std::string &body);
     HttpResponse sendUntilAnswered(Attempt &attempt, std::string &body);
-    std::string chooseHost(const Attempt &attempt);
+    std::string chooseHost(Attempt &attempt);
+    bool isAdmitted(Attempt &attempt, const HostInfo &host, Time now);
+    HttpResponse refuseWithoutHost(Attempt &attempt);
     ExecuteResult sendTo(const std::string &node, Attempt &attempt, const std::string &body);
     ExecuteResult sendToPeer(const std::string &node, Attempt &attempt, const std::string &body);
     bool mayRepeat(Attempt &attempt, const ExecuteResult &result);
--- a/packages/stage/settings.cpp
+++ b/packages/stage/settings.cpp
@@ -86,6 +86,14 @@
     limits.retryWindow = std::chrono::seconds(
             object.takeInteger("retryWindowSeconds", secondRange, std::nullopt));
     limits.retrySlack = object.takeNumber("retrySlack", "a number", isNotNegative, std::nullopt);
+    limits.coldExcess = object.takeNumber("coldExcess", "a factor", isNotNegative, 1.0);
+    limits.coldSlack = object.takeNumber("coldSlack", "a number", isNotNegative, 0.0);
+    constexpr double bytesPerMegabit = 125'000;
+    limits.linkBytesPerSecond =
+            object.takeNumber("linkMbps", "a bandwidth", isNotNegative, 0.0) * bytesPerMegabit;
+    constexpr double bytesPerMegabyte = 1e6;
+    limits.memoryBytes = static_cast<std::uint64_t>(
+            object.takeNumber("memoryMb", "a size", isNotNegative, 0.0) * bytesPerMegabyte);
     object.reportUnknown();
     return limits;
 }
--- a/packages/stage/settings.h
+++ b/packages/stage/settings.h
@@ -10,6 +10,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -38,6 +39,12 @@
     double retryShare = 0;  // retries per request, over all processes
     Duration retryWindow{}; // over which retries are counted
     double retrySlack = 0;  // retries per window that are always allowed, over all processes
+    // A cold upstream gets at most the service's `coldPerSecond` x `coldExcess` + `coldSlack`
+    // requests in any second.
+    double coldExcess = 1;
+    double coldSlack = 0;
+    double linkBytesPerSecond = 0; // of this host's link, each way; 0: unknown
+    std::uint64_t memoryBytes = 0; // the process is killed beyond this; 0: unknown
 };
 
 struct StageSettings
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -163,6 +163,10 @@
                        [this](std::uint64_t connection) {
                            return this->callerFreshness.isSilent(connection);
                        },
+               .figures =
+                       [this](const wire::Execute *, Time) {
+                           return AdmissionFigures{.region = this->settings.region};
+                       },
                .crashed = [this](const CrashReport &crash) { this->broadcastCrash(crash); },
                .suspectCleared =
                        [this](Fingerprint fingerprint) { this->broadcastCleared(fingerprint); }})
