link: a host that asks about its callers is asked as well

Cause: a ping was sent only if nothing else had been sent for 300 ms. The replies to the pings of a host that asks about its callers are such messages, so a host whose requests waited there for 1.3 s never asked itself, took the host for silent and ended the requests.

Change: pings have a time of their own.

--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -63,7 +63,6 @@
     , hooks(std::move(linkHooks))
     , receivedAt(readBootTime())
     , nonPingReceivedAt(this->receivedAt)
-    , sentAt(this->receivedAt)
 {
     setOptions(this->socket);
 }
@@ -164,7 +163,6 @@
     if (!this->open || this->isWriting || this->queued.empty()) {
         return;
     }
-    this->sentAt = readBootTime();
     this->writing.swap(this->queued);
     this->isWriting = true;
     asio::async_write(this->socket, asio::buffer(this->writing),
@@ -543,7 +541,10 @@
     if (silence >= this->settings.silentAfter) {
         this->retireSilentLink(name, peer, now);
     } else if (silence >= this->settings.pingAfter
-               && now - peer.link->lastSent() >= this->settings.pingAfter) {
+               && now - std::max(peer.pingedAt, peer.waitingSince) >= this->settings.pingAfter) {
+        // Other messages do not replace a ping: replies to the pings of the peer, and requests that
+        // wait there for a long time, bring no answer.
+        peer.pingedAt = now;
         wire::LinkFrame ping;
         ping.set_sent_ns(now.count());
         ping.mutable_ping();
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -97,7 +97,6 @@
     // When data other than pings was last received. Pings of the peer show only that its data
     // arrives here, not that it receives data.
     Time lastNonPingReceived() const { return this->nonPingReceivedAt; }
-    Time lastSent() const { return this->sentAt; }
 
 private:
     Link(Socket socket, Hooks hooks);
@@ -117,7 +116,6 @@
     std::shared_ptr<DelayMeter> delays = std::make_shared<DelayMeter>();
     Time receivedAt{};
     Time nonPingReceivedAt{};
-    Time sentAt{};
 };
 
 // ---- LinkPool ----
@@ -213,6 +211,7 @@
         Time connectedAt{};
         Time lastReceivedAt{};
         Time waitingSince{}; // start of the present wait for answers; reset after a pause
+        Time pingedAt{};
         Calls calls;
         std::map<std::uint64_t, SilentLink> silentLinks; // by number of the attempt to connect
         // Messages to send once connected.
--- a/packages/stage/tests/test_link.cpp
+++ b/packages/stage/tests/test_link.cpp
@@ -287,6 +287,49 @@
     thread.stop();
 }
 
+// Guards against ending work at a host that is not silent. The host asks every 100 ms about the
+// caller of a request that waits in its queue. The replies to these pings counted as messages after
+// which no ping was due, so the caller's host never asked itself, and ended the call after 1.3 s.
+TEST_CASE("a host that asks about its callers is asked as well", "[link]")
+{
+    std::uint64_t connection = 0; // used on the server's thread
+    LinkReply answer;             // likewise
+    FiberThread serverThread("link-queue");
+    LinkServer server(
+            serverThread, "busy",
+            {.received =
+                     [&](const LinkPeer &peer, const LinkMessage &, const LinkReply &reply) {
+                         connection = peer.number;
+                         answer = reply;
+                     },
+             .closed = [](const LinkPeer &) {}});
+    const Address address{.ip = "127.0.0.1", .port = 28478};
+    REQUIRE(server.listen(address).ok());
+    serverThread.start();
+    FiberThread thread("link-test");
+    LinkPool pool(thread, "caller", 1);
+    thread.start();
+    CallResult result;
+    thread.post([&] {
+        pool.setAddress("busy", address);
+        pool.call("busy", makeQuery(), "x", 6s,
+                  [&](CallOutcome outcome, const LinkMessage &) { result.set(outcome); });
+    });
+    for (int i = 0; i < 25; ++i) {
+        serverThread.post([&] { server.ping(connection); });
+        thread.post([&] { pool.advance(readBootTime()); });
+        std::this_thread::sleep_for(100ms);
+    }
+    serverThread.post([&] {
+        wire::LinkFrame frame;
+        frame.mutable_state_reply();
+        answer(frame, "body");
+    });
+    CHECK(result.wait() == CallOutcome::Answered);
+    thread.stop();
+    serverThread.stop();
+}
+
 // Guards against treating all messages as late on a connection that stays open for hours, as the
 // clocks of two hosts drift apart.
 TEST_CASE("clocks that drift apart make no message late", "[link]")
