net: an answer with an impossible status is no answer

Cause: the client skipped every status below 200 as an interim answer, also 000, and passed 600 to 999 on. After a 000 the next bytes on the connection were taken for the answer.

Measured: the new case of test_net failed before (000 was followed by a 200 that was accepted) and passes now, with the other cases of [faulty_server].

--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -22,6 +22,10 @@
 
 constexpr int firstFinalStatus = 200;
 
+// The statuses that HTTP defines. The parser accepts any three digits.
+constexpr int firstStatus = 100;
+constexpr int lastStatus = 599;
+
 // Number of late and interim answers that are skipped before the connection counts as broken.
 constexpr int maxSkippedAnswers = 3;
 
@@ -231,7 +235,12 @@
         if (const ErrorCode error = stream.read(parser)) {
             return failureAfterSend(error);
         }
-        const bool isInterim = parser.message.status < firstFinalStatus;
+        const int status = parser.message.status;
+        if (status < firstStatus || status > lastStatus) {
+            return makeError(ErrorKind::UpstreamLost,
+                             absl::StrCat("the answer has the impossible status ", status));
+        }
+        const bool isInterim = status < firstFinalStatus;
         if (isInterim
             || (options.matchesRequest
                 && !options.matchesRequest(parser.message, !connection.isUsed))) {
--- a/packages/net/tests/test_faulty_server.cpp
+++ b/packages/net/tests/test_faulty_server.cpp
@@ -77,6 +77,30 @@
     }
 }
 
+// Guards against bytes of a failing upstream that reach a caller as an answer: a status outside 100
+// to 599 means nothing in HTTP. 000 was skipped like an interim answer, so that what followed on
+// the connection was taken for the answer; 600 and above was passed on.
+TEST_CASE("an answer with an impossible status is an error", "[faulty_server]")
+{
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        std::atomic<int> requests{0};
+        FaultyServer server([&](FaultyServer::Socket &socket, int) {
+            ++requests;
+            return writeAll(socket, "HTTP/1.1 " + status
+                                            + " Status\r\nX-Attempt-Id: 1\r\nX-Server-Seal: s\r\n"
+                                              "Content-Length: 2\r\n\r\nno"
+                                              "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
+                                              "X-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+        });
+        TestClient client(server.address());
+        INFO(status);
+        const auto answer = client.call({.limit = 1s, .mayEndWithConnection = true});
+        REQUIRE_FALSE(answer.ok());
+        CHECK(errorKindOf(answer.status()) == ErrorKind::UpstreamLost); // the request may have run
+        CHECK(requests == 1);
+    }
+}
+
 // Guards against an answer without a length that is accepted although its head is truncated.
 TEST_CASE("an answer without a length is an error until its head is complete", "[faulty_server]")
 {
