--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -116,6 +116,7 @@
                            return this->relays.pauseFor(this->settings.node, this->knownNodes(),
                                                         readBootTime() - this->startedAt);
                        }})
+    , admission(this->settings, this->view)
     , keys(this->thread, this->settings.node, this->settings.service, this->settings.upstream,
            this->settings.limits.maxHold, this->view, this->links, this->monitor, this->freshness,
            {.accessChanged =
@@ -163,10 +164,10 @@
                        [this](std::uint64_t connection) {
                            return this->callerFreshness.isSilent(connection);
                        },
-               .figures =
-                       [this](const wire::Execute *, Time) {
-                           return AdmissionFigures{.region = this->settings.region};
-                       },
+               .figures = [this](const wire::Execute *execute,
+                                 Time now) { return this->admission.figures(execute, now); },
+               .sending = [this](const wire::Execute &execute,
+                                 Time now) { this->admission.noteSending(execute, now); },
                .crashed = [this](const CrashReport &crash) { this->broadcastCrash(crash); },
                .suspectCleared =
                        [this](Fingerprint fingerprint) { this->broadcastCleared(fingerprint); }})
@@ -404,6 +405,7 @@
 // Applies the limits of the configuration on the size of requests and on the idle time of callers.
 void Stage::applyCallerLimits()
 {
+    this->admission.applyConfiguration();
     const CallerLimits &limits = this->view.configuration()->limits;
     this->callerServer->setLimits({.maxHeaderBytes = limits.maxHeaderBytes,
                                    .maxBodyBytes = limits.maxBodyBytes,
@@ -478,6 +480,9 @@
     }
     const Time now = readBootTime();
     const HeartbeatEffect effect = this->monitor.applyHeartbeat(*beat, now);
+    if (effect != HeartbeatEffect::Ignored && !beat->isDeregistration) {
+        this->admission.noteHeartbeat(beat->coldLeft, now);
+    }
     if (effect == HeartbeatEffect::Changed) {
         this->onUpstreamChanged(now);
     }
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -12,6 +12,7 @@
 #include "platform/store.h"
 #include "routing/host_picker.h"
 #include "stage/admission_gate.h"
+#include "stage/admission_state.h"
 #include "stage/awaited_table.h"
 #include "stage/broadcast.h"
 #include "stage/caller_freshness.h"
@@ -124,6 +125,7 @@
     RelayChoice relays;
     AdmissionGate gate;
     StoreFollower follower;
+    AdmissionState admission;
     KeyOwner keys;
     CallerFreshness callerFreshness;
     Executor executor;
