kumquatctl: check a configuration before it is published

Change: check also accepts a configuration of the users' platform. It lists errors, entries that never match, limits that contradict each other and, with --in-force, what changes.

--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -1,5 +1,7 @@
 // The command line of kumquatctl.
+#include "ctl/check_configuration.h"
 #include "ctl/commands.h"
+#include "settings/file.h"
 
 #include <docopt/docopt.h>
 
@@ -16,7 +18,7 @@
 constexpr const char *usage = R"(kumquatctl - checks and publishes rules, and queries processes.
 
 Usage:
-  kumquatctl check [--json] [--] RULES
+  kumquatctl check [--in-force FILE] [--json] [--] RULES
   kumquatctl publish [--author NAME] [--admin ADDRESS] [--log ADDRESS] [--json] [--] RULES
   kumquatctl status [--admin ADDRESS] [--json]
   kumquatctl owner [--admin ADDRESS] [--json] [--] SERVICE KEY
@@ -25,7 +27,11 @@
   kumquatctl --help
   kumquatctl --version
 
+RULES is a rules file. check also accepts a configuration of the users' platform (JSON): it lists
+errors, entries that never match, limits that contradict each other, and the changes.
+
 Options:
+  --in-force FILE  The configuration in force, to list what changes.
   --admin ADDRESS  IP:port of the admin port of any process [default: $KUMQUAT_ADMIN].
   --log ADDRESS    IP:port of the log service, several separated by commas
                    [default: $KUMQUAT_LOG].
@@ -92,7 +98,11 @@
         return reportUsageError(*addressError);
     }
     if (isCommand(arguments, "check")) {
-        return runCheck(context, arguments.at("RULES").asString());
+        const std::string path = arguments.at("RULES").asString();
+        const auto text = readFile(path, ErrorKind::RulesRefused);
+        return text.ok() && isConfigurationText(*text)
+                       ? runCheckConfiguration(context, path, optionOf(arguments, "--in-force"))
+                       : runCheck(context, path);
     }
     if (isCommand(arguments, "publish")) {
         const std::string author = optionOf(arguments, "--author");
--- a/packages/ctl/tests/test_ctl.cpp
+++ b/packages/ctl/tests/test_ctl.cpp
@@ -1,4 +1,5 @@
 #include "base/errors.h"
+#include "ctl/check_configuration.h"
 #include "ctl/clients.h"
 #include "ctl/commands.h"
 #include "ctl/publish.h"
@@ -328,3 +329,28 @@
     REQUIRE(runCheck(run.context, ".") == exitRefused);
     REQUIRE(contains(run.errors, ".: cannot be read"));
 }
+
+// Guards against a configuration that is published with entries that never match, or with a version
+// that no process applies.
+TEST_CASE("check lists the findings of a configuration", "[ctl]")
+{
+    const auto write = [](const std::string &path, const std::string &version,
+                          const std::string &service) {
+        std::ofstream(path) << R"({"version":")" << version << R"(","routes":{"columns":["name",)"
+                            << R"("host","path_prefix","timeout_ms","service"],"rows":[["a",)"
+                            << R"("shop.example","/a/",1000,")" << service << R"("]]},)"
+                            << R"("services":{"columns":["name"],"rows":[["s"]]}})";
+    };
+    Fleet fleet;
+    CommandRun sound(fleet);
+    write("sound.json", "r5", "s");
+    REQUIRE(runCheckConfiguration(sound.context, "sound.json", "") == exitDone);
+    REQUIRE(sound.output.str().empty());
+    CommandRun broken(fleet);
+    write("broken.json", "r4", "t");
+    REQUIRE(runCheckConfiguration(broken.context, "broken.json", "sound.json") == exitRefused);
+    REQUIRE(contains(broken.output, "error: route a: service t is not configured"));
+    REQUIRE(contains(broken.output, "unreachable: service s: no route uses it"));
+    REQUIRE(contains(broken.output, "error: version: 4 is not above 5"));
+    REQUIRE(contains(broken.output, "change: route a: services: s (1) -> t (1)"));
+}
