stage: an evacuated data centre gets no more requests

Cause: the operator's records evacuate/DATACENTRE were not read; any key of the operator's topic was decoded as a configuration, and removed keys were skipped.

Change: platform/operator_key decodes the keys of the topic. Evacuations (in ClusterView) keeps the newest record of each data centre with its offset. Hosts pass on the whole set with the position up to which they have read, so that a missing record counts as removed, also in a compacted topic. The process beside an upstream refuses requests while its data centre is evacuated and before it has read the operator's records once; callers' hosts leave out such candidates. After an evacuation, and after the first read, the upstream counts as cold until its next heartbeat. New metric: evacuated_data_centres.

--- a/packages/stage/admission_state.cpp
+++ b/packages/stage/admission_state.cpp
@@ -4,10 +4,18 @@
 #include "base/log.h"
 
 namespace kumquat {
+namespace {
+
+// Cold time to assume until the next heartbeat, which replaces it; longer than any pause between
+// heartbeats after which the upstream still gets requests.
+constexpr Duration assumedColdTime = 1h;
+
+} // namespace
 
 AdmissionFigures AdmissionState::figures(const wire::Execute * /*execute*/, Time now) const
 {
     AdmissionFigures figures{.region = this->settings.region};
+    figures.isEvacuated = this->view.evacuations().isClosed(this->settings.dataCentre);
     figures.coldWait = this->coldGate.wait(now);
     return figures;
 }
@@ -28,6 +36,15 @@
     }
 }
 
+void AdmissionState::applyEvacuations(Time now)
+{
+    const bool isClosed = this->view.evacuations().isClosed(this->settings.dataCentre);
+    if (this->wasClosed && !isClosed) {
+        this->coldGate.noteState(assumedColdTime, now);
+    }
+    this->wasClosed = isClosed;
+}
+
 void AdmissionState::applyConfiguration()
 {
     const ConfigurationPtr configuration = this->view.configuration();
--- a/packages/stage/admission_state.h
+++ b/packages/stage/admission_state.h
@@ -35,10 +35,15 @@
     // Applies the limits of a new configuration.
     void applyConfiguration();
 
+    // Call after a change of the evacuated data centres. An upstream that was out of use counts as
+    // cold until its next heartbeat.
+    void applyEvacuations(Time now);
+
 private:
     const StageSettings &settings;
     const ClusterView &view;
     ColdGate coldGate;
+    bool wasClosed = true; // the data centre was evacuated, or that was unknown
 };
 
 } // namespace kumquat
--- a/packages/stage/cluster_view.cpp
+++ b/packages/stage/cluster_view.cpp
@@ -174,6 +174,7 @@
     known.set_config_version(this->currentConfiguration ? this->currentConfiguration->version : 0);
     known.set_hosts_end(this->hostsReadEnd);
     known.set_tables_end(this->tablesReadEnd);
+    known.set_operator_end(this->evacuationRecords.end());
     return known;
 }
 
@@ -181,7 +182,8 @@
 {
     return other.config_version()
                    > (this->currentConfiguration ? this->currentConfiguration->version : 0)
-           || other.hosts_end() > this->hostsReadEnd || other.tables_end() > this->tablesReadEnd;
+           || other.hosts_end() > this->hostsReadEnd || other.tables_end() > this->tablesReadEnd
+           || other.operator_end() > this->evacuationRecords.end();
 }
 
 wire::StateReply ClusterView::stateSince(const wire::Known &other) const
@@ -192,6 +194,7 @@
         && this->currentConfiguration->version > other.config_version()) {
         state.set_config(this->currentConfigurationBytes);
     }
+    this->evacuationRecords.addTo(state, other);
     for (const auto &[node, host] : this->hostsByNode) {
         if (host.offset + 1 > other.hosts_end()) {
             wire::StateItem &item = *state.add_hosts();
--- a/packages/stage/cluster_view.h
+++ b/packages/stage/cluster_view.h
@@ -1,5 +1,6 @@
-// What this process knows about the system: the configuration, the hosts and the key tables, each
-// in the newest version that was read from the store or received from another process.
+// What this process knows about the system: the configuration, the evacuated data centres, the
+// hosts and the key tables, each in the newest version that was read from the store or received
+// from another process.
 //
 //   view.applyHost(key, offset, value);
 //   view.applyTable(key, offset, value);
@@ -13,6 +14,7 @@
 #include "keyspace/range_planner.h"
 #include "routing/configuration.h"
 #include "routing/host_picker.h"
+#include "stage/evacuations.h"
 #include "wire/stage.pb.h"
 
 #include <cstdint>
@@ -50,6 +52,7 @@
 struct ClusterViewHooks
 {
     std::function<void()> configurationChanged;
+    std::function<void()> evacuationsChanged;
     std::function<void(const KnownHost &host)> hostChanged;
     std::function<void(const std::string &service)> tableChanged;
 };
@@ -60,6 +63,7 @@
 public:
     explicit ClusterView(ClusterViewHooks viewHooks)
         : hooks(std::move(viewHooks))
+        , evacuationRecords(this->hooks.evacuationsChanged)
     {}
 
     // Applies a configuration if it is newer than the current one. `bytes`: its encoding in the
@@ -77,6 +81,8 @@
     void noteHostsEnd(std::uint64_t end);
     void noteTablesEnd(std::uint64_t end);
 
+    Evacuations &evacuations() { return this->evacuationRecords; }
+    const Evacuations &evacuations() const { return this->evacuationRecords; }
     ConfigurationPtr configuration() const { return this->currentConfiguration; }
     const std::string &configurationBytes() const { return this->currentConfigurationBytes; }
     const std::map<std::string, KnownHost> &hosts() const { return this->hostsByNode; }
@@ -101,6 +107,7 @@
     };
 
     ClusterViewHooks hooks;
+    Evacuations evacuationRecords;
     ConfigurationPtr currentConfiguration; // null before the first configuration
     std::string currentConfigurationBytes;
     std::map<std::string, KnownHost> hostsByNode;
--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -32,7 +32,7 @@
 {
     const ConfigurationPtr configuration = this->view.configuration();
     const ServiceInfo *info = configuration ? configuration->service(this->service) : nullptr;
-    if (info == nullptr || !info->hasKeys) {
+    if (info == nullptr || !info->hasKeys || !this->view.evacuations().isKnown()) {
         return;
     }
     const std::string writer = this->writerNode(now);
--- /dev/null
+++ b/packages/stage/evacuations.cpp
@@ -0,0 +1,139 @@
+#include "stage/evacuations.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+// Positions of the store's records contain its era above these bits; see platform/store.h.
+constexpr unsigned offsetBits = 40;
+
+bool isSameEra(std::uint64_t first, std::uint64_t second)
+{
+    return first >> offsetBits == second >> offsetBits;
+}
+
+void logChange(const EvacuationRecord &record, const std::string &source)
+{
+    logInfo(LogPart::Rules, record.value.empty() ? "evacuation ended" : "evacuation in force",
+            {{"dataCentre", record.dataCentre},
+             {"offset", std::to_string(record.offset)},
+             {"source", source}});
+}
+
+} // namespace
+
+// Returns whether the record starts or ends the evacuation of its data centre.
+bool Evacuations::keep(const EvacuationRecord &record, const std::string &source)
+{
+    const auto found = this->newest.find(record.dataCentre);
+    if (found != this->newest.end() && found->second.offset >= record.offset) {
+        return false;
+    }
+    const bool wasEvacuated = this->isEvacuated(record.dataCentre);
+    this->newest[record.dataCentre] = record;
+    const bool isEvacuated = !record.value.empty();
+    if (wasEvacuated == isEvacuated) {
+        return false;
+    }
+    logChange(record, source);
+    return true;
+}
+
+// Ends the evacuations that are not among the newest records up to `end`. Returns whether there
+// were any.
+bool Evacuations::dropMissing(const std::vector<EvacuationRecord> &records, std::uint64_t end,
+                              const std::string &source)
+{
+    bool hasChanged = false;
+    for (auto &[dataCentre, known] : this->newest) {
+        const bool isListed = std::any_of(records.begin(), records.end(),
+                                          [&name = dataCentre](const EvacuationRecord &row) {
+                                              return row.dataCentre == name;
+                                          });
+        const bool isOlder = known.offset < end && isSameEra(known.offset, end);
+        if (!isListed && isOlder && !known.value.empty()) {
+            known.value.clear();
+            known.offset = end - 1;
+            logChange(known, source);
+            hasChanged = true;
+        }
+    }
+    return hasChanged;
+}
+
+void Evacuations::apply(const EvacuationRecord &record, const std::string &source)
+{
+    if (record.offset >= this->readEnd) { // otherwise a newer record or its removal was seen
+        this->notify(this->keep(record, source));
+    }
+}
+
+void Evacuations::applyAll(const std::vector<EvacuationRecord> &records, std::uint64_t end,
+                           const std::string &source)
+{
+    if (end <= this->readEnd) {
+        return;
+    }
+    bool hasChanged = !this->isKnown();
+    for (const EvacuationRecord &record : records) {
+        hasChanged = this->keep(record, source) || hasChanged;
+    }
+    hasChanged = this->dropMissing(records, end, source) || hasChanged;
+    this->readEnd = end;
+    this->notify(hasChanged);
+}
+
+void Evacuations::noteEnd(std::uint64_t newEnd)
+{
+    const bool wasKnown = this->isKnown();
+    this->readEnd = std::max(this->readEnd, newEnd);
+    this->notify(this->isKnown() != wasKnown);
+}
+
+void Evacuations::addTo(wire::StateReply &state, const wire::Known &other) const
+{
+    if (this->readEnd <= other.operator_end()) {
+        return;
+    }
+    for (const auto &[dataCentre, record] : this->newest) {
+        wire::StateItem &item = *state.add_evacuations();
+        item.set_key(dataCentre);
+        item.set_offset(record.offset);
+        item.set_value(record.value);
+    }
+}
+
+void Evacuations::applyState(const wire::StateReply &state, const std::string &source)
+{
+    std::vector<EvacuationRecord> records;
+    for (const wire::StateItem &item : state.evacuations()) {
+        records.push_back(
+                {.dataCentre = item.key(), .offset = item.offset(), .value = item.value()});
+    }
+    this->applyAll(records, state.known().operator_end(), source);
+}
+
+bool Evacuations::isEvacuated(const std::string &dataCentre) const
+{
+    const auto found = this->newest.find(dataCentre);
+    return found != this->newest.end() && !found->second.value.empty();
+}
+
+std::size_t Evacuations::count() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(this->newest.begin(), this->newest.end(),
+                          [](const auto &entry) { return !entry.second.value.empty(); }));
+}
+
+void Evacuations::notify(bool hasChanged) const
+{
+    if (hasChanged && this->changed) {
+        this->changed();
+    }
+}
+
+} // namespace kumquat
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -155,6 +155,11 @@
     return route != nullptr && route->isIdempotent;
 }
 
+bool Ingress::mayServe() const
+{
+    return this->view.configuration() != nullptr && this->view.evacuations().isKnown();
+}
+
 void Ingress::abortAll()
 {
     for (Attempt *attempt : this->active) {
@@ -165,7 +170,7 @@
 
 HttpResponse Ingress::serve(Attempt &attempt, std::string &body)
 {
-    if (!attempt.configuration) {
+    if (!this->mayServe()) {
         return this->refuse(attempt, startRetry, "no-configuration");
     }
     if (attempt.route == nullptr) {
@@ -247,7 +252,8 @@
 // for the answer to the caller.
 bool Ingress::isAdmitted(Attempt &attempt, const HostInfo &host, Time now)
 {
-    AdmissionFigures figures{.region = host.region};
+    AdmissionFigures figures{.region = host.region,
+                             .isEvacuated = this->view.evacuations().isEvacuated(host.dataCentre)};
     if (const HostLoad *load = this->picker.recentLoad(host.node, now)) {
         figures.coldWait = load->coldWait;
         figures.linkWait = load->linkWait;
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -75,6 +75,9 @@
     // Returns whether a request may run in parallel with others of its connection.
     bool mayOverlap(const HttpRequest &request) const;
 
+    // Returns whether this process knows the configuration and the evacuated data centres.
+    bool mayServe() const;
+
     // Answers all requests now, before this process exits. A request that was sent may have run.
     void abortAll();
 
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -32,6 +32,7 @@
     StoreCalls,
     ConfigurationVersion, // version in force; 0 for none
     ConfigurationAge,     // milliseconds since the store last answered a read of the configuration
+    EvacuatedDataCentres, // number of data centres that the operator has evacuated
     TimerDelays,          // total milliseconds by which the timers of this process were late
     FiberDelays,          // total milliseconds that ready fibers waited for the thread
     MessageDelays,  // total milliseconds by which messages of other processes were late in transit
@@ -41,7 +42,7 @@
     RequestsWaiting,  // number of these requests that wait for their key or for a slot
 };
 
-inline constexpr NameTable<Metric, 24> metricNames{
+inline constexpr NameTable<Metric, 25> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -59,6 +60,7 @@
           {Metric::StoreCalls, "store_calls"},
           {Metric::ConfigurationVersion, "configuration_version"},
           {Metric::ConfigurationAge, "configuration_age_ms"},
+          {Metric::EvacuatedDataCentres, "evacuated_data_centres"},
           {Metric::TimerDelays, "timer_delays_ms"},
           {Metric::FiberDelays, "fiber_delays_ms"},
           {Metric::MessageDelays, "message_delays_ms"},
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -73,6 +73,7 @@
     , store(this->thread.io(), this->settings.store)
     , links(this->thread, this->settings.node, this->incarnation)
     , view({.configurationChanged = [this] { this->applyCallerLimits(); },
+            .evacuationsChanged = [this] { this->admission.applyEvacuations(readBootTime()); },
             .hostChanged =
                     [this](const KnownHost &host) {
                         this->links.setAddress(host.info.node, host.address);
@@ -261,6 +262,7 @@
         this->metrics.set(Metric::StoreCalls, this->store.callCount());
         this->metrics.set(Metric::ConfigurationVersion, configuration ? configuration->version : 0);
         this->metrics.set(Metric::ConfigurationAge, toMilliseconds(age));
+        this->metrics.set(Metric::EvacuatedDataCentres, this->view.evacuations().count());
         const FiberBacklog backlog = this->thread.backlog();
         this->metrics.set(Metric::FibersReady, backlog.ready);
         this->metrics.set(Metric::OldestFiberAge, toMilliseconds(backlog.oldest));
@@ -655,7 +657,7 @@
 
 bool Stage::isReady() const
 {
-    return !this->shutdownSchedule && this->view.configuration() != nullptr;
+    return !this->shutdownSchedule && this->ingress.mayServe();
 }
 
 HttpResponse Stage::onReadiness(const HttpRequest &request)
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -220,6 +220,7 @@
                          this->fetchesInProgress.erase(node);
                          if (outcome == CallOutcome::Answered) {
                              const wire::StateReply &state = answer.head.state_reply();
+                             this->view.evacuations().applyState(state, node);
                              this->onState(node, state);
                              // The answer contains everything that was missing.
                              this->view.noteHostsEnd(state.known().hosts_end());
--- a/packages/stage/store_follower.cpp
+++ b/packages/stage/store_follower.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "base/text.h"
 #include "platform/configuration.h"
+#include "platform/operator_key.h"
 
 #include <algorithm>
 
@@ -112,6 +113,9 @@
         const auto batch = this->store.readNewest(topic);
         this->noteResult(topic, batch.status());
         if (batch.ok()) {
+            if (topic == StoreTopic::Configuration) {
+                this->applyNewestEvacuations(*batch);
+            }
             this->apply(topic, *batch);
             this->hooks.caughtUp(topic, askedAt);
             return;
@@ -199,38 +203,74 @@
 {
     Cursor &current = this->cursor(topic);
     for (const StoreRecord &record : batch.records) {
-        if (record.value.empty()) {
+        if (topic == StoreTopic::Configuration) {
+            this->applyOperatorRecord(record);
+        } else if (record.value.empty()) {
             continue; // the key was deleted
-        }
-        switch (topic) {
-        case StoreTopic::Configuration: {
-            auto configuration = platform::decodeConfiguration(record.value);
-            if (configuration.ok()) {
-                this->view.applyConfiguration(*std::move(configuration), record.value, "store");
-            } else {
-                logWarning(LogPart::Rules, "invalid configuration ignored",
-                           {{"source", "store"},
-                            {"offset", std::to_string(record.offset)},
-                            {"reason", std::string(toStd(configuration.status().message()))}});
-            }
-            break;
-        }
-        case StoreTopic::Hosts:
+        } else if (topic == StoreTopic::Hosts) {
             this->view.applyHost(record.key, record.offset, record.value);
-            break;
-        case StoreTopic::Tables:
+        } else {
             this->view.applyTable(record.key, record.offset, record.value);
-            break;
         }
     }
     current.end = std::max(current.end, batch.end);
-    if (topic == StoreTopic::Hosts) {
+    if (topic == StoreTopic::Configuration) {
+        this->view.evacuations().noteEnd(current.end);
+    } else if (topic == StoreTopic::Hosts) {
         this->view.noteHostsEnd(current.end);
     } else if (topic == StoreTopic::Tables) {
         this->view.noteTablesEnd(current.end);
     }
 }
 
+void StoreFollower::applyOperatorRecord(const StoreRecord &record)
+{
+    const platform::OperatorKey key = platform::decodeOperatorKey(record.key);
+    switch (key.kind) {
+    case platform::OperatorRecord::Configuration:
+        if (!record.value.empty()) { // a deleted configuration stays in force
+            this->applyConfiguration(record);
+        }
+        break;
+    case platform::OperatorRecord::Evacuation:
+        this->view.evacuations().apply(
+                {.dataCentre = key.dataCentre, .offset = record.offset, .value = record.value},
+                "store");
+        break;
+    case platform::OperatorRecord::Other:
+        logWarning(LogPart::Log, "record of the operator ignored because its key is unknown",
+                   {{"key", record.key}, {"offset", std::to_string(record.offset)}});
+        break;
+    }
+}
+
+// `newest`: the newest records of all keys. A key that is missing there has been deleted.
+void StoreFollower::applyNewestEvacuations(const StoreBatch &newest)
+{
+    std::vector<EvacuationRecord> records;
+    for (const StoreRecord &record : newest.records) {
+        const platform::OperatorKey key = platform::decodeOperatorKey(record.key);
+        if (key.kind == platform::OperatorRecord::Evacuation) {
+            records.push_back(
+                    {.dataCentre = key.dataCentre, .offset = record.offset, .value = record.value});
+        }
+    }
+    this->view.evacuations().applyAll(records, newest.end, "store");
+}
+
+void StoreFollower::applyConfiguration(const StoreRecord &record)
+{
+    auto configuration = platform::decodeConfiguration(record.value);
+    if (configuration.ok()) {
+        this->view.applyConfiguration(*std::move(configuration), record.value, "store");
+    } else {
+        logWarning(LogPart::Rules, "invalid configuration ignored",
+                   {{"source", "store"},
+                    {"offset", std::to_string(record.offset)},
+                    {"reason", std::string(toStd(configuration.status().message()))}});
+    }
+}
+
 void StoreFollower::noteResult(StoreTopic topic, const absl::Status &status)
 {
     Cursor &current = this->cursor(topic);
--- a/packages/stage/store_follower.h
+++ b/packages/stage/store_follower.h
@@ -92,6 +92,9 @@
     absl::Status readMore(platform::StoreTopic topic, Duration wait);
     void pauseAfterRecords(platform::StoreTopic topic);
     void apply(platform::StoreTopic topic, const platform::StoreBatch &batch);
+    void applyOperatorRecord(const platform::StoreRecord &record);
+    void applyNewestEvacuations(const platform::StoreBatch &newest);
+    void applyConfiguration(const platform::StoreRecord &record);
     void noteResult(platform::StoreTopic topic, const absl::Status &status);
     void checkOtherTopics(platform::StoreTopic failed);
 
