admission: answers wait for the link for a bounded time only

Six hosts with links of 10 Mbit/s are asked for 117 images of 90,000 bytes per second, 84 Mbit/s. The slots of the upstreams admit them all, so the links owe more and more bytes and every answer on them becomes late, also those of short calls.

Each host now learns the size of the answers of each route, reserves these bytes when it sends a request to the upstream or passes an answer on, and refuses a request whose answer would wait for more than 150 ms. It acts only if the configuration has a route with large answers and the rate of the link is known.

--- /dev/null
+++ b/packages/stage/admission_hooks.cpp
@@ -0,0 +1,56 @@
+#include "stage/admission_hooks.h"
+
+namespace kumquat {
+namespace {
+
+// Size of the head of a usual answer, added to its body.
+constexpr std::size_t answerHeadBytes = 300;
+
+// Returns the bytes that the answer takes on the link, 0 if there is no answer.
+std::size_t answerBytes(const ExecuteResult &result)
+{
+    return result.reply.outcome() == wire::EXECUTE_ANSWERED ? result.body.size() + answerHeadBytes
+                                                            : 0;
+}
+
+} // namespace
+
+ExecutorHooks withAdmission(ExecutorHooks hooks, AdmissionState &admission)
+{
+    hooks.figures = [&admission](const wire::Execute *execute, Time now) {
+        return admission.figures(execute, now);
+    };
+    hooks.sending = [&admission](const wire::Execute &execute, Time now) {
+        admission.noteSending(execute, now);
+    };
+    hooks.ended = [&admission](const wire::Execute &execute, const ExecuteResult &result,
+                               Time now) {
+        admission.noteEnded(execute, answerBytes(result), now);
+    };
+    hooks.retryAfter = [&admission](const wire::Execute &execute, const Verdict &verdict,
+                                    Time now) {
+        return admission.retryAfter(execute, verdict, now);
+    };
+    return hooks;
+}
+
+IngressHooks withAdmission(IngressHooks hooks, AdmissionState &admission)
+{
+    hooks.relayWait = [&admission](const wire::Execute &execute, Time now) {
+        return admission.relayWait(execute, now);
+    };
+    hooks.relaying = [&admission](const wire::Execute &execute, Time now) {
+        admission.noteRelaying(execute, now);
+    };
+    hooks.relayed = [&admission](const wire::Execute &execute, const ExecuteResult &result,
+                                 Time now) {
+        admission.noteRelayed(execute, answerBytes(result), now);
+    };
+    hooks.retryAfter = [&admission](const wire::Execute &execute, const Verdict &verdict,
+                                    Time now) {
+        return admission.retryAfter(execute, verdict, now);
+    };
+    return hooks;
+}
+
+} // namespace kumquat
--- a/packages/stage/admission_state.cpp
+++ b/packages/stage/admission_state.cpp
@@ -3,20 +3,109 @@
 #include "base/durations.h"
 #include "base/log.h"
 
+#include <algorithm>
+
 namespace kumquat {
+namespace {
+
+constexpr Duration refusalLogInterval = 1s; // between log lines about refusals for one reason
 
-AdmissionFigures AdmissionState::figures(const wire::Execute * /*execute*/, Time now) const
+AnswerKind answerKindOf(const wire::Execute &execute)
+{
+    return {.route = execute.route_hash(), .isLarge = execute.large_answer()};
+}
+
+} // namespace
+
+AdmissionFigures AdmissionState::figures(const wire::Execute *execute, Time now) const
 {
     AdmissionFigures figures{.region = this->settings.region};
     figures.coldWait = this->coldGate.wait(now);
+    // Load reports tell the wait of a large answer.
+    figures.linkWait = this->linkMeter.wait(
+            execute != nullptr ? answerKindOf(*execute) : AnswerKind{.isLarge = true}, now);
     return figures;
 }
 
-void AdmissionState::noteSending(const wire::Execute & /*execute*/, Time now)
+void AdmissionState::noteSending(const wire::Execute &execute, Time now)
 {
     this->coldGate.noteSent(now);
+    this->linkMeter.reserve(&execute, answerKindOf(execute), now);
+}
+
+void AdmissionState::noteEnded(const wire::Execute &execute, std::size_t answerBytes, Time now)
+{
+    this->linkMeter.complete(&execute, answerBytes, now);
+}
+
+// ---- Answers of other hosts ----
+
+// An answer to a call goes to the upstream beside this process and does not use the link again.
+Duration AdmissionState::relayWait(const wire::Execute &execute, Time now) const
+{
+    return execute.is_call() ? Duration::zero() : this->linkMeter.wait(answerKindOf(execute), now);
+}
+
+void AdmissionState::noteRelaying(const wire::Execute &execute, Time now)
+{
+    if (!execute.is_call()) {
+        this->linkMeter.reserve(&execute, answerKindOf(execute), now);
+    }
 }
 
+void AdmissionState::noteRelayed(const wire::Execute &execute, std::size_t answerBytes, Time now)
+{
+    this->linkMeter.complete(&execute, answerBytes, now);
+}
+
+// ---- Refusals ----
+
+Duration AdmissionState::retryAfter(const wire::Execute &execute, const Verdict &verdict, Time now)
+{
+    Refusals &known = this->refusals[static_cast<std::size_t>(verdict.reason)];
+    ++known.count;
+    Duration result = verdict.retryAfter;
+    if (verdict.reason == AdmissionReason::LinkFull) {
+        result = known.spread.next(result, this->linkMeter.sendTime(answerKindOf(execute)), now);
+    }
+    this->logRefusal(execute, verdict, result, now);
+    return result;
+}
+
+// Writes at most one line per reason and second.
+void AdmissionState::logRefusal(const wire::Execute &execute, const Verdict &verdict,
+                                Duration retryAfter, Time now)
+{
+    Refusals &known = this->refusals[static_cast<std::size_t>(verdict.reason)];
+    if (known.loggedCount > 0 && now - known.loggedAt < refusalLogInterval) {
+        return;
+    }
+    logInfo(LogPart::Request, "requests refused",
+            {{"reason", std::string(admissionReasonNames.nameOf(verdict.reason))},
+             {"count", std::to_string(known.count - known.loggedCount)},
+             {"request", execute.id()},
+             {"waitMs", std::to_string(toMilliseconds(verdict.retryAfter))},
+             {"retryMs", std::to_string(toMilliseconds(retryAfter))},
+             {"linkOwedBytes",
+              std::to_string(static_cast<std::uint64_t>(this->linkMeter.owedBytes(now)))}});
+    known.loggedCount = known.count;
+    known.loggedAt = now;
+}
+
+void AdmissionState::addMetrics(Metrics &metrics, Time now) const
+{
+    const auto countOf = [this](AdmissionReason reason) {
+        return this->refusals[static_cast<std::size_t>(reason)].count;
+    };
+    metrics.set(Metric::LinkRefusals, countOf(AdmissionReason::LinkFull));
+    metrics.set(Metric::CallRefusals, countOf(AdmissionReason::CallsRefused));
+    metrics.set(Metric::LinkOwedBytes, static_cast<std::uint64_t>(this->linkMeter.owedBytes(now)));
+    metrics.set(Metric::LinkWait, static_cast<std::uint64_t>(toMilliseconds(
+                                          this->linkMeter.wait({.isLarge = true}, now))));
+}
+
+// ---- State of the upstream and configuration ----
+
 void AdmissionState::noteHeartbeat(Duration coldLeft, Time now)
 {
     const bool wasCold = this->coldGate.isCold(now);
@@ -36,6 +125,11 @@
     this->coldGate.setLimits({.perSecond = service != nullptr ? service->coldPerSecond : 0,
                               .excess = this->settings.limits.coldExcess,
                               .slack = this->settings.limits.coldSlack});
+    const bool hasLargeAnswers =
+            configuration
+            && std::any_of(configuration->routes.begin(), configuration->routes.end(),
+                           [](const Route &route) { return route.hasLargeAnswers; });
+    this->linkMeter.setRate(hasLargeAnswers ? this->settings.limits.linkBytesPerSecond : 0);
 }
 
 } // namespace kumquat
--- a/packages/stage/admission_state.h
+++ b/packages/stage/admission_state.h
@@ -8,10 +8,15 @@
 
 #include "admission/cold_gate.h"
 #include "admission/decision.h"
+#include "admission/link_meter.h"
+#include "admission/retry_spread.h"
 #include "stage/cluster_view.h"
+#include "stage/metrics.h"
 #include "stage/settings.h"
 #include "wire/stage.pb.h"
 
+#include <array>
+
 namespace kumquat {
 
 // Used on fibers of one thread.
@@ -26,8 +31,19 @@
     // Returns what limits a request now. `execute`: nullptr for any request.
     AdmissionFigures figures(const wire::Execute *execute, Time now) const;
 
-    // Records that a request is sent to the upstream now.
+    // Records that a request is sent to the upstream now, and that it has ended, whether it was
+    // sent or not. `answerBytes`: 0 without an answer. `execute` must be the same object.
     void noteSending(const wire::Execute &execute, Time now);
+    void noteEnded(const wire::Execute &execute, std::size_t answerBytes, Time now);
+
+    // The next three functions concern answers of other hosts that go to callers of this one.
+    // Returns how long such an answer would wait for the link.
+    Duration relayWait(const wire::Execute &execute, Time now) const;
+    void noteRelaying(const wire::Execute &execute, Time now);
+    void noteRelayed(const wire::Execute &execute, std::size_t answerBytes, Time now);
+
+    // Records a refusal and returns the retry time that the caller is told.
+    Duration retryAfter(const wire::Execute &execute, const Verdict &verdict, Time now);
 
     // Applies the remaining cold time of the upstream, 0 if it is warm.
     void noteHeartbeat(Duration coldLeft, Time now);
@@ -35,10 +51,26 @@
     // Applies the limits of a new configuration.
     void applyConfiguration();
 
+    void addMetrics(Metrics &metrics, Time now) const;
+
 private:
+    // Refusals for one reason.
+    struct Refusals
+    {
+        std::uint64_t count = 0;
+        std::uint64_t loggedCount = 0; // at the last log line
+        Time loggedAt{};
+        RetrySpread spread;
+    };
+
+    void logRefusal(const wire::Execute &execute, const Verdict &verdict, Duration retryAfter,
+                    Time now);
+
     const StageSettings &settings;
     const ClusterView &view;
     ColdGate coldGate;
+    LinkMeter linkMeter;
+    std::array<Refusals, admissionReasonNames.entries.size()> refusals; // by reason
 };
 
 } // namespace kumquat
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -95,6 +95,9 @@
     this->running.erase(number);
     this->dispatchNext();
     const Time now = readBootTime();
+    if (this->hooks.ended) {
+        this->hooks.ended(execute, result, now);
+    }
     this->addLoad(result.reply, now);
     this->log(execute, result, *run, now - arrivedAt);
     return result;
@@ -206,7 +209,10 @@
     if (verdict.action == AdmissionAction::Run) {
         return std::nullopt;
     }
-    ExecuteResult result = this->makeResult(wire::EXECUTE_REFUSED, verdict.retryAfter,
+    const Duration retryAfter = this->hooks.retryAfter
+                                        ? this->hooks.retryAfter(execute, verdict, now)
+                                        : verdict.retryAfter;
+    ExecuteResult result = this->makeResult(wire::EXECUTE_REFUSED, retryAfter,
                                             admissionReasonNames.nameOf(verdict.reason));
     result.reply.set_reason(static_cast<std::uint32_t>(verdict.reason));
     return result;
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -78,6 +78,12 @@
     std::function<std::uint32_t()> usableSlots;
     // A request is sent to the upstream now.
     std::function<void(const wire::Execute &execute, Time now)> sending;
+    // A request has ended, whether it was sent or not.
+    std::function<void(const wire::Execute &execute, const ExecuteResult &result, Time now)> ended;
+    // Returns the retry time that the caller of a refused request is told. Not set: that of the
+    // verdict.
+    std::function<Duration(const wire::Execute &execute, const Verdict &verdict, Time now)>
+            retryAfter;
     // The next two hooks tell the other processes about requests that may crash upstreams. Each may
     // be empty.
     std::function<void(const CrashReport &crash)> crashed;
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -237,7 +237,10 @@
     if (attempt.wasLost) {
         return this->fail(attempt, statusBadGateway, reason); // an earlier attempt may have run
     }
-    const Duration retryAfter = attempt.verdict.retryAfter;
+    const Duration retryAfter =
+            hasReason && this->hooks.retryAfter
+                    ? this->hooks.retryAfter(attempt.execute, attempt.verdict, readBootTime())
+                    : attempt.verdict.retryAfter;
     return this->refuse(attempt,
                         retryAfter > Duration::zero() ? retryAfter : this->settings.retryAfterLost,
                         reason);
@@ -250,7 +253,11 @@
     AdmissionFigures figures{.region = host.region};
     if (const HostLoad *load = this->picker.recentLoad(host.node, now)) {
         figures.coldWait = load->coldWait;
-        figures.linkWait = load->linkWait;
+        // The report is about large answers. The host itself checks the others.
+        figures.linkWait = attempt.route->hasLargeAnswers ? load->linkWait : Duration::zero();
+    }
+    if (host.node != this->settings.node && this->hooks.relayWait) {
+        figures.linkWait = std::max(figures.linkWait, this->hooks.relayWait(attempt.execute, now));
     }
     const Verdict verdict = decide({.allowedRegions = &attempt.route->allowedRegions,
                                     .hasKey = attempt.execute.has_key(),
@@ -372,6 +379,9 @@
     const std::shared_ptr<FiberEvent> event = attempt.event;
     wire::LinkFrame frame;
     *frame.mutable_execute() = attempt.execute;
+    if (this->hooks.relaying) {
+        this->hooks.relaying(attempt.execute, readBootTime());
+    }
     const Duration limit = attempt.deadline - readBootTime() + this->settings.answerSlack;
     const std::uint64_t call = this->links.call(
             node, std::move(frame), body, limit,
@@ -408,6 +418,9 @@
         this->links.cancel(node, call);
         waiting->result.reply.set_outcome(wire::EXECUTE_TIMED_OUT);
     }
+    if (this->hooks.relayed) {
+        this->hooks.relayed(attempt.execute, waiting->result, readBootTime());
+    }
     return std::move(waiting->result);
 }
 
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -36,6 +36,16 @@
     std::function<bool(Time deadline)> acceptsRequest;
     // Returns a refusal if this process is overloaded, else nothing.
     std::function<std::optional<AdmissionRefusal>(WorkKind kind)> isOverloaded;
+    // The next three hooks concern answers of other hosts, which this host sends to its callers.
+    // Each may be empty. relayWait returns how long an answer would wait for the link.
+    std::function<Duration(const wire::Execute &execute, Time now)> relayWait;
+    std::function<void(const wire::Execute &execute, Time now)> relaying; // sent to a host now
+    std::function<void(const wire::Execute &execute, const ExecuteResult &result, Time now)>
+            relayed;
+    // Returns the retry time that the caller of a refused request is told. Not set: that of the
+    // verdict.
+    std::function<Duration(const wire::Execute &execute, const Verdict &verdict, Time now)>
+            retryAfter;
 };
 
 // ---- Settings ----
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -39,9 +39,13 @@
     OldestFiberAge, // milliseconds since the oldest ready fiber became ready
     UpstreamRequests, // current requests of all callers for the upstream beside this process
     RequestsWaiting,  // number of these requests that wait for their key or for a slot
+    LinkRefusals,     // requests that were refused because the link is full
+    LinkOwedBytes,    // of answers that the link has not sent yet, as estimated
+    LinkWait,         // milliseconds that a large answer would wait for the link now
+    CallRefusals,     // requests that were refused because their calls would be
 };
 
-inline constexpr NameTable<Metric, 24> metricNames{
+inline constexpr NameTable<Metric, 28> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -65,7 +69,11 @@
           {Metric::FibersReady, "fibers_ready"},
           {Metric::OldestFiberAge, "fiber_age_ms"},
           {Metric::UpstreamRequests, "requests_here"},
-          {Metric::RequestsWaiting, "requests_waiting"}}}};
+          {Metric::RequestsWaiting, "requests_waiting"},
+          {Metric::LinkRefusals, "refused_link_full"},
+          {Metric::LinkOwedBytes, "link_owed_bytes"},
+          {Metric::LinkWait, "link_wait_ms"},
+          {Metric::CallRefusals, "refused_calls"}}}};
 
 // Used on one thread.
 class Metrics
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -6,6 +6,7 @@
 #include "base/signals.h"
 #include "base/text.h"
 #include "platform/upstream.h"
+#include "stage/admission_hooks.h"
 #include "stage/upstream_limits.h"
 
 #include <algorithm>
@@ -143,34 +144,40 @@
               {.service = this->settings.service,
                .upstream = this->settings.upstream,
                .limiter = upstreamLimiter},
-              {.access = [this](ShardKey key, Time now) { return this->keys.access(key, now); },
-               .heldFor = [this](ShardKey key, Time now) { return this->keys.heldFor(key, now); },
-               .hasKeys =
-                       [this] {
-                           const ServiceInfo *info = this->ownService();
-                           return info != nullptr && info->hasKeys;
-                       },
-               .tablesEnd = [this] { return this->view.tablesEnd(); },
-               .acceptsRequest = [this](Time deadline) { return this->acceptsRequest(deadline); },
-               .callerAge = [this](std::uint64_t connection,
-                                   Time now) { return this->callerFreshness.age(connection, now); },
-               .sendProbe =
-                       [this](std::uint64_t connection) {
-                           if (this->callerFreshness.takeProbe(connection, readBootTime())) {
-                               this->linkServer.ping(connection);
-                           }
-                       },
-               .isSilent =
-                       [this](std::uint64_t connection) {
-                           return this->callerFreshness.isSilent(connection);
-                       },
-               .figures = [this](const wire::Execute *execute,
-                                 Time now) { return this->admission.figures(execute, now); },
-               .sending = [this](const wire::Execute &execute,
-                                 Time now) { this->admission.noteSending(execute, now); },
-               .crashed = [this](const CrashReport &crash) { this->broadcastCrash(crash); },
-               .suspectCleared =
-                       [this](Fingerprint fingerprint) { this->broadcastCleared(fingerprint); }})
+              withAdmission(
+                      {.access = [this](ShardKey key,
+                                        Time now) { return this->keys.access(key, now); },
+                       .heldFor = [this](ShardKey key,
+                                         Time now) { return this->keys.heldFor(key, now); },
+                       .hasKeys =
+                               [this] {
+                                   const ServiceInfo *info = this->ownService();
+                                   return info != nullptr && info->hasKeys;
+                               },
+                       .tablesEnd = [this] { return this->view.tablesEnd(); },
+                       .acceptsRequest =
+                               [this](Time deadline) { return this->acceptsRequest(deadline); },
+                       .callerAge =
+                               [this](std::uint64_t connection, Time now) {
+                                   return this->callerFreshness.age(connection, now);
+                               },
+                       .sendProbe =
+                               [this](std::uint64_t connection) {
+                                   if (this->callerFreshness.takeProbe(connection,
+                                                                       readBootTime())) {
+                                       this->linkServer.ping(connection);
+                                   }
+                               },
+                       .isSilent =
+                               [this](std::uint64_t connection) {
+                                   return this->callerFreshness.isSilent(connection);
+                               },
+                       .crashed = [this](const CrashReport &crash) { this->broadcastCrash(crash); },
+                       .suspectCleared =
+                               [this](Fingerprint fingerprint) {
+                                   this->broadcastCleared(fingerprint);
+                               }},
+                      this->admission))
     , coordinator(this->thread, this->settings.node, this->settings.service, this->view,
                   this->links, this->store, this->metrics,
                   {.makeReport = [this] { return this->makeReport(); },
@@ -191,14 +198,17 @@
                    .heartbeatInterval = this->settings.heartbeatInterval})
     , ingress(this->thread, this->view, this->links, this->executor, this->picker, this->metrics,
               ingressSettings(this->settings),
-              {.noteTablesEnd =
-                       [this](const std::string &node, std::uint64_t end) {
-                           if (end > this->view.tablesEnd()) {
-                               this->fetchState(node);
-                           }
-                       },
-               .acceptsRequest = [this](Time deadline) { return this->acceptsRequest(deadline); },
-               .isOverloaded = [this](WorkKind kind) { return this->isOverloaded(kind); }})
+              withAdmission(
+                      {.noteTablesEnd =
+                               [this](const std::string &node, std::uint64_t end) {
+                                   if (end > this->view.tablesEnd()) {
+                                       this->fetchState(node);
+                                   }
+                               },
+                       .acceptsRequest =
+                               [this](Time deadline) { return this->acceptsRequest(deadline); },
+                       .isOverloaded = [this](WorkKind kind) { return this->isOverloaded(kind); }},
+                      this->admission))
     , linkServer(
               this->thread, this->settings.node,
               {.received =
@@ -266,6 +276,7 @@
         this->metrics.set(Metric::OldestFiberAge, toMilliseconds(backlog.oldest));
         this->metrics.set(Metric::UpstreamRequests, this->executor.count());
         this->metrics.set(Metric::RequestsWaiting, this->executor.waitingCount());
+        this->admission.addMetrics(this->metrics, now);
         return HttpResponse{.body = this->metrics.toText(now)};
     });
     const StageListen &listen = this->settings.listen;
