stage: the learned concurrency limits the queue and goes into load reports

Cause: nothing set usable_slots, and X-Server-Load was not read.

Change: the executor tells UpstreamSpeed about each run; the limiter is capped at the learned concurrency; the header is decoded in platform/ and only from authentic answers below 500. Cold runs and runs that are lost are not learned.

Measured: test_platform and test_traffic pass.

--- a/packages/stage/admission_state.cpp
+++ b/packages/stage/admission_state.cpp
@@ -21,6 +21,7 @@
 {
     const bool wasCold = this->coldGate.isCold(now);
     this->coldGate.noteState(coldLeft, now);
+    this->speed.noteHeartbeat(coldLeft, now);
     if (this->coldGate.isCold(now) != wasCold) {
         logInfo(LogPart::Upstream, wasCold ? "upstream is warm" : "upstream is cold",
                 {{"coldMs", std::to_string(toMilliseconds(coldLeft))},
--- a/packages/stage/admission_state.h
+++ b/packages/stage/admission_state.h
@@ -10,6 +10,7 @@
 #include "admission/decision.h"
 #include "stage/cluster_view.h"
 #include "stage/settings.h"
+#include "stage/upstream_speed.h"
 #include "wire/stage.pb.h"
 
 namespace kumquat {
@@ -32,6 +33,9 @@
     // Applies the remaining cold time of the upstream, 0 if it is warm.
     void noteHeartbeat(Duration coldLeft, Time now);
 
+    // Measures the upstream's speed from the requests that the executor sends.
+    SpeedHooks speedHooks(Metrics &metrics) { return this->speed.hooks(metrics); }
+
     // Applies the limits of a new configuration.
     void applyConfiguration();
 
@@ -39,6 +43,7 @@
     const StageSettings &settings;
     const ClusterView &view;
     ColdGate coldGate;
+    UpstreamSpeed speed;
 };
 
 } // namespace kumquat
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -509,6 +509,9 @@
     const std::uint32_t slots = this->monitor.slots();
     this->limiter.announce(slots, slots * connectionsPerSlot, now);
     this->limiter = EndpointLimiter(slots, slots, false, now, this->settings.limiter);
+    if (this->hooks.speed.instanceChanged) {
+        this->hooks.speed.instanceChanged(slots, now);
+    }
     for (const auto &[number, run] : this->running) {
         // Requests that ran at the former instance have ended; requests that waited are refused.
         if (!run->isSent) {
@@ -520,6 +523,7 @@
 
 void Executor::advance(Time now)
 {
+    this->applyConcurrencyLimit(now);
     this->limiter.advance(now);
     this->dispatchNext();
     this->probeCallers(now);
@@ -544,14 +548,15 @@
     load.set_in_flight(
             static_cast<std::uint32_t>(this->limiter.inFlight() + this->limiter.waiting()));
     load.set_slots(this->monitor.slots());
-    load.set_service_ms(
-            static_cast<std::uint32_t>(toMilliseconds(fromSeconds(this->serviceSeconds))));
+    const auto &adjust = this->hooks.speed.serviceSeconds;
+    const double seconds = adjust ? adjust(this->serviceSeconds, now) : this->serviceSeconds;
+    load.set_service_ms(static_cast<std::uint32_t>(toMilliseconds(fromSeconds(seconds))));
     if (this->hooks.figures) {
         const AdmissionFigures figures = this->hooks.figures(nullptr, now);
         load.set_cold_wait_ms(static_cast<std::uint32_t>(toMilliseconds(figures.coldWait)));
         load.set_link_wait_ms(static_cast<std::uint32_t>(toMilliseconds(figures.linkWait)));
     }
-    load.set_usable_slots(this->hooks.usableSlots ? this->hooks.usableSlots() : 0);
+    load.set_usable_slots(this->hooks.speed.usableSlots ? this->hooks.speed.usableSlots() : 0);
     return load;
 }
 
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -13,6 +13,7 @@
 #include "stage/crash_watch.h"
 #include "stage/link.h"
 #include "stage/metrics.h"
+#include "stage/speed_hooks.h"
 #include "stage/upstream_monitor.h"
 #include "traffic/crash_guard.h"
 #include "traffic/limiter.h"
@@ -74,8 +75,7 @@
     // What limits work at the upstream now. `execute`: the request, nullptr for any request. Not
     // set: nothing does.
     std::function<AdmissionFigures(const wire::Execute *execute, Time now)> figures;
-    // Concurrency beyond which the throughput of the upstream stops growing; 0: unknown.
-    std::function<std::uint32_t()> usableSlots;
+    SpeedHooks speed; // what measures the speed of the upstream
     // A request is sent to the upstream now.
     std::function<void(const wire::Execute &execute, Time now)> sending;
     // The next two hooks tell the other processes about requests that may crash upstreams. Each may
@@ -228,6 +228,8 @@
                                                  Time deadline, Time now) const;
     ExecuteResult classifyAnswer(const wire::Execute &execute, absl::StatusOr<HttpResponse> answer,
                                  const Run &run, CallEnd &end);
+    void noteRunEnded(const wire::Execute &execute, const RunEnd &end, Time now);
+    void applyConcurrencyLimit(Time now);
     void dispatchNext();
     void cancelRun(Run &run);
     void wake(Run &run, WakeOrder order) const;
--- a/packages/stage/executor_upstream.cpp
+++ b/packages/stage/executor_upstream.cpp
@@ -19,6 +19,9 @@
 // Retry time that refused callers are told while the upstream cannot be reached.
 constexpr Duration pendingRetry = 250ms;
 
+// Answers with this status or a higher one may end early, so their time is not that of the work.
+constexpr int firstServerError = 500;
+
 // Weight of one request in the moving average of the service time.
 constexpr double serviceWeight = 0.05;
 
@@ -68,6 +71,9 @@
         if (this->hooks.sending) {
             this->hooks.sending(execute, started);
         }
+        if (this->hooks.speed.started) {
+            this->hooks.speed.started(execute, started);
+        }
         run.isSent = true;
         return platform::encodeUpstreamRequest(execute, std::move(body), deadline - started,
                                                instance);
@@ -80,8 +86,14 @@
         return *std::move(withdrawn);
     }
     const Time now = readBootTime();
+    const std::optional<UpstreamFigures> figures =
+            answer.ok() ? platform::upstreamFiguresOf(*answer) : std::nullopt;
     ExecuteResult result = this->classifyAnswer(execute, std::move(answer), run, end);
     result.heldFor = heldFor;
+    const bool isWork = result.reply.outcome() == wire::EXECUTE_ANSWERED
+                        && result.reply.status() < firstServerError;
+    const CallEnd runEnd = end == CallEnd::Answered && !isWork ? CallEnd::Lost : end;
+    this->noteRunEnded(execute, {.end = runEnd, .figures = isWork ? figures : std::nullopt}, now);
     if (end == CallEnd::Answered) {
         const double sample = toSeconds(now - started);
         this->serviceSeconds += this->serviceSeconds == 0
@@ -95,6 +107,23 @@
     return result;
 }
 
+void Executor::noteRunEnded(const wire::Execute &execute, const RunEnd &end, Time now)
+{
+    if (this->hooks.speed.ended) {
+        this->hooks.speed.ended(execute, end, now);
+    }
+}
+
+// Applies the learned concurrency limit to the queue in front of the upstream.
+void Executor::applyConcurrencyLimit(Time now)
+{
+    const auto &limitNow = this->hooks.speed.concurrencyLimit;
+    const std::uint32_t limit = limitNow ? limitNow(now) : 0;
+    if (limit > 0) {
+        this->limiter.capConcurrency(limit, now);
+    }
+}
+
 ExecuteResult Executor::classifyAnswer(const wire::Execute &execute,
                                        absl::StatusOr<HttpResponse> answer, const Run &run,
                                        CallEnd &end)
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -39,9 +39,12 @@
     OldestFiberAge, // milliseconds since the oldest ready fiber became ready
     UpstreamRequests, // current requests of all callers for the upstream beside this process
     RequestsWaiting,  // number of these requests that wait for their key or for a slot
+    UsableSlots,      // concurrency beyond which the upstream's throughput stops growing
+    UsableSlotsChanges,
+    UpstreamSpeed, // latest figure of the upstream; 100 is usual, higher is slower, 0: none
 };
 
-inline constexpr NameTable<Metric, 24> metricNames{
+inline constexpr NameTable<Metric, 27> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -65,7 +68,10 @@
           {Metric::FibersReady, "fibers_ready"},
           {Metric::OldestFiberAge, "fiber_age_ms"},
           {Metric::UpstreamRequests, "requests_here"},
-          {Metric::RequestsWaiting, "requests_waiting"}}}};
+          {Metric::RequestsWaiting, "requests_waiting"},
+          {Metric::UsableSlots, "usable_slots"},
+          {Metric::UsableSlotsChanges, "usable_slots_changes"},
+          {Metric::UpstreamSpeed, "upstream_speed_percent"}}}};
 
 // Used on one thread.
 class Metrics
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -166,6 +166,7 @@
                        },
                .figures = [this](const wire::Execute *execute,
                                  Time now) { return this->admission.figures(execute, now); },
+               .speed = this->admission.speedHooks(this->metrics),
                .sending = [this](const wire::Execute &execute,
                                  Time now) { this->admission.noteSending(execute, now); },
                .crashed = [this](const CrashReport &crash) { this->broadcastCrash(crash); },
--- a/packages/traffic/limiter.cpp
+++ b/packages/traffic/limiter.cpp
@@ -47,6 +47,12 @@
     this->dispatchWaiting(now);
 }
 
+void EndpointLimiter::capConcurrency(std::uint32_t cap, Time now)
+{
+    this->concurrencyCap = std::max(1U, cap);
+    this->dispatchWaiting(now);
+}
+
 void EndpointLimiter::startCold(Time now)
 {
     this->coldSince = now;
@@ -198,15 +204,15 @@
 
 double EndpointLimiter::effectiveLimit(Time now) const
 {
+    const double limit = std::min<double>(this->currentLimit, this->concurrencyCap);
     if (!this->coldSince) {
-        return this->currentLimit;
+        return limit;
     }
     const double progress = toNs(now - *this->coldSince) / toNs(this->settings.coldRamp);
     const double initialLimit =
             std::min(this->settings.coldLimit, static_cast<double>(this->slots));
     // Rounding down would leave half a request unused on average during the whole ramp.
-    return std::min(this->currentLimit,
-                    std::round(initialLimit + (this->slots - initialLimit) * progress));
+    return std::min(limit, std::round(initialLimit + (this->slots - initialLimit) * progress));
 }
 
 bool EndpointLimiter::hasRoom(Time now) const
--- a/packages/traffic/limiter.h
+++ b/packages/traffic/limiter.h
@@ -118,6 +118,9 @@
     // Records a repeated announcement. It never raises the limit; the announced connections cap it.
     void announce(std::uint32_t slots, std::uint32_t connections, Time now);
 
+    // Caps the limit at a measured concurrency, until the next call.
+    void capConcurrency(std::uint32_t cap, Time now);
+
     // Starts the cold ramp again, after the upstream restarted.
     void startCold(Time now);
 
@@ -201,6 +204,7 @@
     std::uint32_t slots;
     std::uint32_t connections;
     double currentLimit;
+    std::uint32_t concurrencyCap = UINT32_MAX;
     std::optional<Time> coldSince;
     std::uint64_t limitGeneration = 0; // number of decreases and cold starts so far
     double baselineLatency = 0;        // ns, mean latency of windows without overload; 0: unknown
