--- a/packages/stage/admission_state.h
+++ b/packages/stage/admission_state.h
@@ -13,6 +13,7 @@
 #include "stage/cluster_view.h"
 #include "stage/metrics.h"
 #include "stage/settings.h"
+#include "stage/upstream_speed.h"
 #include "wire/stage.pb.h"
 
 #include <array>
@@ -48,6 +49,9 @@
     // Applies the remaining cold time of the upstream, 0 if it is warm.
     void noteHeartbeat(Duration coldLeft, Time now);
 
+    // Measures the upstream's speed from the requests that the executor sends.
+    SpeedHooks speedHooks(Metrics &metrics) { return this->speed.hooks(metrics); }
+
     // Applies the limits of a new configuration.
     void applyConfiguration();
 
@@ -75,6 +79,7 @@
     bool wasClosed = true; // the data centre was evacuated, or that was unknown
     LinkMeter linkMeter;
     std::array<Refusals, admissionReasonNames.entries.size()> refusals; // by reason
+    UpstreamSpeed speed;
 };
 
 } // namespace kumquat
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -44,9 +44,12 @@
     LinkOwedBytes,    // of answers that the link has not sent yet, as estimated
     LinkWait,         // milliseconds that a large answer would wait for the link now
     CallRefusals,     // requests that were refused because their calls would be
+    UsableSlots,      // concurrency beyond which the upstream's throughput stops growing
+    UsableSlotsChanges,
+    UpstreamSpeed, // latest figure of the upstream; 100 is usual, higher is slower, 0: none
 };
 
-inline constexpr NameTable<Metric, 29> metricNames{
+inline constexpr NameTable<Metric, 32> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -75,7 +78,10 @@
           {Metric::LinkRefusals, "refused_link_full"},
           {Metric::LinkOwedBytes, "link_owed_bytes"},
           {Metric::LinkWait, "link_wait_ms"},
-          {Metric::CallRefusals, "refused_calls"}}}};
+          {Metric::CallRefusals, "refused_calls"},
+          {Metric::UsableSlots, "usable_slots"},
+          {Metric::UsableSlotsChanges, "usable_slots_changes"},
+          {Metric::UpstreamSpeed, "upstream_speed_percent"}}}};
 
 // Used on one thread.
 class Metrics
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -173,6 +173,7 @@
                                [this](std::uint64_t connection) {
                                    return this->callerFreshness.isSilent(connection);
                                },
+                       .speed = this->admission.speedHooks(this->metrics),
                        .crashed = [this](const CrashReport &crash) { this->broadcastCrash(crash); },
                        .suspectCleared =
                                [this](Fingerprint fingerprint) {
