--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "base/time.h"
+#include "net/byte_budget.h"
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,12 +26,19 @@
     std::string target = "/"; // path and query
     std::vector<HttpField> fields;
     std::string body;
-    Time receivedAt{};   // when the server read the first bytes
-    Duration readTime{}; // from receivedAt until the whole request was read
+    SharedBody sharedBody;              // sent in place of `body` if it is not empty
+    std::shared_ptr<ByteCharge> charge; // for `body`, set by a server with a budget
+    Time receivedAt{};                  // when the server read the first bytes
+    Duration readTime{};                // from receivedAt until the whole request was read
     Duration waitTime{}; // from receivedAt until the reading fiber got processor time
 
     // Returns the value of the first field with this name, or an empty view.
     std::string_view field(std::string_view name) const;
+
+    std::string_view bodyView() const
+    {
+        return this->sharedBody.size() > 0 ? this->sharedBody.view() : std::string_view(this->body);
+    }
 };
 
 struct HttpResponse
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -223,9 +223,11 @@
     HttpStream &stream = *connection.stream;
     stream.expireAfter(limit);
     stream.output.clear();
-    appendRequest(stream.output, request, extra, this->host);
-    if (const ErrorCode error = stream.write(stream.output)) {
-        return failureAfterSend(error);
+    const std::string_view body = appendRequest(stream.output, request, extra, this->host);
+    const ErrorCode writeError = stream.write(stream.output, body);
+    stream.releaseMemory();
+    if (writeError) {
+        return failureAfterSend(writeError);
     }
     for (int skipped = 0; skipped <= maxSkippedAnswers; ++skipped) {
         HttpResponseParser parser(this->bodyBudget.get());
--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -17,6 +17,10 @@
 constexpr std::size_t readChunkBytes = 64UL * 1024;
 constexpr Duration drainTimeout = 1s;
 
+// Memory of an open connection: its objects, the first read buffer and the used part of the stack
+// of its fiber.
+constexpr std::uint64_t connectionBytes = 24UL * 1024;
+
 // If the reading fiber starts within this time after the accept, the time of the first request
 // counts from its read. If the fiber starts later and data has already arrived, the time counts
 // from the accept.
@@ -85,25 +89,55 @@
 HttpConnection::HttpConnection(FiberThread &connectionThread, HttpStream::Socket socket,
                                const HttpServerLimits &serverLimits,
                                const HttpServerHooks &serverHooks, IdleConnections &idleConnections,
-                               HttpServerCounts &serverCounts)
+                               HttpServerCounts &serverCounts, ByteBudget *byteBudget)
     : thread(connectionThread)
     , stream(HttpStream::create(std::move(socket), serverLimits.maxHeaderBytes + readChunkBytes))
     , limits(serverLimits)
     , hooks(serverHooks)
     , idle(idleConnections)
     , counts(serverCounts)
+    , budget(byteBudget)
+    , charge(byteBudget)
     , unreadTimer(connectionThread.io())
 {
     ++this->counts.connections;
+    if (this->budget != nullptr) {
+        this->stream->setCharge(&this->charge);
+    }
 }
 
 HttpConnection::~HttpConnection()
 {
     this->idle.erase(this->stream.get());
+    this->stream->setCharge(nullptr);
     this->stream->close();
     --this->counts.connections;
 }
 
+bool HttpConnection::chargeConnection()
+{
+    return this->charge.tryResize(connectionBytes, readBootTime());
+}
+
+// Lets others evict the connection while it makes no progress with what `allowed` was charged for.
+void HttpConnection::allowEviction(ByteCharge &allowed)
+{
+    if (this->budget != nullptr) {
+        allowed.allowEviction([opened = this->stream] { opened->close(); }, readBootTime());
+    }
+}
+
+// Charges the answers that wait or are being written. They are kept even if there is no room,
+// because their requests have run.
+void HttpConnection::chargePending()
+{
+    // Less than was charged is left after an eviction.
+    const std::uint64_t all = this->charge.bytes();
+    const std::uint64_t others = all - std::min(all, this->chargedAnswers);
+    this->charge.resize(others + this->answerBytes, readBootTime());
+    this->chargedAnswers = this->answerBytes;
+}
+
 // ---- Reading ----
 
 void HttpConnection::serveAs(std::uint64_t readerNumber)
@@ -144,7 +178,12 @@
     if (this->isFinished || this->isDisconnected) {
         return nullptr;
     }
-    HttpRequestParser parser;
+    const auto messageCharge =
+            this->budget != nullptr ? std::make_shared<ByteCharge>(this->budget) : nullptr;
+    HttpRequestParser parser(nullptr, messageCharge);
+    parser.maxBodyBytes = this->budget != nullptr
+                                  ? std::min(this->limits.maxBodyBytes, this->budget->capacity())
+                                  : this->limits.maxBodyBytes;
     parser.header_limit(this->limits.maxHeaderBytes);
     parser.body_limit(this->limits.maxBodyBytes);
     Arrival arrival;
@@ -160,11 +199,12 @@
     exchange->version = parser.version;
     exchange->isHead = parser.message.method == "HEAD";
     if (error) {
-        exchange->response = this->hooks.refuse(kindOfReadError(error));
+        exchange->response = this->refuse(parser, error);
         exchange->isDone = true;
     } else {
         exchange->keepAlive = parser.keep_alive();
         exchange->request = std::move(parser.message);
+        exchange->request.charge = messageCharge;
         exchange->request.receivedAt = arrival.at;
         exchange->request.waitTime = arrival.waited;
         exchange->request.readTime = readBootTime() - arrival.at;
@@ -179,6 +219,14 @@
     return exchange;
 }
 
+HttpResponse HttpConnection::refuse(HttpRequestParser &parser, const ErrorCode &error) const
+{
+    if (parser.lacksRoom && this->hooks.refuseForMemory) {
+        return this->hooks.refuseForMemory(parser.message);
+    }
+    return this->hooks.refuse(parser.lacksRoom ? ErrorKind::Overloaded : kindOfReadError(error));
+}
+
 ErrorCode HttpConnection::readMessage(HttpRequestParser &parser, Arrival &arrival)
 {
     const bool hasArrivedBefore = this->arrivedBeforeReader();
@@ -190,7 +238,16 @@
     arrival.at = hasArrivedBefore ? this->acceptedAt : this->stream->lastReadAt();
     arrival.waited = readBootTime() - arrival.at;
     this->setReadDeadline(Clock::now() + this->limits.messageLimit);
+    if (parser.charge) {
+        this->allowEviction(*parser.charge);
+    }
     const ErrorCode error = this->stream->read(parser);
+    if (parser.charge) {
+        parser.charge->forbidEviction();
+    }
+    if (!this->isWriting) {
+        this->charge.forbidEviction();
+    }
     this->setReadDeadline(Clock::time_point::max());
     return error;
 }
@@ -201,6 +258,7 @@
     if (this->pending.empty()) {
         this->noteIdle();
     }
+    this->stream->releaseMemory();
     const ErrorCode error = this->stream->readMore(this->limits.newRequestOrder);
     this->idle.erase(this->stream.get());
     this->isAwaiting = false;
@@ -341,8 +399,12 @@
         exchange->response = this->handle(*exchange);
         exchange->disconnectHook = nullptr;
         exchange->isDone = true;
+        exchange->request.charge = nullptr; // the handler has taken the body
+        exchange->request.body = std::string();
         exchange->bytes += exchange->response.body.size();
         this->pendingBytes += exchange->response.body.size();
+        this->answerBytes += exchange->response.body.size();
+        this->chargePending();
     }
     this->flush();
 }
@@ -419,6 +481,9 @@
         const bool keepsOpen = this->keepsOpen(*exchange);
         const bool isOpen = this->write(*exchange, keepsOpen) && keepsOpen;
         this->pending.pop_front();
+        this->answerBytes -=
+                std::min<std::uint64_t>(this->answerBytes, exchange->response.body.size());
+        this->chargePending();
         this->pendingBytes -= exchange->bytes;
         --this->counts.unanswered;
         if (!isOpen) {
@@ -436,9 +501,12 @@
 {
     std::string &output = this->stream->output;
     output.clear();
-    appendResponse(output, exchange.response, exchange.version, keepsOpen, exchange.isHead);
+    const std::string_view body =
+            appendResponse(output, exchange.response, exchange.version, keepsOpen, exchange.isHead);
     this->stream->expireAfter(this->limits.messageLimit);
-    const bool isWritten = !this->stream->write(output);
+    this->allowEviction(this->charge);
+    const bool isWritten = !this->stream->write(output, body);
+    this->charge.forbidEviction();
     this->stream->expireAt(this->readDeadline);
     return isWritten;
 }
@@ -457,6 +525,7 @@
     const auto now = Clock::now();
     this->setReadDeadline(now + this->limits.idleLimit);
     this->idle[this->stream.get()] = now;
+    this->allowEviction(this->charge);
 }
 
 // Closes the sending side after the last answer. Later requests that were read count as not read.
@@ -474,6 +543,9 @@
             exchange->startEvent->notify();
         }
     }
+    this->answerBytes = 0;
+    this->chargePending();
+    this->allowEviction(this->charge);
     ErrorCode ignored;
     this->stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
     this->setReadDeadline(Clock::now() + drainTimeout);
--- a/packages/net/http_connection.h
+++ b/packages/net/http_connection.h
@@ -37,12 +37,16 @@
 public:
     HttpConnection(FiberThread &connectionThread, HttpStream::Socket socket,
                    const HttpServerLimits &serverLimits, const HttpServerHooks &serverHooks,
-                   IdleConnections &idleConnections, HttpServerCounts &serverCounts);
+                   IdleConnections &idleConnections, HttpServerCounts &serverCounts,
+                   ByteBudget *byteBudget);
     ~HttpConnection();
 
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
 
+    // Charges the budget for an open connection. Returns false if there is no room.
+    bool chargeConnection();
+
     // Serves the connection in the calling fiber until it ends or another fiber takes over reading.
     void serve() { this->serveAs(this->reader); }
 
@@ -63,6 +67,9 @@
     ExchangePtr readNext(std::uint64_t readerNumber);
     ExchangePtr readExchange();
     ErrorCode readMessage(HttpRequestParser &parser, Arrival &arrival);
+    HttpResponse refuse(HttpRequestParser &parser, const ErrorCode &error) const;
+    void allowEviction(ByteCharge &allowed);
+    void chargePending();
     ErrorCode awaitBytes();
     void setReadDeadline(Clock::time_point due);
     void waitForCapacity();
@@ -97,8 +104,12 @@
     const HttpServerHooks &hooks;
     IdleConnections &idle;
     HttpServerCounts &counts;
-    std::deque<ExchangePtr> pending; // oldest first
-    std::uint64_t pendingBytes = 0;  // of requests and of answers that cannot be written yet
+    ByteBudget *budget;
+    ByteCharge charge; // for the connection, its read-ahead buffer and the answers to be written
+    std::uint64_t chargedAnswers = 0; // part of `charge`
+    std::uint64_t answerBytes = 0;    // of answers that are not completely written
+    std::deque<ExchangePtr> pending;  // oldest first
+    std::uint64_t pendingBytes = 0;   // of requests and of answers that cannot be written yet
     Time acceptedAt = readBootTime();
     bool hasRead = false;     // a read of the first request has started
     std::uint64_t reader = 0; // number of the reading fiber; grows at each handover
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -71,16 +71,17 @@
 };
 
 std::shared_ptr<HttpServer> HttpServer::create(FiberThread &thread, HttpServerLimits limits,
-                                               HttpServerHooks hooks)
+                                               HttpServerHooks hooks, ByteBudget *budget)
 {
-    return std::shared_ptr<HttpServer>(new HttpServer(thread, limits, std::move(hooks)));
+    return std::shared_ptr<HttpServer>(new HttpServer(thread, limits, std::move(hooks), budget));
 }
 
 HttpServer::HttpServer(FiberThread &serverThread, HttpServerLimits serverLimits,
-                       HttpServerHooks serverHooks)
+                       HttpServerHooks serverHooks, ByteBudget *byteBudget)
     : thread(serverThread)
     , limits(serverLimits)
     , hooks(std::move(serverHooks))
+    , budget(byteBudget)
     , state(std::make_unique<State>())
 {
     if (!this->hooks.isClosing) {
@@ -159,9 +160,12 @@
             // connections.
             const auto connection = std::shared_ptr<HttpConnection>(
                     new HttpConnection(self->thread, std::move(accepted), self->limits, self->hooks,
-                                       self->state->idleSince, self->state->counts),
+                                       self->state->idleSince, self->state->counts, self->budget),
                     [self](HttpConnection *ended) { delete ended; });
-            self->thread.spawn([connection] { connection->serve(); }, self->limits.newRequestOrder);
+            if (connection->chargeConnection()) { // otherwise it is closed at once
+                self->thread.spawn([connection] { connection->serve(); },
+                                   self->limits.newRequestOrder);
+            }
         }
         self->acceptNext(opened);
     });
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -54,6 +54,9 @@
     // Replaces `handle` if set.
     std::function<HttpResponse(HttpRequest &, CallerWatch &)> handleWatched;
     std::function<HttpResponse(ErrorKind)> refuse; // answer to an invalid request
+    // Answer to a request that the budget has no room for. Its body is missing. Not set: `refuse`
+    // with Overloaded.
+    std::function<HttpResponse(HttpRequest &)> refuseForMemory;
     std::function<bool()> isClosing; // if true, a connection is closed after its answer
     // Returns whether a pipelined request may run concurrently with earlier ones. Not set: none
     // may.
@@ -63,8 +66,10 @@
 class HttpServer : public std::enable_shared_from_this<HttpServer>
 {
 public:
+    // `budget`: charged for the bytes of connections, requests and answers. nullptr: they have
+    // only the limits. It must outlive the server's thread.
     static std::shared_ptr<HttpServer> create(FiberThread &thread, HttpServerLimits limits,
-                                              HttpServerHooks hooks);
+                                              HttpServerHooks hooks, ByteBudget *budget = nullptr);
 
     // Starts to listen and to accept. With `shared`, several servers may listen on the same port,
     // and the kernel distributes connections among them. Error: SettingsInvalid if the address
@@ -91,12 +96,14 @@
     struct Listener;
     struct State; // shared by the connections
 
-    HttpServer(FiberThread &thread, HttpServerLimits limits, HttpServerHooks hooks);
+    HttpServer(FiberThread &thread, HttpServerLimits limits, HttpServerHooks hooks,
+               ByteBudget *budget);
     void acceptNext(const std::shared_ptr<Listener> &opened);
 
     FiberThread &thread;
     HttpServerLimits limits;
     HttpServerHooks hooks;
+    ByteBudget *budget;
     std::unique_ptr<State> state;
     std::shared_ptr<Listener> listener;
 };
--- a/packages/net/http_stream.cpp
+++ b/packages/net/http_stream.cpp
@@ -10,6 +10,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <array>
 
 namespace kumquat {
 namespace {
@@ -21,6 +22,8 @@
 constexpr auto secondCheckDelay = std::chrono::milliseconds(2); // between the first two checks
 constexpr auto laterCheckDelay = std::chrono::milliseconds(20); // between the checks after that
 constexpr std::size_t maxReadBytes = 64UL * 1024;
+constexpr std::size_t copiedBodyBytes = 16UL * 1024; // larger bodies are written without a copy
+constexpr std::size_t keptOutputBytes = 8UL * 1024;  // between two messages
 
 void appendField(std::string &text, std::string_view name, std::string_view value)
 {
@@ -47,12 +50,22 @@
     });
 }
 
+// Appends a small body. Returns a large one.
+std::string_view appendBody(std::string &text, std::string_view body)
+{
+    if (body.size() > copiedBodyBytes) {
+        return body;
+    }
+    text.append(body);
+    return {};
+}
+
 } // namespace
 
 // ---- Writers ----
 
-void appendRequest(std::string &text, const HttpRequest &request,
-                   const std::vector<HttpField> &extra, std::string_view host)
+std::string_view appendRequest(std::string &text, const HttpRequest &request,
+                               const std::vector<HttpField> &extra, std::string_view host)
 {
     text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     if (!hasField(request.fields, "Host")) {
@@ -68,14 +81,16 @@
     }
     const bool usuallyHasBody = request.method == "POST" || request.method == "PUT"
                                 || request.method == "PATCH" || request.method == "OPTIONS";
-    if (!request.body.empty() || usuallyHasBody) {
-        appendLength(text, request.body.size());
+    const std::string_view body = request.bodyView();
+    if (!body.empty() || usuallyHasBody) {
+        appendLength(text, body.size());
     }
-    text.append("\r\n").append(request.body);
+    text.append("\r\n");
+    return appendBody(text, body);
 }
 
-void appendResponse(std::string &text, const HttpResponse &response, int version, bool keepAlive,
-                    bool isHead)
+std::string_view appendResponse(std::string &text, const HttpResponse &response, int version,
+                                bool keepAlive, bool isHead)
 {
     const auto reason =
             http::obsolete_reason(http::int_to_status(static_cast<unsigned>(response.status)));
@@ -92,9 +107,7 @@
     const bool hasBody = allowsBody(response.status);
     appendLength(text, hasBody ? response.body.size() : 0);
     text.append("\r\n");
-    if (hasBody && !isHead) {
-        text.append(response.body);
-    }
+    return hasBody && !isHead ? appendBody(text, response.body) : std::string_view();
 }
 
 // ---- HttpStream ----
@@ -194,6 +207,14 @@
     if (size == 0) {
         return http::error::buffer_overflow;
     }
+    const std::size_t needed = this->buffer.size() + size;
+    // The buffer at least doubles when it grows.
+    const std::size_t capacity = needed > this->buffer.capacity()
+                                         ? std::max(needed, 2 * this->buffer.size())
+                                         : this->buffer.capacity();
+    if (!this->resizeBuffer(capacity)) {
+        return asio::error::no_memory;
+    }
     const OperationResult result = awaitOperation(
             [&](auto done) {
                 this->connection.async_read_some(this->buffer.prepare(size), std::move(done));
@@ -202,6 +223,7 @@
              .isPending = &this->isPending});
     this->readAt = wokenAt();
     this->buffer.commit(result.bytes);
+    this->noteMoved(result.bytes);
     return this->resultOf(result.error);
 }
 
@@ -240,18 +262,16 @@
 template ErrorCode HttpStream::read(http::basic_parser<true> &parser);
 template ErrorCode HttpStream::read(http::basic_parser<false> &parser);
 
-ErrorCode HttpStream::write(std::string_view data)
+ErrorCode HttpStream::write(std::string_view data, std::string_view body)
 {
-    while (!data.empty()) {
+    while (!data.empty() || !body.empty()) {
+        const std::array<asio::const_buffer, 2> parts{asio::buffer(data.data(), data.size()),
+                                                      asio::buffer(body.data(), body.size())};
         ErrorCode error;
-        std::size_t sent =
-                this->connection.write_some(asio::buffer(data.data(), data.size()), error);
+        std::size_t sent = this->connection.write_some(parts, error);
         if (error == asio::error::would_block) {
             const OperationResult result = awaitOperation(
-                    [&](auto done) {
-                        this->connection.async_write_some(asio::buffer(data.data(), data.size()),
-                                                          std::move(done));
-                    },
+                    [&](auto done) { this->connection.async_write_some(parts, std::move(done)); },
                     {.isPending = &this->isPending});
             error = result.error;
             sent = result.bytes;
@@ -259,11 +279,50 @@
         if (error) {
             return this->resultOf(error);
         }
-        data.remove_prefix(sent);
+        this->noteMoved(sent);
+        const std::size_t sentData = std::min(sent, data.size());
+        data.remove_prefix(sentData);
+        body.remove_prefix(sent - sentData);
     }
     return {};
 }
 
+void HttpStream::noteMoved(std::size_t bytes)
+{
+    if (this->charge != nullptr) {
+        this->charge->noteProgress(bytes, readBootTime());
+    }
+}
+
+// Charges the buffer for this capacity. Returns false if there is no room.
+bool HttpStream::resizeBuffer(std::size_t capacity)
+{
+    const std::size_t bytes = capacity - std::min(capacity, firstBufferBytes);
+    if (this->charge == nullptr || bytes == this->chargedBuffer) {
+        return true;
+    }
+    // Less than was charged is left after an eviction.
+    const std::uint64_t all = this->charge->bytes();
+    const std::uint64_t others = all - std::min<std::uint64_t>(all, this->chargedBuffer);
+    if (!this->charge->tryResize(others + bytes, readBootTime())) {
+        return false;
+    }
+    this->chargedBuffer = bytes;
+    return true;
+}
+
+void HttpStream::releaseMemory()
+{
+    if (this->output.capacity() > keptOutputBytes) {
+        this->output = std::string();
+    }
+    if (this->buffer.size() == 0 && this->buffer.capacity() > firstBufferBytes) {
+        this->buffer.shrink_to_fit();
+        this->buffer.reserve(firstBufferBytes);
+        this->resizeBuffer(firstBufferBytes);
+    }
+}
+
 std::size_t HttpStream::dropBuffered()
 {
     const std::size_t bytes = this->buffer.size();
--- a/packages/net/http_stream.h
+++ b/packages/net/http_stream.h
@@ -9,6 +9,7 @@
 // Sections: parsers, writers, HttpStream.
 #pragma once
 
+#include "net/byte_budget.h"
 #include "net/fibers.h"
 #include "net/http.h"
 
@@ -59,8 +60,11 @@
 {
 public:
     // `sharedBudget`: nullptr if the parser's own limit is enough. It must outlive the parser.
-    explicit HttpParser(BodyBudget *sharedBudget = nullptr)
-        : bodyBudget(sharedBudget)
+    // `messageCharge`: charged for the fields and the body; nullptr if they are not charged.
+    explicit HttpParser(BodyBudget *sharedBudget = nullptr,
+                        std::shared_ptr<ByteCharge> messageCharge = nullptr)
+        : charge(std::move(messageCharge))
+        , bodyBudget(sharedBudget)
     {
         this->eager(true);
     }
@@ -77,6 +81,9 @@
 
     Message message;
     int version = 11; // HTTP version times ten
+    std::shared_ptr<ByteCharge> charge;
+    std::uint64_t maxBodyBytes = 0; // also set as body_limit; needed only with a charge
+    bool lacksRoom = false;         // the charge had no room for the message
 
 private:
     using Text = boost::beast::string_view;
@@ -87,11 +94,25 @@
         this->message.fields.push_back({std::string(name), std::string(value)});
     }
 
-    void on_header_impl(ErrorCode & /*error*/) override {}
+    void on_header_impl(ErrorCode &error) override
+    {
+        std::uint64_t bytes = 0;
+        for (const HttpField &field : this->message.fields) {
+            bytes += sizeof(field) + field.name.size() + field.value.size();
+        }
+        this->headBytes = bytes;
+        this->chargeBody(0, error);
+    }
 
-    void on_body_init_impl(const boost::optional<std::uint64_t> &length,
-                           ErrorCode & /*error*/) override
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length, ErrorCode &error) override
     {
+        if (this->charge != nullptr && length) {
+            // The whole length at once, so that a body without room is refused before it is sent.
+            if (this->chargeBody(*length, error)) {
+                this->message.body.reserve(*length); // uses no memory before the bytes arrive
+            }
+            return;
+        }
         // The length has been checked against the body limit, but the sender may not send that
         // much. A buffer larger than this grows only with the bytes that arrive.
         constexpr std::uint64_t maxReserve = 64ULL * 1024;
@@ -121,16 +142,64 @@
             return 0;
         }
         this->reserved += part.size();
+        if (!this->reserveFor(part.size(), error)) {
+            return 0;
+        }
         this->message.body.append(part.data(), part.size());
         return part.size();
     }
 
+    // Charges a body of this size. Returns false, with an error, if there is no room.
+    bool chargeBody(std::uint64_t bytes, ErrorCode &error)
+    {
+        const bool fits = this->charge == nullptr
+                          || this->charge->tryResize(this->headBytes + bytes, readBootTime());
+        if (!fits) {
+            this->lacksRoom = true;
+            error = boost::beast::http::error::body_limit;
+        }
+        return fits;
+    }
+
+    // Makes room for a further part of a body whose length is unknown. A long body gets its
+    // largest size at once, as growing by copies would need up to twice the memory; pages that no
+    // bytes have reached use none.
+    bool reserveFor(std::size_t partBytes, ErrorCode &error)
+    {
+        std::string &body = this->message.body;
+        const std::size_t needed = body.size() + partBytes;
+        if (this->charge == nullptr) {
+            return true;
+        }
+        this->charge->noteProgress(partBytes, readBootTime());
+        if (this->headBytes + needed <= this->charge->bytes()) {
+            return true;
+        }
+        constexpr std::size_t copiedBytes = 256UL * 1024; // bodies up to this size grow by copies
+        constexpr std::size_t stepBytes = 64UL * 1024;
+        const bool isLong = needed > copiedBytes;
+        const std::size_t bytes = isLong ? (needed / stepBytes + 1) * stepBytes
+                                         : std::max(needed, 2 * body.capacity());
+        if (!this->chargeBody(bytes, error)) {
+            return false;
+        }
+        if (needed > body.capacity()) {
+            body.reserve(isLong ? std::max<std::size_t>(needed, this->maxBodyBytes) : bytes);
+        }
+        return true;
+    }
+
+    std::uint64_t headBytes = 0;
     BodyBudget *bodyBudget;
     std::uint64_t reserved = 0; // bytes reserved from the budget
 };
 
 class HttpRequestParser final : public HttpParser<true, HttpRequest>
 {
+public:
+    using HttpParser::HttpParser;
+
+private:
     void on_request_impl(boost::beast::http::verb /*method*/, boost::beast::string_view method,
                          boost::beast::string_view target, int httpVersion,
                          ErrorCode & /*error*/) override
@@ -167,13 +236,15 @@
 // ---- Writers ----
 
 // Appends a request with the `extra` fields to the text, as a whole, so that one write can send it.
-// Fields that apply to one connection only are left out. Host and Content-Length are added.
-void appendRequest(std::string &text, const HttpRequest &request,
-                   const std::vector<HttpField> &extra, std::string_view host);
+// Fields that apply to one connection only are left out. Host and Content-Length are added. A large
+// body is not copied to the text: it is returned, to be written after the text.
+std::string_view appendRequest(std::string &text, const HttpRequest &request,
+                               const std::vector<HttpField> &extra, std::string_view host);
 
-// Appends an answer. The body is left out if the method or the status does not allow one.
-void appendResponse(std::string &text, const HttpResponse &response, int version, bool keepAlive,
-                    bool isHead);
+// Appends an answer. The body is left out if the method or the status does not allow one. A large
+// body is returned as by appendRequest.
+std::string_view appendResponse(std::string &text, const HttpResponse &response, int version,
+                                bool keepAlive, bool isHead);
 
 // ---- HttpStream ----
 
@@ -206,7 +277,8 @@
     // Reads the available data into the buffer, or waits until some arrives.
     ErrorCode readMore(WakeOrder order = WakeOrder::InTurn);
 
-    ErrorCode write(std::string_view data);
+    // Writes the data, then the body.
+    ErrorCode write(std::string_view data, std::string_view body = {});
     void close();
 
     std::size_t buffered() const { return this->buffer.size(); }
@@ -214,6 +286,12 @@
     // Returns the time at which the last bytes arrived.
     Time lastReadAt() const { return this->readAt; }
 
+    // Frees memory beyond what a usual message needs. Call between messages.
+    void releaseMemory();
+
+    // Charges the read-ahead buffer beyond its first size, and notes progress. nullptr: neither.
+    void setCharge(ByteCharge *bufferCharge) { this->charge = bufferCharge; }
+
     // Discards the buffered data and returns its size.
     std::size_t dropBuffered();
 
@@ -237,10 +315,15 @@
     Timer timer;
     Clock::time_point deadline = Clock::time_point::max();
     Clock::time_point timerExpiry = Clock::time_point::max();
+    bool resizeBuffer(std::size_t capacity);
+    void noteMoved(std::size_t bytes);
+
     bool expired = false;
     bool isPending = false; // an operation is in progress
     Time readAt{};
     boost::beast::flat_buffer buffer;
+    ByteCharge *charge = nullptr;
+    std::size_t chargedBuffer = 0; // bytes of the buffer beyond its first size
 };
 
 } // namespace kumquat
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -29,7 +29,7 @@
 
 constexpr int firstServerError = 500;
 
-Fingerprint fingerprintOf(const wire::Execute &execute, const std::string &body)
+Fingerprint fingerprintOf(const wire::Execute &execute, std::string_view body)
 {
     const std::uint64_t head = hashBytes(execute.method(), hashBytes(execute.target()));
     return hashBytes(body, hashPair(head, execute.has_key() ? execute.key() : lastShardKey + 1));
@@ -72,13 +72,13 @@
 
 // ---- One request ----
 
-ExecuteResult Executor::run(const wire::Execute &execute, std::string body, ExecuteCaller caller)
+ExecuteResult Executor::run(const wire::Execute &execute, SharedBody body, ExecuteCaller caller)
 {
     const Time fiberStartedAt = readBootTime();
     const auto run = std::make_shared<Run>(this->thread.io());
     run->caller = caller;
     run->isIdempotent = execute.idempotent();
-    run->fingerprint = fingerprintOf(execute, body);
+    run->fingerprint = fingerprintOf(execute, body.view());
     run->callerAgeLimit =
             execute.has_key() ? this->settings.silentLimit : this->settings.callerAgeLimit;
     const auto node = this->announced.extract(caller);
@@ -100,7 +100,7 @@
     return result;
 }
 
-ExecuteResult Executor::runNow(const wire::Execute &execute, std::string body, const RunPtr &run,
+ExecuteResult Executor::runNow(const wire::Execute &execute, SharedBody body, const RunPtr &run,
                                std::uint64_t number, Time deadline)
 {
     const Time now = readBootTime();
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -35,7 +35,8 @@
 {
     wire::ExecuteReply reply;
     std::string body;
-    std::string_view reason;         // why the request was not sent, for the log
+    std::shared_ptr<ByteCharge> charge; // for `body`, if another host sent it
+    std::string_view reason;            // why the request was not sent, for the log
     std::optional<Duration> heldFor; // time left on the grant of the key when the request was sent
 };
 
@@ -131,7 +132,7 @@
     }
 
     // Runs one request in the calling fiber and returns how it ended.
-    ExecuteResult run(const wire::Execute &execute, std::string body, ExecuteCaller caller);
+    ExecuteResult run(const wire::Execute &execute, SharedBody body, ExecuteCaller caller);
 
     // Returns the answer to a request that this process does not accept.
     wire::ExecuteReply refuse(const wire::Execute &execute, const AdmissionRefusal &refusal,
@@ -218,9 +219,9 @@
     void probeCallers(Time now);
     bool waitForSlot(const wire::Execute &execute, const RunPtr &run, std::uint64_t number,
                      Time deadline, Duration &retryAfter);
-    ExecuteResult runNow(const wire::Execute &execute, std::string body, const RunPtr &run,
+    ExecuteResult runNow(const wire::Execute &execute, SharedBody body, const RunPtr &run,
                          std::uint64_t number, Time deadline);
-    ExecuteResult send(const wire::Execute &execute, std::string body, Run &run, Time deadline,
+    ExecuteResult send(const wire::Execute &execute, SharedBody body, Run &run, Time deadline,
                        CallEnd &end);
     std::optional<ExecuteResult> checkAdmission(const wire::Execute &execute, Time deadline,
                                                 Time now) const;
--- a/packages/stage/executor_upstream.cpp
+++ b/packages/stage/executor_upstream.cpp
@@ -26,8 +26,8 @@
 
 // ---- Requests ----
 
-ExecuteResult Executor::send(const wire::Execute &execute, std::string body, Run &run,
-                             Time deadline, CallEnd &end)
+ExecuteResult Executor::send(const wire::Execute &execute, SharedBody body, Run &run, Time deadline,
+                             CallEnd &end)
 {
     Time started = readBootTime();
     std::optional<Duration> heldFor;
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -124,7 +124,7 @@
         }
     });
     const std::string host(request.field("Host"));
-    std::string body = std::move(request.body);
+    const SharedBody body(std::move(request.body), std::move(request.charge));
     auto decoded = platform::decodeCallerRequest(request);
     HttpResponse response;
     if (!decoded.ok()) {
@@ -163,7 +163,7 @@
     }
 }
 
-HttpResponse Ingress::serve(Attempt &attempt, std::string &body)
+HttpResponse Ingress::serve(Attempt &attempt, const SharedBody &body)
 {
     if (!attempt.configuration) {
         return this->refuse(attempt, startRetry, "no-configuration");
@@ -208,7 +208,7 @@
 }
 
 // Sends the request until it is answered or may not be repeated.
-HttpResponse Ingress::sendUntilAnswered(Attempt &attempt, std::string &body)
+HttpResponse Ingress::sendUntilAnswered(Attempt &attempt, const SharedBody &body)
 {
     while (true) {
         attempt.node = this->chooseHost(attempt);
@@ -296,7 +296,7 @@
     return this->picker.pick(candidates, now).value_or("");
 }
 
-ExecuteResult Ingress::sendTo(const std::string &node, Attempt &attempt, const std::string &body)
+ExecuteResult Ingress::sendTo(const std::string &node, Attempt &attempt, const SharedBody &body)
 {
     const Time now = readBootTime();
     wire::Execute &execute = attempt.execute;
@@ -360,8 +360,7 @@
 }
 
 // Sends the request to another host and waits for the answer.
-ExecuteResult Ingress::sendToPeer(const std::string &node, Attempt &attempt,
-                                  const std::string &body)
+ExecuteResult Ingress::sendToPeer(const std::string &node, Attempt &attempt, const SharedBody &body)
 {
     struct Waiting
     {
@@ -380,6 +379,7 @@
                 if (outcome == CallOutcome::Answered && answer.head.has_execute_reply()) {
                     reply = std::move(*answer.head.mutable_execute_reply());
                     waiting->result.body = std::move(answer.body);
+                    waiting->result.charge = std::move(answer.charge);
                 } else {
                     reply.set_outcome(outcome == CallOutcome::NotSent ? wire::EXECUTE_NOT_SENT
                                                                       : wire::EXECUTE_LOST);
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -84,13 +84,13 @@
 private:
     struct Attempt; // one request of a caller
 
-    HttpResponse serve(Attempt &attempt, std::string &body);
-    HttpResponse sendUntilAnswered(Attempt &attempt, std::string &body);
+    HttpResponse serve(Attempt &attempt, const SharedBody &body);
+    HttpResponse sendUntilAnswered(Attempt &attempt, const SharedBody &body);
     std::string chooseHost(Attempt &attempt);
     bool isAdmitted(Attempt &attempt, const HostInfo &host, Time now);
     HttpResponse refuseWithoutHost(Attempt &attempt);
-    ExecuteResult sendTo(const std::string &node, Attempt &attempt, const std::string &body);
-    ExecuteResult sendToPeer(const std::string &node, Attempt &attempt, const std::string &body);
+    ExecuteResult sendTo(const std::string &node, Attempt &attempt, const SharedBody &body);
+    ExecuteResult sendToPeer(const std::string &node, Attempt &attempt, const SharedBody &body);
     bool mayRepeat(Attempt &attempt, const ExecuteResult &result);
     HttpResponse answer(Attempt &attempt, ExecuteResult result);
     HttpResponse refuse(Attempt &attempt, Duration retryAfter, std::string_view reason);
--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -6,40 +6,21 @@
 #include <absl/strings/str_cat.h>
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cstring>
 
 namespace kumquat {
 namespace {
 
-constexpr std::size_t lengthBytes = 4;
-constexpr std::size_t prefixBytes = 2 * lengthBytes; // length of the head and length of the body
-constexpr std::size_t maxMessageBytes = 80UL << 20U; // the largest body of a caller plus a head
 // A connection with more unsent data is closed, as its peer does not read.
 constexpr std::size_t maxQueuedBytes = 96UL << 20U;
-constexpr std::size_t readBytes = 8UL * 1024; // size of a usual answer
+// Limit while the budget has no room. Answers of completed runs are sent even then.
+constexpr std::size_t maxQueuedWithoutRoom = 8UL << 20U;
 constexpr int unacknowledgedMs = 3000; // unacknowledged data closes the connection after this time
 
-void appendLength(std::string &text, std::size_t length)
-{
-    const auto value = static_cast<std::uint32_t>(length);
-    char bytes[lengthBytes];
-    std::memcpy(bytes, &value, lengthBytes); // all hosts are little-endian
-    text.append(bytes, lengthBytes);
-}
-
-std::size_t readLength(const char *bytes)
-{
-    std::uint32_t value = 0;
-    std::memcpy(&value, bytes, lengthBytes);
-    return value;
-}
-
 void setOptions(Link::Socket &socket)
 {
     ErrorCode ignored;
@@ -53,14 +34,17 @@
 
 // ---- Link ----
 
-std::shared_ptr<Link> Link::create(Socket socket, Hooks hooks)
+std::shared_ptr<Link> Link::create(Socket socket, Hooks hooks, ByteBudget *budget)
 {
-    return std::shared_ptr<Link>(new Link(std::move(socket), std::move(hooks)));
+    return std::shared_ptr<Link>(new Link(std::move(socket), std::move(hooks), budget));
 }
 
-Link::Link(Socket linkSocket, Hooks linkHooks)
+Link::Link(Socket linkSocket, Hooks linkHooks, ByteBudget *budget)
     : socket(std::move(linkSocket))
     , hooks(std::move(linkHooks))
+    , charge(budget)
+    , output(this->charge)
+    , input(budget)
     , receivedAt(readBootTime())
     , nonPingReceivedAt(this->receivedAt)
 {
@@ -74,81 +58,55 @@
 
 void Link::readNext()
 {
-    if (this->input.size() < this->inputUsed + readBytes) {
-        this->input.resize(this->inputUsed + readBytes);
-    }
-    this->socket.async_read_some(
-            asio::buffer(this->input.data() + this->inputUsed,
-                         this->input.size() - this->inputUsed),
-            [self = this->shared_from_this()](const ErrorCode &error, std::size_t count) {
-                if (error || !self->open) {
-                    self->close();
-                    return;
-                }
-                self->inputUsed += count;
-                self->receivedAt = readBootTime();
-                if (!self->parseMessages()) {
-                    logWarning(LogPart::Mesh, "connection sent something that is no message");
-                    self->close();
-                    return;
-                }
-                if (self->open) {
-                    self->readNext();
-                }
-            });
-}
-
-bool Link::parseMessages()
-{
-    std::size_t at = 0;
-    while (this->open && this->inputUsed - at >= prefixBytes) {
-        const char *bytes = this->input.data() + at;
-        const std::size_t headLength = readLength(bytes);
-        const std::size_t bodyLength = readLength(bytes + lengthBytes);
-        const std::size_t length = prefixBytes + headLength + bodyLength;
-        if (length > maxMessageBytes) {
-            return false;
+    this->socket.async_read_some(this->input.nextBuffer(), [self = this->shared_from_this()](
+                                                                   const ErrorCode &error,
+                                                                   std::size_t count) {
+        if (error || !self->open) {
+            self->close();
+            return;
         }
-        if (this->inputUsed - at < length) {
-            this->nonPingReceivedAt = this->receivedAt; // part of a message
-            break;
+        self->receivedAt = readBootTime();
+        const LinkInput::Hooks inputHooks{
+                .received = [&self](LinkMessage message) { self->deliver(std::move(message)); },
+                .isOpen = [&self] { return self->open; }};
+        if (!self->input.take(count, self->receivedAt, inputHooks)) {
+            logWarning(LogPart::Mesh, "connection sent something that is no message");
+            self->close();
+            return;
         }
-        LinkMessage message;
-        if (!message.head.ParseFromArray(bytes + prefixBytes, static_cast<int>(headLength))) {
-            return false;
+        if (self->input.isInMessage()) {
+            self->nonPingReceivedAt = self->receivedAt;
         }
-        message.body.assign(bytes + prefixBytes + headLength, bodyLength);
-        message.receivedAt = this->receivedAt;
-        message.excessDelay = this->delays->measureExcess(
-                this->receivedAt - Duration(message.head.sent_ns()), this->receivedAt);
-        at += length;
-        if (!message.head.has_ping()) {
-            this->nonPingReceivedAt = this->receivedAt;
+        if (self->open) {
+            self->readNext();
         }
-        this->hooks.received(std::move(message));
-    }
-    std::memmove(this->input.data(), this->input.data() + at, this->inputUsed - at);
-    this->inputUsed -= at;
-    if (this->inputUsed == 0 && this->input.size() > 4 * readBytes) {
-        this->input = std::string(); // release the memory of a large message
+    });
+}
+
+void Link::deliver(LinkMessage message)
+{
+    message.receivedAt = this->receivedAt;
+    message.excessDelay = this->delays->measureExcess(
+            this->receivedAt - Duration(message.head.sent_ns()), this->receivedAt);
+    if (!message.head.has_ping()) {
+        this->nonPingReceivedAt = this->receivedAt;
     }
-    return true;
+    this->hooks.received(std::move(message));
 }
 
-void Link::send(const wire::LinkFrame &head, std::string_view body)
+void Link::send(const wire::LinkFrame &head, const SharedBody &body)
 {
     if (!this->open) {
         return;
     }
-    if (this->queued.size() + this->writing.size() + body.size() > maxQueuedBytes) {
+    const std::uint64_t unsent = this->output.bytes() + body.size();
+    if (unsent > maxQueuedBytes
+        || (unsent > maxQueuedWithoutRoom && !this->hasRoomFor(body.size()))) {
         logWarning(LogPart::Mesh, "connection closed because its peer reads nothing");
         this->close();
         return;
     }
-    appendLength(this->queued, head.ByteSizeLong());
-    appendLength(this->queued, body.size());
-    head.AppendToString(&this->queued);
-    this->queued.append(body);
+    this->output.add(head, body, readBootTime());
     if (!this->isWriting && !this->isFlushPosted) {
         this->isFlushPosted = true;
         asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
@@ -160,21 +118,23 @@
 
 void Link::flush()
 {
-    if (!this->open || this->isWriting || this->queued.empty()) {
+    if (!this->open || this->isWriting || this->output.isEmpty()) {
         return;
     }
-    this->writing.swap(this->queued);
     this->isWriting = true;
-    asio::async_write(this->socket, asio::buffer(this->writing),
-                      [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
-                          self->isWriting = false;
-                          self->writing.clear();
-                          if (error) {
-                              self->close();
-                              return;
-                          }
-                          self->flush();
-                      });
+    this->charge.allowEviction([this] { this->close(); }, readBootTime());
+    this->socket.async_write_some(
+            this->output.nextBuffers(),
+            [self = this->shared_from_this()](const ErrorCode &error, std::size_t count) {
+                self->isWriting = false;
+                self->charge.forbidEviction();
+                if (error) {
+                    self->close();
+                    return;
+                }
+                self->output.consume(count, readBootTime());
+                self->flush();
+            });
 }
 
 void Link::close()
@@ -219,13 +179,15 @@
     }
 }
 
-std::uint64_t LinkPool::call(const std::string &name, wire::LinkFrame head, std::string_view body,
+std::uint64_t LinkPool::call(const std::string &name, wire::LinkFrame head, const SharedBody &body,
                              Duration limit, LinkCallback answer, SilencePolicy silencePolicy)
 {
     const Time now = readBootTime();
     const std::uint64_t number = ++this->lastCall;
     const auto found = this->peers.find(name);
-    if (found == this->peers.end()
+    const bool lacksRoom = found != this->peers.end() && found->second.link && head.has_execute()
+                           && !found->second.link->hasRoomFor(body.size());
+    if (found == this->peers.end() || lacksRoom
         || (!found->second.link && this->isInRetryDelay(found->second, now))) {
         this->thread.post([answer = std::move(answer)] { answer(CallOutcome::NotSent, {}); });
         return number;
@@ -243,7 +205,7 @@
         call.isSent = true;
         peer.link->send(head, body);
     } else {
-        peer.waiting.emplace_back(std::move(head), std::string(body));
+        peer.waiting.emplace_back(std::move(head), body);
         this->connect(name, peer);
     }
     return number;
@@ -350,7 +312,8 @@
                                   [this, name, attempt](LinkMessage message) {
                                       this->onMessage(name, attempt, std::move(message));
                                   },
-                          .closed = [this, name, attempt] { this->onClosed(name, attempt); }});
+                          .closed = [this, name, attempt] { this->onClosed(name, attempt); }},
+                         this->budget);
     peer.link = link;
     link->start();
     wire::LinkFrame hello;
@@ -641,7 +604,7 @@
             this->hooks.messageSeen(*peer, message.receivedAt - message.excessDelay);
         }
         const std::uint64_t call = message.head.call();
-        const LinkReply reply = [weak, call](wire::LinkFrame head, std::string_view body) {
+        const LinkReply reply = [weak, call](wire::LinkFrame head, const SharedBody &body) {
             const std::shared_ptr<Link> link = weak.lock();
             if (link) {
                 head.set_call(call);
@@ -662,7 +625,7 @@
         this->hooks.closed(*peer);
     };
     const std::shared_ptr<Link> link =
-            Link::create(std::move(socket), {.received = received, .closed = closed});
+            Link::create(std::move(socket), {.received = received, .closed = closed}, this->budget);
     this->links[number] = link;
     link->start();
 }
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -18,6 +18,7 @@
 #include "base/time.h"
 #include "net/fibers.h"
 #include "stage/delay_meter.h"
+#include "stage/link_buffers.h"
 #include "wire/stage.pb.h"
 
 #include <absl/status/status.h>
@@ -38,16 +39,6 @@
 
 // ---- Messages ----
 
-struct LinkMessage
-{
-    wire::LinkFrame head;
-    std::string body;
-    Time receivedAt{};
-    // Time in transit beyond the shortest recent time from that process. It includes the time for
-    // which this process read late.
-    Duration excessDelay{};
-};
-
 // How a call ended.
 enum class CallOutcome : std::uint8_t {
     Answered,
@@ -76,14 +67,18 @@
         std::function<void()> closed; // called once, also after close()
     };
 
-    static std::shared_ptr<Link> create(Socket socket, Hooks hooks);
+    // `budget`: for the bytes that the connection holds; nullptr: they are not charged.
+    static std::shared_ptr<Link> create(Socket socket, Hooks hooks, ByteBudget *budget = nullptr);
 
     // Reads messages until the connection closes.
     void start();
 
     // Queues a message. All messages that are queued in one turn of the thread are sent in one
     // write.
-    void send(const wire::LinkFrame &head, std::string_view body);
+    void send(const wire::LinkFrame &head, const SharedBody &body);
+
+    // Returns whether there is room for a request with a body of this size.
+    bool hasRoomFor(std::uint64_t bytes) { return this->output.hasRoomFor(bytes, readBootTime()); }
 
     // Resets the connection, so that data still in transit is dropped.
     void close();
@@ -93,15 +88,15 @@
     void setDelayMeter(std::shared_ptr<DelayMeter> meter) { this->delays = std::move(meter); }
 
     bool isOpen() const { return this->open; }
-    bool hasUnsent() const { return this->open && (this->isWriting || !this->queued.empty()); }
+    bool hasUnsent() const { return this->open && !this->output.isEmpty(); }
     // When data other than pings was last received. Pings of the peer show only that its data
     // arrives here, not that it receives data.
     Time lastNonPingReceived() const { return this->nonPingReceivedAt; }
 
 private:
-    Link(Socket socket, Hooks hooks);
+    Link(Socket socket, Hooks hooks, ByteBudget *budget);
     void readNext();
-    bool parseMessages();
+    void deliver(LinkMessage message);
     void flush();
 
     Socket socket;
@@ -109,10 +104,9 @@
     bool open = true;
     bool isWriting = false;
     bool isFlushPosted = false;
-    std::string queued;
-    std::string writing;
-    std::string input;
-    std::size_t inputUsed = 0; // bytes of `input` that hold data
+    ByteCharge charge;
+    LinkOutput output;
+    LinkInput input;
     std::shared_ptr<DelayMeter> delays = std::make_shared<DelayMeter>();
     Time receivedAt{};
     Time nonPingReceivedAt{};
@@ -148,12 +142,15 @@
     LinkPool(FiberThread &poolThread, std::string ownNode, std::uint64_t ownIncarnation,
              LinkSettings linkSettings = {});
 
+    // Charges the bytes of later connections to a budget, which must outlive the pool.
+    void setBudget(ByteBudget *byteBudget) { this->budget = byteBudget; }
+
     // Sets the address of a node. A changed address closes the connection.
     void setAddress(const std::string &node, const Address &address);
 
     // Sends a message and calls `answer` once, at the latest after `limit` (then with Lost).
     // Returns the number of the call, for cancel.
-    std::uint64_t call(const std::string &node, wire::LinkFrame head, std::string_view body,
+    std::uint64_t call(const std::string &node, wire::LinkFrame head, const SharedBody &body,
                        Duration limit, LinkCallback answer,
                        SilencePolicy silencePolicy = SilencePolicy::UntilSilent);
 
@@ -215,7 +212,7 @@
         Calls calls;
         std::map<std::uint64_t, SilentLink> silentLinks; // by number of the attempt to connect
         // Messages to send once connected.
-        std::vector<std::pair<wire::LinkFrame, std::string>> waiting;
+        std::vector<std::pair<wire::LinkFrame, SharedBody>> waiting;
     };
 
     void connect(const std::string &node, Peer &peer);
@@ -239,6 +236,7 @@
     std::string node;
     std::uint64_t incarnation;
     LinkSettings settings;
+    ByteBudget *budget = nullptr;
     std::uint64_t lastCall = 0;
     Time advancedAt{};
     std::map<std::string, Peer, std::less<>> peers;
@@ -247,7 +245,7 @@
 // ---- LinkServer ----
 
 // Answers one message, at most once. An answer after the connection has closed is dropped.
-using LinkReply = std::function<void(wire::LinkFrame head, std::string_view body)>;
+using LinkReply = std::function<void(wire::LinkFrame head, const SharedBody &body)>;
 
 // One connection that was opened by another process.
 struct LinkPeer
@@ -272,6 +270,9 @@
 
     LinkServer(FiberThread &serverThread, std::string ownNode, Hooks serverHooks);
 
+    // As LinkPool::setBudget.
+    void setBudget(ByteBudget *byteBudget) { this->budget = byteBudget; }
+
     // Error: SettingsInvalid if the address cannot be bound.
     absl::Status listen(const Address &address);
 
@@ -289,6 +290,7 @@
     FiberThread &thread;
     std::string node;
     Hooks hooks;
+    ByteBudget *budget = nullptr;
     asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
     std::uint64_t lastNumber = 0;
     std::map<std::uint64_t, std::shared_ptr<Link>> links;
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -37,11 +37,14 @@
     MessageDelays,  // total milliseconds by which messages of other processes were late in transit
     FibersReady,    // number of fibers that are ready now
     OldestFiberAge, // milliseconds since the oldest ready fiber became ready
-    UpstreamRequests, // current requests of all callers for the upstream beside this process
-    RequestsWaiting,  // number of these requests that wait for their key or for a slot
+    UpstreamRequests,    // current requests of all callers for the upstream beside this process
+    RequestsWaiting,     // number of these requests that wait for their key or for a slot
+    RequestBytesHeld,    // bytes that callers make this process hold now
+    RequestBytesRefused, // times that bytes of a caller or process found no room
+    RequestBytesEvicted, // connections closed without progress, to make room
 };
 
-inline constexpr NameTable<Metric, 24> metricNames{
+inline constexpr NameTable<Metric, 27> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -65,7 +68,10 @@
           {Metric::FibersReady, "fibers_ready"},
           {Metric::OldestFiberAge, "fiber_age_ms"},
           {Metric::UpstreamRequests, "requests_here"},
-          {Metric::RequestsWaiting, "requests_waiting"}}}};
+          {Metric::RequestsWaiting, "requests_waiting"},
+          {Metric::RequestBytesHeld, "request_bytes_held"},
+          {Metric::RequestBytesRefused, "request_bytes_refused"},
+          {Metric::RequestBytesEvicted, "request_bytes_evicted"}}}};
 
 // Used on one thread.
 class Metrics
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -68,8 +68,10 @@
     , path(std::move(settingsPath))
     , incarnation(makeIncarnation())
     , startedAt(readBootTime())
+    , memory(byteBudgetSettings(this->settings.limits.memoryBytes))
     , thread("stage")
     , ticker(this->thread.io())
+    , memoryReport(this->memory, this->metrics)
     , store(this->thread.io(), this->settings.store)
     , links(this->thread, this->settings.node, this->incarnation)
     , view({.configurationChanged = [this] { this->applyCallerLimits(); },
@@ -217,7 +219,10 @@
                                this->executor.noteCallersFresh(peer.number);
                            }
                        }})
-{}
+{
+    this->links.setBudget(&this->memory);
+    this->linkServer.setBudget(&this->memory);
+}
 
 absl::StatusOr<std::unique_ptr<Stage>> Stage::create(StageSettings settings, std::string path)
 {
@@ -234,6 +239,11 @@
     const auto refuse = [](ErrorKind kind) {
         return HttpResponse{.status = errorInfo(kind).httpStatus};
     };
+    const auto refuseForMemory = [](HttpRequest &request) {
+        const auto decoded = platform::decodeCallerRequest(request);
+        const std::string id = decoded.ok() ? decoded->id() : std::string();
+        return platform::encodeLocalAnswer(statusUnavailable, id, memoryRetry);
+    };
     const auto createServer = [&](std::function<HttpResponse(const HttpRequest &)> handle) {
         return HttpServer::create(this->thread, {},
                                   {.handle = std::move(handle), .refuse = refuse});
@@ -245,11 +255,13 @@
                                             return this->ingress.handle(request, watch);
                                         },
                                 .refuse = refuse,
+                                .refuseForMemory = refuseForMemory,
                                 .isClosing = [this] { return this->shutdownSchedule.has_value(); },
                                 .mayOverlap =
                                         [this](const HttpRequest &request) {
                                             return this->ingress.mayOverlap(request);
-                                        }});
+                                        }},
+                               &this->memory);
     this->readinessServer =
             createServer([this](const HttpRequest &request) { return this->onReadiness(request); });
     this->heartbeatServer =
@@ -332,6 +344,7 @@
     this->keys.advance(now);
     this->callerFreshness.advance(now);
     this->executor.advance(now);
+    this->memoryReport.advance(now);
     this->writeHostRecord();
     if (this->shutdownSchedule && this->shutdownSchedule->mustAbort(now)) {
         this->ingress.abortAll();
@@ -438,6 +451,7 @@
     }
     // The limits can change while the process runs; addresses and names can't.
     this->settings.limits = loaded->limits;
+    this->memory.setSettings(byteBudgetSettings(this->settings.limits.memoryBytes));
     logInfo(LogPart::Settings, "settings read again", {{"path", this->path}});
 }
 
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -25,6 +25,7 @@
 #include "stage/link.h"
 #include "stage/metrics.h"
 #include "stage/relay_choice.h"
+#include "stage/request_memory_report.h"
 #include "stage/settings.h"
 #include "stage/shutdown_schedule.h"
 #include "stage/store_follower.h"
@@ -112,9 +113,11 @@
     std::filesystem::file_time_type settingsWritten{};
     std::uint64_t incarnation;
     Time startedAt;
+    ByteBudget memory; // for the bytes that callers make this process hold
     FiberThread thread;
     Ticker ticker;
     Metrics metrics;
+    RequestMemoryReport memoryReport;
     platform::StoreClient store;
     LinkPool links;
     ClusterView view;
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -93,19 +93,26 @@
     // Refuses without starting a fiber: refusals must be cheap while requests arrive faster than
     // they are served.
     const WorkKind kind = execute.has_key() ? WorkKind::Request : WorkKind::Call;
-    if (const auto refusal = this->isOverloaded(kind)) {
+    const auto refusal =
+            message.lacksRoom
+                    ? std::optional<AdmissionRefusal>(AdmissionRefusal{.retryAfter = memoryRetry})
+                    : this->isOverloaded(kind);
+    if (refusal) {
         wire::LinkFrame frame;
-        *frame.mutable_execute_reply() = this->executor.refuse(execute, *refusal, "behind");
+        *frame.mutable_execute_reply() = this->executor.refuse(
+                execute, *refusal, message.lacksRoom ? "memory-full" : "behind");
         reply(frame, {});
         return;
     }
     this->executor.announce(caller, readBootTime(), message.excessDelay);
     auto work = [this, caller, reply, execute = std::move(execute),
-                 body = std::move(message.body)]() mutable {
+                 body = SharedBody(std::move(message.body), std::move(message.charge))]() mutable {
         ExecuteResult result = this->executor.run(execute, std::move(body), caller);
         wire::LinkFrame frame;
         *frame.mutable_execute_reply() = std::move(result.reply);
-        reply(frame, result.body);
+        const auto charge = std::make_shared<ByteCharge>(&this->memory);
+        charge->resize(result.body.size(), readBootTime());
+        reply(frame, SharedBody(std::move(result.body), charge));
     };
     this->thread.spawn(std::move(work), WakeOrder::Last);
 }
--- a/packages/system/platform_cluster.cpp
+++ b/packages/system/platform_cluster.cpp
@@ -7,7 +7,6 @@
 
 using Json = nlohmann::json;
 
-constexpr int timeoutMs = 1500;  // of all routes
 constexpr int objectiveMs = 400; // of all routes
 constexpr int maxConnections = 100;
 
@@ -16,7 +15,8 @@
     return {"127.0.0.1", findFreePort()};
 }
 
-Json routeRow(const std::string &name, const std::string &prefix, const std::string &type)
+Json routeRow(const std::string &name, const std::string &prefix, const std::string &type,
+              int timeoutMs)
 {
     constexpr int maxAttempts = 2;
     return {name, "shop.example", prefix,      type,   timeoutMs, objectiveMs,
@@ -50,16 +50,20 @@
                        "timeout_ms",   "target_latency_ms",
                        "priority",     "service",
                        "max_attempts", "weighted_clusters"};
-    const Json rows{routeRow("r-1", "/v/", "non_idempotent"), routeRow("r-2", "/r/", "idempotent"),
-                    routeRow("r-3", versionPrefix(version), "idempotent")};
+    const int timeoutMs = this->options.timeoutMs;
+    const Json rows{routeRow("r-1", "/v/", "non_idempotent", timeoutMs),
+                    routeRow("r-2", "/r/", "idempotent", timeoutMs),
+                    routeRow("r-3", versionPrefix(version), "idempotent", timeoutMs)};
     const Json service{"testlog", "/health", maxConnections, this->options.hasKeys,
                        this->options.grantsInAnswers ? "heartbeat" : "call"};
-    const Json config{
-            {"version", "r" + std::to_string(version)},
-            {"routes", {{"columns", columns}, {"rows", rows}}},
-            {"services",
-             {{"columns", {"name", "health_path", "max_connections", "sharded", "grants"}},
-              {"rows", Json::array({service})}}}};
+    Json config{{"version", "r" + std::to_string(version)},
+                {"routes", {{"columns", columns}, {"rows", rows}}},
+                {"services",
+                 {{"columns", {"name", "health_path", "max_connections", "sharded", "grants"}},
+                  {"rows", Json::array({service})}}}};
+    if (this->options.maxBodyBytes > 0) {
+        config["limits"] = {{"max_body_bytes", this->options.maxBodyBytes}};
+    }
     this->store.put("keyed.op", 0, "config", config.dump());
 }
 
@@ -135,9 +139,12 @@
         host.toProcess = makeProxy(processes, advertised);
         listen["processesAdvertised"] = advertised.toString();
     }
-    const Json limits{{"drainMs", 2500},         {"stopSeconds", this->options.stopSeconds},
-                      {"longestHoldMs", 10'000}, {"retryShare", 0.2},
-                      {"retrySlack", 60},        {"retryWindowSeconds", 10}};
+    Json limits{{"drainMs", 2500},         {"stopSeconds", this->options.stopSeconds},
+                {"longestHoldMs", 10'000}, {"retryShare", 0.2},
+                {"retrySlack", 60},        {"retryWindowSeconds", 10}};
+    if (this->options.memoryMb > 0) {
+        limits["memoryMb"] = this->options.memoryMb;
+    }
     const Json settings{{"node", node},
                         {"region", "region-" + dataCentre},
                         {"dataCentre", dataCentre},
--- a/packages/system/platform_cluster.h
+++ b/packages/system/platform_cluster.h
@@ -36,6 +36,9 @@
     bool grantsInAnswers = false;          // grant keys in heartbeat replies, not in calls
     bool hasKeys = true;                   // the service is sharded by key
     int slots = 9;                         // concurrent requests of each upstream
+    int memoryMb = 0;                      // memory of each host; 0: not stated
+    std::uint64_t maxBodyBytes = 0;        // of a request; 0: the default of the configuration
+    int timeoutMs = 1500;                  // of all routes
 };
 
 // ---- PlatformHost ----
