--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -124,7 +124,7 @@
         }
     });
     const std::string host(request.field("Host"));
-    std::string body = std::move(request.body);
+    const SharedBody body(std::move(request.body), std::move(request.charge));
     auto decoded = platform::decodeCallerRequest(request);
     HttpResponse response;
     if (!decoded.ok()) {
@@ -168,7 +168,7 @@
     }
 }
 
-HttpResponse Ingress::serve(Attempt &attempt, std::string &body)
+HttpResponse Ingress::serve(Attempt &attempt, const SharedBody &body)
 {
     if (!this->mayServe()) {
         return this->refuse(attempt, startRetry, "no-configuration");
@@ -213,7 +213,7 @@
 }
 
 // Sends the request until it is answered or may not be repeated.
-HttpResponse Ingress::sendUntilAnswered(Attempt &attempt, std::string &body)
+HttpResponse Ingress::sendUntilAnswered(Attempt &attempt, const SharedBody &body)
 {
     while (true) {
         attempt.node = this->chooseHost(attempt);
@@ -309,7 +309,7 @@
     return this->picker.pick(candidates, now).value_or("");
 }
 
-ExecuteResult Ingress::sendTo(const std::string &node, Attempt &attempt, const std::string &body)
+ExecuteResult Ingress::sendTo(const std::string &node, Attempt &attempt, const SharedBody &body)
 {
     const Time now = readBootTime();
     wire::Execute &execute = attempt.execute;
@@ -373,8 +373,7 @@
 }
 
 // Sends the request to another host and waits for the answer.
-ExecuteResult Ingress::sendToPeer(const std::string &node, Attempt &attempt,
-                                  const std::string &body)
+ExecuteResult Ingress::sendToPeer(const std::string &node, Attempt &attempt, const SharedBody &body)
 {
     struct Waiting
     {
@@ -396,6 +395,7 @@
                 if (outcome == CallOutcome::Answered && answer.head.has_execute_reply()) {
                     reply = std::move(*answer.head.mutable_execute_reply());
                     waiting->result.body = std::move(answer.body);
+                    waiting->result.charge = std::move(answer.charge);
                 } else {
                     reply.set_outcome(outcome == CallOutcome::NotSent ? wire::EXECUTE_NOT_SENT
                                                                       : wire::EXECUTE_LOST);
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -46,10 +46,13 @@
     CallRefusals,     // requests that were refused because their calls would be
     UsableSlots,      // concurrency beyond which the upstream's throughput stops growing
     UsableSlotsChanges,
-    UpstreamSpeed, // latest figure of the upstream; 100 is usual, higher is slower, 0: none
+    UpstreamSpeed,       // latest figure of the upstream; 100 is usual, higher is slower, 0: none
+    RequestBytesHeld,    // bytes that callers make this process hold now
+    RequestBytesRefused, // times that bytes of a caller or process found no room
+    RequestBytesEvicted, // connections closed without progress, to make room
 };
 
-inline constexpr NameTable<Metric, 32> metricNames{
+inline constexpr NameTable<Metric, 35> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -81,7 +84,10 @@
           {Metric::CallRefusals, "refused_calls"},
           {Metric::UsableSlots, "usable_slots"},
           {Metric::UsableSlotsChanges, "usable_slots_changes"},
-          {Metric::UpstreamSpeed, "upstream_speed_percent"}}}};
+          {Metric::UpstreamSpeed, "upstream_speed_percent"},
+          {Metric::RequestBytesHeld, "request_bytes_held"},
+          {Metric::RequestBytesRefused, "request_bytes_refused"},
+          {Metric::RequestBytesEvicted, "request_bytes_evicted"}}}};
 
 // Used on one thread.
 class Metrics
