store: ownership stays exclusive when the store comes back from an older copy

Cause: the store may go back by some seconds (header Store-Era). Offsets are used again, so a table or host record that is lost and one that is written later had the same position, and owners went on under tables that no longer existed.

Change: StoreClient combines era and offset into one position. Hosts write their record again, relays write back what its host has not written within 1 s, and a starting process takes the newer of the store's record and that of another host.

--- a/packages/keyspace/key_table.cpp
+++ b/packages/keyspace/key_table.cpp
@@ -3,6 +3,7 @@
 #include "base/compression.h"
 #include "base/durations.h"
 #include "base/errors.h"
+#include "keyspace/store_era.h"
 #include "wire/stage.pb.h"
 
 #include <algorithm>
@@ -82,6 +83,9 @@
     if (!isPacked || !text.ok() || !record.ParseFromString(*text)) {
         return makeError(ErrorKind::LogUnavailable, "a record of a key table cannot be read");
     }
+    if (record.store_era() != storeEraOf(end)) {
+        return makeError(ErrorKind::LogUnavailable, "a key table belongs to another store era");
+    }
     KeyTable table;
     table.service = record.service();
     table.end = end;
@@ -108,6 +112,7 @@
     wire::KeyTableRecord record;
     record.set_service(this->service);
     record.set_writer(this->writer);
+    record.set_store_era(storeEraOf(this->end));
     record.set_lease_ms(static_cast<std::uint32_t>(toMilliseconds(this->leaseLength)));
     for (const KeySession &session : this->sessions) {
         encodeSession(session, *record.add_sessions());
--- a/packages/keyspace/key_table.h
+++ b/packages/keyspace/key_table.h
@@ -109,15 +109,20 @@
 struct KeyTable
 {
     std::string service;
-    std::uint64_t end = 0; // offset after this record in the store's partition of key tables
+    std::uint64_t end = 0; // position after this record in the store's partition of key tables
     std::vector<KeySession> sessions;
     std::vector<KeyRange> ranges; // ascending, without gaps, from 0 to lastShardKey
     std::string writer;           // node that wrote the table
     // Lease length of all sessions. It never changes for a service, because owners and voters on
     // different hosts compute their deadlines from it.
     Duration leaseLength = defaultLeaseLength;
+    // Read only after a newer era of the store had begun (store_era.h). The table only tells who
+    // may hold keys: it is the base of the next one, but no key is granted and no vote given under
+    // it.
+    bool isFormer = false;
 
-    // Parses a record. Error: LogUnavailable if the bytes are not a table or the table is invalid.
+    // Parses a record. Error: LogUnavailable if the bytes are not a table, the table is invalid or
+    // it was written for another era of the store than that of `end`.
     static absl::StatusOr<KeyTable> decode(std::string_view bytes, std::uint64_t end);
     std::string encode() const;
 
--- a/packages/keyspace/lease.cpp
+++ b/packages/keyspace/lease.cpp
@@ -1,5 +1,7 @@
 #include "keyspace/lease.h"
 
+#include "keyspace/store_era.h"
+
 #include <algorithm>
 
 namespace kumquat {
@@ -60,21 +62,27 @@
 
 // ---- TableFreshness ----
 
-void TableFreshness::note(Time asOf)
+void TableFreshness::note(Time asOf, std::uint32_t era)
 {
-    if (asOf >= this->startedAt) {
-        this->currentAt = std::max(this->currentAt.value_or(asOf), asOf);
+    if (asOf < this->startedAt || era < this->newestEra) {
+        return;
     }
+    this->newestEra = era;
+    Time &current = this->currentAt.try_emplace(era, asOf).first->second;
+    current = std::max(current, asOf);
 }
 
-std::optional<Duration> TableFreshness::age(Time now) const
+std::optional<Duration> TableFreshness::age(Time now, std::uint32_t era) const
 {
-    return this->currentAt ? std::optional<Duration>(now - *this->currentAt) : std::nullopt;
+    const auto found = this->currentAt.find(era);
+    return found == this->currentAt.end() ? std::nullopt
+                                          : std::optional<Duration>(now - found->second);
 }
 
-Time TableFreshness::leaseLimit() const
+Time TableFreshness::leaseLimit(std::uint32_t era) const
 {
-    return this->currentAt ? *this->currentAt + this->settings.freshFor : Time::zero();
+    const auto found = this->currentAt.find(era);
+    return found == this->currentAt.end() ? Time::zero() : found->second + this->settings.freshFor;
 }
 
 // ---- LeaseVoter ----
@@ -87,7 +95,8 @@
 
 bool LeaseVoter::vote(const KeyTable *table, std::uint64_t session, Time now)
 {
-    if (!this->hasFreshRead || table == nullptr) {
+    if (table == nullptr || table->isFormer || !this->freshReadEra
+        || storeEraOf(table->end) < *this->freshReadEra) {
         return false;
     }
     const KeySession *found = table->session(session);
@@ -172,7 +181,8 @@
 void StopProof::prune(const KeyTable &table)
 {
     const auto isForgotten = [&](const auto &entry) {
-        return table.session(entry.first) == nullptr;
+        const KeySession *session = table.session(entry.first);
+        return session == nullptr || session->isActive();
     };
     std::erase_if(this->released, isForgotten);
     std::erase_if(this->endedSince, isForgotten);
--- a/packages/keyspace/lease.h
+++ b/packages/keyspace/lease.h
@@ -20,6 +20,7 @@
 #include "base/time.h"
 #include "keyspace/key_table.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -118,21 +119,27 @@
         , startedAt(started)
     {}
 
-    // Records that this process has read all tables that were in the store at `asOf`. Times before
-    // the start of the process are ignored: an earlier process on this host may have confirmed
-    // newer voters than the table of that time names.
-    void note(Time asOf);
+    // Records that this process has read all tables that were in the store at `asOf`, when the
+    // store was in `era`. Ignored are times before the start of the process (an earlier process on
+    // this host may have confirmed newer voters than the table of that time names) and eras before
+    // the newest one (the tables that were compared may be lost).
+    void note(Time asOf, std::uint32_t era = 0);
 
-    // Returns the time since the tables were current, or std::nullopt if it is unknown.
-    std::optional<Duration> age(Time now) const;
+    // Records that the store is in this era: comparisons in older eras no longer count.
+    void noteEra(std::uint32_t era) { this->newestEra = std::max(this->newestEra, era); }
 
-    // Returns the time until which an owner may act on the tables; zero if it is unknown.
-    Time leaseLimit() const;
+    // Returns the time since the tables of an era were current, or std::nullopt if it is unknown.
+    std::optional<Duration> age(Time now, std::uint32_t era = 0) const;
+
+    // Returns the time until which an owner may act on a table of an era; zero if it is unknown. A
+    // comparison in another era does not extend it.
+    Time leaseLimit(std::uint32_t era = 0) const;
 
 private:
     LeaseSettings settings;
     Time startedAt;
-    std::optional<Time> currentAt;
+    std::uint32_t newestEra = 0;
+    std::map<std::uint32_t, Time> currentAt; // by era; a process sees few eras
 };
 
 // ---- LeaseVoter ----
@@ -147,8 +154,10 @@
         , startedAt(started)
     {}
 
-    // Records that this process has read the store up to an end that it queried after its start.
-    void noteFreshRead() { this->hasFreshRead = true; }
+    // Records that this process has read the store up to an end that it queried after its start,
+    // when the store was in `era`. Tables of older eras give no votes then: one may be lost whose
+    // end of a session an earlier process on this host has confirmed.
+    void noteFreshRead(std::uint32_t era = 0) { this->freshReadEra = era; }
 
     // Votes for a session of `table`, the newest one that this process has read. Returns false if
     // the session is not active in the table or the store has not been read since the start.
@@ -164,7 +173,7 @@
 
     LeaseSettings settings;
     Time startedAt;
-    bool hasFreshRead = false;
+    std::optional<std::uint32_t> freshReadEra;        // unset: not read yet
     std::unordered_map<std::uint64_t, Time> voteEnds; // by session
 };
 
@@ -189,7 +198,8 @@
     // count as current (TableFreshness), with or without its voters.
     bool hasExpired(std::uint64_t session, Time now) const;
 
-    // Discards the releases of sessions that are not in the table.
+    // Discards what is known of sessions that are not in the table or active in it. An ended
+    // session is active again if the record of its end was lost in a rollback of the store.
     void prune(const KeyTable &table);
 
 private:
--- a/packages/stage/cluster_view.cpp
+++ b/packages/stage/cluster_view.cpp
@@ -20,6 +20,46 @@
             .phase = decodePhase(record.phase())};
 }
 
+KnownHost makeHost(const wire::HostRecord &record, const Address &address, std::uint64_t offset,
+                   const std::string &bytes)
+{
+    return {.info = decodeHost(record),
+            .address = address,
+            .incarnation = record.incarnation(),
+            .change = record.change(),
+            .isLeaving = record.leaving(),
+            .offset = offset,
+            .bytes = bytes};
+}
+
+HostForm formOf(const KnownHost &host)
+{
+    return {.instanceStartedMs = host.info.instance.startedMs,
+            .isLeaving = host.isLeaving,
+            .hasEnded = host.info.phase == UpstreamPhase::Ended,
+            .incarnation = host.incarnation,
+            .change = host.change};
+}
+
+// Combines two records of a host that were written for different eras of the store, or, in `later`,
+// one that was read after the store had gone back. The position only grows; the content is the
+// newer one (isNewerForm).
+KnownHost mergeAcrossEras(const KnownHost &known, KnownHost later)
+{
+    const std::uint64_t offset = std::max(known.offset, later.offset);
+    const bool isKnownNewer = isNewerForm(formOf(known), formOf(later));
+    const bool isLaterOlder =
+            later.offset < known.offset && !isNewerForm(formOf(later), formOf(known));
+    const bool keepsKnown = isKnownNewer || isLaterOlder;
+    // The store has the record with the larger position.
+    const bool isAhead =
+            keepsKnown ? isKnownNewer && later.offset > known.offset : later.offset < known.offset;
+    KnownHost merged = keepsKnown ? known : std::move(later);
+    merged.isAhead = isAhead || (keepsKnown && known.isAhead && offset == known.offset);
+    merged.offset = offset;
+    return merged;
+}
+
 } // namespace
 
 UpstreamPhase decodePhase(wire::UpstreamPhase phase)
@@ -88,7 +128,14 @@
 void ClusterView::applyHost(const std::string &node, std::uint64_t offset, const std::string &bytes)
 {
     const auto found = this->hostsByNode.find(node);
-    if (found != this->hostsByNode.end() && found->second.offset >= offset) {
+    const bool isKnown = found != this->hostsByNode.end();
+    const std::uint32_t newestEra = this->era.current();
+    // In one era the order of the records in the store decides. After a rollback their content
+    // decides, because records of older eras may be lost or appended late.
+    const bool isMerged = isKnown && newestEra > 0
+                          && (storeEraOf(found->second.offset) != storeEraOf(offset)
+                              || storeEraOf(offset) < newestEra);
+    if (isKnown && !isMerged && found->second.offset >= offset) {
         return;
     }
     wire::HostRecord record;
@@ -99,14 +146,17 @@
                    {{"node", node}, {"offset", std::to_string(offset)}});
         return;
     }
+    KnownHost read = makeHost(record, *address, offset, bytes);
+    if (isMerged) {
+        const KnownHost &known = found->second;
+        KnownHost merged = mergeAcrossEras(known, std::move(read));
+        if (merged.offset == known.offset && merged.bytes == known.bytes) {
+            return;
+        }
+        read = std::move(merged);
+    }
     KnownHost &host = this->hostsByNode[node];
-    host = {.info = decodeHost(record),
-            .address = *address,
-            .incarnation = record.incarnation(),
-            .change = record.change(),
-            .isLeaving = record.leaving(),
-            .offset = offset,
-            .bytes = bytes};
+    host = std::move(read);
     this->hostsReadEnd += offset == this->hostsReadEnd ? 1 : 0;
     logInfo(LogPart::Log, "host known",
             {{"node", node},
@@ -121,8 +171,8 @@
 void ClusterView::applyTable(const std::string &service, std::uint64_t offset,
                              const std::string &bytes)
 {
-    const auto found = this->tables.find(service);
-    if (found != this->tables.end() && found->second.table.end >= offset + 1) {
+    const std::uint32_t newestEra = this->era.current();
+    if (!replacesTable(this->table(service), offset + 1, newestEra)) {
         return;
     }
     auto table = KeyTable::decode(bytes, offset + 1);
@@ -133,7 +183,8 @@
                   {"reason", std::string(toStd(table.status().message()))}});
         return;
     }
-    logInfo(LogPart::Slots, "key table read",
+    table->isFormer = storeEraOf(table->end) < newestEra;
+    logInfo(LogPart::Slots, table->isFormer ? "key table of an older era read" : "key table read",
             {{"service", service},
              {"end", std::to_string(table->end)},
              {"sessions", std::to_string(table->sessions.size())},
@@ -146,6 +197,29 @@
     }
 }
 
+void ClusterView::noteEra(std::uint32_t newEra, Time now)
+{
+    const std::uint32_t before = this->era.current();
+    if (!this->era.note(newEra, now)) {
+        return;
+    }
+    logWarning(LogPart::Log, "store has gone back",
+               {{"era", std::to_string(newEra)},
+                {"before", std::to_string(before)},
+                {"hostsEnd", std::to_string(this->hostsReadEnd)},
+                {"tablesEnd", std::to_string(this->tablesReadEnd)}});
+    if (this->hooks.eraChanged) {
+        this->hooks.eraChanged(newEra);
+    }
+}
+
+void ClusterView::noteEraOf(const wire::Known &other, Time now)
+{
+    this->noteEra(
+            storeEraOf(std::max({other.hosts_end(), other.tables_end(), other.operator_end()})),
+            now);
+}
+
 void ClusterView::noteHostsEnd(std::uint64_t end)
 {
     this->hostsReadEnd = std::max(this->hostsReadEnd, end);
--- a/packages/stage/cluster_view.h
+++ b/packages/stage/cluster_view.h
@@ -11,6 +11,7 @@
 #include "base/address.h"
 #include "keyspace/key_table.h"
 #include "keyspace/range_planner.h"
+#include "keyspace/store_era.h"
 #include "routing/configuration.h"
 #include "routing/host_picker.h"
 #include "wire/stage.pb.h"
@@ -33,8 +34,10 @@
     std::uint64_t incarnation = 0; // of the process on the host
     std::uint64_t change = 0;      // grows with each record of this incarnation
     bool isLeaving = false;        // the upstream has announced that it will end
-    std::uint64_t offset = 0;      // of the host's record in the store
+    std::uint64_t offset = 0;      // position of the host's record in the store
     std::string bytes;             // encoded record, to forward to other processes
+    // The store has gone back, and its record of the host is older than this one.
+    bool isAhead = false;
 };
 
 UpstreamPhase decodePhase(wire::UpstreamPhase phase);
@@ -52,6 +55,7 @@
     std::function<void()> configurationChanged;
     std::function<void(const KnownHost &host)> hostChanged;
     std::function<void(const std::string &service)> tableChanged;
+    std::function<void(std::uint32_t era)> eraChanged; // of the store
 };
 
 // Not thread-safe.
@@ -73,6 +77,14 @@
     void applyHost(const std::string &node, std::uint64_t offset, const std::string &bytes);
     void applyTable(const std::string &service, std::uint64_t offset, const std::string &bytes);
 
+    // Notes an era of the store that an answer of it or a message of another process shows. Call it
+    // before the records of the answer or message are applied.
+    void noteEra(std::uint32_t era, Time now);
+    const StoreEraTracker &storeEra() const { return this->era; }
+
+    // Notes the era that another process has read up to.
+    void noteEraOf(const wire::Known &other, Time now);
+
     // Notes that all records before `end` have been read.
     void noteHostsEnd(std::uint64_t end);
     void noteTablesEnd(std::uint64_t end);
@@ -82,6 +94,7 @@
     const std::map<std::string, KnownHost> &hosts() const { return this->hostsByNode; }
     const KnownHost *host(const std::string &node) const;
     const KeyTable *table(const std::string &service) const;
+    std::uint64_t hostsEnd() const { return this->hostsReadEnd; }
     std::uint64_t tablesEnd() const { return this->tablesReadEnd; }
 
     // Returns how far this process has read, to tell other processes.
@@ -105,6 +118,7 @@
     std::string currentConfigurationBytes;
     std::map<std::string, KnownHost> hostsByNode;
     std::map<std::string, KnownTable> tables; // by service
+    StoreEraTracker era;
     std::uint64_t hostsReadEnd = 0;
     std::uint64_t tablesReadEnd = 0;
 };
--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "base/durations.h"
 #include "base/log.h"
+#include "keyspace/store_era.h"
 
 #include <algorithm>
 
@@ -184,6 +185,9 @@
     if (current != nullptr) {
         this->noteSessions(*current, now);
     }
+    if (!this->mayPlan(current, now)) {
+        return;
+    }
     const Duration settled = now - std::max(this->hostsChangedAt, this->writerSince);
     if (current == nullptr && settled < this->settings.settlePeriod) {
         return; // other hosts may still be starting
@@ -192,16 +196,47 @@
     const GrantMode mode = info->grantMode.value_or(this->settings.grantMode);
     const KeyTable empty = KeyTable::createEmpty(
             this->service, leaseLengthOf(mode, this->settings.heartbeatInterval));
-    const PlanInput input = this->makeInput(current != nullptr ? *current : empty, now);
+    std::optional<KeyTable> next = this->planNext(current != nullptr ? *current : empty, now);
+    if (next) {
+        this->write(*std::move(next));
+    }
+}
+
+// Returns whether the next table may be written: after a rollback of the store not before all
+// owners have stopped that act on older tables.
+bool Coordinator::mayPlan(const KeyTable *current, Time now)
+{
+    const StoreEraTracker &era = this->view.storeEra();
+    if (mayWriteTable(current, this->view.tablesEnd(), era, now)) {
+        return true;
+    }
+    if (this->awaitedEra != era.current()) {
+        this->awaitedEra = era.current();
+        const Duration left = era.since() + eraTableWait() - now;
+        logInfo(LogPart::Slots, "no key table is written until owners of older ones have stopped",
+                {{"service", this->service},
+                 {"era", std::to_string(era.current())},
+                 {"table", std::to_string(current != nullptr ? current->end : 0)},
+                 {"leftMs", std::to_string(toMilliseconds(left))}});
+    }
+    return false;
+}
+
+std::optional<KeyTable> Coordinator::planNext(const KeyTable &base, Time now)
+{
+    const bool isFirst = beginsEra(base, this->view.tablesEnd() + 1);
+    const KeyTable table = isFirst ? withoutEarlierGrants(base) : base;
+    PlanInput input = this->makeInput(table, now);
+    input.mayBalance = input.mayBalance && !isFirst;
     std::optional<KeyTable> next = planKeyTable(input, this->settings.planner);
     if (input.mayBalance) {
         this->balancedAt = now;
     }
     if (next) {
         this->logEndedSessions(input, *next);
-        this->logLostVoters(*input.table, *next);
-        this->write(*std::move(next));
+        this->logLostVoters(table, *next);
     }
+    return isFirst ? beginEra(next ? *std::move(next) : table, input.newEnd, this->node) : next;
 }
 
 void Coordinator::logEndedSessions(const PlanInput &input, const KeyTable &next) const
@@ -249,8 +284,8 @@
     this->thread.spawn([this, table = std::move(table)] {
         const std::uint64_t expectedEnd = table.end - 1;
         const std::string bytes = table.encode();
-        const AppendResult result =
-                this->store.append(StoreTopic::Tables, this->service, bytes, expectedEnd);
+        const AppendResult result = this->store.append(StoreTopic::Tables, this->service, bytes,
+                                                       storeEraOf(table.end), expectedEnd);
         this->isWriting = false;
         logInfo(LogPart::Slots, "key table written",
                 {{"service", this->service},
--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -95,6 +95,8 @@
     void report(const std::string &writer, Time now);
     void noteSessions(const KeyTable &table, Time now);
     void plan(Time now);
+    bool mayPlan(const KeyTable *current, Time now);
+    std::optional<KeyTable> planNext(const KeyTable &base, Time now);
     void logEndedSessions(const PlanInput &input, const KeyTable &next) const;
     void logLostVoters(const KeyTable &before, const KeyTable &next) const;
     PlanInput makeInput(const KeyTable &table, Time now) const;
@@ -121,6 +123,7 @@
     Time writerSince{};
     std::string currentWriter; // node that this host considers to be the table writer
     bool isWriting = false;
+    std::uint32_t awaitedEra = 0; // for whose first table the log says that this host waits
 };
 
 } // namespace kumquat
--- a/packages/stage/key_owner.cpp
+++ b/packages/stage/key_owner.cpp
@@ -4,6 +4,7 @@
 #include "base/errors.h"
 #include "base/log.h"
 #include "base/text.h"
+#include "keyspace/store_era.h"
 #include "platform/upstream.h"
 
 #include <algorithm>
@@ -110,7 +111,9 @@
     this->appliedTableEnd = table->end;
     this->applyLeaseLength(*table);
     const KeySession *session = table->activeSessionOf(this->node);
-    const bool isOwn = session != nullptr && session->instance == this->monitor.instance()
+    // Other hosts may act on another table in place of a former one.
+    const bool isOwn = session != nullptr && !table->isFormer
+                       && session->instance == this->monitor.instance()
                        && session->id != this->abandonedSession;
     const std::uint64_t id = isOwn ? session->id : 0;
     if (id != this->ownSession) {
@@ -155,8 +158,10 @@
 // Returns the time until which grants may last; zero without a session.
 Time KeyOwner::leaseEnd() const
 {
-    return this->ownSession == 0 ? Time::zero()
-                                 : std::min(this->lease.validUntil(), this->freshness.leaseLimit());
+    const std::uint32_t era = storeEraOf(this->appliedTableEnd);
+    return this->ownSession == 0
+                   ? Time::zero()
+                   : std::min(this->lease.validUntil(), this->freshness.leaseLimit(era));
 }
 
 void KeyOwner::renew(Time now)
@@ -279,14 +284,19 @@
             }
             continue;
         }
-        this->links.call(
-                voter, frame, {}, askTimeout,
-                [this, voter, id = session.id](CallOutcome outcome, const LinkMessage &answer) {
-                    if (outcome == CallOutcome::Answered
-                        && answer.head.release_reply().released()) {
-                        this->proofs.noteRelease(id, voter);
-                    }
-                });
+        this->links.call(voter, frame, {}, askTimeout,
+                         [this, voter, id = session.id, endedAt = session.endedAt](
+                                 CallOutcome outcome, const LinkMessage &answer) {
+                             const KeyTable *table = this->view.table(this->service);
+                             const KeySession *asked =
+                                     table != nullptr ? table->session(id) : nullptr;
+                             // The end may have been lost in a rollback of the store meanwhile.
+                             const bool isSameEnd = asked != nullptr && asked->endedAt == endedAt;
+                             if (outcome == CallOutcome::Answered && isSameEnd
+                                 && answer.head.release_reply().released()) {
+                                 this->proofs.noteRelease(id, voter);
+                             }
+                         });
     }
 }
 
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -37,11 +37,13 @@
     MessageDelays,  // total milliseconds by which messages of other processes were late in transit
     FibersReady,    // number of fibers that are ready now
     OldestFiberAge, // milliseconds since the oldest ready fiber became ready
-    UpstreamRequests, // current requests of all callers for the upstream beside this process
-    RequestsWaiting,  // number of these requests that wait for their key or for a slot
+    UpstreamRequests,       // current requests of all callers for the upstream beside this process
+    RequestsWaiting,        // number of these requests that wait for their key or for a slot
+    StoreEra,               // how often the store has come back from an older copy
+    HostRecordsWrittenBack, // records of other hosts, after the store came back from an older copy
 };
 
-inline constexpr NameTable<Metric, 24> metricNames{
+inline constexpr NameTable<Metric, 26> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -65,7 +67,9 @@
           {Metric::FibersReady, "fibers_ready"},
           {Metric::OldestFiberAge, "fiber_age_ms"},
           {Metric::UpstreamRequests, "requests_here"},
-          {Metric::RequestsWaiting, "requests_waiting"}}}};
+          {Metric::RequestsWaiting, "requests_waiting"},
+          {Metric::StoreEra, "store_era"},
+          {Metric::HostRecordsWrittenBack, "host_records_written_back"}}}};
 
 // Used on one thread.
 class Metrics
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -27,9 +27,6 @@
 constexpr Duration linkInterval = 100ms;   // for connections between processes
 constexpr Duration gossipInterval = 400ms; // new state reaches every host in about a second
 constexpr Duration recordDelay = 1200ms;   // until a host without a heartbeat writes its record
-constexpr Duration recordRetry = 300ms;
-// Wait for the store before a leave is refused; an upstream waits one second for the answer.
-constexpr Duration leaveRecordLimit = 800ms;
 constexpr Duration followInterval = 200ms; // between checks for store reads that hang
 constexpr Duration logFlushInterval = 200ms;
 constexpr Duration minLoggedDelay = 250ms; // of timers; half of the allowed delay of an answer
@@ -85,7 +82,8 @@
                             this->keys.advance(readBootTime());
                             this->executor.noteAccessChanged(allKeys);
                         }
-                    }})
+                    },
+            .eraChanged = [this](std::uint32_t era) { this->onEraChanged(era); }})
     , monitor({.service = this->settings.service,
                .upstream = this->settings.upstream,
                .drainPeriod = this->settings.limits.drainPeriod,
@@ -97,16 +95,16 @@
               {.freshRead =
                        [this](platform::StoreTopic topic) {
                            if (topic == platform::StoreTopic::Tables) {
-                               this->voter.noteFreshRead();
+                               this->voter.noteFreshRead(this->view.storeEra().current());
                            }
                        },
                .caughtUp =
-                       [this](platform::StoreTopic topic, Time asOf) {
+                       [this](platform::StoreTopic topic, Time asOf, std::uint32_t era) {
                            if (topic == platform::StoreTopic::Tables) {
-                               this->freshness.note(asOf);
+                               this->freshness.note(asOf, era);
                            } else if (topic == platform::StoreTopic::Hosts
                                       && !this->monitor.isRestored()) {
-                               this->restoreUpstream(readBootTime());
+                               this->beginRestore();
                            }
                        },
                .isRelay =
@@ -116,6 +114,7 @@
                            return this->relays.pauseFor(this->settings.node, this->knownNodes(),
                                                         readBootTime() - this->startedAt);
                        }})
+    , writeBack(this->thread, this->store, this->view, this->metrics)
     , admission(this->settings, this->view)
     , keys(this->thread, this->settings.node, this->settings.service, this->settings.upstream,
            this->settings.limits.maxHold, this->view, this->links, this->monitor, this->freshness,
@@ -259,6 +258,7 @@
         const ConfigurationPtr configuration = this->view.configuration();
         const Duration age = this->follower.answerAge(platform::StoreTopic::Configuration, now);
         this->metrics.set(Metric::StoreCalls, this->store.callCount());
+        this->metrics.set(Metric::StoreEra, this->view.storeEra().current());
         this->metrics.set(Metric::ConfigurationVersion, configuration ? configuration->version : 0);
         this->metrics.set(Metric::ConfigurationAge, toMilliseconds(age));
         const FiberBacklog backlog = this->thread.backlog();
@@ -279,11 +279,15 @@
 
 void Stage::startTimers()
 {
+    this->store.onEra([this](std::uint32_t era) { this->view.noteEra(era, readBootTime()); });
     this->ticker.every(advanceInterval, [this](Time now) { this->advance(now); });
     this->ticker.every(linkInterval, [this](Time now) { this->links.advance(now); });
     this->ticker.every(linkInterval, [this](Time now) { this->coordinator.advance(now); });
     this->ticker.every(gossipInterval, [this](Time now) { this->gossip(now); });
-    this->ticker.every(followInterval, [this](Time now) { this->follower.advance(now); });
+    this->ticker.every(followInterval, [this](Time now) {
+        this->follower.advance(now);
+        this->writeBack.advance(this->relays.isRelay(this->settings.node, now), now);
+    });
     this->ticker.every(logFlushInterval, [](Time) { flushLog(); });
     this->ticker.every(settingsCheckInterval, [this](Time) { this->checkSettingsFile(); });
     this->ticker.after(recordDelay, [this](Time) {
@@ -540,94 +544,6 @@
     this->coordinator.reportSoon();
 }
 
-// Continues with what the process before this one has recorded.
-void Stage::restoreUpstream(Time now)
-{
-    RecordedUpstream recorded;
-    if (const KnownHost *host = this->view.host(this->settings.node)) {
-        recorded = {.instance = host->info.instance,
-                    .phase = host->info.phase,
-                    .isLeaving = host->isLeaving};
-    }
-    this->monitor.restore(recorded, now);
-    this->recordedLeave = recorded.isLeaving ? recorded.instance : UpstreamInstance();
-    logInfo(LogPart::Upstream, "state of the upstream restored",
-            {{"upstream", recorded.instance.id},
-             {"born", std::to_string(recorded.instance.startedMs)},
-             {"phase", std::string(upstreamPhaseNames.nameOf(recorded.phase))},
-             {"leaving", recorded.isLeaving ? "yes" : "no"}});
-}
-
-// Waits until the store has the leave of the upstream. Returns false if that takes too long.
-bool Stage::waitForLeaveRecord()
-{
-    this->writeHostRecord();
-    const Time end = readBootTime() + leaveRecordLimit;
-    for (Time now = readBootTime();
-         this->monitor.isLeaving() && this->recordedLeave != this->monitor.instance() && now < end;
-         now = readBootTime()) {
-        FiberEvent stored(this->thread.io());
-        this->leaveWaits.push_back(&stored);
-        stored.waitFor(end - now);
-        std::erase(this->leaveWaits, &stored);
-    }
-    return !this->monitor.isLeaving() || this->recordedLeave == this->monitor.instance();
-}
-
-// Writes the record of this host again if an older one, whose answer was lost, was appended later.
-void Stage::checkOwnRecord(const KnownHost &host)
-{
-    const bool isOlder = host.incarnation != this->incarnation || host.change < this->recordChange;
-    if (host.info.node == this->settings.node && this->storedRecordEnd != 0
-        && host.offset >= this->storedRecordEnd && isOlder) {
-        this->isRecordDue = true;
-    }
-}
-
-// Writes the record of this host if it is due. The record of the process before this one must have
-// been read, because the new record replaces it.
-void Stage::writeHostRecord()
-{
-    if (!this->isRecordDue || this->isWritingRecord || !this->monitor.isRestored()) {
-        return;
-    }
-    this->isRecordDue = false;
-    this->isWritingRecord = true;
-    wire::HostRecord record;
-    record.set_node(this->settings.node);
-    record.set_incarnation(this->incarnation);
-    record.set_address(this->settings.listen.processesAdvertised.toString());
-    record.set_data_centre(this->settings.dataCentre);
-    record.set_region(this->settings.region);
-    record.set_service(this->settings.service);
-    record.set_upstream_id(this->monitor.instance().id);
-    record.set_born_ms(this->monitor.instance().startedMs);
-    record.set_slots(this->monitor.slots());
-    record.set_phase(encodePhase(this->monitor.phase()));
-    record.set_change(++this->recordChange);
-    record.set_leaving(this->monitor.isLeaving());
-    const UpstreamInstance leave =
-            this->monitor.isLeaving() ? this->monitor.instance() : UpstreamInstance();
-    this->thread.spawn([this, leave, bytes = record.SerializeAsString()] {
-        const platform::AppendResult result = this->store.append(
-                platform::StoreTopic::Hosts, this->settings.node, bytes, std::nullopt);
-        logInfo(LogPart::Log, "record of this host written",
-                {{"outcome", std::string(platform::appendOutcomeNames.nameOf(result.outcome))},
-                 {"phase", std::string(upstreamPhaseNames.nameOf(this->monitor.phase()))}});
-        if (result.outcome == platform::AppendOutcome::Done) {
-            this->storedRecordEnd = result.endOffset;
-            this->recordedLeave = leave;
-            for (FiberEvent *wait : this->leaveWaits) {
-                wait->notify();
-            }
-        } else {
-            sleepFor(this->thread.io(), recordRetry);
-            this->isRecordDue = true;
-        }
-        this->isWritingRecord = false;
-    });
-}
-
 wire::LoadReport Stage::makeReport() const
 {
     const Time now = readBootTime();
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -19,6 +19,7 @@
 #include "stage/cluster_view.h"
 #include "stage/coordinator.h"
 #include "stage/executor.h"
+#include "stage/host_write_back.h"
 #include "stage/ingress.h"
 #include "stage/key_owner.h"
 #include "stage/late_messages.h"
@@ -85,6 +86,9 @@
     // The upstream beside this process.
     HttpResponse onHeartbeat(const HttpRequest &request);
     Duration heartbeatLateness(Time now);
+    void onEraChanged(std::uint32_t era);
+    void beginRestore();
+    void askForHosts();
     void restoreUpstream(Time now);
     bool waitForLeaveRecord();
     void checkOwnRecord(const KnownHost &host);
@@ -125,6 +129,7 @@
     RelayChoice relays;
     AdmissionGate gate;
     StoreFollower follower;
+    HostWriteBack writeBack;
     AdmissionState admission;
     KeyOwner keys;
     CallerFreshness callerFreshness;
@@ -139,6 +144,7 @@
     std::optional<ShutdownSchedule> shutdownSchedule; // set once the process has been told to stop
     bool isRecordDue = false; // the record of this host in the store is out of date
     bool isWritingRecord = false;
+    bool isRestoring = false; // waits for the host records of other hosts
     std::uint64_t recordChange = 0;
     std::uint64_t storedRecordEnd = 0;    // offset after the last stored record of this process
     UpstreamInstance recordedLeave;       // instance whose leave is in the store
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -137,6 +137,7 @@
 
 void Stage::onState(const std::string &node, const wire::StateReply &state)
 {
+    this->view.noteEraOf(state.known(), readBootTime());
     if (!state.config().empty()) {
         auto configuration = platform::decodeConfiguration(state.config());
         if (configuration.ok()) {
@@ -167,7 +168,8 @@
 {
     wire::Known known = this->view.known();
     known.set_reads_store(!this->follower.isStoreLost());
-    if (const auto age = this->freshness.age(readBootTime())) {
+    const std::uint32_t era = storeEraOf(this->view.tablesEnd());
+    if (const auto age = this->freshness.age(readBootTime(), era)) {
         known.set_tables_age_ms(static_cast<std::uint32_t>(toMilliseconds(*age) + 1)); // rounded up
     }
     return known;
@@ -178,12 +180,14 @@
 void Stage::noteTableAge(const wire::Known &known, Time askedAt)
 {
     if (known.has_tables_age_ms() && known.tables_end() <= this->view.tablesEnd()) {
-        this->freshness.note(askedAt - std::chrono::milliseconds(known.tables_age_ms()));
+        this->freshness.note(askedAt - std::chrono::milliseconds(known.tables_age_ms()),
+                             storeEraOf(known.tables_end()));
     }
 }
 
 void Stage::noteKnown(const std::string &node, const wire::Known &known)
 {
+    this->view.noteEraOf(known, readBootTime());
     this->relays.noteHeard(
             node,
             {.readsStore = known.reads_store(), .hasAddress = this->view.host(node) != nullptr},
--- a/packages/stage/store_follower.cpp
+++ b/packages/stage/store_follower.cpp
@@ -113,7 +113,7 @@
         this->noteResult(topic, batch.status());
         if (batch.ok()) {
             this->apply(topic, *batch);
-            this->hooks.caughtUp(topic, askedAt);
+            this->hooks.caughtUp(topic, askedAt, batch->era);
             return;
         }
         sleepFor(this->thread.io(), retry);
@@ -171,13 +171,14 @@
     if (batch->hasExpired) {
         logInfo(LogPart::Log, "records expired before they were read",
                 {{"topic", std::string(storeTopicNames.nameOf(topic))},
+                 {"era", std::to_string(batch->era)},
                  {"from", std::to_string(current.end)}});
         this->readNewest(topic);
         return absl::OkStatus();
     }
     this->apply(topic, *batch);
     if (batch->isComplete) {
-        this->hooks.caughtUp(topic, askedAt);
+        this->hooks.caughtUp(topic, askedAt, batch->era);
     }
     if (!batch->records.empty()) {
         this->pauseAfterRecords(topic);
--- a/packages/stage/store_follower.h
+++ b/packages/stage/store_follower.h
@@ -38,8 +38,8 @@
     // Called when a topic has been read up to an end that was queried after the start of the
     // process.
     std::function<void(platform::StoreTopic topic)> freshRead;
-    // Called when all records that the store had at `asOf` have been read.
-    std::function<void(platform::StoreTopic topic, Time asOf)> caughtUp;
+    // Called when all records that the store had at `asOf` have been read, with its era then.
+    std::function<void(platform::StoreTopic topic, Time asOf, std::uint32_t era)> caughtUp;
     // Says whether this process is a relay, which waits for records on behalf of other hosts.
     std::function<bool()> isRelay;
     std::function<Duration()> pause; // returns the time to wait after new records
--- a/packages/standins/platform_store.cpp
+++ b/packages/standins/platform_store.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <thread>
 
@@ -13,6 +14,7 @@
 
 using Json = nlohmann::json;
 
+constexpr std::string_view operatorTopic = "keyed.op"; // never goes back
 constexpr std::size_t lengthBytes = 4;
 constexpr auto slowCallTime = std::chrono::milliseconds(400);
 
@@ -68,6 +70,37 @@
     }
 }
 
+void PlatformStore::rollBack(std::size_t count)
+{
+    const std::lock_guard lock(this->mutex);
+    for (auto &[name, partition] : this->partitions) {
+        if (name.first == operatorTopic) {
+            continue;
+        }
+        auto &records = partition.records;
+        records.resize(records.size() - std::min(count, records.size()));
+        partition.firstKept = std::min<std::uint64_t>(partition.firstKept, records.size());
+    }
+    ++this->era;
+    this->appended.notify_all();
+}
+
+std::uint32_t PlatformStore::currentEra()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->era;
+}
+
+// Adds the era to an answer. The caller holds the mutex since before it formed the answer, so that
+// no answer names an era in which its content is not in force.
+HttpAnswer PlatformStore::withEra(HttpAnswer answer) const
+{
+    if (this->era > 0) {
+        answer.fields.push_back({"Store-Era", std::to_string(this->era)});
+    }
+    return answer;
+}
+
 void PlatformStore::stop()
 {
     const std::lock_guard lock(this->mutex);
@@ -94,7 +127,8 @@
 {
     ++this->calls;
     if (this->fault == StoreFault::Down) {
-        return {503, {}, ""};
+        const std::lock_guard lock(this->mutex);
+        return this->withEra({503, {}, ""});
     }
     if (this->fault == StoreFault::ClosedConnections) {
         return HttpAnswer::lost();
@@ -123,12 +157,12 @@
     Partition &partition = this->partitions[{request.query("topic").value_or(""), part}];
     const auto end = static_cast<std::int64_t>(partition.records.size());
     if (request.queryInt("as_of", end) != end) {
-        return jsonAnswer(412, {{"end_offset", end}});
+        return this->withEra(jsonAnswer(412, {{"end_offset", end}}));
     }
     const auto [key, value] = splitRecord(request.body);
     partition.records.push_back({key, value});
     this->appended.notify_all();
-    return jsonAnswer(200, {{"offset", end}, {"end_offset", end + 1}});
+    return this->withEra(jsonAnswer(200, {{"offset", end}, {"end_offset", end + 1}}));
 }
 
 HttpAnswer PlatformStore::read(const HttpRequest &request)
@@ -138,10 +172,11 @@
     Partition &partition = this->partitions[{request.query("topic").value_or(""), part}];
     const auto from = static_cast<std::uint64_t>(request.queryInt("from", 0));
     const auto wait = std::chrono::milliseconds(request.queryInt("wait_ms", 0));
-    this->appended.wait_for(lock, wait,
-                            [&] { return this->isStopped || partition.records.size() > from; });
-    if (from < partition.firstKept) {
-        return jsonAnswer(410, {{"first_offset", partition.firstKept}});
+    this->appended.wait_for(lock, wait, [&, eraBefore = this->era] {
+        return this->isStopped || partition.records.size() > from || this->era != eraBefore;
+    });
+    if (from < partition.firstKept || from > partition.records.size()) {
+        return this->withEra(jsonAnswer(410, {{"first_offset", partition.firstKept}}));
     }
     constexpr std::size_t offsetBytes = 8;
     std::string body = bigEndian(partition.records.size(), offsetBytes)
@@ -152,7 +187,7 @@
         body += static_cast<char>(record.key.size());
         body += record.key + record.value;
     }
-    return {200, {}, body};
+    return this->withEra({200, {}, body});
 }
 
 HttpAnswer PlatformStore::readNewest(const HttpRequest &request)
@@ -170,8 +205,9 @@
                          {"value", absl::Base64Escape(partition.records[index].value)},
                          {"offset", index}});
     }
-    return jsonAnswer(
-            200, {{"items", items}, {"has_more", false}, {"end_offset", partition.records.size()}});
+    return this->withEra(jsonAnswer(
+            200,
+            {{"items", items}, {"has_more", false}, {"end_offset", partition.records.size()}}));
 }
 
 } // namespace kumquat
--- a/packages/standins/platform_store.h
+++ b/packages/standins/platform_store.h
@@ -43,6 +43,12 @@
     // remains available.
     void compact();
 
+    // Comes back from an older copy: the last `count` records of each partition that operators
+    // don't write are lost, and the era in the answers increases by one.
+    void rollBack(std::size_t count);
+
+    std::uint32_t currentEra();
+
     // Ends waiting reads and unanswered calls. Later reads return at once.
     void stop();
 
@@ -67,6 +73,7 @@
 
     HttpAnswer answer(const HttpRequest &request);
     HttpAnswer answerNow(const HttpRequest &request);
+    HttpAnswer withEra(HttpAnswer answer) const;
     HttpAnswer append(const HttpRequest &request);
     HttpAnswer read(const HttpRequest &request);
     HttpAnswer readNewest(const HttpRequest &request);
@@ -76,6 +83,7 @@
     bool isStopped = false;
     int unansweredFaultCount = 0; // number of Unanswered faults that have begun
     std::map<PartitionName, Partition> partitions;
+    std::uint32_t era = 0;
     std::atomic<StoreFault> fault{StoreFault::None};
     std::atomic<int> calls{0};
 };
