--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -50,9 +50,11 @@
     RequestBytesHeld,    // bytes that callers make this process hold now
     RequestBytesRefused, // times that bytes of a caller or process found no room
     RequestBytesEvicted, // connections closed without progress, to make room
+    StoreEra,            // how often the store has come back from an older copy
+    HostRecordsWrittenBack, // records of other hosts, after the store came back from an older copy
 };
 
-inline constexpr NameTable<Metric, 35> metricNames{
+inline constexpr NameTable<Metric, 37> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -87,7 +89,9 @@
           {Metric::UpstreamSpeed, "upstream_speed_percent"},
           {Metric::RequestBytesHeld, "request_bytes_held"},
           {Metric::RequestBytesRefused, "request_bytes_refused"},
-          {Metric::RequestBytesEvicted, "request_bytes_evicted"}}}};
+          {Metric::RequestBytesEvicted, "request_bytes_evicted"},
+          {Metric::StoreEra, "store_era"},
+          {Metric::HostRecordsWrittenBack, "host_records_written_back"}}}};
 
 // Used on one thread.
 class Metrics
