keyspace: keys leave an evacuated data centre by degrees

Cause: keys stayed at hosts where no request may run, so their requests were refused for as long as the evacuation lasted.

Change: the planner marks the sessions of an evacuated data centre as leaving. Each plan moves a few pieces of their settled ranges to the least utilised other sessions; handovers in progress count against that number, but one piece may always leave. Without another session the keys stay. For 15 s after the end a session gets at most a quarter of its share in one move.

--- a/packages/keyspace/range_planner.cpp
+++ b/packages/keyspace/range_planner.cpp
@@ -3,12 +3,14 @@
 // Sections: planner, sessions, voters, ranges, balance.
 #include "keyspace/range_planner.h"
 
-#include "base/hash.h"
+#include "keyspace/evacuation_moves.h"
 #include "keyspace/key_weights.h"
 #include "keyspace/lease.h"
+#include "keyspace/voter_choice.h"
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -17,28 +19,6 @@
 
 // ---- Planner ----
 
-// A session that may get keys, with its present load.
-struct Candidate
-{
-    std::uint64_t session = 0;
-    double rate = 0;     // requests per second for its keys
-    double capacity = 1; // requests per second
-
-    double utilisation() const { return this->rate / this->capacity; }
-};
-
-// Returns the utilisation of each session if the load were balanced perfectly.
-double commonUtilisationOf(const std::vector<Candidate> &sessions)
-{
-    double rate = 0;
-    double capacity = 0;
-    for (const Candidate &session : sessions) {
-        rate += session.rate;
-        capacity += session.capacity;
-    }
-    return rate / capacity;
-}
-
 class Planner
 {
 public:
@@ -56,6 +36,7 @@
         this->admitSessions();
         this->markLeaving();
         this->moveFromLeaving();
+        this->moveFromEvacuated();
         this->assignUnownedRanges();
         if (this->input.mayBalance) {
             this->balance();
@@ -82,24 +63,27 @@
 
     // Voters.
     void chooseVoters();
-    std::vector<std::string> pickVoters(const KeySession &session) const;
     std::optional<std::vector<std::string>> replaceVoters(const KeySession &session) const;
     bool isVoterUnavailable(const std::string &node) const;
     bool isVoterStopping(const std::string &node) const;
 
     // Ranges.
     void moveFromLeaving();
+    void moveFromEvacuated();
+    void moveSpan(const KeySpan &span, std::uint64_t owner);
     void assignUnownedRanges();
     void distribute(std::vector<std::size_t> rangeIndexes);
     void assign(KeyRange &range, std::uint64_t owner);
     void dropSettledPredecessors();
     bool isSettled(const KeyRange &range) const;
     std::vector<Candidate> candidates() const;
+    std::size_t maxFillMoves(std::size_t sessions) const;
     std::size_t rangeCountOf(std::uint64_t session) const;
 
     // Balance.
     void balance();
     bool moveLoad(const Candidate &donor, const Candidate &receiver, double commonUtilisation);
+    double maxRateOf(std::uint64_t receiver) const;
     std::optional<KeySpan> pickSpan(std::uint64_t donor, double targetRate) const;
 
     double assumedKeyRate() const;
@@ -113,6 +97,7 @@
     KeyWeights weights;
     bool mayEnd; // silent sessions may be ended, and lost voters may be left without replacement
     bool hasChanged = false;
+    std::set<std::uint64_t> evacuated; // sessions that leave only because of an evacuation
 };
 
 // Returns the request rate to assume for a key without requests.
@@ -226,7 +211,11 @@
         const bool drains = info != nullptr && info->instance == session.instance
                             && info->phase == UpstreamPhase::Draining;
         const bool stops = found != nullptr && (found->isStopping || found->isFailing);
-        const bool leaves = session.isActive() && (drains || stops);
+        const bool isEvacuated = session.isActive() && info != nullptr && info->isEvacuated;
+        const bool leaves = session.isActive() && (drains || stops || isEvacuated);
+        if (isEvacuated && !drains && !stops) {
+            this->evacuated.insert(session.id);
+        }
         if (session.isActive() && session.leaving != leaves) {
             session.leaving = leaves;
             this->hasChanged = true;
@@ -276,48 +265,6 @@
     return info != nullptr && info->isStopping;
 }
 
-// Picks voters that rarely fail together: each in another data centre if possible, with those of
-// the owner's region first.
-std::vector<std::string> Planner::pickVoters(const KeySession &session) const
-{
-    const HostInfo *ownHost = this->host(session.node);
-    struct Choice
-    {
-        std::size_t cost;
-        std::uint64_t order;
-        const HostInfo *info;
-    };
-    std::vector<Choice> choices;
-    for (const HostInfo &info : this->input.hosts) {
-        if (info.node == session.node || !info.isReachable || info.isStopping) {
-            continue;
-        }
-        const bool sameRegion = ownHost != nullptr && ownHost->region == info.region;
-        choices.push_back({sameRegion ? 0UL : 1UL,
-                           hashPair(hashBytes(session.node), hashBytes(info.node)), &info});
-    }
-    std::sort(choices.begin(), choices.end(), [](const Choice &first, const Choice &second) {
-        return std::tie(first.cost, first.order) < std::tie(second.cost, second.order);
-    });
-    std::vector<std::string> picked;
-    std::vector<std::string> usedDataCentres;
-    for (const bool allowSameDataCentre : {false, true}) {
-        for (const Choice &choice : choices) {
-            const bool isUsed = std::find(usedDataCentres.begin(), usedDataCentres.end(),
-                                          choice.info->dataCentre)
-                                != usedDataCentres.end();
-            const bool isPicked =
-                    std::find(picked.begin(), picked.end(), choice.info->node) != picked.end();
-            if (picked.size() < this->settings.voters && !isPicked
-                && (allowSameDataCentre || !isUsed)) {
-                picked.push_back(choice.info->node);
-                usedDataCentres.push_back(choice.info->dataCentre);
-            }
-        }
-    }
-    return picked;
-}
-
 // Returns the voters to use instead of the present ones, or std::nullopt to keep them.
 //
 // A set of fewer voters is chosen only if the lease could not be renewed otherwise. It is safe:
@@ -337,7 +284,7 @@
     if (!hasTooFew && unavailable == 0 && !hasLostLease) {
         return std::nullopt;
     }
-    std::vector<std::string> voters = this->pickVoters(session);
+    std::vector<std::string> voters = pickVoters(session, this->input.hosts, this->settings.voters);
     const bool mayBeCutOff = (unavailable > 0 || voters.empty()) && !this->mayEnd;
     const bool mayUse = voters.size() >= session.voters.size() || (hasLostLease && !mayBeCutOff);
     return mayUse && voters != session.voters ? std::optional(std::move(voters)) : std::nullopt;
@@ -445,13 +392,43 @@
     std::vector<std::size_t> indexes;
     for (std::size_t i = 0; i < this->next.ranges.size(); ++i) {
         const KeySession *owner = this->next.session(this->next.ranges[i].owner);
-        if (owner != nullptr && owner->isActive() && owner->leaving) {
+        if (owner != nullptr && owner->isActive() && owner->leaving
+            && !this->evacuated.contains(owner->id)) {
             indexes.push_back(i);
         }
     }
     this->distribute(std::move(indexes));
 }
 
+void Planner::moveFromEvacuated()
+{
+    const std::vector<Candidate> receivers = this->candidates();
+    const auto moves = chooseEvacuationMoves(
+            {.table = this->next,
+             .weights = this->weights,
+             .evacuated = this->evacuated,
+             .receivers = receivers,
+             .maxMoves = this->maxFillMoves(receivers.size()),
+             .isSettled = [this](const KeyRange &range) { return this->isSettled(range); }});
+    for (const EvacuationMove &move : moves) {
+        this->moveSpan(move.span, move.receiver);
+    }
+}
+
+// Gives keys of one range to a new owner.
+void Planner::moveSpan(const KeySpan &span, std::uint64_t owner)
+{
+    this->next.splitBefore(span.first);
+    if (span.last < lastShardKey) {
+        this->next.splitBefore(span.last + 1);
+    }
+    for (KeyRange &range : this->next.ranges) {
+        if (span.contains(range.span)) {
+            this->assign(range, owner);
+        }
+    }
+}
+
 void Planner::assignUnownedRanges()
 {
     std::vector<std::size_t> indexes;
@@ -530,11 +507,14 @@
 
 // ---- Balance ----
 
+std::size_t Planner::maxFillMoves(std::size_t sessions) const
+{
+    return std::max(this->settings.maxMovesPerPlan, sessions / this->settings.sessionsPerFillMove);
+}
+
 void Planner::balance()
 {
-    const std::size_t sessions = this->candidates().size();
-    const std::size_t maxMoves =
-            std::max(this->settings.maxMovesPerPlan, sessions / this->settings.sessionsPerFillMove);
+    const std::size_t maxMoves = this->maxFillMoves(this->candidates().size());
     for (std::size_t move = 0; move < maxMoves; ++move) {
         std::vector<Candidate> eligible = this->candidates();
         if (eligible.size() < 2) {
@@ -565,7 +545,8 @@
     const double equal = (donor.utilisation() - receiver.utilisation())
                          / (1 / donor.capacity + 1 / receiver.capacity);
     const double targetRate =
-            std::min(equal, commonUtilisation * receiver.capacity - receiver.rate);
+            std::min({equal, commonUtilisation * receiver.capacity - receiver.rate,
+                      this->maxRateOf(receiver.session)});
     if (this->rangeCountOf(receiver.session) >= this->settings.maxRangesPerSession) {
         return false;
     }
@@ -573,18 +554,20 @@
     if (!span) {
         return false;
     }
-    this->next.splitBefore(span->first);
-    if (span->last < lastShardKey) {
-        this->next.splitBefore(span->last + 1);
-    }
-    for (KeyRange &range : this->next.ranges) {
-        if (span->contains(range.span)) {
-            this->assign(range, receiver.session);
-        }
-    }
+    this->moveSpan(*span, receiver.session);
     return true;
 }
 
+// Returns the load that the session may get in one move.
+double Planner::maxRateOf(std::uint64_t receiver) const
+{
+    const HostInfo *info = this->host(this->next.session(receiver)->node);
+    const std::uint32_t keys = info != nullptr && info->isReturning
+                                       ? returningKeys(this->candidates().size())
+                                       : lastShardKey + 1;
+    return this->weights.rateOf(allKeys) * keys / (lastShardKey + 1);
+}
+
 // Picks a part at the low or high end of a settled range whose rate is close to the target rate and
 // not far above it. Parts with fewer keys score higher.
 std::optional<KeySpan> Planner::pickSpan(std::uint64_t donor, double targetRate) const
--- a/packages/keyspace/range_planner.h
+++ b/packages/keyspace/range_planner.h
@@ -42,8 +42,10 @@
     UpstreamInstance instance;
     std::uint32_t slots = 1;
     UpstreamPhase phase = UpstreamPhase::Absent;
-    bool isReachable = true; // from the host that runs the planner
-    bool isStopping = false; // its process is shutting down
+    bool isReachable = true;  // from the host that runs the planner
+    bool isStopping = false;  // its process is shutting down
+    bool isEvacuated = false; // the operator has evacuated its data centre
+    bool isReturning = false; // its data centre was evacuated until a moment ago
 };
 
 // The last report about a session by its host.
--- /dev/null
+++ b/packages/keyspace/session_load.h
@@ -0,0 +1,31 @@
+// Load of the sessions that may get keys.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace kumquat {
+
+// A session that may get keys, with its present load.
+struct Candidate
+{
+    std::uint64_t session = 0;
+    double rate = 0;     // requests per second for its keys
+    double capacity = 1; // requests per second
+
+    double utilisation() const { return this->rate / this->capacity; }
+};
+
+// Returns the utilisation of each session if the load were balanced perfectly.
+inline double commonUtilisationOf(const std::vector<Candidate> &sessions)
+{
+    double rate = 0;
+    double capacity = 0;
+    for (const Candidate &session : sessions) {
+        rate += session.rate;
+        capacity += session.capacity;
+    }
+    return rate / capacity;
+}
+
+} // namespace kumquat
--- a/packages/keyspace/tests/test_range_planner.cpp
+++ b/packages/keyspace/tests/test_range_planner.cpp
@@ -409,4 +409,114 @@
     CHECK(next->activeSessionOf("a")->formerVoters == std::vector<std::string>{"a"});
 }
 
+// Guards against keys that stay where no request may run, and against a move of all keys at once,
+// which slows every request for them.
+TEST_CASE("keys leave an evacuated data centre a few at a time and come back the same way",
+          "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    const std::uint32_t before = cluster.keysOf("a") + cluster.keysOf("b");
+    const auto setHosts = [&cluster](bool isEvacuated) {
+        for (const char *node : {"a", "b"}) {
+            cluster.host(node).isEvacuated = isEvacuated;
+            cluster.host(node).isReturning = !isEvacuated;
+        }
+    };
+    // Returns the largest number of keys that left or joined hosts a and b in one plan.
+    const auto settleByPlans = [&cluster] {
+        std::uint32_t largest = 0;
+        for (int round = 0; round < 60; ++round) {
+            const std::uint32_t earlier = cluster.keysOf("a") + cluster.keysOf("b");
+            std::optional<KeyTable> next = planKeyTable(cluster.input(), cluster.settings);
+            if (!next) {
+                return largest;
+            }
+            REQUIRE(next->isValid());
+            cluster.table = *std::move(next);
+            cluster.reportAll();
+            const std::uint32_t later = cluster.keysOf("a") + cluster.keysOf("b");
+            largest = std::max(largest, earlier > later ? earlier - later : later - earlier);
+        }
+        FAIL("the keys go on moving");
+        return largest;
+    };
+    setHosts(true);
+    CHECK(settleByPlans() < before / 2);
+    CHECK(cluster.keysOf("a") + cluster.keysOf("b") == 0);
+    CHECK(cluster.keysOf("c") > before / 2);
+    CHECK(cluster.keysOf("d") > before / 2);
+    for (const KeyRange &range : cluster.table.ranges) {
+        CHECK(range.span.size() > 0);
+    }
+    CHECK(cluster.table.activeSessionOf("a") != nullptr); // the session itself goes on
+    setHosts(false);
+    CHECK(settleByPlans() < before / 2);
+    CHECK(cluster.keysOf("a") > before / 4);
+    CHECK(cluster.keysOf("b") > before / 4);
+}
+
+// Guards against keys that change hands without a handover: an owner that may still run requests
+// must be asked before the next one starts.
+TEST_CASE("keys that leave an evacuated data centre wait for their former owner", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    const std::uint64_t owner = cluster.table.activeSessionOf("a")->id;
+    cluster.host("a").isEvacuated = true;
+    const std::optional<KeyTable> next = planKeyTable(cluster.input(), cluster.settings);
+    REQUIRE(next);
+    std::size_t moved = 0;
+    for (const KeyRange &range : next->ranges) {
+        if (range.fence == next->end) {
+            ++moved;
+            REQUIRE(range.predecessors.size() == 1);
+            CHECK(range.predecessors[0].session == owner);
+        }
+    }
+    CHECK(moved > 0);
+    CHECK(moved <= cluster.settings.maxMovesPerPlan);
+}
+
+// Guards against an evacuation that stops because a few upstreams do not release their keys.
+TEST_CASE("handovers that hang slow an evacuation and do not stop it", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    cluster.host("a").isEvacuated = true;
+    const std::uint32_t before = cluster.keysOf("a");
+    for (int round = 0; round < 3; ++round) {
+        std::optional<KeyTable> next = planKeyTable(cluster.input(), cluster.settings);
+        REQUIRE(next);
+        cluster.table = *std::move(next);
+        cluster.reportAll();
+        for (const KeyRange &range : cluster.table.ranges) {
+            if (!range.predecessors.empty()) {
+                cluster.reports[range.owner].unsettled.push_back(range.fence);
+            }
+        }
+    }
+    const std::uint32_t left = before - cluster.keysOf("a");
+    CHECK(left > before / 2);
+    CHECK(left < before);
+}
+
+// Guards against keys without an owner: they would lose their state for nothing.
+TEST_CASE("keys stay where they are if all data centres are evacuated", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    const KeyTable before = cluster.table;
+    for (HostInfo &host : cluster.hosts) {
+        host.isEvacuated = true;
+    }
+    cluster.settle();
+    CHECK(cluster.table.ranges == before.ranges);
+    for (HostInfo &host : cluster.hosts) {
+        host.isEvacuated = false;
+    }
+    cluster.settle();
+    CHECK(cluster.table.ranges == before.ranges);
+}
+
 } // namespace kumquat
--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -148,6 +148,9 @@
                 this->links.isDown(name, now) && silence > this->settings.unreachableAfter;
         HostInfo &info = input.hosts.back();
         info.isReachable = name == this->node || !isDown;
+        info.isEvacuated = this->view.evacuations().isEvacuated(info.dataCentre);
+        info.isReturning = this->view.evacuations().hasEndedAfter(
+                info.dataCentre, now - this->settings.returnPeriod);
         const auto status = this->hostStatuses.find(name);
         if (status != this->hostStatuses.end()
             && now - status->second.at < this->settings.hostStatusTimeout) {
--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -48,6 +48,9 @@
     Duration loadDecayTime = 3s;           // in which the weight of a request falls to 1/e
     GrantMode grantMode = GrantMode::Call; // for services without a configured mode
     Duration heartbeatInterval = 1s;       // of the upstreams
+    // Time after an evacuation in which the sessions of the data centre get keys by degrees; their
+    // upstreams are cold for some seconds of it.
+    Duration returnPeriod = 15s;
     PlannerSettings planner;
 };
 
--- a/packages/stage/evacuations.cpp
+++ b/packages/stage/evacuations.cpp
@@ -15,14 +15,6 @@
     return first >> offsetBits == second >> offsetBits;
 }
 
-void logChange(const EvacuationRecord &record, const std::string &source)
-{
-    logInfo(LogPart::Rules, record.value.empty() ? "evacuation ended" : "evacuation in force",
-            {{"dataCentre", record.dataCentre},
-             {"offset", std::to_string(record.offset)},
-             {"source", source}});
-}
-
 } // namespace
 
 // Returns whether the record starts or ends the evacuation of its data centre.
@@ -38,10 +30,22 @@
     if (wasEvacuated == isEvacuated) {
         return false;
     }
-    logChange(record, source);
+    this->noteChange(record, source);
     return true;
 }
 
+void Evacuations::noteChange(const EvacuationRecord &record, const std::string &source)
+{
+    const bool hasEnded = record.value.empty();
+    if (hasEnded) {
+        this->ends[record.dataCentre] = readBootTime();
+    }
+    logInfo(LogPart::Rules, hasEnded ? "evacuation ended" : "evacuation in force",
+            {{"dataCentre", record.dataCentre},
+             {"offset", std::to_string(record.offset)},
+             {"source", source}});
+}
+
 // Ends the evacuations that are not among the newest records up to `end`. Returns whether there
 // were any.
 bool Evacuations::dropMissing(const std::vector<EvacuationRecord> &records, std::uint64_t end,
@@ -57,7 +61,7 @@
         if (!isListed && isOlder && !known.value.empty()) {
             known.value.clear();
             known.offset = end - 1;
-            logChange(known, source);
+            this->noteChange(known, source);
             hasChanged = true;
         }
     }
@@ -122,6 +126,12 @@
     return found != this->newest.end() && !found->second.value.empty();
 }
 
+bool Evacuations::hasEndedAfter(const std::string &dataCentre, Time start) const
+{
+    const auto found = this->ends.find(dataCentre);
+    return found != this->ends.end() && found->second > start && !this->isEvacuated(dataCentre);
+}
+
 std::size_t Evacuations::count() const
 {
     return static_cast<std::size_t>(
--- a/packages/stage/evacuations.h
+++ b/packages/stage/evacuations.h
@@ -8,6 +8,7 @@
 // Sections: records, Evacuations.
 #pragma once
 
+#include "base/time.h"
 #include "wire/stage.pb.h"
 
 #include <cstdint>
@@ -72,6 +73,10 @@
         return !this->isKnown() || this->isEvacuated(dataCentre);
     }
 
+    // Says whether the last evacuation of the data centre ended after `start`, as far as this
+    // process has seen it.
+    bool hasEndedAfter(const std::string &dataCentre, Time start) const;
+
     // Returns the number of evacuated data centres.
     std::size_t count() const;
 
@@ -79,10 +84,12 @@
     bool keep(const EvacuationRecord &record, const std::string &source);
     bool dropMissing(const std::vector<EvacuationRecord> &records, std::uint64_t end,
                      const std::string &source);
+    void noteChange(const EvacuationRecord &record, const std::string &source);
     void notify(bool hasChanged) const;
 
     std::function<void()> changed;
     std::map<std::string, EvacuationRecord, std::less<>> newest; // by data centre
+    std::map<std::string, Time, std::less<>> ends;               // of evacuations
     std::uint64_t readEnd = 0;
 };
 
