--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -32,9 +32,7 @@
 constexpr Duration leaveRecordLimit = 800ms;
 constexpr Duration followInterval = 200ms; // between checks for store reads that hang
 constexpr Duration logFlushInterval = 200ms;
-constexpr Duration minLoggedDelay = 250ms; // of timers; half of the allowed delay of an answer
-constexpr Duration minLoggedWait = 100ms;  // of one fiber; a request runs several of them
-constexpr Duration waitLogInterval = 500ms;
+constexpr Duration minLoggedDelay = 250ms;     // of timers; half of the allowed delay of an answer
 constexpr Duration settingsCheckInterval = 1s; // the settings file may change without a SIGHUP
 
 std::uint64_t makeIncarnation()
@@ -366,44 +364,6 @@
     logWarning(LogPart::Main, "timers were late", {{"ms", std::to_string(toMilliseconds(delay))}});
 }
 
-// Logs long waits of fibers. Timers don't show these waits, because the thread runs handlers before
-// fibers.
-void Stage::noteFiberWait(Time now)
-{
-    this->maxFiberWait = std::max(this->maxFiberWait, this->thread.takeLongestWait());
-    if (this->maxFiberWait < minLoggedWait || now - this->waitLoggedAt < waitLogInterval) {
-        return;
-    }
-    this->waitLoggedAt = now;
-    const Duration wait = std::exchange(this->maxFiberWait, Duration::zero());
-    this->metrics.count(Metric::FiberDelays, toMilliseconds(wait));
-    const FiberBacklog backlog = this->thread.backlog();
-    logWarning(LogPart::Main, "fibers were late",
-               {{"ms", std::to_string(toMilliseconds(wait))},
-                {"ready", std::to_string(backlog.ready)},
-                {"oldestMs", std::to_string(toMilliseconds(backlog.oldest))},
-                {"expectedMs", std::to_string(toMilliseconds(backlog.expected))},
-                {"requests", std::to_string(this->ingress.count())},
-                {"running", std::to_string(this->executor.count())},
-                {"waiting", std::to_string(this->executor.waitingCount())}});
-}
-
-// Logs late messages of other processes. Messages wait in the queues of both hosts and of the
-// network between them while timers and fibers are on time.
-void Stage::noteLateMessages(Time now)
-{
-    const auto line = this->lateMessages.take(now);
-    if (!line) {
-        return;
-    }
-    this->metrics.count(Metric::MessageDelays, toMilliseconds(line->longest));
-    logWarning(LogPart::Mesh, "messages were late",
-               {{"ms", std::to_string(toMilliseconds(line->longest))},
-                {"from", line->from},
-                {"messages", std::to_string(line->messages)},
-                {"peers", std::to_string(line->peers)}});
-}
-
 // Applies the limits of the configuration on the size of requests and on the idle time of callers.
 void Stage::applyCallerLimits()
 {
