system: tests of evacuations and of routes with allowed regions

Cause: neither had a test with real processes.

The stand-in for the store drops removed keys when it compacts. test_platform covers the operator's keys and the regions of the configuration.

--- a/packages/standins/platform_store.cpp
+++ b/packages/standins/platform_store.cpp
@@ -166,6 +166,11 @@
     }
     Json items = Json::array();
     for (const auto &[key, index] : newest) {
+        const bool isDropped =
+                partition.records[index].value.empty() && index < partition.firstKept;
+        if (isDropped) {
+            continue;
+        }
         items.push_back({{"key", key},
                          {"value", absl::Base64Escape(partition.records[index].value)},
                          {"offset", index}});
--- a/packages/standins/platform_store.h
+++ b/packages/standins/platform_store.h
@@ -34,13 +34,13 @@
 public:
     HttpHandler handler();
 
-    // Appends a record on behalf of the operator.
+    // Appends a record on behalf of the operator. An empty value removes the key.
     void put(const std::string &topic, int part, const std::string &key, const std::string &value);
 
     void setFault(StoreFault value);
 
     // Compacts all topics: reads from older offsets fail, and only the newest record of each key
-    // remains available.
+    // remains available. Removed keys disappear.
     void compact();
 
     // Ends waiting reads and unanswered calls. Later reads return at once.
--- a/packages/system/platform_cluster.cpp
+++ b/packages/system/platform_cluster.cpp
@@ -16,11 +16,12 @@
     return {"127.0.0.1", findFreePort()};
 }
 
-Json routeRow(const std::string &name, const std::string &prefix, const std::string &type)
+Json routeRow(const std::string &name, const std::string &prefix, const std::string &type,
+              const Json &allowedRegions = nullptr)
 {
     constexpr int maxAttempts = 2;
-    return {name, "shop.example", prefix,      type,   timeoutMs, objectiveMs,
-            1,    "testlog",      maxAttempts, nullptr};
+    return {name, "shop.example", prefix,      type,    timeoutMs,     objectiveMs,
+            1,    "testlog",      maxAttempts, nullptr, allowedRegions};
 }
 
 } // namespace
@@ -45,13 +46,17 @@
 
 void PlatformCluster::publish(int version)
 {
-    const Json columns{"name",         "host",
-                       "path_prefix",  "route_type",
-                       "timeout_ms",   "target_latency_ms",
-                       "priority",     "service",
-                       "max_attempts", "weighted_clusters"};
-    const Json rows{routeRow("r-1", "/v/", "non_idempotent"), routeRow("r-2", "/r/", "idempotent"),
-                    routeRow("r-3", versionPrefix(version), "idempotent")};
+    const Json columns{"name",           "host",
+                       "path_prefix",    "route_type",
+                       "timeout_ms",     "target_latency_ms",
+                       "priority",       "service",
+                       "max_attempts",   "weighted_clusters",
+                       "allowed_regions"};
+    Json rows{routeRow("r-1", "/v/", "non_idempotent"), routeRow("r-2", "/r/", "idempotent"),
+              routeRow("r-3", versionPrefix(version), "idempotent")};
+    if (!this->options.limitedRegions.empty()) {
+        rows.push_back(routeRow("r-4", limitedPrefix, "idempotent", this->options.limitedRegions));
+    }
     const Json service{"testlog", "/health", maxConnections, this->options.hasKeys,
                        this->options.grantsInAnswers ? "heartbeat" : "call"};
     const Json config{
--- a/packages/system/platform_cluster.h
+++ b/packages/system/platform_cluster.h
@@ -36,6 +36,8 @@
     bool grantsInAnswers = false;          // grant keys in heartbeat replies, not in calls
     bool hasKeys = true;                   // the service is sharded by key
     int slots = 9;                         // concurrent requests of each upstream
+    // Regions of the route for idempotent requests under limitedPrefix; empty: no such route.
+    std::vector<std::string> limitedRegions;
 };
 
 // ---- PlatformHost ----
@@ -77,6 +79,9 @@
     // Returns the path prefix of the route that exists only in this version.
     static std::string versionPrefix(int version);
 
+    // Path prefix of the route that runs only in `limitedRegions`.
+    static constexpr auto limitedPrefix = "/limited/";
+
     void startProcess(PlatformHost &host) const;
 
     // Ends the upstream of a host without deregistering it.
