--- a/packages/system/platform_cluster.cpp
+++ b/packages/system/platform_cluster.cpp
@@ -16,11 +16,11 @@
 }
 
 Json routeRow(const std::string &name, const std::string &prefix, const std::string &type,
-              int timeoutMs)
+              int timeoutMs, const Json &allowedRegions = nullptr)
 {
     constexpr int maxAttempts = 2;
-    return {name, "shop.example", prefix,      type,   timeoutMs, objectiveMs,
-            1,    "testlog",      maxAttempts, nullptr};
+    return {name, "shop.example", prefix,      type,    timeoutMs,     objectiveMs,
+            1,    "testlog",      maxAttempts, nullptr, allowedRegions};
 }
 
 } // namespace
@@ -45,15 +45,20 @@
 
 void PlatformCluster::publish(int version)
 {
-    const Json columns{"name",         "host",
-                       "path_prefix",  "route_type",
-                       "timeout_ms",   "target_latency_ms",
-                       "priority",     "service",
-                       "max_attempts", "weighted_clusters"};
+    const Json columns{"name",           "host",
+                       "path_prefix",    "route_type",
+                       "timeout_ms",     "target_latency_ms",
+                       "priority",       "service",
+                       "max_attempts",   "weighted_clusters",
+                       "allowed_regions"};
     const int timeoutMs = this->options.timeoutMs;
-    const Json rows{routeRow("r-1", "/v/", "non_idempotent", timeoutMs),
-                    routeRow("r-2", "/r/", "idempotent", timeoutMs),
-                    routeRow("r-3", versionPrefix(version), "idempotent", timeoutMs)};
+    Json rows{routeRow("r-1", "/v/", "non_idempotent", timeoutMs),
+              routeRow("r-2", "/r/", "idempotent", timeoutMs),
+              routeRow("r-3", versionPrefix(version), "idempotent", timeoutMs)};
+    if (!this->options.limitedRegions.empty()) {
+        rows.push_back(routeRow("r-4", limitedPrefix, "idempotent", timeoutMs,
+                                this->options.limitedRegions));
+    }
     const Json service{"testlog", "/health", maxConnections, this->options.hasKeys,
                        this->options.grantsInAnswers ? "heartbeat" : "call"};
     Json config{{"version", "r" + std::to_string(version)},
--- a/packages/system/platform_cluster.h
+++ b/packages/system/platform_cluster.h
@@ -39,6 +39,8 @@
     int memoryMb = 0;                      // memory of each host; 0: not stated
     std::uint64_t maxBodyBytes = 0;        // of a request; 0: the default of the configuration
     int timeoutMs = 1500;                  // of all routes
+    // Regions of the route for idempotent requests under limitedPrefix; empty: no such route.
+    std::vector<std::string> limitedRegions;
 };
 
 // ---- PlatformHost ----
@@ -80,6 +82,9 @@
     // Returns the path prefix of the route that exists only in this version.
     static std::string versionPrefix(int version);
 
+    // Path prefix of the route that runs only in `limitedRegions`.
+    static constexpr auto limitedPrefix = "/limited/";
+
     void startProcess(PlatformHost &host) const;
 
     // Ends the upstream of a host without deregistering it.
