admission: requests are held back while their calls are refused

Requests that the upstream makes for a running request are now recognised by their connection and sent as calls. They go before requests of callers in the queue of the upstream that runs them. The process beside the upstream learns which calls the runs of a route make. If they are refused, it refuses new requests of that route, but for the share for which there is room and a few probes.

--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -24,9 +24,11 @@
     std::string target = "/"; // path and query
     std::vector<HttpField> fields;
     std::string body;
-    Time receivedAt{};   // when the server read the first bytes
-    Duration readTime{}; // from receivedAt until the whole request was read
-    Duration waitTime{}; // from receivedAt until the reading fiber got processor time
+    Time receivedAt{};          // when the server read the first bytes
+    Duration readTime{};        // from receivedAt until the whole request was read
+    Duration waitTime{};        // from receivedAt until the reading fiber got processor time
+    std::string callerIp;       // address of the other end of the connection; empty: unknown
+    bool isFromOwnHost = false; // that address is also the one of this end
 
     // Returns the value of the first field with this name, or an empty view.
     std::string_view field(std::string_view name) const;
--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -95,6 +95,14 @@
     , unreadTimer(connectionThread.io())
 {
     ++this->counts.connections;
+    ErrorCode remoteError;
+    ErrorCode localError;
+    const auto remote = this->stream->socket().remote_endpoint(remoteError);
+    const auto local = this->stream->socket().local_endpoint(localError);
+    if (!remoteError && !localError) {
+        this->callerIp = remote.address().to_string();
+        this->isFromOwnHost = remote.address() == local.address();
+    }
 }
 
 HttpConnection::~HttpConnection()
@@ -168,6 +176,8 @@
         exchange->request.receivedAt = arrival.at;
         exchange->request.waitTime = arrival.waited;
         exchange->request.readTime = readBootTime() - arrival.at;
+        exchange->request.callerIp = this->callerIp;
+        exchange->request.isFromOwnHost = this->isFromOwnHost;
         exchange->bytes = exchange->request.body.size() + exchange->request.target.size();
         const bool isPipelined = !this->pending.empty();
         exchange->mayOverlap =
--- a/packages/net/http_connection.h
+++ b/packages/net/http_connection.h
@@ -100,10 +100,12 @@
     std::deque<ExchangePtr> pending; // oldest first
     std::uint64_t pendingBytes = 0;  // of requests and of answers that cannot be written yet
     Time acceptedAt = readBootTime();
-    bool hasRead = false;     // a read of the first request has started
-    std::uint64_t reader = 0; // number of the reading fiber; grows at each handover
-    bool isReading = false;   // the reading fiber reads or waits for data, and handles no request
-    bool isAwaiting = false;  // the reading fiber waits for the first bytes of a request
+    std::string callerIp;       // empty: unknown
+    bool isFromOwnHost = false; // both ends have the same address
+    bool hasRead = false;       // a read of the first request has started
+    std::uint64_t reader = 0;   // number of the reading fiber; grows at each handover
+    bool isReading = false;     // the reading fiber reads or waits for data, and handles no request
+    bool isAwaiting = false;    // the reading fiber waits for the first bytes of a request
     Clock::time_point readDeadline = Clock::time_point::max(); // of the current read
     bool isWatching = false;                                   // a call of onReadable is pending
     bool isWriting = false;
--- a/packages/stage/admission_hooks.cpp
+++ b/packages/stage/admission_hooks.cpp
@@ -36,6 +36,12 @@
 
 IngressHooks withAdmission(IngressHooks hooks, AdmissionState &admission)
 {
+    hooks.isCall = [&admission](const wire::Execute &execute, Time now) {
+        return admission.isCall(execute, now);
+    };
+    hooks.callEnded = [&admission](const wire::Execute &execute, int status, Time now) {
+        admission.noteCallEnded(execute, status, now);
+    };
     hooks.relayWait = [&admission](const wire::Execute &execute, Time now) {
         return admission.relayWait(execute, now);
     };
--- a/packages/stage/admission_state.cpp
+++ b/packages/stage/admission_state.cpp
@@ -10,6 +10,23 @@
 
 constexpr Duration refusalLogInterval = 1s; // between log lines about refusals for one reason
 
+constexpr int statusTooManyRequests = 429;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+
+// Returns what the status of an answer to a call says about the room for calls. A lost call (502)
+// says nothing, and an error of the called service shows that it took the call.
+CallResult callResultOf(int status)
+{
+    if (status == statusBadGateway) {
+        return CallResult::Unknown;
+    }
+    const bool isRefused = status == statusTooManyRequests || status == statusUnavailable
+                           || status == statusTimeout;
+    return isRefused ? CallResult::Refused : CallResult::Accepted;
+}
+
 AnswerKind answerKindOf(const wire::Execute &execute)
 {
     return {.route = execute.route_hash(), .isLarge = execute.large_answer()};
@@ -17,13 +34,16 @@
 
 } // namespace
 
-AdmissionFigures AdmissionState::figures(const wire::Execute *execute, Time now) const
+AdmissionFigures AdmissionState::figures(const wire::Execute *execute, Time now)
 {
     AdmissionFigures figures{.region = this->settings.region};
     figures.coldWait = this->coldGate.wait(now);
     // Load reports tell the wait of a large answer.
     figures.linkWait = this->linkMeter.wait(
             execute != nullptr ? answerKindOf(*execute) : AnswerKind{.isLarge = true}, now);
+    if (execute != nullptr && !execute->is_call()) {
+        figures.callsWait = this->callRoom.wait(execute, execute->route_hash(), now);
+    }
     return figures;
 }
 
@@ -31,11 +51,38 @@
 {
     this->coldGate.noteSent(now);
     this->linkMeter.reserve(&execute, answerKindOf(execute), now);
+    this->callRoom.noteRunStarted(&execute, execute.route_hash());
 }
 
 void AdmissionState::noteEnded(const wire::Execute &execute, std::size_t answerBytes, Time now)
 {
     this->linkMeter.complete(&execute, answerBytes, now);
+    this->callRoom.noteRunEnded(&execute, answerBytes > 0, now);
+}
+
+// ---- Calls ----
+
+bool AdmissionState::isCall(const wire::Execute &execute, Time now)
+{
+    const std::uint64_t route = execute.route_hash();
+    if (!this->callSource.isCall(route, this->callRoom.isWorking(now), now)) {
+        return false;
+    }
+    this->callRoom.noteCall(route);
+    return true;
+}
+
+void AdmissionState::noteCallEnded(const wire::Execute &execute, int status, Time now)
+{
+    this->callRoom.noteCallEnded(execute.route_hash(), callResultOf(status), now);
+}
+
+void AdmissionState::noteUpstream(const UpstreamInstance &newInstance)
+{
+    if (newInstance != this->instance) {
+        this->instance = newInstance;
+        this->callRoom.reset();
+    }
 }
 
 // ---- Answers of other hosts ----
@@ -68,6 +115,9 @@
     if (verdict.reason == AdmissionReason::LinkFull) {
         result = known.spread.next(result, this->linkMeter.sendTime(answerKindOf(execute)), now);
     }
+    if (verdict.reason == AdmissionReason::CallsRefused) {
+        result = known.spread.next(result, this->callRoom.passInterval(execute.route_hash()), now);
+    }
     this->logRefusal(execute, verdict, result, now);
     return result;
 }
@@ -86,6 +136,8 @@
              {"request", execute.id()},
              {"waitMs", std::to_string(toMilliseconds(verdict.retryAfter))},
              {"retryMs", std::to_string(toMilliseconds(retryAfter))},
+             {"passMs",
+              std::to_string(toMilliseconds(this->callRoom.passInterval(execute.route_hash())))},
              {"linkOwedBytes",
               std::to_string(static_cast<std::uint64_t>(this->linkMeter.owedBytes(now)))}});
     known.loggedCount = known.count;
--- a/packages/stage/admission_state.h
+++ b/packages/stage/admission_state.h
@@ -6,6 +6,8 @@
 //   const AdmissionFigures figures = admission.figures(&execute, now);
 #pragma once
 
+#include "admission/call_room.h"
+#include "admission/call_source.h"
 #include "admission/cold_gate.h"
 #include "admission/decision.h"
 #include "admission/link_meter.h"
@@ -29,13 +31,19 @@
     {}
 
     // Returns what limits a request now. `execute`: nullptr for any request.
-    AdmissionFigures figures(const wire::Execute *execute, Time now) const;
+    // `execute` must be the same object until noteEnded, which is needed for each request.
+    AdmissionFigures figures(const wire::Execute *execute, Time now);
 
     // Records that a request is sent to the upstream now, and that it has ended, whether it was
     // sent or not. `answerBytes`: 0 without an answer. `execute` must be the same object.
     void noteSending(const wire::Execute &execute, Time now);
     void noteEnded(const wire::Execute &execute, std::size_t answerBytes, Time now);
 
+    // Returns whether a request from the own host is a call that a run at the upstream makes.
+    // noteCallEnded follows for a call, with the status of its answer.
+    bool isCall(const wire::Execute &execute, Time now);
+    void noteCallEnded(const wire::Execute &execute, int status, Time now);
+
     // The next three functions concern answers of other hosts that go to callers of this one.
     // Returns how long such an answer would wait for the link.
     Duration relayWait(const wire::Execute &execute, Time now) const;
@@ -48,6 +56,9 @@
     // Applies the remaining cold time of the upstream, 0 if it is warm.
     void noteHeartbeat(Duration coldLeft, Time now);
 
+    // Applies the instance of the upstream. What was learned of another one is forgotten.
+    void noteUpstream(const UpstreamInstance &newInstance);
+
     // Applies the limits of a new configuration.
     void applyConfiguration();
 
@@ -70,6 +81,9 @@
     const ClusterView &view;
     ColdGate coldGate;
     LinkMeter linkMeter;
+    CallRoom callRoom;
+    CallSource callSource;
+    UpstreamInstance instance;
     std::array<Refusals, admissionReasonNames.entries.size()> refusals; // by reason
 };
 
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/text.h"
 #include "platform/upstream.h"
+#include "stage/upstream_limits.h"
 
 #include <algorithm>
 
@@ -342,12 +343,12 @@
     const Time now = readBootTime();
     // A request without a key may be a call that a running request makes. Even a late answer is
     // useful to that request, so the call has no objective.
-    const Time objective = execute.has_key()
+    const Time objective = execute.has_key() && !execute.is_call()
                                    ? now + std::chrono::milliseconds(execute.objective_ms())
                                    : Time::max();
     const Admission admission = this->limiter.admit(
             number, deadline, now,
-            {.rank = execute.priority(), .objective = objective, .kind = execute.route_hash()});
+            {.rank = rankOf(execute), .objective = objective, .kind = execute.route_hash()});
     this->dispatchNext();
     if (admission.action == AdmitAction::Refuse) {
         retryAfter = admission.retryAfter;
@@ -587,7 +588,7 @@
              {"tables", std::to_string(this->hooks.tablesEnd())},
              {"inFlight", std::to_string(this->limiter.inFlight())},
              {"waiting", std::to_string(this->limiter.waiting())},
-             {"rank", std::to_string(execute.priority())},
+             {"rank", std::to_string(rankOf(execute))},
              {"heldMs", result.heldFor ? std::to_string(toMilliseconds(*result.heldFor)) : "none"},
              {"remainingMs", std::to_string(execute.remaining_ms())},
              {"delayedMs", std::to_string(toMilliseconds(run.excessDelay))},
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -32,7 +32,7 @@
 
 WorkKind kindOf(const wire::Execute &execute)
 {
-    return execute.has_key() ? WorkKind::Request : WorkKind::Call;
+    return execute.has_key() && !execute.is_call() ? WorkKind::Request : WorkKind::Call;
 }
 
 HostDistance distanceOf(const HostInfo &host, const IngressSettings &own)
@@ -64,8 +64,9 @@
     ConfigurationPtr configuration;
     const Route *route = nullptr;
     Time started{};
-    Duration readTime{};          // from the first to the last byte of the request
-    Duration waitTime{};          // for which the bytes of the request waited for the busy thread
+    Duration readTime{}; // from the first to the last byte of the request
+    Duration waitTime{}; // for which the bytes of the request waited for the busy thread
+    bool isFromOwnHost = false;
     Time deadline{};              // by which the caller needs the answer
     Verdict verdict;              // why the last choice of a host found none
     std::string node;             // host that was tried last
@@ -115,6 +116,7 @@
     attempt.started = request.receivedAt > Time::zero() ? request.receivedAt : readBootTime();
     attempt.readTime = request.readTime;
     attempt.waitTime = request.waitTime;
+    attempt.isFromOwnHost = request.isFromOwnHost || request.callerIp == this->settings.upstreamIp;
     watch.onDisconnected([&attempt, this] {
         attempt.isDisconnected = true;
         attempt.disconnectedAfter = readBootTime() - attempt.started;
@@ -141,6 +143,11 @@
         response = this->serve(attempt, body);
     }
     const Time now = readBootTime();
+    if (attempt.execute.is_call() && this->hooks.callEnded) {
+        // A call that its caller has given up was too late.
+        this->hooks.callEnded(attempt.execute,
+                              attempt.isDisconnected ? statusTimeout : response.status, now);
+    }
     this->metrics.addLatency(now - attempt.started, now);
     this->log(attempt, response.status);
     this->active.erase(&attempt);
@@ -203,6 +210,9 @@
         return this->fail(attempt, statusBadRequest, "no-key");
     }
     execute.set_has_key(hasKeys);
+    // A call is for another service than that of the upstream which makes it.
+    execute.set_is_call(attempt.isFromOwnHost && service != this->settings.service
+                        && this->hooks.isCall && this->hooks.isCall(execute, readBootTime()));
     this->budget(service).noteFirstAttempt(attempt.started);
     return this->sendUntilAnswered(attempt, body);
 }
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -36,6 +36,10 @@
     std::function<bool(Time deadline)> acceptsRequest;
     // Returns a refusal if this process is overloaded, else nothing.
     std::function<std::optional<AdmissionRefusal>(WorkKind kind)> isOverloaded;
+    // Returns whether a request from the own host is a call that a running request makes. callEnded
+    // follows for a call. Each may be empty.
+    std::function<bool(const wire::Execute &execute, Time now)> isCall;
+    std::function<void(const wire::Execute &execute, int status, Time now)> callEnded;
     // The next three hooks concern answers of other hosts, which this host sends to its callers.
     // Each may be empty. relayWait returns how long an answer would wait for the link.
     std::function<Duration(const wire::Execute &execute, Time now)> relayWait;
@@ -54,6 +58,7 @@
 {
     std::string node;
     std::string service; // service of the upstream beside this process
+    std::string upstreamIp;
     std::string dataCentre;
     std::string region;
     double retryShare = 0.1; // repeated requests as a share of the requests of this process
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -54,6 +54,7 @@
     const double window = std::chrono::duration<double>(settings.limits.retryWindow).count();
     return {.node = settings.node,
             .service = settings.service,
+            .upstreamIp = settings.upstream.ip,
             .dataCentre = settings.dataCentre,
             .region = settings.region,
             .retryShare = settings.limits.retryShare * ownShare,
@@ -546,6 +547,7 @@
              {"phase", std::string(upstreamPhaseNames.nameOf(this->monitor.phase()))},
              {"slots", std::to_string(this->monitor.slots())}});
     this->executor.noteUpstream(now);
+    this->admission.noteUpstream(this->monitor.instance());
     this->isRecordDue = true;
     this->keys.advance(now);
     this->coordinator.reportSoon();
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -92,7 +92,8 @@
     }
     // Refuses without starting a fiber: refusals must be cheap while requests arrive faster than
     // they are served.
-    const WorkKind kind = execute.has_key() ? WorkKind::Request : WorkKind::Call;
+    const WorkKind kind =
+            execute.has_key() && !execute.is_call() ? WorkKind::Request : WorkKind::Call;
     if (const auto refusal = this->isOverloaded(kind)) {
         wire::LinkFrame frame;
         *frame.mutable_execute_reply() = this->executor.refuse(execute, *refusal, "behind");
--- a/packages/stage/upstream_limits.h
+++ b/packages/stage/upstream_limits.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "traffic/limiter.h"
+#include "wire/stage.pb.h"
 
 namespace kumquat {
 
@@ -23,4 +24,11 @@
                                                  .initialServiceTime = 60ms,
                                                  .serviceTimeDeviations = 1};
 
+// Returns the place of a request in the queue. Calls go first: the requests that made them hold
+// slots until they are answered.
+inline std::uint32_t rankOf(const wire::Execute &execute)
+{
+    return execute.is_call() ? 0 : execute.priority() + 1;
+}
+
 } // namespace kumquat
