--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -30,7 +30,9 @@
     std::shared_ptr<ByteCharge> charge; // for `body`, set by a server with a budget
     Time receivedAt{};                  // when the server read the first bytes
     Duration readTime{};                // from receivedAt until the whole request was read
-    Duration waitTime{}; // from receivedAt until the reading fiber got processor time
+    Duration waitTime{};        // from receivedAt until the reading fiber got processor time
+    std::string callerIp;       // address of the other end of the connection; empty: unknown
+    bool isFromOwnHost = false; // that address is also the one of this end
 
     // Returns the value of the first field with this name, or an empty view.
     std::string_view field(std::string_view name) const;
