keyspace: keys are distributed by usable slots, to cold upstreams by degrees

Cause: the table writer divided keys by announced slots, so a cold upstream got a full share and rejected most of its requests.

Change: load reports carry usable_slots: the learned ones, or while the upstream is cold those that the tolerated requests keep busy. The planner uses them if they are of the session's instance.

--- a/packages/admission/cold_gate.h
+++ b/packages/admission/cold_gate.h
@@ -39,6 +39,8 @@
 
     bool isCold(Time now) const { return this->limits.perSecond > 0 && now < this->coldUntil; }
 
+    double toleratedRate() const { return this->limits.perSecond; } // while cold, per second
+
     // Returns the time until the next request may be sent; 0: now.
     Duration wait(Time now) const;
 
--- a/packages/keyspace/range_planner.cpp
+++ b/packages/keyspace/range_planner.cpp
@@ -389,8 +389,9 @@
         if (!session.isActive() || session.leaving || isSuspect) {
             continue;
         }
+        const double slots = usableSlotsOf(this->host(session.node), session);
         Candidate candidate{.session = session.id,
-                            .capacity = session.slots / this->serviceSecondsOf(session.id)};
+                            .capacity = slots / this->serviceSecondsOf(session.id)};
         for (const KeyRange &range : this->next.ranges) {
             candidate.rate += range.owner == session.id ? this->weights.rateOf(range.span) : 0;
         }
--- a/packages/keyspace/range_planner.h
+++ b/packages/keyspace/range_planner.h
@@ -15,6 +15,7 @@
 #include "keyspace/key_load.h"
 #include "keyspace/key_table.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -44,8 +45,19 @@
     UpstreamPhase phase = UpstreamPhase::Absent;
     bool isReachable = true; // from the host that runs the planner
     bool isStopping = false; // its process is shutting down
+    // Slots that keys may use: fewer than the announced ones if throughput stops growing below
+    // them, or while the upstream is cold; 0: unknown.
+    std::uint32_t usableSlots = 0;
 };
 
+// Returns the slots of a session that keys may use. `host`: that of the session, or nullptr.
+inline std::uint32_t usableSlotsOf(const HostInfo *host, const KeySession &session)
+{
+    const bool isKnown =
+            host != nullptr && host->usableSlots > 0 && host->instance == session.instance;
+    return isKnown ? std::min(host->usableSlots, session.slots) : session.slots;
+}
+
 // The last report about a session by its host.
 struct SessionReport
 {
--- a/packages/keyspace/tests/test_range_planner.cpp
+++ b/packages/keyspace/tests/test_range_planner.cpp
@@ -103,6 +103,41 @@
     }
 }
 
+// Load: four equal upstreams with even load, one of which starts and is cold. It gets keys as if it
+// had one slot, and the others once it is warm, over several plans. Guards against a cold upstream
+// that owns a full share of the keys and rejects most of their requests.
+TEST_CASE("a cold session gets keys by degrees", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.host("d").phase = UpstreamPhase::Absent;
+    cluster.settle();
+    cluster.host("d").phase = UpstreamPhase::Ready;
+    cluster.host("d").usableSlots = 1;
+    cluster.settle();
+    constexpr double keys = lastShardKey + 1.0;
+    REQUIRE(cluster.table.activeSessionOf("d") != nullptr);
+    CHECK(cluster.table.activeSessionOf("d")->slots == 9);
+    CHECK(cluster.keysOf("d") / keys > 0.01);
+    CHECK(cluster.keysOf("d") / keys < 0.06);
+    cluster.host("d").usableSlots = 9;
+    cluster.settle();
+    CHECK(cluster.keysOf("d") / keys > 0.15);
+}
+
+// Load: the upstreams of two hosts have half of their slots usable. Guards against a figure of a
+// former instance and against keys by announced slots.
+TEST_CASE("keys are distributed by usable slots", "[range_planner]")
+{
+    Cluster cluster;
+    cluster.host("a").usableSlots = 3;
+    cluster.host("b").usableSlots = 3;
+    cluster.settle();
+    CHECK(cluster.keysOf("c") > 2 * cluster.keysOf("a"));
+    CHECK(cluster.keysOf("d") > 2 * cluster.keysOf("b"));
+    const KeySession other{.instance = {.id = "i-former", .startedMs = 1}, .slots = 9};
+    CHECK(usableSlotsOf(&cluster.host("a"), other) == 9);
+}
+
 // A record of an earlier instance may be appended to the store seconds late. If it counted as proof
 // that the session's upstream had ended, the planner would free keys that are still held.
 TEST_CASE("a record with another instance ends no session", "[range_planner]")
--- a/packages/stage/admission_state.cpp
+++ b/packages/stage/admission_state.cpp
@@ -2,6 +2,10 @@
 
 #include "base/durations.h"
 #include "base/log.h"
+#include "keyspace/range_planner.h"
+
+#include <algorithm>
+#include <cmath>
 
 namespace kumquat {
 
@@ -29,6 +33,29 @@
     }
 }
 
+void AdmissionState::addKeyCapacity(wire::LoadReport &report, const wire::UpstreamLoad &load,
+                                    Time now) const
+{
+    report.set_slots(load.slots());
+    report.set_service_ms(load.service_ms());
+    report.set_usable_slots(this->slotsForKeys(load, now));
+}
+
+// Returns the slots that the key table writer may fill: the usable ones, or while the upstream is
+// cold those that the requests that it tolerates keep busy.
+std::uint32_t AdmissionState::slotsForKeys(const wire::UpstreamLoad &load, Time now) const
+{
+    const std::uint32_t usable = load.usable_slots() > 0 ? load.usable_slots() : load.slots();
+    if (!this->coldGate.isCold(now)) {
+        return usable;
+    }
+    const double serviceSeconds = load.service_ms() > 0
+                                          ? toSeconds(std::chrono::milliseconds(load.service_ms()))
+                                          : PlannerSettings{}.assumedServiceSeconds;
+    const double slots = this->coldGate.toleratedRate() * serviceSeconds;
+    return std::clamp(static_cast<std::uint32_t>(std::lround(slots)), 1U, std::max(1U, usable));
+}
+
 void AdmissionState::applyConfiguration()
 {
     const ConfigurationPtr configuration = this->view.configuration();
--- a/packages/stage/admission_state.h
+++ b/packages/stage/admission_state.h
@@ -33,6 +33,9 @@
     // Applies the remaining cold time of the upstream, 0 if it is warm.
     void noteHeartbeat(Duration coldLeft, Time now);
 
+    // Adds to a report what the key table writer needs to know about the upstream's capacity.
+    void addKeyCapacity(wire::LoadReport &report, const wire::UpstreamLoad &load, Time now) const;
+
     // Measures the upstream's speed from the requests that the executor sends.
     SpeedHooks speedHooks(Metrics &metrics) { return this->speed.hooks(metrics); }
 
@@ -40,6 +43,8 @@
     void applyConfiguration();
 
 private:
+    std::uint32_t slotsForKeys(const wire::UpstreamLoad &load, Time now) const;
+
     const StageSettings &settings;
     const ClusterView &view;
     ColdGate coldGate;
--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -126,6 +126,7 @@
     }
     this->hostStatuses[reporter] = {.instance = instance,
                                     .slots = std::max(1U, report.slots()),
+                                    .usableSlots = report.usable_slots(),
                                     .phase = decodePhase(report.phase()),
                                     .isStopping = report.stopping(),
                                     .at = now};
@@ -153,6 +154,7 @@
             && now - status->second.at < this->settings.hostStatusTimeout) {
             info.instance = status->second.instance;
             info.slots = status->second.slots;
+            info.usableSlots = status->second.usableSlots;
             info.phase = status->second.phase;
             info.isStopping = status->second.isStopping;
         }
--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -85,6 +85,7 @@
     {
         UpstreamInstance instance;
         std::uint32_t slots = 1;
+        std::uint32_t usableSlots = 0;
         UpstreamPhase phase = UpstreamPhase::Absent;
         bool isStopping = false; // the process on the host is shutting down
         Time at{};
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -639,8 +639,7 @@
     report.set_phase(encodePhase(this->monitor.phase()));
     report.set_failing(this->monitor.isFailing() || this->monitor.isRefusing());
     report.set_stopping(this->shutdownSchedule.has_value());
-    report.set_slots(load.slots());
-    report.set_service_ms(load.service_ms());
+    this->admission.addKeyCapacity(report, load, now);
     for (const std::uint64_t fence : this->keys.unsettledFences()) {
         report.add_unsettled(fence);
     }
