stage: the input buffer of a link counts in the budget

Cause: the buffer for heads and small bodies of a link was not charged.

Change: LinkInput charges it as it grows.

--- a/packages/stage/link_buffers.cpp
+++ b/packages/stage/link_buffers.cpp
@@ -125,6 +125,7 @@
             this->bodyLeft > 0 ? std::min(discardBytes, this->bodyLeft) : readBytes;
     if (this->input.size() < this->inputUsed + size) {
         this->input.resize(this->inputUsed + size);
+        this->inputCharge.resize(this->input.capacity(), readBootTime());
     }
     return {this->input.data() + this->inputUsed,
             this->bodyLeft > 0 ? size : this->input.size() - this->inputUsed};
@@ -178,6 +179,7 @@
     this->inputUsed -= at;
     if (this->inputUsed == 0 && this->input.size() > 4 * readBytes) {
         this->input = std::string(); // release the memory of a large message
+        this->inputCharge.resize(0, now);
     }
     return true;
 }
--- a/packages/stage/link_buffers.h
+++ b/packages/stage/link_buffers.h
@@ -93,6 +93,7 @@
 
     explicit LinkInput(ByteBudget *byteBudget)
         : budget(byteBudget)
+        , inputCharge(byteBudget)
     {}
 
     // Returns the memory for the next read.
@@ -111,6 +112,7 @@
     bool takeBody(std::size_t count, const Hooks &hooks);
 
     ByteBudget *budget;
+    ByteCharge inputCharge; // for `input`
     std::string input;
     std::size_t inputUsed = 0; // bytes of `input` that hold data
     LinkMessage incoming;      // the message whose large body is being received
