--- a/packages/admission/speed_meter.cpp
+++ b/packages/admission/speed_meter.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t maxRoutes = 1024;
 constexpr std::size_t firstSamples = 5;     // of a route, which only set its usual time
 constexpr std::size_t averagedSamples = 50; // of a route, which count equally
+constexpr double latestWeight = 0.2;        // of one run in the latest slowness
+constexpr Duration slowerDecay = 60s;       // of the usual time of a route that has become slower
 constexpr Duration routeDecay = 20s;        // of the usual time of a route
 constexpr Duration usualDecay = 30s;        // of the usual service time
 constexpr double maxSlowness = 3; // logarithm; a single run counts at most 20 times its usual time
@@ -86,6 +88,7 @@
         this->reachedAt = now;
     }
     const Run ended = found->second;
+    const bool wasIdle = now - this->endedAt >= this->settings.idleAfter;
     this->runs.erase(found);
     this->endedAt = now;
     const double seconds = toSeconds(now - ended.started);
@@ -98,6 +101,7 @@
     if (!slowness) {
         return;
     }
+    this->latestSlowness += (wasIdle ? 1 : latestWeight) * (*slowness - this->latestSlowness);
     this->learnLevel(concurrency, *slowness, now);
     this->learnTrial(concurrency, *slowness);
     this->noteSpeed(*slowness, figures, now);
@@ -114,9 +118,11 @@
     }
     Route &known = this->routes[route];
     ++known.count;
-    const double weight = known.count <= averagedSamples ? 1 / static_cast<double>(known.count)
-                                                         : decayWeight(now - known.at, routeDecay);
     const double slowness = std::clamp(logSeconds - known.logSeconds, -maxSlowness, maxSlowness);
+    const double weight =
+            known.count <= averagedSamples
+                    ? 1 / static_cast<double>(known.count)
+                    : decayWeight(now - known.at, slowness > 0 ? slowerDecay : routeDecay);
     known.logSeconds += weight * (logSeconds - known.logSeconds);
     known.at = now;
     const double usual = std::exp(known.logSeconds);
@@ -149,6 +155,9 @@
 // while there is no fresh figure.
 void SpeedMeter::noteSpeed(double slowness, const std::optional<UpstreamFigures> &figures, Time now)
 {
+    if (this->runTrend.recent > std::log(this->settings.largeSpeedChange)) {
+        this->slowAt = now;
+    }
     bool hasChanged = this->runTrend.add(slowness, now, this->settings.speedChange);
     this->mayTryBlind = this->mayTryBlind || (figures && !this->hasFigures);
     this->hasFigures = this->hasFigures || figures.has_value();
@@ -426,10 +435,17 @@
     return this->trial->isUpper ? this->trial->upper : this->trial->lower;
 }
 
+// The measured mean covers the last runs, however old they are. After a slow time it stays high for
+// dozens of runs, which a slow upstream does not get.
 double SpeedMeter::reportedServiceSeconds(double measured, Time now) const
 {
+    const bool wasSlow = now - this->slowAt < this->settings.slowMemory;
+    if (!wasSlow || this->usualSeconds <= 0) {
+        return measured;
+    }
     const bool isIdle = this->runs.empty() && now - this->endedAt >= this->settings.idleAfter;
-    return isIdle && this->usualSeconds > 0 ? std::min(measured, this->usualSeconds) : measured;
+    const double slowness = isIdle ? 0 : std::max(0.0, this->latestSlowness);
+    return std::min(measured, this->usualSeconds * std::exp(slowness));
 }
 
 std::optional<SpeedChange> SpeedMeter::takeChange()
--- a/packages/admission/speed_meter.h
+++ b/packages/admission/speed_meter.h
@@ -63,7 +63,10 @@
     Duration headerMaxAge = 400ms; // older figures of the upstream are not used
     double speedChange = 1.25;     // ratio of speeds that counts as a change of the upstream
     double largeSpeedChange =
-            2;               // ratio that no upstream shows all the time (they differ 0.6 to 1.6)
+            2; // ratio that no upstream shows all the time (they differ 0.6 to 1.6)
+    // The reported service time is corrected for this long after a slow time; by then the mean has
+    // followed.
+    Duration slowMemory = 15s;
     Duration idleAfter = 1s; // without a run, the measured service time is outdated
 };
 
@@ -122,8 +125,9 @@
     // Limit to apply now. Differs from usableSlots() during a trial.
     std::uint32_t concurrencyLimit() const;
 
-    // Returns the service time to report to other hosts. A slow upstream that gets no requests
-    // any more would count as slow for ever, so its usual time is reported when it is idle.
+    // Returns the service time to report to other hosts: the measured mean, or less if the latest
+    // runs show that it is outdated. A slow upstream that gets no requests any more would count as
+    // slow for ever, so its usual time is reported when it is idle.
     double reportedServiceSeconds(double measured, Time now) const;
 
     std::size_t running() const { return this->runs.size(); }
@@ -223,10 +227,12 @@
     Time areaAt{};
     std::unordered_map<std::uint64_t, Route> routes;
     std::array<Level, levelCount> levels{};
-    double runSeconds = 0;   // mean of recent runs
-    double usualSeconds = 0; // mean over a long time
-    Time endedAt{};          // of the latest run
-    Time reachedAt{};        // when the runs last reached the limit
+    double runSeconds = 0;     // mean of recent runs
+    double usualSeconds = 0;   // mean over a long time
+    Time slowAt = -1h;         // when runs last took several times the usual time
+    double latestSlowness = 0; // of the last few runs, as a logarithm
+    Time endedAt{};            // of the latest run
+    Time reachedAt{};          // when the runs last reached the limit
     std::optional<Trial> trial;
     bool isNextTrialFull = false; // the next trial of a higher limit tries all slots
     Time nextRaiseAt{};
