stage, traffic: tests for the end of a run and for the cap of the limiter

Cause: the hooks and the cap had no test of their own.

Change: an executor test with an answer that reports figures and one that is not the upstream's; a limiter test that lowers and raises the cap.

--- a/packages/stage/tests/test_executor.cpp
+++ b/packages/stage/tests/test_executor.cpp
@@ -19,7 +19,7 @@
 class TestHost
 {
 public:
-    explicit TestHost(const Address &upstream)
+    explicit TestHost(const Address &upstream, SpeedHooks speed = {})
         : thread("executor-test")
         , executor(this->thread, this->monitor, this->metrics,
                    {.service = "certdesk", .upstream = upstream},
@@ -27,7 +27,8 @@
                     .heldFor = [](ShardKey, Time) { return Duration::zero(); },
                     .hasKeys = [] { return false; },
                     .tablesEnd = [] { return std::uint64_t(0); },
-                    .acceptsRequest = [](Time) { return true; }})
+                    .acceptsRequest = [](Time) { return true; },
+                    .speed = std::move(speed)})
     {
         constexpr std::uint32_t slots = 9;
         const Time now = readBootTime();
@@ -116,6 +117,35 @@
 
 } // namespace
 
+// Load: an upstream that reports its load, first with an answer of its own, then with one that
+// something else produced. Guards against figures and times that are not those of the upstream.
+TEST_CASE("each run is reported with the figures of its answer", "[executor]")
+{
+    FaultyServer upstream([](FaultyServer::Socket &socket, int request) {
+        const std::string seal = request == 1 ? "X-Server-Seal: s\r\n" : "";
+        return writeAll(socket, "HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal
+                                        + "X-Server-Load: 3,1,9,140\r\nContent-Length: 0\r\n\r\n");
+    });
+    std::vector<RunEnd> ends;
+    int started = 0;
+    std::uint32_t announced = 0;
+    TestHost host(upstream.address(),
+                  {.instanceChanged = [&](std::uint32_t slots, Time) { announced = slots; },
+                   .started = [&](const wire::Execute &, Time) { ++started; },
+                   .ended = [&](const wire::Execute &, const RunEnd &end,
+                                Time) { ends.push_back(end); }});
+    CHECK(announced == 9);
+    CHECK(host.run("q").reply.outcome() == wire::EXECUTE_ANSWERED);
+    CHECK(host.run("q").reply.outcome() == wire::EXECUTE_LOST);
+    CHECK(started == 2);
+    REQUIRE(ends.size() == 2);
+    CHECK(ends[0].end == CallEnd::Answered);
+    REQUIRE(ends[0].figures.has_value());
+    CHECK(ends[0].figures->speedPercent == 140U);
+    CHECK(ends[1].end == CallEnd::Lost);
+    CHECK_FALSE(ends[1].figures.has_value());
+}
+
 // Guards against a refusal that the upstream writes twice: a later request that runs would be
 // reported as not run and sent to a second upstream.
 TEST_CASE("a repeated refusal is not attributed to a later request", "[executor]")
--- a/packages/traffic/tests/test_traffic.cpp
+++ b/packages/traffic/tests/test_traffic.cpp
@@ -286,6 +286,28 @@
     REQUIRE(breaker.state() == BreakerState::Closed);
 }
 
+// Load: more requests than a measured concurrency allows. Guards against a cap that stays when it
+// is raised, and against requests that wait although there is room.
+TEST_CASE("a measured concurrency caps the limit and can be raised again")
+{
+    EndpointLimiter limiter(4, 4, false, 0s);
+    limiter.capConcurrency(1, 0s);
+    CHECK(limiter.admit(1, 1s, 0s).action == AdmitAction::Dispatch);
+    CHECK(limiter.admit(2, 1s, 0s).action == AdmitAction::Wait);
+    CHECK(limiter.takeOutput().dispatch.empty());
+    limiter.capConcurrency(9, 1ms);
+    CHECK(limiter.takeOutput().dispatch == std::vector<RequestNumber>{2});
+    for (RequestNumber request = 3; request <= 5; ++request) {
+        limiter.admit(request, 1s, 1ms);
+    }
+    CHECK(limiter.inFlight() == 4); // the announced slots
+    limiter.capConcurrency(2, 1ms);
+    limiter.finish(1, CallEnd::Answered, 2ms);
+    limiter.finish(2, CallEnd::Answered, 2ms);
+    CHECK(limiter.inFlight() == 2); // running requests end, and no other one starts
+    CHECK(limiter.takeOutput().dispatch.empty());
+}
+
 // Guards against waiting requests that cannot be answered in time.
 TEST_CASE("the limiter refuses and drops what cannot meet its deadline")
 {
