tests: the store goes back, in the ownership model and with real processes

Cause: nothing played a rollback of the store.

Change: the ownership model moves to a header of its own and gets a store with eras, late conditional appends and a rollback; test_store_rollback plays the rollback alone, with a lost host and with a writer frozen across it, checks holders and fences, and shows that the model notices two guards that are taken out. A test with real processes rolls the store back while a process whose upstream has left restarts.

--- a/packages/keyspace/tests/test_store_rollback.cpp
+++ b/packages/keyspace/tests/test_store_rollback.cpp
@@ -3,9 +3,7 @@
 //
 // Load: one rollback of the store under usual traffic, alone and together with lost or frozen
 // hosts.
-#include "keyspace/lease.h"
-#include "keyspace/range_planner.h"
-#include "keyspace/store_era.h"
+#include "ownership_model.h"
 
 #include <catch2/catch.hpp>
 
@@ -32,8 +30,84 @@
     return table;
 }
 
+enum class Scenario : std::uint8_t { Alone, LostHost, FrozenWriter };
+
+// Runs a rollback in the middle of a scenario. Returns the first violation.
+std::string playRollback(unsigned seed, Scenario scenario, Guards guards, GrantMode grantMode,
+                         std::uint32_t *lateTables = nullptr)
+{
+    OwnershipModel model(seed, guards, grantMode);
+    std::string violation = model.run(8s + std::chrono::milliseconds(seed % 16 * 100));
+    if (scenario == Scenario::FrozenWriter) {
+        model.delayAppend(1s + std::chrono::milliseconds(seed % 8 * 300));
+        model.run(400ms);
+        model.freeze(0, 3s);
+    }
+    if (scenario == Scenario::LostHost) {
+        model.lose(1 + static_cast<int>(seed % (hostCount - 1)));
+    }
+    model.rollBack(1 + seed % 5);
+    violation = violation.empty() ? model.run(30s) : violation;
+    if (lateTables != nullptr) {
+        *lateTables += model.lateTables();
+    }
+    return violation;
+}
+
+bool isRollbackDetected(Guards guards, Scenario scenario)
+{
+    for (unsigned seed = 1; seed <= 100; ++seed) {
+        if (!playRollback(seed, scenario, guards, GrantMode::Call).empty()) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
+// Guards against two holders of a key, and fences that shrink, after a rollback of the store alone,
+// with a host that is lost in the same seconds, or with a writer that is frozen across it. Hosts
+// freeze, restart and are cut off besides.
+TEST_CASE("no two upstreams hold a key at once across a rollback of the store",
+          "[store_rollback][rollback_model]")
+{
+    std::uint32_t lateTables = 0;
+    for (const Scenario scenario : {Scenario::Alone, Scenario::LostHost, Scenario::FrozenWriter}) {
+        for (unsigned seed = 1; seed <= 60; ++seed) {
+            const GrantMode mode = seed % 2 == 0 ? GrantMode::Call : GrantMode::Heartbeat;
+            INFO("scenario " << static_cast<int>(scenario) << ", seed " << seed);
+            CHECK(playRollback(seed, scenario, {}, mode, &lateTables) == "");
+        }
+    }
+    CHECK(lateTables > 0); // the scenarios contain appends that the store carries out late
+}
+
+// Guards against a model in which no key is granted after a rollback, and against a recovery that
+// takes longer than users allow.
+TEST_CASE("all keys are held again 15 s after a rollback of the store",
+          "[store_rollback][rollback_model]")
+{
+    for (const unsigned seed : {1U, 2U, 3U}) {
+        OwnershipModel model(seed, {}, GrantMode::Call, Faults::None);
+        REQUIRE(model.run(10s) == "");
+        model.rollBack(3);
+        REQUIRE(model.run(15s).empty());
+        INFO("seed " << seed);
+        CHECK(model.heldKeysWithin(1s) == lastShardKey + 1);
+    }
+}
+
+// The guard `formerTables` is not among them: these scenarios find no violation without it, as they
+// hardly contain a host that misses a lost table and gets the late one in its place. The rule has a
+// test of its own below.
+TEST_CASE("the rollback scenarios find a violation for guards that are switched off",
+          "[store_rollback][rollback_model]")
+{
+    CHECK(isRollbackDetected({.eraFreshness = false}, Scenario::Alone));
+    CHECK(isRollbackDetected({.eraWait = false}, Scenario::Alone));
+}
+
 // Guards against fences that shrink or are no longer exact in JSON, and against other numbers where
 // the store has never gone back.
 TEST_CASE("positions grow across eras and equal offsets in era 0", "[store_rollback]")
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -191,6 +191,39 @@
     CHECK(host.endpoint->deregister(host.heartbeats));
 }
 
+// Guards against two owners of a key, keys that stay without an owner, and an acknowledged leave
+// that is forgotten, after the store has come back from a copy without the last records. The
+// process beside the upstream that left restarts and finds in the store only what was written
+// before.
+TEST_CASE("the store goes back: keys are served again, a leave stays in effect", "[platform]")
+{
+    constexpr Duration recoveryLimit = 15s;
+    constexpr std::size_t lostRecords = 3;
+    PlatformCluster cluster;
+    Caller caller(cluster);
+    REQUIRE(caller.waitUntilServed(selectHosts(cluster, {0, 1, 2, 3}), 20s) < 20s);
+    PlatformHost &left = cluster.host(1);
+    REQUIRE(left.endpoint->deregister(left.heartbeats));
+    REQUIRE(caller.waitUntilServed(selectHosts(cluster, {0, 2, 3}), 15s) < 15s);
+    std::this_thread::sleep_for(1500ms); // all hosts learn of the leave
+    left.process->kill();
+    cluster.store.rollBack(lostRecords);
+    const Time wentBack = readBootTime();
+    cluster.startProcess(left);
+    std::this_thread::sleep_for(1s);
+    left.endpoint->sendLateHeartbeat(left.heartbeats);
+    const std::size_t runsBefore = left.endpoint->runs().size();
+    const auto others = selectHosts(cluster, {0, 2, 3});
+    for (std::uint32_t key = 0; readBootTime() - wentBack < recoveryLimit; key += keyStep) {
+        caller.send(*others[key % others.size()], key % 65'536);
+        std::this_thread::sleep_for(20ms);
+    }
+    CHECK(caller.waitUntilServed(selectHosts(cluster, {0, 1, 2, 3}), 15s) < 2s);
+    CHECK(cluster.store.currentEra() == 1);
+    CHECK(left.endpoint->runs().size() == runsBefore);
+    caller.checkGuarantees();
+}
+
 // Covers the grant mode "heartbeat": the guarantees also hold if an upstream receives its grants in
 // heartbeat replies instead of calls.
 TEST_CASE("keys granted in answers to heartbeats are served, move and return", "[platform]")
