system: a host without a link to the store learns of an evacuation

Cause: no test showed that hosts pass on evacuations and their ends. Change: one test cuts a host off the store before the record is written and removed.

--- a/packages/stage/tests/test_evacuations.cpp
+++ b/packages/stage/tests/test_evacuations.cpp
@@ -85,8 +85,13 @@
     process.evacuations().noteEnd(6);
     CHECK(process.isClosed());
     CHECK_FALSE(process.evacuations().isClosed("b"));
+    const Time start = readBootTime() - 1s;
+    CHECK_FALSE(process.evacuations().hasEndedAfter("a", start));
     process.evacuations().apply(removal("a", 6), "store");
     CHECK_FALSE(process.isClosed());
+    CHECK(process.evacuations().hasEndedAfter("a", start));
+    CHECK_FALSE(process.evacuations().hasEndedAfter("a", readBootTime() + 1s));
+    CHECK_FALSE(process.evacuations().hasEndedAfter("c", start));
 }
 
 // Guards against an evacuation that never ends: its key was removed while a process did not read
--- a/packages/system/tests/test_evacuation.cpp
+++ b/packages/system/tests/test_evacuation.cpp
@@ -148,6 +148,34 @@
     sender.checkGuarantees();
 }
 
+// Load: requests for all keys through all hosts. Guards against requests that reach an evacuated
+// data centre because one of its hosts has no link to the store, and against an evacuation that
+// never ends there.
+TEST_CASE("a host without a link to the store learns of an evacuation from others", "[platform]")
+{
+    PlatformCluster cluster({.dataCentres = {"a", "b"}, .hasProxies = true});
+    Sender sender(cluster);
+    REQUIRE(sender.waitUntilServed(20s));
+    PlatformHost &cut = cluster.host(1);
+    const std::size_t logged = cut.process->output().size(); // also by earlier test cases
+    cut.toStore->set({.fault = LinkFault::SilentBothWays});
+    cluster.store.put(operatorTopic, 0, evacuationOfB, R"({"reason":"test"})");
+    std::this_thread::sleep_for(takesEffect);
+    const std::size_t before = countRuns(cluster, "b");
+    CHECK(sender.waitUntilServed(20s));
+    CHECK(countRuns(cluster, "b") == before);
+    CHECK(cut.process->output().find("evacuation in force", logged) != std::string::npos);
+
+    cluster.store.put(operatorTopic, 0, evacuationOfB, "");
+    const std::size_t runs = cut.endpoint->runs().size();
+    const Time removed = readBootTime();
+    while (cut.endpoint->runs().size() == runs && readBootTime() - removed < 30s) {
+        sender.sendToAllKeys();
+    }
+    CHECK(cut.endpoint->runs().size() > runs);
+    sender.checkGuarantees();
+}
+
 // Load: a route limited to one of two regions, through hosts of both. Guards against a request that
 // runs, or a body that is sent, outside the regions of its route.
 TEST_CASE("a route with allowed regions runs only there", "[platform]")
