stage: tests that the host of an upstream enforces places alone

Cause: the tests with real processes pass also if only the callers' hosts leave out evacuated data centres and other regions. Change: two executor tests with figures of such a host: a request that waits for a slot during an evacuation is not sent, nor is one for another region.

--- a/packages/stage/tests/test_executor.cpp
+++ b/packages/stage/tests/test_executor.cpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <future>
+#include <thread>
 
 namespace kumquat {
 namespace {
@@ -19,7 +20,10 @@
 class TestHost
 {
 public:
-    explicit TestHost(const Address &upstream)
+    using Figures = std::function<AdmissionFigures(const wire::Execute *execute, Time now)>;
+
+    explicit TestHost(const Address &upstream, const Figures &figures = nullptr,
+                      std::uint32_t slots = 9)
         : thread("executor-test")
         , executor(this->thread, this->monitor, this->metrics,
                    {.service = "certdesk", .upstream = upstream},
@@ -27,9 +31,9 @@
                     .heldFor = [](ShardKey, Time) { return Duration::zero(); },
                     .hasKeys = [] { return false; },
                     .tablesEnd = [] { return std::uint64_t(0); },
-                    .acceptsRequest = [](Time) { return true; }})
+                    .acceptsRequest = [](Time) { return true; },
+                    .figures = figures})
     {
-        constexpr std::uint32_t slots = 9;
         const Time now = readBootTime();
         this->monitor.applyHeartbeat({.instance = {.id = "i-1", .startedMs = 1},
                                       .service = "certdesk",
@@ -58,6 +62,9 @@
         execute.set_method("POST");
         execute.set_target("/x");
         execute.set_remaining_ms(500);
+        for (const std::string &region : this->allowedRegions) {
+            execute.add_allowed_regions(region);
+        }
         const auto promise = std::make_shared<std::promise<ExecuteResult>>();
         this->thread.spawn([this, execute, promise, caller] {
             promise->set_value(this->executor.run(execute, "", caller));
@@ -81,6 +88,8 @@
         return result.get();
     }
 
+    std::vector<std::string> allowedRegions; // of the requests that start next
+
 private:
     FiberThread thread;
     UpstreamMonitor monitor{{}};
@@ -234,4 +243,53 @@
     }
 }
 
+// Load: requests that wait for a slot when their data centre is evacuated. Guards against requests
+// that reach the upstream although the hosts of their callers could not know of the evacuation.
+TEST_CASE("a request that waits when its data centre is evacuated is not sent", "[executor]")
+{
+    std::atomic<bool> isEvacuated{false};
+    std::atomic<int> requests{0};
+    FaultyServer upstream([&](FaultyServer::Socket &socket, int) {
+        ++requests;
+        isEvacuated = true; // while the first request runs
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        return writeAll(socket, answerTo("first"));
+    });
+    TestHost host(
+            upstream.address(),
+            [&](const wire::Execute *, Time) {
+                return AdmissionFigures{.isEvacuated = isEvacuated};
+            },
+            1);
+    std::future<ExecuteResult> first = host.start("first");
+    std::future<ExecuteResult> second = host.start("second");
+    CHECK(first.get().reply.outcome() == wire::EXECUTE_ANSWERED); // it ran, so it is answered
+    const wire::ExecuteReply refused = second.get().reply;
+    CHECK(refused.outcome() == wire::EXECUTE_REFUSED);
+    CHECK(refused.reason() == static_cast<std::uint32_t>(AdmissionReason::Evacuated));
+    CHECK(refused.retry_after_ms() > 0);
+    CHECK(requests == 1);
+}
+
+// Guards against a request that runs outside its regions because the host of its caller knows an
+// older record of this host.
+TEST_CASE("the host of an upstream refuses requests of routes for other regions", "[executor]")
+{
+    std::atomic<int> requests{0};
+    FaultyServer upstream([&](FaultyServer::Socket &socket, int) {
+        ++requests;
+        return writeAll(socket, answerTo("near"));
+    });
+    TestHost host(upstream.address(),
+                  [](const wire::Execute *, Time) { return AdmissionFigures{.region = "north"}; });
+    host.allowedRegions = {"south", "west"};
+    const wire::ExecuteReply refused = host.run("far").reply;
+    CHECK(refused.outcome() == wire::EXECUTE_REFUSED);
+    CHECK(refused.reason() == static_cast<std::uint32_t>(AdmissionReason::RegionNotAllowed));
+    CHECK(requests == 0);
+    host.allowedRegions = {"south", "north"};
+    CHECK(host.run("near").reply.outcome() == wire::EXECUTE_ANSWERED);
+    CHECK(requests == 1);
+}
+
 } // namespace kumquat
