stage: name where positions of the store are defined

Cause: the comment pointed to a file without that definition. Measured: test_stage [evacuations] passes (7 cases).

--- a/packages/stage/evacuations.cpp
+++ b/packages/stage/evacuations.cpp
@@ -7,7 +7,7 @@
 namespace kumquat {
 namespace {
 
-// Positions of the store's records contain its era above these bits; see platform/store.h.
+// A position in the store is its era x 2^40 + offset; see "Store rollback" in docs/LOAD.md.
 constexpr unsigned offsetBits = 40;
 
 bool isSameEra(std::uint64_t first, std::uint64_t second)
