--- a/packages/soak/soak_plan.h
+++ b/packages/soak/soak_plan.h
@@ -35,10 +35,11 @@
     UpstreamLink,           // link fault between a process and its upstream
     ProcessLink,            // link fault from the other processes to one process
     Publish,                // publishes a new version of the configuration
-    StoreUnanswered         // the store never answers calls; connections stay open
+    StoreUnanswered,        // the store never answers calls; connections stay open
+    StoreGoesBack           // the store is unavailable, then comes back without its last records
 };
 
-inline constexpr NameTable<SoakFault, 16> soakFaultNames{
+inline constexpr NameTable<SoakFault, 17> soakFaultNames{
         {{{SoakFault::PauseProcess, "pause-process"},
           {SoakFault::KillProcess, "kill-process"},
           {SoakFault::StopProcess, "stop-process"},
@@ -54,7 +55,8 @@
           {SoakFault::UpstreamLink, "upstream-link"},
           {SoakFault::ProcessLink, "process-link"},
           {SoakFault::Publish, "publish"},
-          {SoakFault::StoreUnanswered, "store-unanswered"}}}};
+          {SoakFault::StoreUnanswered, "store-unanswered"},
+          {SoakFault::StoreGoesBack, "store-goes-back"}}}};
 
 // Link faults that a plan chooses from.
 inline constexpr std::array soakLinkFaults{LinkFault::Delayed,        LinkFault::Reset,
--- a/packages/soak/soak_run.cpp
+++ b/packages/soak/soak_run.cpp
@@ -165,6 +165,8 @@
             return StoreFault::LostAnswers;
         case SoakFault::StoreUnanswered:
             return StoreFault::Unanswered;
+        case SoakFault::StoreGoesBack:
+            return StoreFault::Down;
         default:
             return StoreFault::None;
         }
@@ -200,6 +202,10 @@
         case SoakFault::Publish:
         case SoakFault::StoreCompacts:
             break;
+        case SoakFault::StoreGoesBack:
+            this->cluster.store.rollBack(1 + event.host);
+            this->cluster.store.setFault(StoreFault::None);
+            break;
         case SoakFault::StoreLink:
             host.toStore->set({});
             break;
