--- a/packages/stage/evacuations.cpp
+++ b/packages/stage/evacuations.cpp
@@ -1,22 +1,11 @@
 #include "stage/evacuations.h"
 
 #include "base/log.h"
+#include "keyspace/store_era.h"
 
 #include <algorithm>
 
 namespace kumquat {
-namespace {
-
-// A position in the store is its era x 2^40 + offset; see "Store rollback" in docs/LOAD.md.
-constexpr unsigned offsetBits = 40;
-
-bool isSameEra(std::uint64_t first, std::uint64_t second)
-{
-    return first >> offsetBits == second >> offsetBits;
-}
-
-} // namespace
-
 // Returns whether the record starts or ends the evacuation of its data centre.
 bool Evacuations::keep(const EvacuationRecord &record, const std::string &source)
 {
@@ -57,7 +46,7 @@
                                           [&name = dataCentre](const EvacuationRecord &row) {
                                               return row.dataCentre == name;
                                           });
-        const bool isOlder = known.offset < end && isSameEra(known.offset, end);
+        const bool isOlder = known.offset < end && storeEraOf(known.offset) == storeEraOf(end);
         if (!isListed && isOlder && !known.value.empty()) {
             known.value.clear();
             known.offset = end - 1;
