--- a/packages/stage/evacuations.cpp
+++ b/packages/stage/evacuations.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 namespace kumquat {
+
 // Returns whether the record starts or ends the evacuation of its data centre.
 bool Evacuations::keep(const EvacuationRecord &record, const std::string &source)
 {
