--- a/packages/stage/admission_hooks.cpp
+++ b/packages/stage/admission_hooks.cpp
@@ -15,48 +15,39 @@
 
 } // namespace
 
-ExecutorHooks withAdmission(ExecutorHooks hooks, AdmissionState &admission)
+EndedHook endedHook(AdmissionState &admission)
 {
-    hooks.figures = [&admission](const wire::Execute *execute, Time now) {
-        return admission.figures(execute, now);
-    };
-    hooks.sending = [&admission](const wire::Execute &execute, Time now) {
-        admission.noteSending(execute, now);
-    };
-    hooks.ended = [&admission](const wire::Execute &execute, const ExecuteResult &result,
-                               Time now) {
+    return [&admission](const wire::Execute &execute, const ExecuteResult &result, Time now) {
         admission.noteEnded(execute, answerBytes(result), now);
     };
-    hooks.retryAfter = [&admission](const wire::Execute &execute, const Verdict &verdict,
-                                    Time now) {
+}
+
+RetryAfterHook retryAfterHook(AdmissionState &admission)
+{
+    return [&admission](const wire::Execute &execute, const Verdict &verdict, Time now) {
         return admission.retryAfter(execute, verdict, now);
     };
-    return hooks;
 }
 
-IngressHooks withAdmission(IngressHooks hooks, AdmissionState &admission)
+CallHooks callHooks(AdmissionState &admission)
 {
-    hooks.isCall = [&admission](const wire::Execute &execute, Time now) {
-        return admission.isCall(execute, now);
-    };
-    hooks.callEnded = [&admission](const wire::Execute &execute, int status, Time now) {
-        admission.noteCallEnded(execute, status, now);
-    };
-    hooks.relayWait = [&admission](const wire::Execute &execute, Time now) {
-        return admission.relayWait(execute, now);
-    };
-    hooks.relaying = [&admission](const wire::Execute &execute, Time now) {
-        admission.noteRelaying(execute, now);
-    };
-    hooks.relayed = [&admission](const wire::Execute &execute, const ExecuteResult &result,
+    return {.isCall = [&admission](const wire::Execute &execute,
+                                   Time now) { return admission.isCall(execute, now); },
+            .ended = [&admission](const wire::Execute &execute, int status,
+                                  Time now) { admission.noteCallEnded(execute, status, now); }};
+}
+
+RelayHooks relayHooks(AdmissionState &admission)
+{
+    return {.wait = [&admission](const wire::Execute &execute,
+                                 Time now) { return admission.relayWait(execute, now); },
+            .sending = [&admission](const wire::Execute &execute,
+                                    Time now) { admission.noteRelaying(execute, now); },
+            .ended =
+                    [&admission](const wire::Execute &execute, const ExecuteResult &result,
                                  Time now) {
-        admission.noteRelayed(execute, answerBytes(result), now);
-    };
-    hooks.retryAfter = [&admission](const wire::Execute &execute, const Verdict &verdict,
-                                    Time now) {
-        return admission.retryAfter(execute, verdict, now);
-    };
-    return hooks;
+                        admission.noteRelayed(execute, answerBytes(result), now);
+                    }};
 }
 
 } // namespace kumquat
--- a/packages/stage/admission_hooks.h
+++ b/packages/stage/admission_hooks.h
@@ -7,8 +7,13 @@
 
 namespace kumquat {
 
-// Return the hooks with those set that concern admission. `admission` must outlive them.
-ExecutorHooks withAdmission(ExecutorHooks hooks, AdmissionState &admission);
-IngressHooks withAdmission(IngressHooks hooks, AdmissionState &admission);
+using EndedHook = std::function<void(const wire::Execute &, const ExecuteResult &, Time)>;
+using RetryAfterHook = std::function<Duration(const wire::Execute &, const Verdict &, Time)>;
+
+// `admission` must outlive the hooks.
+EndedHook endedHook(AdmissionState &admission);
+RetryAfterHook retryAfterHook(AdmissionState &admission);
+CallHooks callHooks(AdmissionState &admission);
+RelayHooks relayHooks(AdmissionState &admission);
 
 } // namespace kumquat
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -143,10 +143,10 @@
         response = this->serve(attempt, body);
     }
     const Time now = readBootTime();
-    if (attempt.execute.is_call() && this->hooks.callEnded) {
+    if (attempt.execute.is_call() && this->hooks.calls.ended) {
         // A call that its caller has given up was too late.
-        this->hooks.callEnded(attempt.execute,
-                              attempt.isDisconnected ? statusTimeout : response.status, now);
+        this->hooks.calls.ended(attempt.execute,
+                                attempt.isDisconnected ? statusTimeout : response.status, now);
     }
     this->metrics.addLatency(now - attempt.started, now);
     this->log(attempt, response.status);
@@ -212,7 +212,8 @@
     execute.set_has_key(hasKeys);
     // A call is for another service than that of the upstream which makes it.
     execute.set_is_call(attempt.isFromOwnHost && service != this->settings.service
-                        && this->hooks.isCall && this->hooks.isCall(execute, readBootTime()));
+                        && this->hooks.calls.isCall
+                        && this->hooks.calls.isCall(execute, readBootTime()));
     this->budget(service).noteFirstAttempt(attempt.started);
     return this->sendUntilAnswered(attempt, body);
 }
@@ -266,8 +267,9 @@
         // The report is about large answers. The host itself checks the others.
         figures.linkWait = attempt.route->hasLargeAnswers ? load->linkWait : Duration::zero();
     }
-    if (host.node != this->settings.node && this->hooks.relayWait) {
-        figures.linkWait = std::max(figures.linkWait, this->hooks.relayWait(attempt.execute, now));
+    if (host.node != this->settings.node && this->hooks.relays.wait) {
+        figures.linkWait =
+                std::max(figures.linkWait, this->hooks.relays.wait(attempt.execute, now));
     }
     const Verdict verdict = decide({.allowedRegions = &attempt.route->allowedRegions,
                                     .hasKey = attempt.execute.has_key(),
@@ -389,8 +391,8 @@
     const std::shared_ptr<FiberEvent> event = attempt.event;
     wire::LinkFrame frame;
     *frame.mutable_execute() = attempt.execute;
-    if (this->hooks.relaying) {
-        this->hooks.relaying(attempt.execute, readBootTime());
+    if (this->hooks.relays.sending) {
+        this->hooks.relays.sending(attempt.execute, readBootTime());
     }
     const Duration limit = attempt.deadline - readBootTime() + this->settings.answerSlack;
     const std::uint64_t call = this->links.call(
@@ -428,8 +430,8 @@
         this->links.cancel(node, call);
         waiting->result.reply.set_outcome(wire::EXECUTE_TIMED_OUT);
     }
-    if (this->hooks.relayed) {
-        this->hooks.relayed(attempt.execute, waiting->result, readBootTime());
+    if (this->hooks.relays.ended) {
+        this->hooks.relays.ended(attempt.execute, waiting->result, readBootTime());
     }
     return std::move(waiting->result);
 }
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -27,6 +27,24 @@
 
 // ---- Hooks ----
 
+// Calls that a running request at the upstream beside this process makes. Each hook may be empty.
+struct CallHooks
+{
+    // Returns whether a request from the own host is a call. `ended` follows for a call, with the
+    // status of its answer.
+    std::function<bool(const wire::Execute &execute, Time now)> isCall;
+    std::function<void(const wire::Execute &execute, int status, Time now)> ended;
+};
+
+// Answers of other hosts, which this host sends to its callers. Each hook may be empty.
+struct RelayHooks
+{
+    // Returns how long an answer would wait for the link.
+    std::function<Duration(const wire::Execute &execute, Time now)> wait;
+    std::function<void(const wire::Execute &execute, Time now)> sending; // to the other host
+    std::function<void(const wire::Execute &execute, const ExecuteResult &result, Time now)> ended;
+};
+
 struct IngressHooks
 {
     // Called with the end of the key tables that another host has read, when that host did not hold
@@ -36,16 +54,8 @@
     std::function<bool(Time deadline)> acceptsRequest;
     // Returns a refusal if this process is overloaded, else nothing.
     std::function<std::optional<AdmissionRefusal>(WorkKind kind)> isOverloaded;
-    // Returns whether a request from the own host is a call that a running request makes. callEnded
-    // follows for a call. Each may be empty.
-    std::function<bool(const wire::Execute &execute, Time now)> isCall;
-    std::function<void(const wire::Execute &execute, int status, Time now)> callEnded;
-    // The next three hooks concern answers of other hosts, which this host sends to its callers.
-    // Each may be empty. relayWait returns how long an answer would wait for the link.
-    std::function<Duration(const wire::Execute &execute, Time now)> relayWait;
-    std::function<void(const wire::Execute &execute, Time now)> relaying; // sent to a host now
-    std::function<void(const wire::Execute &execute, const ExecuteResult &result, Time now)>
-            relayed;
+    CallHooks calls;
+    RelayHooks relays;
     // Returns the retry time that the caller of a refused request is told. Not set: that of the
     // verdict.
     std::function<Duration(const wire::Execute &execute, const Verdict &verdict, Time now)>
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -145,40 +145,36 @@
               {.service = this->settings.service,
                .upstream = this->settings.upstream,
                .limiter = upstreamLimiter},
-              withAdmission(
-                      {.access = [this](ShardKey key,
-                                        Time now) { return this->keys.access(key, now); },
-                       .heldFor = [this](ShardKey key,
-                                         Time now) { return this->keys.heldFor(key, now); },
-                       .hasKeys =
-                               [this] {
-                                   const ServiceInfo *info = this->ownService();
-                                   return info != nullptr && info->hasKeys;
-                               },
-                       .tablesEnd = [this] { return this->view.tablesEnd(); },
-                       .acceptsRequest =
-                               [this](Time deadline) { return this->acceptsRequest(deadline); },
-                       .callerAge =
-                               [this](std::uint64_t connection, Time now) {
-                                   return this->callerFreshness.age(connection, now);
-                               },
-                       .sendProbe =
-                               [this](std::uint64_t connection) {
-                                   if (this->callerFreshness.takeProbe(connection,
-                                                                       readBootTime())) {
-                                       this->linkServer.ping(connection);
-                                   }
-                               },
-                       .isSilent =
-                               [this](std::uint64_t connection) {
-                                   return this->callerFreshness.isSilent(connection);
-                               },
-                       .crashed = [this](const CrashReport &crash) { this->broadcastCrash(crash); },
-                       .suspectCleared =
-                               [this](Fingerprint fingerprint) {
-                                   this->broadcastCleared(fingerprint);
-                               }},
-                      this->admission))
+              {.access = [this](ShardKey key, Time now) { return this->keys.access(key, now); },
+               .heldFor = [this](ShardKey key, Time now) { return this->keys.heldFor(key, now); },
+               .hasKeys =
+                       [this] {
+                           const ServiceInfo *info = this->ownService();
+                           return info != nullptr && info->hasKeys;
+                       },
+               .tablesEnd = [this] { return this->view.tablesEnd(); },
+               .acceptsRequest = [this](Time deadline) { return this->acceptsRequest(deadline); },
+               .callerAge = [this](std::uint64_t connection,
+                                   Time now) { return this->callerFreshness.age(connection, now); },
+               .sendProbe =
+                       [this](std::uint64_t connection) {
+                           if (this->callerFreshness.takeProbe(connection, readBootTime())) {
+                               this->linkServer.ping(connection);
+                           }
+                       },
+               .isSilent =
+                       [this](std::uint64_t connection) {
+                           return this->callerFreshness.isSilent(connection);
+                       },
+               .figures = [this](const wire::Execute *execute,
+                                 Time now) { return this->admission.figures(execute, now); },
+               .sending = [this](const wire::Execute &execute,
+                                 Time now) { this->admission.noteSending(execute, now); },
+               .ended = endedHook(this->admission),
+               .retryAfter = retryAfterHook(this->admission),
+               .crashed = [this](const CrashReport &crash) { this->broadcastCrash(crash); },
+               .suspectCleared =
+                       [this](Fingerprint fingerprint) { this->broadcastCleared(fingerprint); }})
     , coordinator(this->thread, this->settings.node, this->settings.service, this->view,
                   this->links, this->store, this->metrics,
                   {.makeReport = [this] { return this->makeReport(); },
@@ -199,17 +195,17 @@
                    .heartbeatInterval = this->settings.heartbeatInterval})
     , ingress(this->thread, this->view, this->links, this->executor, this->picker, this->metrics,
               ingressSettings(this->settings),
-              withAdmission(
-                      {.noteTablesEnd =
-                               [this](const std::string &node, std::uint64_t end) {
-                                   if (end > this->view.tablesEnd()) {
-                                       this->fetchState(node);
-                                   }
-                               },
-                       .acceptsRequest =
-                               [this](Time deadline) { return this->acceptsRequest(deadline); },
-                       .isOverloaded = [this](WorkKind kind) { return this->isOverloaded(kind); }},
-                      this->admission))
+              {.noteTablesEnd =
+                       [this](const std::string &node, std::uint64_t end) {
+                           if (end > this->view.tablesEnd()) {
+                               this->fetchState(node);
+                           }
+                       },
+               .acceptsRequest = [this](Time deadline) { return this->acceptsRequest(deadline); },
+               .isOverloaded = [this](WorkKind kind) { return this->isOverloaded(kind); },
+               .calls = callHooks(this->admission),
+               .relays = relayHooks(this->admission),
+               .retryAfter = retryAfterHook(this->admission)})
     , linkServer(
               this->thread, this->settings.node,
               {.received =
