net: a body without room is refused after its head

Cause: the parser reports the start of a body only with its first byte, so a caller that announced a body without room and waited got no answer before the time limit of the message. Found by test_server_budget (status 0 instead of 503).

Change: the announced length is charged when the head is complete.

--- a/packages/net/http_stream.h
+++ b/packages/net/http_stream.h
@@ -101,16 +101,16 @@
             bytes += sizeof(field) + field.name.size() + field.value.size();
         }
         this->headBytes = bytes;
-        this->chargeBody(0, error);
+        // The whole length at once, so that a body without room is refused before it is sent. The
+        // parser has checked the length against the body limit.
+        this->chargeBody(this->content_length().value_or(0), error);
     }
 
-    void on_body_init_impl(const boost::optional<std::uint64_t> &length, ErrorCode &error) override
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length,
+                           ErrorCode & /*error*/) override
     {
         if (this->charge != nullptr && length) {
-            // The whole length at once, so that a body without room is refused before it is sent.
-            if (this->chargeBody(*length, error)) {
-                this->message.body.reserve(*length); // uses no memory before the bytes arrive
-            }
+            this->message.body.reserve(*length); // uses no memory before the bytes arrive
             return;
         }
         // The length has been checked against the body limit, but the sender may not send that
