--- a/packages/stage/tests/test_evacuations.cpp
+++ b/packages/stage/tests/test_evacuations.cpp
@@ -48,9 +48,9 @@
         this->evacuations().applyState(other.view.stateSince(this->view.known()), "other");
     }
 
-    bool isClosed() const { return this->admission.figures(nullptr, this->now).isEvacuated; }
+    bool isClosed() { return this->admission.figures(nullptr, this->now).isEvacuated; }
 
-    bool isCold() const
+    bool isCold()
     {
         return this->admission.figures(nullptr, this->now).coldWait > Duration::zero();
     }
