--- a/packages/stage/tests/test_admission_state.cpp
+++ b/packages/stage/tests/test_admission_state.cpp
@@ -153,7 +153,7 @@
 TEST_CASE("a request tells whether it comes from the own host", "[admission]")
 {
     FiberThread thread("caller-address-test");
-    const Address address{"127.0.0.1", 18'471};
+    const Address address{"127.0.0.1", 18'661};
     HttpRequest seen;
     const auto server =
             HttpServer::create(thread, {}, {.handle = [&seen](const HttpRequest &request) {
