--- a/packages/admission/tests/test_call_room.cpp
+++ b/packages/admission/tests/test_call_room.cpp
@@ -161,7 +161,8 @@
     Upstream upstream;
     const int perSecond = GENERATE(40, 150);
     upstream.load(10s, 70s, perSecond, perSecond);
-    CAPTURE(perSecond, upstream.room.callsPerRun(orders, stock), upstream.room.callsPerRun(pages, stock));
+    CAPTURE(perSecond, upstream.room.callsPerRun(orders, stock),
+            upstream.room.callsPerRun(pages, stock));
     CHECK(upstream.room.callsPerRun(orders, stock) > 0.8);
     CHECK(upstream.room.callsPerRun(pages, stock) < 0.2);
     upstream.callRate = perSecond / 10;
