--- a/packages/stage/admission_state.cpp
+++ b/packages/stage/admission_state.cpp
@@ -48,7 +48,7 @@
     // Load reports tell the wait of a large answer.
     figures.linkWait = this->linkMeter.wait(
             execute != nullptr ? answerKindOf(*execute) : AnswerKind{.isLarge = true}, now);
-    if (execute != nullptr && !execute->is_call()) {
+    if (execute != nullptr && !execute->is_call() && this->speed.reportsLoad()) {
         figures.callsWait = this->callRoom.wait(execute, execute->route_hash(), now);
     }
     return figures;
--- a/packages/stage/cluster_view.cpp
+++ b/packages/stage/cluster_view.cpp
@@ -44,7 +44,7 @@
 // Combines two records of a host that were written for different eras of the store, or, in `later`,
 // one that was read after the store had gone back. The position only grows; the content is the
 // newer one (isNewerForm).
-KnownHost mergeAcrossEras(const KnownHost &known, KnownHost later)
+KnownHost mergeAcrossEras(const KnownHost &known, const KnownHost &later)
 {
     const std::uint64_t offset = std::max(known.offset, later.offset);
     const bool isKnownNewer = isNewerForm(formOf(known), formOf(later));
@@ -54,7 +54,7 @@
     // The store has the record with the larger position.
     const bool isAhead =
             keepsKnown ? isKnownNewer && later.offset > known.offset : later.offset < known.offset;
-    KnownHost merged = keepsKnown ? known : std::move(later);
+    KnownHost merged = keepsKnown ? known : later;
     merged.isAhead = isAhead || (keepsKnown && known.isAhead && offset == known.offset);
     merged.offset = offset;
     return merged;
--- a/packages/stage/tests/test_admission_state.cpp
+++ b/packages/stage/tests/test_admission_state.cpp
@@ -32,6 +32,7 @@
 
 struct Host
 {
+    Metrics metrics;
     StageSettings settings{.service = "shop", .limits = {.linkBytesPerSecond = 1'250'000}};
     ClusterView view{{}};
     AdmissionState admission{settings, view};
@@ -42,6 +43,9 @@
         configuration.routes.push_back({.name = "images", .hasLargeAnswers = hasLargeAnswers});
         this->view.applyConfiguration(configuration, "", "test");
         this->admission.applyConfiguration();
+        const SpeedHooks hooks = this->admission.speedHooks(this->metrics);
+        const wire::Execute execute = makeRequest(images);
+        hooks.ended(execute, {.end = CallEnd::Answered, .figures = UpstreamFigures{}}, 1s);
     }
 
     Duration linkWait(const wire::Execute &execute, Time now)
--- a/packages/stage/upstream_speed.cpp
+++ b/packages/stage/upstream_speed.cpp
@@ -14,8 +14,10 @@
 SpeedHooks UpstreamSpeed::hooks(Metrics &metrics)
 {
     return {.instanceChanged =
-                    [this, &metrics](std::uint32_t slots, Time now) {
-                        this->meter.reset(slots, now);
+                    [this, &metrics](std::uint32_t announced, Time now) {
+                        this->slots = announced;
+                        this->hasFigures = false;
+                        this->meter.reset(announced, now);
                         this->reportChange(metrics);
                     },
             .started =
@@ -26,6 +28,9 @@
                                       Time now) { this->noteEnded(execute, end, metrics, now); },
             .concurrencyLimit =
                     [this, &metrics](Time now) {
+                        if (!this->hasFigures) {
+                            return this->slots;
+                        }
                         this->meter.advance(now);
                         this->reportChange(metrics);
                         return this->meter.concurrencyLimit();
@@ -33,13 +38,15 @@
             .usableSlots = [this] { return this->meter.usableSlots(); },
             .serviceSeconds =
                     [this](double measured, Time now) {
-                        return this->meter.reportedServiceSeconds(measured, now);
+                        return this->hasFigures ? this->meter.reportedServiceSeconds(measured, now)
+                                                : measured;
                     }};
 }
 
 void UpstreamSpeed::noteEnded(const wire::Execute &execute, const RunEnd &end, Metrics &metrics,
                               Time now)
 {
+    this->hasFigures = this->hasFigures || end.figures.has_value();
     const bool isCold = now < this->coldUntil + coldAftermath;
     this->meter.noteEnded(&execute, isCold ? CallEnd::Cancelled : end.end, end.figures, now);
     if (end.figures && end.figures->speedPercent) {
--- a/packages/stage/upstream_speed.h
+++ b/packages/stage/upstream_speed.h
@@ -21,13 +21,18 @@
     // Applies the remaining cold time of the upstream. Its speed is not learned while it is cold.
     void noteHeartbeat(Duration coldLeft, Time now) { this->coldUntil = now + coldLeft; }
 
-    std::uint32_t usableSlots() const { return this->meter.usableSlots(); }
+    // Says whether this instance of the upstream tells its load in its answers. Only then are
+    // limits tried and requests held back for their calls: in other deployments trials of lower
+    // limits cost more throughput than they found.
+    bool reportsLoad() const { return this->hasFigures; }
 
 private:
     void noteEnded(const wire::Execute &execute, const RunEnd &end, Metrics &metrics, Time now);
     void reportChange(Metrics &metrics);
 
     SpeedMeter meter;
+    std::uint32_t slots = 0; // announced
+    bool hasFigures = false;
     Time coldUntil{};
 };
 
