--- a/packages/stage/cluster_view.cpp
+++ b/packages/stage/cluster_view.cpp
@@ -149,7 +149,7 @@
     KnownHost read = makeHost(record, *address, offset, bytes);
     if (isMerged) {
         const KnownHost &known = found->second;
-        KnownHost merged = mergeAcrossEras(known, std::move(read));
+        KnownHost merged = mergeAcrossEras(known, read);
         if (merged.offset == known.offset && merged.bytes == known.bytes) {
             return;
         }
