admission: requests with a later deadline than all runs are not calls

Cause: a request from the own host counted as a call whenever the upstream was busy. On a busy host the image requests of outside callers were taken for calls: they had the priority of calls, and their refusals held back the runs. Change: a call ends with the run that makes it, so a request with a later deadline than all runs is none; a route whose requests often have no such run belongs to outside callers.

--- a/packages/admission/call_room.cpp
+++ b/packages/admission/call_room.cpp
@@ -63,13 +63,13 @@
 
 // ---- Runs ----
 
-void CallRoom::noteRunStarted(RunId run, std::uint64_t route)
+void CallRoom::noteRunStarted(RunId run, std::uint64_t route, Time deadline)
 {
     const bool isKnown = this->routes.contains(route);
     if (!isKnown && this->routes.size() >= this->settings.maxRoutes) {
         return;
     }
-    if (this->runs.try_emplace(run, route).second) {
+    if (this->runs.try_emplace(run, Run{.route = route, .deadline = deadline}).second) {
         ++this->routes[route].running;
     }
 }
@@ -81,8 +81,9 @@
     if (found == this->runs.end()) {
         return;
     }
-    RouteState &state = this->routes[found->second];
+    const Run ended = found->second;
     this->runs.erase(found);
+    RouteState &state = this->routes[ended.route];
     --state.running;
     const double kept = 1 - 1 / this->settings.learnedRuns;
     state.runs = state.runs * kept + 1;
@@ -90,7 +91,19 @@
         count *= kept;
     }
     const Duration late = isAnswered ? this->settings.answeredCalls : this->settings.lateCalls;
-    this->workingUntil = std::max(this->workingUntil, now + late);
+    this->lateDeadline =
+            now < this->lateUntil ? std::max(this->lateDeadline, ended.deadline) : ended.deadline;
+    this->lateUntil = std::max(this->lateUntil, now + late);
+}
+
+bool CallRoom::mayBeCall(Time deadline, Time now) const
+{
+    const auto covers = [&](Time runDeadline) {
+        return runDeadline == Time::max() || deadline <= runDeadline + this->settings.deadlineSlack;
+    };
+    return (now < this->lateUntil && covers(this->lateDeadline))
+           || std::any_of(this->runs.begin(), this->runs.end(),
+                          [&](const auto &entry) { return covers(entry.second.deadline); });
 }
 
 double CallRoom::rateOf(const RouteState &state, std::uint64_t callRoute) const
--- a/packages/admission/call_room.h
+++ b/packages/admission/call_room.h
@@ -61,7 +61,9 @@
     // An upstream may still make calls this long after a run that ended without an answer.
     Duration lateCalls = 2s;
     Duration answeredCalls = 20ms; // the same after a run that was answered
-    std::size_t maxRoutes = 256;   // of which calls are learned; others are not held back
+    // A call may be read this much later than it was sent, so its deadline seems to be later.
+    Duration deadlineSlack = 50ms;
+    std::size_t maxRoutes = 256; // of which calls are learned; others are not held back
     std::size_t maxCallRoutes = 64;
 };
 
@@ -82,8 +84,8 @@
     // Returns the mean time between requests of the route that are let through now.
     Duration passInterval(std::uint64_t route) const;
 
-    // The request is sent to the upstream.
-    void noteRunStarted(RunId run, std::uint64_t route);
+    // The request is sent to the upstream, which stops its work at `deadline`.
+    void noteRunStarted(RunId run, std::uint64_t route, Time deadline = Time::max());
     // The request has ended. Needed for each request that `wait` was asked for.
     void noteRunEnded(RunId run, bool isAnswered, Time now);
 
@@ -91,8 +93,9 @@
     void noteCall(std::uint64_t callRoute);
     void noteCallEnded(std::uint64_t callRoute, CallResult result, Time now);
 
-    // Whether a request of the upstream may be a call of a run.
-    bool isWorking(Time now) const { return !this->runs.empty() || now < this->workingUntil; }
+    // Returns whether a request with this deadline may be a call of a run. A call ends with the run
+    // that makes it, so it has no later deadline.
+    bool mayBeCall(Time deadline, Time now) const;
 
     // Forgets what was learned, for a new instance of the upstream.
     void reset();
@@ -134,6 +137,12 @@
         Duration passInterval{};
     };
 
+    struct Run
+    {
+        std::uint64_t route = 0;
+        Time deadline{};
+    };
+
     double rateOf(const RouteState &state, std::uint64_t callRoute) const;
     double letThrough(const RouteState &state, Time now);
     void update(CallState &call, Time now);
@@ -142,9 +151,12 @@
     CallRoomSettings settings;
     std::unordered_map<std::uint64_t, RouteState> routes;
     std::unordered_map<std::uint64_t, CallState> calls;
-    std::unordered_map<RunId, std::uint64_t> runs; // route of each run at the upstream
+    std::unordered_map<RunId, Run> runs; // at the upstream
     std::unordered_set<RunId> passed; // requests that were let through while others are held back
-    Time workingUntil{};
+    // Runs that have ended may still make calls until `lateUntil`, with deadlines up to
+    // `lateDeadline`.
+    Time lateUntil{};
+    Time lateDeadline{};
 };
 
 } // namespace kumquat
--- a/packages/admission/tests/test_call_room.cpp
+++ b/packages/admission/tests/test_call_room.cpp
@@ -233,10 +233,45 @@
     CHECK(source.isCall(pages, true, 1000s));
     CallRoom room;
     const int run = 0;
-    CHECK_FALSE(room.isWorking(10s));
+    CHECK_FALSE(room.mayBeCall(11s, 10s));
     room.noteRunStarted(&run, orders);
-    CHECK(room.isWorking(20s));
+    CHECK(room.mayBeCall(21s, 20s));
     room.noteRunEnded(&run, false, 20s);
-    CHECK(room.isWorking(21s)); // the upstream may not know yet that nobody waits
-    CHECK_FALSE(room.isWorking(22s));
+    CHECK(room.mayBeCall(22s, 21s)); // the upstream may not know yet that nobody waits
+    CHECK_FALSE(room.mayBeCall(23s, 22s));
+}
+
+// Load: the upstream is never idle, and outside callers on its host request another service with a
+// longer deadline than its runs have. Guards against their refusals holding back the runs, and
+// against the priority of calls for their requests.
+TEST_CASE("requests with a later deadline than all runs are not calls", "[calls]")
+{
+    CallSource source;
+    CallRoom room;
+    std::list<int> runs;
+    int images = 0;
+    int sent = 0;
+    for (Time now = 10s; now < 20s; now += 20ms) {
+        room.noteRunStarted(&runs.emplace_back(), orders, now + 2500ms);
+        if (runs.size() > 10) {
+            room.noteRunEnded(&runs.front(), true, now);
+            runs.pop_front();
+        }
+        CHECK(source.isCall(stock, room.mayBeCall(now + 500ms, now), now));
+        // A caller that comes back has less time left.
+        const Duration left = ++sent % 4 == 0 ? 2000ms : 6000ms;
+        images += source.isCall(pages, room.mayBeCall(now + left, now), now) ? 1 : 0;
+    }
+    CHECK(images == 0);
+}
+
+// Load: one call in a hundred is read after the end of its run, as the process is busy.
+TEST_CASE("calls that are read late do not make their route one of outside callers", "[calls]")
+{
+    CallSource source;
+    int calls = 0;
+    for (int i = 0; i < 10'000; ++i) {
+        calls += source.isCall(stock, i % 100 != 99, 10s + i * 10ms) ? 1 : 0;
+    }
+    CHECK(calls == 9'900);
 }
--- a/packages/stage/admission_state.cpp
+++ b/packages/stage/admission_state.cpp
@@ -58,7 +58,9 @@
 {
     this->coldGate.noteSent(now);
     this->linkMeter.reserve(&execute, answerKindOf(execute), now);
-    this->callRoom.noteRunStarted(&execute, execute.route_hash());
+    // The time left when the request arrived; its wait for a slot makes it shorter.
+    const Time latestDeadline = now + std::chrono::milliseconds(execute.remaining_ms());
+    this->callRoom.noteRunStarted(&execute, execute.route_hash(), latestDeadline);
 }
 
 void AdmissionState::noteEnded(const wire::Execute &execute, std::size_t answerBytes, Time now)
@@ -72,7 +74,8 @@
 bool AdmissionState::isCall(const wire::Execute &execute, Time now)
 {
     const std::uint64_t route = execute.route_hash();
-    if (!this->callSource.isCall(route, this->callRoom.isWorking(now), now)) {
+    const Time deadline = now + std::chrono::milliseconds(execute.remaining_ms());
+    if (!this->callSource.isCall(route, this->callRoom.mayBeCall(deadline, now), now)) {
         return false;
     }
     this->callRoom.noteCall(route);
