--- a/packages/admission/call_room.cpp
+++ b/packages/admission/call_room.cpp
@@ -8,7 +8,7 @@
 
 // ---- Requests ----
 
-Duration CallRoom::wait(RunId run, std::uint64_t route, Time now)
+Duration CallRoom::wait(RunId run, std::uint64_t route, Time now, RunCost cost)
 {
     const auto found = this->routes.find(route);
     if (found == this->routes.end() || this->passed.contains(run)) {
@@ -21,6 +21,11 @@
         state.passInterval = Duration::zero();
         return Duration::zero();
     }
+    if (cost == RunCost::Nothing
+        && this->acceptedShare(state, now) >= this->settings.minFreeShare) {
+        this->passed.insert(run);
+        return Duration::zero();
+    }
     state.credit += share;
     const Duration sincePass = now - state.passedAt;
     if (state.credit < 1 && sincePass < this->settings.probeInterval) {
@@ -52,8 +57,7 @@
     }
     for (const auto &[callRoute, count] : state.calls) {
         const auto found = this->calls.find(callRoute);
-        if (found != this->calls.end()
-            && this->rateOf(state, callRoute) >= this->settings.minCallsPerRun) {
+        if (found != this->calls.end() && this->isUsual(state, callRoute)) {
             this->update(found->second, now);
             share = std::min(share, found->second.letThrough);
         }
@@ -61,6 +65,27 @@
     return share;
 }
 
+// Returns the share of the calls that were accepted lately, of the calls that are refused most.
+double CallRoom::acceptedShare(const RouteState &state, Time now) const
+{
+    double share = 1;
+    for (const auto &[callRoute, count] : state.calls) {
+        const auto found = this->calls.find(callRoute);
+        if (found != this->calls.end() && this->isUsual(state, callRoute)) {
+            const Results results = resultsOf(found->second, now);
+            const double total = results.accepted + results.refused;
+            share = total > 0 ? std::min(share, results.accepted / total) : share;
+        }
+    }
+    return share;
+}
+
+// Returns whether enough runs of a route make a call that its refusals concern the route.
+bool CallRoom::isUsual(const RouteState &state, std::uint64_t callRoute) const
+{
+    return this->rateOf(state, callRoute) >= this->settings.minCallsPerRun;
+}
+
 // ---- Runs ----
 
 void CallRoom::noteRunStarted(RunId run, std::uint64_t route, Time deadline)
@@ -201,35 +226,41 @@
     }
 }
 
-// Returns the share of requests for which there is room, from the results within the window.
-double CallRoom::nextShare(const CallState &call, Time now) const
+// Returns the results within the window.
+CallRoom::Results CallRoom::resultsOf(const CallState &call, Time now)
 {
-    double accepted = 0;
-    double refused = 0;
-    double demand = 0;
+    Results results;
     for (const Bucket &bucket : call.buckets) {
         if (bucket.number > now / bucketTime - static_cast<std::int64_t>(bucketCount)) {
-            accepted += bucket.accepted;
-            refused += bucket.refused;
-            demand += bucket.demand;
+            results.accepted += bucket.accepted;
+            results.refused += bucket.refused;
+            results.demand += bucket.demand;
         }
     }
-    const double total = accepted + refused;
+    return results;
+}
+
+// Returns the share of requests for which there is room, from the results within the window.
+double CallRoom::nextShare(const CallState &call, Time now) const
+{
+    const Results results = resultsOf(call, now);
+    const double total = results.accepted + results.refused;
     const bool isHeldBack = call.letThrough < 1;
     if (total == 0) {
         // No calls: the runs do not make them any more, or all requests are held back.
         const bool isOld = now - call.refusedAt > 4 * this->settings.probeInterval;
         return isOld ? 1 : call.letThrough;
     }
-    const double share = accepted / total;
+    const double share = results.accepted / total;
     if (!isHeldBack
-        && (refused < this->settings.minRefused || share > this->settings.maxAcceptedShare)) {
+        && (results.refused < this->settings.minRefused
+            || share > this->settings.maxAcceptedShare)) {
         return 1;
     }
     const double surplus = std::max(0.0, share - this->settings.freeShare)
                            / (1 - this->settings.freeShare); // 1: all calls are accepted
     const double gain = 1 / this->settings.targetShare + surplus * this->settings.maxGain;
-    return gain * accepted / demand;
+    return gain * results.accepted / results.demand;
 }
 
 } // namespace kumquat
--- a/packages/admission/call_room.h
+++ b/packages/admission/call_room.h
@@ -28,6 +28,15 @@
                                                             {CallResult::Refused, "refused"},
                                                             {CallResult::Unknown, "unknown"}}}};
 
+// What is lost if a run fails because its call is refused.
+enum class RunCost : std::uint8_t {
+    Slot,    // the slot that another request needs, or a request that cannot be sent again
+    Nothing, // the upstream has a free slot, and the caller may send the request again
+};
+
+inline constexpr NameTable<RunCost, 2> runCostNames{
+        {{{RunCost::Slot, "slot"}, {RunCost::Nothing, "nothing"}}}};
+
 struct CallRoomSettings
 {
     // Requests are held back only for calls that are made by at least this share of the runs, as
@@ -55,6 +64,9 @@
     double maxFall = 0.6;
     double maxRise = 1.8;
     double minLetThrough = 0.02;
+    // A run that costs nothing is worth trying if at least this share of the calls is accepted.
+    // Below it, callers would mostly wait for a failure.
+    double minFreeShare = 0.3;
     // At least one request per interval finds out whether calls are accepted again.
     Duration probeInterval = 250ms;
     Duration retryAfter = 250ms; // shortest retry time: the half of the window
@@ -79,7 +91,7 @@
 
     // Returns 0 if a request of this route may run, else the time until it may be tried again. The
     // answer 0 holds until noteRunEnded.
-    Duration wait(RunId run, std::uint64_t route, Time now);
+    Duration wait(RunId run, std::uint64_t route, Time now, RunCost cost = RunCost::Slot);
 
     // Returns the mean time between requests of the route that are let through now.
     Duration passInterval(std::uint64_t route) const;
@@ -119,6 +131,14 @@
         double demand = 0; // calls that all requests together would have made
     };
 
+    // Sums over the window.
+    struct Results
+    {
+        double accepted = 0;
+        double refused = 0;
+        double demand = 0;
+    };
+
     struct CallState
     {
         std::array<Bucket, bucketCount> buckets;
@@ -145,6 +165,9 @@
 
     double rateOf(const RouteState &state, std::uint64_t callRoute) const;
     double letThrough(const RouteState &state, Time now);
+    double acceptedShare(const RouteState &state, Time now) const;
+    bool isUsual(const RouteState &state, std::uint64_t callRoute) const;
+    static Results resultsOf(const CallState &call, Time now);
     void update(CallState &call, Time now);
     double nextShare(const CallState &call, Time now) const;
 
--- a/packages/admission/tests/test_call_room.cpp
+++ b/packages/admission/tests/test_call_room.cpp
@@ -34,6 +34,7 @@
     std::mt19937 random{20261206};
     double callRate = 1e9; // calls per second that the called service accepts
     double callTokens = 0;
+    double shedShare = 0; // of the calls, refused at random
     int sent = 0;
     int refused = 0;
     int callsAccepted = 0;
@@ -78,7 +79,9 @@
         }
         if (!run.hasResult && now >= run.start + 60ms) {
             run.hasResult = true;
-            const bool isAccepted = this->callTokens >= 1;
+            const bool isShed = this->shedShare > 0
+                                && std::bernoulli_distribution(this->shedShare)(this->random);
+            const bool isAccepted = this->callTokens >= 1 && !isShed;
             this->callTokens -= isAccepted ? 1 : 0;
             this->callsAccepted += isAccepted ? 1 : 0;
             this->callsRefused += isAccepted ? 0 : 1;
@@ -172,6 +175,35 @@
     CHECK(upstream.room.letThrough(stock) < 0.5);
 }
 
+// Load: 200 orders per second, and the called service sheds half of the calls at random. Guards
+// against requests that are held back although their upstream has free slots and their callers may
+// send them again; where runs cost something, or nearly all calls are refused, they are held back.
+TEST_CASE("runs that cost nothing are held back only if most of their calls are refused", "[calls]")
+{
+    Upstream upstream;
+    upstream.load(10s, 15s, 200, 0);
+    const double accepted = GENERATE(0.5, 0.1);
+    upstream.shedShare = 1 - accepted;
+    upstream.load(15s, 17s, 200, 0);
+    REQUIRE(upstream.room.letThrough(stock) < 0.8);
+    int free = 0;
+    int costly = 0;
+    std::list<Upstream::Run> requests;
+    for (int i = 0; i < 100; ++i) {
+        const Upstream::Run *first = &requests.emplace_back();
+        const Upstream::Run *second = &requests.emplace_back();
+        free += upstream.room.wait(first, orders, 17s, RunCost::Nothing) == Duration::zero();
+        costly += upstream.room.wait(second, orders, 17s, RunCost::Slot) == Duration::zero();
+    }
+    CAPTURE(accepted, free, costly);
+    CHECK(costly < 90);
+    if (accepted > 0.3) {
+        CHECK(free == 100);
+    } else {
+        CHECK(free < 50);
+    }
+}
+
 // Load: the upstream restarts while its calls are refused. Its new instance may run other code.
 TEST_CASE("a new instance of the upstream starts without limits", "[calls]")
 {
--- a/packages/routing/host_picker.cpp
+++ b/packages/routing/host_picker.cpp
@@ -87,7 +87,44 @@
     return state.failedShare * std::exp(-age);
 }
 
-double HostPicker::cost(const HostCandidate &candidate, double assumedService, Time now) const
+double HostPicker::meanServiceSeconds(const std::vector<HostCandidate> &candidates) const
+{
+    double sum = 0;
+    std::size_t count = 0;
+    for (const HostCandidate &candidate : candidates) {
+        const auto found = this->states.find(candidate.node);
+        const double service = found == this->states.end() ? 0 : found->second.load.serviceSeconds;
+        sum += service;
+        count += service > 0 ? 1 : 0;
+    }
+    return count > 0 ? sum / static_cast<double>(count) : 0;
+}
+
+void HostPicker::noteAnswered(std::uint64_t route, Duration elapsed)
+{
+    constexpr std::size_t maxRoutes = 1024;
+    constexpr double weight = 0.05; // of one answer in the mean
+    if (this->answerSeconds.size() >= maxRoutes && !this->answerSeconds.contains(route)) {
+        return;
+    }
+    const auto [entry, isFirst] = this->answerSeconds.try_emplace(route, toSeconds(elapsed));
+    entry->second += isFirst ? 0 : weight * (toSeconds(elapsed) - entry->second);
+}
+
+HostPicker::CostInputs HostPicker::costInputs(const std::vector<HostCandidate> &candidates,
+                                              const PlacedWork &work) const
+{
+    CostInputs inputs{.assumedService = this->fastestServiceSeconds(candidates),
+                      .isCall = work.isCall};
+    const auto answered = this->answerSeconds.find(work.route);
+    const double mean = this->meanServiceSeconds(candidates);
+    if (work.isCall && answered != this->answerSeconds.end() && mean > 0) {
+        inputs.ownShare = std::min(1.0, answered->second / mean);
+    }
+    return inputs;
+}
+
+double HostPicker::cost(const HostCandidate &candidate, const CostInputs &inputs, Time now) const
 {
     double distance = 0;
     if (candidate.distance == HostDistance::SameRegion) {
@@ -97,44 +134,53 @@
     }
     const auto found = this->states.find(candidate.node);
     if (found == this->states.end()) {
-        return distance + assumedService;
+        return distance + inputs.assumedService * inputs.ownShare;
     }
     const HostState &state = found->second;
     const bool isFresh = now - state.reportedAt < this->settings.loadReportMaxAge;
     const double service =
-            state.load.serviceSeconds > 0 ? state.load.serviceSeconds : assumedService;
+            state.load.serviceSeconds > 0 ? state.load.serviceSeconds : inputs.assumedService;
     const std::uint32_t inFlight = std::max(isFresh ? state.load.inFlight : 0, state.sent);
     const std::uint32_t usable =
             state.load.usableSlots > 0 ? state.load.usableSlots : state.load.slots;
     const double slots = std::max(1U, usable);
     // A request starts at once if a slot is free; otherwise it waits for other requests.
-    const double waiting = std::max(0.0, inFlight + 1 - slots) / slots;
+    // A call waits only for the next free slot.
+    const double ahead = std::max(0.0, inFlight + 1 - slots);
+    const double waiting = (inputs.isCall ? std::min(1.0, ahead) : ahead) / slots;
     const double share = inFlight / slots; // distributes requests while slots are free
     const double avoid = now < state.avoidUntil ? avoidPenalty : 0;
     const double unusable = isFresh && !state.load.isUsable ? avoidPenalty : 0;
     const double failing = this->failedShare(state, now) * toSeconds(this->settings.failureCost);
     const double limited = isFresh ? toSeconds(state.load.coldWait + state.load.linkWait) : 0;
-    return distance + service * (1 + waiting + share / 2) + failing + avoid + unusable + limited;
+    return distance + service * (inputs.ownShare * (1 + share / 2) + waiting) + failing + avoid
+           + unusable + limited;
 }
 
-std::optional<std::string> HostPicker::pick(const std::vector<HostCandidate> &candidates, Time now)
+std::optional<std::string> HostPicker::pick(const std::vector<HostCandidate> &candidates, Time now,
+                                            const PlacedWork &work)
 {
-    if (candidates.empty()) {
-        return std::nullopt;
-    }
+    const auto isNear = [](const HostCandidate &candidate) {
+        return candidate.distance != HostDistance::OtherRegion;
+    };
+    const bool staysNear =
+            work.hasLargeAnswer && std::any_of(candidates.begin(), candidates.end(), isNear);
+    const CostInputs inputs = this->costInputs(candidates, work);
     ++this->rotation;
-    const double assumedService = this->fastestServiceSeconds(candidates);
-    std::size_t best = 0;
+    const HostCandidate *best = nullptr;
     double bestCost = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const std::size_t index = (i + this->rotation) % candidates.size();
-        const double cost = this->cost(candidates[index], assumedService, now);
-        if (i == 0 || cost < bestCost) {
-            best = index;
+        const HostCandidate &candidate = candidates[(i + this->rotation) % candidates.size()];
+        if (!candidate.isAdmitted || (staysNear && !isNear(candidate))) {
+            continue;
+        }
+        const double cost = this->cost(candidate, inputs, now);
+        if (best == nullptr || cost < bestCost) {
+            best = &candidate;
             bestCost = cost;
         }
     }
-    return candidates[best].node;
+    return best != nullptr ? std::optional(best->node) : std::nullopt;
 }
 
 } // namespace kumquat
--- a/packages/routing/host_picker.h
+++ b/packages/routing/host_picker.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace kumquat {
@@ -39,6 +40,18 @@
 {
     std::string node;
     HostDistance distance = HostDistance::SameHost;
+    bool isAdmitted = true; // may get the request now
+};
+
+// What is known about the request to place.
+struct PlacedWork
+{
+    std::uint64_t route = 0; // hash of its route; 0: unknown
+    // Answers of the route are large. They leave the region only if no host of the region is up:
+    // one of 90,000 bytes costs as much between regions as 18 usual ones, and the links of the
+    // hosts, which they fill first, would carry them twice.
+    bool hasLargeAnswer = false;
+    bool isCall = false; // goes before the requests of callers in the queue of the upstream
 };
 
 // ---- Settings ----
@@ -82,8 +95,12 @@
     // about the host.
     void noteEnd(const std::string &node, CallEnd end, Time now);
 
-    // Returns the host with the lowest expected cost, or std::nullopt if there are no candidates.
-    std::optional<std::string> pick(const std::vector<HostCandidate> &candidates, Time now);
+    // Records the time until a request of a route was answered.
+    void noteAnswered(std::uint64_t route, Duration elapsed);
+
+    // Returns the admitted host with the lowest expected cost, or std::nullopt if there is none.
+    std::optional<std::string> pick(const std::vector<HostCandidate> &candidates, Time now,
+                                    const PlacedWork &work = {});
 
 private:
     struct HostState
@@ -99,11 +116,24 @@
 
     double failedShare(const HostState &state, Time now) const;
 
-    double cost(const HostCandidate &candidate, double assumedService, Time now) const;
+    // What the cost of a host depends on beside its state.
+    struct CostInputs
+    {
+        double assumedService = 0; // in seconds, of hosts that were never measured
+        // Share of the mean time of one request at a host that the request itself takes.
+        double ownShare = 1;
+        bool isCall = false;
+    };
+
+    CostInputs costInputs(const std::vector<HostCandidate> &candidates,
+                          const PlacedWork &work) const;
+    double cost(const HostCandidate &candidate, const CostInputs &inputs, Time now) const;
     double fastestServiceSeconds(const std::vector<HostCandidate> &candidates) const;
+    double meanServiceSeconds(const std::vector<HostCandidate> &candidates) const;
 
     HostPickerSettings settings;
-    std::map<std::string, HostState, std::less<>> states; // by node
+    std::map<std::string, HostState, std::less<>> states;    // by node
+    std::unordered_map<std::uint64_t, double> answerSeconds; // mean until an answer, by route
     std::size_t rotation = 0; // distributes requests over hosts of equal cost
 };
 
--- a/packages/routing/tests/test_routing.cpp
+++ b/packages/routing/tests/test_routing.cpp
@@ -134,4 +134,45 @@
     CHECK(picker.pick(hosts, 1700ms) == "a");
 }
 
+// Load: requests of 400 ms and calls of 40 ms at one service, whose hosts differ in speed. Guards
+// against calls that cross regions for hosts which are faster only for the longer requests.
+TEST_CASE("a call goes to another region only if its own work gains by it", "[host_picker]")
+{
+    constexpr std::uint64_t longRoute = 1;
+    constexpr std::uint64_t callRoute = 2;
+    HostPicker picker;
+    const std::vector<HostCandidate> hosts{{"slow", HostDistance::SameDataCentre},
+                                           {"fast", HostDistance::OtherRegion}};
+    picker.noteLoad("slow", {.inFlight = 5, .slots = 10, .serviceSeconds = 0.6}, 1s);
+    picker.noteLoad("fast", {.inFlight = 2, .slots = 10, .serviceSeconds = 0.3}, 1s);
+    for (int i = 0; i < 50; ++i) {
+        picker.noteAnswered(longRoute, 400ms);
+        picker.noteAnswered(callRoute, 40ms);
+    }
+    CHECK(picker.pick(hosts, 1s, {.route = longRoute}) == "fast");
+    CHECK(picker.pick(hosts, 1s, {.route = callRoute, .isCall = true}) == "slow");
+    // It waits for one slot, not behind all requests of callers.
+    picker.noteLoad("slow", {.inFlight = 16, .slots = 10, .serviceSeconds = 0.6}, 1s);
+    CHECK(picker.pick(hosts, 1s, {.route = callRoute, .isCall = true}) == "slow");
+    CHECK(picker.pick(hosts, 1s, {.route = longRoute}) == "fast");
+}
+
+// Load: large answers while the links of all hosts of a region are full. Guards against answers
+// that fill the links of two regions.
+TEST_CASE("large answers leave the region only if no host of it is up", "[host_picker]")
+{
+    HostPicker picker;
+    std::vector<HostCandidate> hosts{
+            {.node = "near", .distance = HostDistance::SameRegion, .isAdmitted = false},
+            {.node = "far", .distance = HostDistance::OtherRegion}};
+    picker.noteLoad("near", idleLoad, 1s);
+    picker.noteLoad("far", idleLoad, 1s);
+    CHECK(picker.pick(hosts, 1s, {.hasLargeAnswer = true}) == std::nullopt);
+    CHECK(picker.pick(hosts, 1s) == "far");
+    hosts.front().isAdmitted = true;
+    CHECK(picker.pick(hosts, 1s, {.hasLargeAnswer = true}) == "near");
+    hosts.erase(hosts.begin());
+    CHECK(picker.pick(hosts, 1s, {.hasLargeAnswer = true}) == "far");
+}
+
 } // namespace kumquat
--- a/packages/stage/admission_state.cpp
+++ b/packages/stage/admission_state.cpp
@@ -49,7 +49,9 @@
     figures.linkWait = this->linkMeter.wait(
             execute != nullptr ? answerKindOf(*execute) : AnswerKind{.isLarge = true}, now);
     if (execute != nullptr && !execute->is_call() && this->speed.reportsLoad()) {
-        figures.callsWait = this->callRoom.wait(execute, execute->route_hash(), now);
+        const RunCost cost = execute->idempotent() && this->speed.hasFreeSlot() ? RunCost::Nothing
+                                                                                : RunCost::Slot;
+        figures.callsWait = this->callRoom.wait(execute, execute->route_hash(), now, cost);
     }
     return figures;
 }
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -64,8 +64,9 @@
     ConfigurationPtr configuration;
     const Route *route = nullptr;
     Time started{};
-    Duration readTime{}; // from the first to the last byte of the request
-    Duration waitTime{}; // for which the bytes of the request waited for the busy thread
+    Duration readTime{};     // from the first to the last byte of the request
+    Duration waitTime{};     // for which the bytes of the request waited for the busy thread
+    Duration callerWaited{}; // before this request, which the caller sends again
     bool isFromOwnHost = false;
     Time deadline{};              // by which the caller needs the answer
     Verdict verdict;              // why the last choice of a host found none
@@ -219,6 +220,9 @@
     execute.set_is_call(attempt.isFromOwnHost && service != this->settings.service
                         && this->hooks.calls.isCall
                         && this->hooks.calls.isCall(execute, readBootTime()));
+    if (!execute.is_call()) {
+        attempt.callerWaited = this->callerWait.note(execute.route_hash(), callerTimeout);
+    }
     this->budget(service).noteFirstAttempt(attempt.started);
     return this->sendUntilAnswered(attempt, body);
 }
@@ -314,11 +318,18 @@
                           || (!this->links.isDown(name, now)
                               && !this->hostBackoff.remainingBackoff(name, WorkKind::Call, now));
         if (host.info.service == execute.service() && host.info.phase == UpstreamPhase::Ready
-            && isOther && isUp && this->isAdmitted(attempt, host.info, now)) {
-            candidates.push_back({.node = name, .distance = distanceOf(host.info, this->settings)});
+            && isOther && isUp) {
+            candidates.push_back({.node = name,
+                                  .distance = distanceOf(host.info, this->settings),
+                                  .isAdmitted = this->isAdmitted(attempt, host.info, now)});
         }
     }
-    return this->picker.pick(candidates, now).value_or("");
+    return this->picker
+            .pick(candidates, now,
+                  {.route = execute.route_hash(),
+                   .hasLargeAnswer = execute.large_answer(),
+                   .isCall = execute.is_call()})
+            .value_or("");
 }
 
 ExecuteResult Ingress::sendTo(const std::string &node, Attempt &attempt, const SharedBody &body)
@@ -330,7 +341,8 @@
             static_cast<std::uint32_t>(std::max<std::int64_t>(toMilliseconds(remaining), 0)));
     const bool hasObjective = attempt.route->objective > Duration::zero();
     const Duration objective =
-            hasObjective ? attempt.started + attempt.route->objective - now : remaining;
+            hasObjective ? attempt.started + attempt.route->objective - attempt.callerWaited - now
+                         : remaining;
     execute.set_objective_ms(
             static_cast<std::uint32_t>(std::max<std::int64_t>(toMilliseconds(objective), 0)));
     execute.set_tables_end(this->view.tablesEnd());
@@ -375,6 +387,9 @@
     const bool hasFailed =
             outcome == wire::EXECUTE_REJECTED
             || (outcome == wire::EXECUTE_ANSWERED && result.reply.status() >= firstServerError);
+    if (outcome == wire::EXECUTE_ANSWERED) {
+        this->picker.noteAnswered(execute.route_hash(), end - now);
+    }
     this->picker.noteEnd(node,
                          attempt.isDisconnected ? CallEnd::Cancelled
                          : isBroken             ? CallEnd::Lost
@@ -569,6 +584,7 @@
              {"moves", std::to_string(attempt.moves)},
              {"readMs", std::to_string(toMilliseconds(attempt.readTime))},
              {"waitedMs", std::to_string(toMilliseconds(attempt.waitTime))},
+             {"callerWaitedMs", std::to_string(toMilliseconds(attempt.callerWaited))},
              {"goneMs", attempt.isDisconnected
                                 ? std::to_string(toMilliseconds(attempt.disconnectedAfter))
                                 : "none"},
--- a/packages/stage/upstream_speed.h
+++ b/packages/stage/upstream_speed.h
@@ -26,6 +26,9 @@
     // limits cost more throughput than they found.
     bool reportsLoad() const { return this->hasFigures; }
 
+    // Returns whether the upstream runs fewer requests than it can usefully run at a time.
+    bool hasFreeSlot() const { return this->meter.running() < this->meter.concurrencyLimit(); }
+
 private:
     void noteEnded(const wire::Execute &execute, const RunEnd &end, Metrics &metrics, Time now);
     void reportChange(Metrics &metrics);
