--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -198,8 +198,7 @@
     if (!this->hooks.figures) {
         return std::nullopt;
     }
-    const std::vector<std::string> regions(execute.allowed_regions().begin(),
-                                           execute.allowed_regions().end());
+    const std::vector<std::string> regions(execute.regions().begin(), execute.regions().end());
     const Verdict verdict = decide({.allowedRegions = &regions,
                                     .hasKey = execute.has_key() && this->hooks.hasKeys(),
                                     .isCall = execute.is_call(),
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -208,7 +208,7 @@
     execute.set_route_hash(hashBytes(route.name));
     execute.set_large_answer(route.hasLargeAnswers);
     for (const std::string &region : route.allowedRegions) {
-        execute.add_allowed_regions(region);
+        execute.add_regions(region);
     }
     const bool hasKeys = info != nullptr && info->hasKeys;
     if (hasKeys && !execute.has_key()) {
--- a/packages/stage/tests/test_executor.cpp
+++ b/packages/stage/tests/test_executor.cpp
@@ -64,7 +64,7 @@
         execute.set_target("/x");
         execute.set_remaining_ms(500);
         for (const std::string &region : this->allowedRegions) {
-            execute.add_allowed_regions(region);
+            execute.add_regions(region);
         }
         const auto promise = std::make_shared<std::promise<ExecuteResult>>();
         this->thread.spawn([this, execute, promise, caller] {
