keyspace: the planner's voters, distribution and balance have modules of their own

No behaviour changes: the tables of 168 scenarios of the ownership model are the same byte for byte before and after.

--- /dev/null
+++ b/packages/keyspace/balance_moves.cpp
@@ -0,0 +1,94 @@
+#include "keyspace/balance_moves.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kumquat {
+namespace {
+
+std::size_t rangeCountOf(const KeyTable &table, std::uint64_t session)
+{
+    return static_cast<std::size_t>(
+            std::count_if(table.ranges.begin(), table.ranges.end(),
+                          [session](const KeyRange &range) { return range.owner == session; }));
+}
+
+// Picks a part at the low or high end of a settled range whose rate is close to the target rate and
+// not far above it. Parts with fewer keys score higher.
+std::optional<KeySpan> pickSpan(const BalanceInput &input, std::uint64_t donor, double targetRate)
+{
+    constexpr double maxRatio = 1.3; // of the target rate; more would only invert the imbalance
+    constexpr double minRatio = 0.25;
+    std::optional<KeySpan> best;
+    double bestScore = 0;
+    for (const KeyRange &range : input.table.ranges) {
+        if (range.owner != donor || range.fence == input.newEnd || !input.isSettled(range)) {
+            continue;
+        }
+        const KeySpan low{.first = range.span.first,
+                          .last = input.weights.lastKeyFromLow(range.span, targetRate)};
+        const KeySpan high{.first = input.weights.firstKeyFromHigh(range.span, targetRate),
+                           .last = range.span.last};
+        for (const KeySpan &span : {low, high}) {
+            double rate = input.weights.rateOf(span);
+            KeySpan part = span;
+            if (rate > targetRate * maxRatio && part.size() > 1) {
+                // The key that exceeds the target rate is a hot key: leave it out.
+                part = span == low ? KeySpan{.first = span.first, .last = span.last - 1}
+                                   : KeySpan{.first = span.first + 1, .last = span.last};
+                rate = input.weights.rateOf(part);
+            }
+            const double deviation = std::abs(rate - targetRate) / targetRate;
+            const double keys = static_cast<double>(part.size()) / (lastShardKey + 1);
+            const double score = 1 - deviation - keys;
+            if (rate <= targetRate * maxRatio && rate >= targetRate * minRatio
+                && (!best || score > bestScore)) {
+                best = part;
+                bestScore = score;
+            }
+        }
+    }
+    return best;
+}
+
+// Moves load until donor and receiver are equally utilised, but at most until the receiver reaches
+// the common utilisation.
+std::optional<BalanceMove> moveLoad(const BalanceInput &input, const Candidate &donor,
+                                    const Candidate &receiver, double commonUtilisation)
+{
+    const double equal = (donor.utilisation() - receiver.utilisation())
+                         / (1 / donor.capacity + 1 / receiver.capacity);
+    const double targetRate =
+            std::min({equal, commonUtilisation * receiver.capacity - receiver.rate,
+                      input.maxRateOf(receiver.session)});
+    if (rangeCountOf(input.table, receiver.session) >= input.settings.maxRangesPerSession) {
+        return std::nullopt;
+    }
+    const std::optional<KeySpan> span = pickSpan(input, donor.session, targetRate);
+    return span ? std::optional(BalanceMove{.span = *span, .receiver = receiver.session})
+                : std::nullopt;
+}
+
+} // namespace
+
+std::optional<BalanceMove> chooseBalanceMove(const BalanceInput &input)
+{
+    if (input.sessions.size() < 2) {
+        return std::nullopt;
+    }
+    const double commonUtilisation = commonUtilisationOf(input.sessions);
+    const auto byUtilisation = [](const Candidate &a, const Candidate &b) {
+        return a.utilisation() < b.utilisation();
+    };
+    const auto [emptiest, fullest] =
+            std::minmax_element(input.sessions.begin(), input.sessions.end(), byUtilisation);
+    const bool isFill = emptiest->utilisation() < commonUtilisation * input.settings.fillThreshold;
+    const bool isUneven =
+            fullest->utilisation() >= input.settings.minPeakUtilisation
+            && fullest->utilisation() - emptiest->utilisation() >= input.settings.minUtilisationGap;
+    const bool mayMove =
+            isFill || (isUneven && input.earlierMoves < input.settings.maxMovesPerPlan);
+    return mayMove ? moveLoad(input, *fullest, *emptiest, commonUtilisation) : std::nullopt;
+}
+
+} // namespace kumquat
--- a/packages/keyspace/key_table.cpp
+++ b/packages/keyspace/key_table.cpp
@@ -167,15 +167,16 @@
 
 void KeyTable::splitBefore(ShardKey key)
 {
-    for (std::size_t i = 0; i < this->ranges.size(); ++i) {
-        if (this->ranges[i].span.contains(key) && this->ranges[i].span.first != key) {
-            KeyRange upper = this->ranges[i];
-            upper.span.first = key;
-            this->ranges[i].span.last = key - 1;
-            this->ranges.insert(this->ranges.begin() + static_cast<std::ptrdiff_t>(i) + 1, upper);
-            return;
-        }
+    const auto found =
+            std::partition_point(this->ranges.begin(), this->ranges.end(),
+                                 [key](const KeyRange &range) { return range.span.last < key; });
+    if (found == this->ranges.end() || found->span.first >= key) {
+        return;
     }
+    KeyRange upper = *found;
+    upper.span.first = key;
+    found->span.last = key - 1;
+    this->ranges.insert(found + 1, std::move(upper));
 }
 
 bool KeyTable::isValid() const
--- a/packages/keyspace/range_planner.cpp
+++ b/packages/keyspace/range_planner.cpp
@@ -1,17 +1,16 @@
 // Implements planKeyTable.
 //
-// Sections: planner, sessions, voters, ranges, balance.
+// Sections: planner, sessions, ranges, balance.
 #include "keyspace/range_planner.h"
 
+#include "keyspace/balance_moves.h"
 #include "keyspace/evacuation_moves.h"
 #include "keyspace/key_weights.h"
-#include "keyspace/lease.h"
+#include "keyspace/span_distribution.h"
 #include "keyspace/voter_choice.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
-#include <tuple>
 #include <utility>
 
 namespace kumquat {
@@ -59,32 +58,24 @@
     bool mayEndSilent() const;
     void admitSessions();
     void markLeaving();
-    void removeStoppedSessions();
-
-    // Voters.
     void chooseVoters();
-    std::optional<std::vector<std::string>> replaceVoters(const KeySession &session) const;
-    bool isVoterUnavailable(const std::string &node) const;
-    bool isVoterStopping(const std::string &node) const;
+    void removeStoppedSessions();
 
     // Ranges.
     void moveFromLeaving();
     void moveFromEvacuated();
     void moveSpan(const KeySpan &span, std::uint64_t owner);
     void assignUnownedRanges();
-    void distribute(std::vector<std::size_t> rangeIndexes);
+    void distribute(const std::vector<KeySpan> &spans);
     void assign(KeyRange &range, std::uint64_t owner);
     void dropSettledPredecessors();
     bool isSettled(const KeyRange &range) const;
     std::vector<Candidate> candidates() const;
     std::size_t maxFillMoves(std::size_t sessions) const;
-    std::size_t rangeCountOf(std::uint64_t session) const;
 
     // Balance.
     void balance();
-    bool moveLoad(const Candidate &donor, const Candidate &receiver, double commonUtilisation);
     double maxRateOf(std::uint64_t receiver) const;
-    std::optional<KeySpan> pickSpan(std::uint64_t donor, double targetRate) const;
 
     double assumedKeyRate() const;
     double serviceSecondsOf(std::uint64_t session) const;
@@ -223,6 +214,22 @@
     }
 }
 
+void Planner::chooseVoters()
+{
+    const VoterInput voterInput{
+            .hosts = this->input.hosts, .count = this->settings.voters, .mayEnd = this->mayEnd};
+    for (KeySession &session : this->next.sessions) {
+        if (!session.isActive()) {
+            continue;
+        }
+        const SessionReport *found = this->report(session.id);
+        const bool usesVoters = found != nullptr && found->votersEnd >= this->input.table->end;
+        const bool isNew = this->input.table->session(session.id) == nullptr;
+        const bool mustWrite = updateVoters(session, usesVoters, isNew, voterInput);
+        this->hasChanged = this->hasChanged || mustWrite;
+    }
+}
+
 void Planner::removeStoppedSessions()
 {
     for (KeySession &session : this->next.sessions) {
@@ -251,80 +258,6 @@
     });
 }
 
-// ---- Voters ----
-
-bool Planner::isVoterUnavailable(const std::string &node) const
-{
-    const HostInfo *info = this->host(node);
-    return info == nullptr || !info->isReachable;
-}
-
-bool Planner::isVoterStopping(const std::string &node) const
-{
-    const HostInfo *info = this->host(node);
-    return info != nullptr && info->isStopping;
-}
-
-// Returns the voters to use instead of the present ones, or std::nullopt to keep them.
-//
-// A set of fewer voters is chosen only if the lease could not be renewed otherwise. It is safe:
-// until the owner has read the new set, both sets must give proof that the session has stopped.
-std::optional<std::vector<std::string>> Planner::replaceVoters(const KeySession &session) const
-{
-    std::size_t left = 0;
-    std::size_t unavailable = 0;
-    for (const std::string &voter : session.voters) {
-        const bool isUnavailable = this->isVoterUnavailable(voter);
-        unavailable += isUnavailable ? 1 : 0;
-        left += !isUnavailable && !this->isVoterStopping(voter) ? 1 : 0;
-    }
-    const std::size_t others = std::max<std::size_t>(1, this->input.hosts.size()) - 1;
-    const bool hasTooFew = session.voters.size() < std::min(this->settings.voters, others);
-    const bool hasLostLease = left < voterMajority(session.voters.size());
-    if (!hasTooFew && unavailable == 0 && !hasLostLease) {
-        return std::nullopt;
-    }
-    std::vector<std::string> voters = pickVoters(session, this->input.hosts, this->settings.voters);
-    const bool mayBeCutOff = (unavailable > 0 || voters.empty()) && !this->mayEnd;
-    const bool mayUse = voters.size() >= session.voters.size() || (hasLostLease && !mayBeCutOff);
-    return mayUse && voters != session.voters ? std::optional(std::move(voters)) : std::nullopt;
-}
-
-void Planner::chooseVoters()
-{
-    for (KeySession &session : this->next.sessions) {
-        if (!session.isActive()) {
-            continue;
-        }
-        const SessionReport *found = this->report(session.id);
-        const bool usesVoters = found != nullptr && found->votersEnd >= this->input.table->end;
-        if (!session.formerVoters.empty() && usesVoters) {
-            // Written with the next change, but at once if a lost voter could be missed in a proof.
-            this->hasChanged =
-                    this->hasChanged
-                    || std::any_of(session.formerVoters.begin(), session.formerVoters.end(),
-                                   [this](const std::string &voter) {
-                                       return this->isVoterUnavailable(voter);
-                                   });
-            session.formerVoters.clear();
-        }
-        if (!session.formerVoters.empty()) {
-            continue;
-        }
-        std::optional<std::vector<std::string>> voters = this->replaceVoters(session);
-        if (!voters) {
-            continue;
-        }
-        session.formerVoters = std::exchange(session.voters, *std::move(voters));
-        if (session.formerVoters.empty() && this->input.table->session(session.id) != nullptr) {
-            // Until the session's host has read the new voters, it keeps working without any vote,
-            // so the host itself remains a former voter.
-            session.formerVoters = {session.node};
-        }
-        this->hasChanged = true;
-    }
-}
-
 // ---- Ranges ----
 
 std::vector<Candidate> Planner::candidates() const
@@ -347,13 +280,6 @@
     return result;
 }
 
-std::size_t Planner::rangeCountOf(std::uint64_t session) const
-{
-    return static_cast<std::size_t>(
-            std::count_if(this->next.ranges.begin(), this->next.ranges.end(),
-                          [session](const KeyRange &range) { return range.owner == session; }));
-}
-
 // Returns whether no predecessor may hold the range any more, as reported by the owner's host.
 bool Planner::isSettled(const KeyRange &range) const
 {
@@ -390,15 +316,15 @@
 
 void Planner::moveFromLeaving()
 {
-    std::vector<std::size_t> indexes;
-    for (std::size_t i = 0; i < this->next.ranges.size(); ++i) {
-        const KeySession *owner = this->next.session(this->next.ranges[i].owner);
+    std::vector<KeySpan> spans;
+    for (const KeyRange &range : this->next.ranges) {
+        const KeySession *owner = this->next.session(range.owner);
         if (owner != nullptr && owner->isActive() && owner->leaving
             && !this->evacuated.contains(owner->id)) {
-            indexes.push_back(i);
+            spans.push_back(range.span);
         }
     }
-    this->distribute(std::move(indexes));
+    this->distribute(spans);
 }
 
 void Planner::moveFromEvacuated()
@@ -423,86 +349,37 @@
     if (span.last < lastShardKey) {
         this->next.splitBefore(span.last + 1);
     }
-    for (KeyRange &range : this->next.ranges) {
-        if (span.contains(range.span)) {
-            this->assign(range, owner);
-        }
+    auto range = std::partition_point(
+            this->next.ranges.begin(), this->next.ranges.end(),
+            [&span](const KeyRange &other) { return other.span.first < span.first; });
+    for (; range != this->next.ranges.end() && span.contains(range->span); ++range) {
+        this->assign(*range, owner);
     }
 }
 
 void Planner::assignUnownedRanges()
 {
-    std::vector<std::size_t> indexes;
+    std::vector<KeySpan> spans;
     std::uint32_t keys = 0;
-    for (std::size_t i = 0; i < this->next.ranges.size(); ++i) {
-        const KeySession *owner = this->next.session(this->next.ranges[i].owner);
+    for (const KeyRange &range : this->next.ranges) {
+        const KeySession *owner = this->next.session(range.owner);
         if (owner == nullptr || !owner->isActive()) {
-            indexes.push_back(i);
-            keys += this->next.ranges[i].span.size();
+            spans.push_back(range.span);
+            keys += range.span.size();
         }
     }
     const bool isMassLoss = keys > this->settings.massLossShare * (lastShardKey + 1);
     if (isMassLoss && this->input.hostsSteadyFor < this->settings.massLossWait) {
         return;
     }
-    this->distribute(std::move(indexes));
+    this->distribute(spans);
 }
 
-// Assigns whole ranges or parts of them to the sessions with the most free capacity, so that all of
-// these sessions end at about the same utilisation.
-void Planner::distribute(std::vector<std::size_t> rangeIndexes)
+void Planner::distribute(const std::vector<KeySpan> &spans)
 {
-    std::vector<Candidate> eligible = this->candidates();
-    if (eligible.empty() || rangeIndexes.empty()) {
-        return;
-    }
-    double total = 0;
-    for (const std::size_t index : rangeIndexes) {
-        total += this->weights.rateOf(this->next.ranges[index].span);
-    }
-    std::sort(eligible.begin(), eligible.end(), [](const Candidate &a, const Candidate &b) {
-        return a.utilisation() < b.utilisation();
-    });
-    // Finds how many of the least utilised sessions to fill, and up to which utilisation.
-    std::size_t filled = 0;
-    double rates = 0;
-    double capacities = 0;
-    double commonUtilisation = 0;
-    while (filled < eligible.size()) {
-        rates += eligible[filled].rate;
-        capacities += eligible[filled].capacity;
-        ++filled;
-        commonUtilisation = (rates + total) / capacities;
-        if (filled == eligible.size() || commonUtilisation <= eligible[filled].utilisation()) {
-            break;
-        }
-    }
-    std::size_t receiverIndex = 0;
-    double quota = commonUtilisation * eligible[0].capacity - eligible[0].rate;
-    const double minWeight =
-            total / (4.0 * static_cast<double>(filled)); // less is not worth a separate range
-    // Goes from the highest index down, so that splitting a range leaves the other indexes valid.
-    std::sort(rangeIndexes.rbegin(), rangeIndexes.rend());
-    for (const std::size_t index : rangeIndexes) {
-        bool isWhole = false;
-        while (!isWhole) {
-            while (receiverIndex + 1 < filled && quota < minWeight) {
-                ++receiverIndex;
-                quota += commonUtilisation * eligible[receiverIndex].capacity
-                         - eligible[receiverIndex].rate;
-            }
-            KeyRange &range = this->next.ranges[index];
-            const double weight = this->weights.rateOf(range.span);
-            const bool isLast = receiverIndex + 1 >= filled;
-            const ShardKey cutKey = this->weights.firstKeyFromHigh(range.span, quota);
-            isWhole = isLast || weight <= quota + minWeight || cutKey <= range.span.first;
-            if (!isWhole) {
-                this->next.splitBefore(cutKey);
-            }
-            KeyRange &assigned = this->next.ranges[isWhole ? index : index + 1];
-            quota -= this->weights.rateOf(assigned.span);
-            this->assign(assigned, eligible[receiverIndex].session);
-        }
+    for (const SpanAssignment &assignment :
+         distributeSpans(spans, this->candidates(), this->weights)) {
+        this->moveSpan(assignment.span, assignment.owner);
     }
 }
 
@@ -517,48 +394,22 @@
 {
     const std::size_t maxMoves = this->maxFillMoves(this->candidates().size());
     for (std::size_t move = 0; move < maxMoves; ++move) {
-        std::vector<Candidate> eligible = this->candidates();
-        if (eligible.size() < 2) {
-            return;
-        }
-        const double commonUtilisation = commonUtilisationOf(eligible);
-        const auto byUtilisation = [](const Candidate &a, const Candidate &b) {
-            return a.utilisation() < b.utilisation();
-        };
-        const auto [emptiest, fullest] =
-                std::minmax_element(eligible.begin(), eligible.end(), byUtilisation);
-        const bool isFill =
-                emptiest->utilisation() < commonUtilisation * this->settings.fillThreshold;
-        const bool isUneven = fullest->utilisation() >= this->settings.minPeakUtilisation
-                              && fullest->utilisation() - emptiest->utilisation()
-                                         >= this->settings.minUtilisationGap;
-        const bool mayMove = isFill || (isUneven && move < this->settings.maxMovesPerPlan);
-        if (!mayMove || !this->moveLoad(*fullest, *emptiest, commonUtilisation)) {
+        const std::optional<BalanceMove> chosen = chooseBalanceMove(
+                {.table = this->next,
+                 .weights = this->weights,
+                 .settings = this->settings,
+                 .newEnd = this->input.newEnd,
+                 .sessions = this->candidates(),
+                 .earlierMoves = move,
+                 .isSettled = [this](const KeyRange &range) { return this->isSettled(range); },
+                 .maxRateOf = [this](std::uint64_t session) { return this->maxRateOf(session); }});
+        if (!chosen) {
             return;
         }
+        this->moveSpan(chosen->span, chosen->receiver);
     }
 }
 
-// Moves load until donor and receiver are equally utilised, but at most until the receiver reaches
-// the common utilisation. Returns false if nothing was moved.
-bool Planner::moveLoad(const Candidate &donor, const Candidate &receiver, double commonUtilisation)
-{
-    const double equal = (donor.utilisation() - receiver.utilisation())
-                         / (1 / donor.capacity + 1 / receiver.capacity);
-    const double targetRate =
-            std::min({equal, commonUtilisation * receiver.capacity - receiver.rate,
-                      this->maxRateOf(receiver.session)});
-    if (this->rangeCountOf(receiver.session) >= this->settings.maxRangesPerSession) {
-        return false;
-    }
-    const std::optional<KeySpan> span = this->pickSpan(donor.session, targetRate);
-    if (!span) {
-        return false;
-    }
-    this->moveSpan(*span, receiver.session);
-    return true;
-}
-
 // Returns the load that the session may get in one move.
 double Planner::maxRateOf(std::uint64_t receiver) const
 {
@@ -569,44 +420,6 @@
     return this->weights.rateOf(allKeys) * keys / (lastShardKey + 1);
 }
 
-// Picks a part at the low or high end of a settled range whose rate is close to the target rate and
-// not far above it. Parts with fewer keys score higher.
-std::optional<KeySpan> Planner::pickSpan(std::uint64_t donor, double targetRate) const
-{
-    constexpr double maxRatio = 1.3; // of the target rate; more would only invert the imbalance
-    constexpr double minRatio = 0.25;
-    std::optional<KeySpan> best;
-    double bestScore = 0;
-    for (const KeyRange &range : this->next.ranges) {
-        if (range.owner != donor || range.fence == this->input.newEnd || !this->isSettled(range)) {
-            continue;
-        }
-        const KeySpan low{.first = range.span.first,
-                          .last = this->weights.lastKeyFromLow(range.span, targetRate)};
-        const KeySpan high{.first = this->weights.firstKeyFromHigh(range.span, targetRate),
-                           .last = range.span.last};
-        for (const KeySpan &span : {low, high}) {
-            double rate = this->weights.rateOf(span);
-            KeySpan part = span;
-            if (rate > targetRate * maxRatio && part.size() > 1) {
-                // The key that exceeds the target rate is a hot key: leave it out.
-                part = span == low ? KeySpan{.first = span.first, .last = span.last - 1}
-                                   : KeySpan{.first = span.first + 1, .last = span.last};
-                rate = this->weights.rateOf(part);
-            }
-            const double deviation = std::abs(rate - targetRate) / targetRate;
-            const double keys = static_cast<double>(part.size()) / (lastShardKey + 1);
-            const double score = 1 - deviation - keys;
-            if (rate <= targetRate * maxRatio && rate >= targetRate * minRatio
-                && (!best || score > bestScore)) {
-                best = part;
-                bestScore = score;
-            }
-        }
-    }
-    return best;
-}
-
 } // namespace
 
 std::optional<KeyTable> planKeyTable(const PlanInput &input, const PlannerSettings &settings)
