keyspace: a key that exceeds its upstream does not stop the balancing of others

Cause: balancing ended when no part of the fullest session's keys could be moved. A session with one key that gets more than an upstream can serve stays the fullest one, so no other keys moved either. Measured: the new test fails before (200 busy keys stay with one of four sessions).

--- a/packages/keyspace/balance_moves.cpp
+++ b/packages/keyspace/balance_moves.cpp
@@ -77,18 +77,30 @@
         return std::nullopt;
     }
     const double commonUtilisation = commonUtilisationOf(input.sessions);
-    const auto byUtilisation = [](const Candidate &a, const Candidate &b) {
-        return a.utilisation() < b.utilisation();
-    };
-    const auto [emptiest, fullest] =
-            std::minmax_element(input.sessions.begin(), input.sessions.end(), byUtilisation);
-    const bool isFill = emptiest->utilisation() < commonUtilisation * input.settings.fillThreshold;
-    const bool isUneven =
-            fullest->utilisation() >= input.settings.minPeakUtilisation
-            && fullest->utilisation() - emptiest->utilisation() >= input.settings.minUtilisationGap;
-    const bool mayMove =
-            isFill || (isUneven && input.earlierMoves < input.settings.maxMovesPerPlan);
-    return mayMove ? moveLoad(input, *fullest, *emptiest, commonUtilisation) : std::nullopt;
+    std::vector<Candidate> fullestFirst = input.sessions;
+    std::sort(fullestFirst.begin(), fullestFirst.end(), [](const Candidate &a, const Candidate &b) {
+        return a.utilisation() > b.utilisation();
+    });
+    const Candidate &emptiest = fullestFirst.back();
+    const bool isFill = emptiest.utilisation() < commonUtilisation * input.settings.fillThreshold;
+    // A key that gets more than one session can serve cannot be divided. Its session stays the
+    // fullest one, so the others have their turn as well.
+    for (const Candidate &donor : fullestFirst) {
+        const bool isFullest = donor.session == fullestFirst.front().session;
+        const bool isUneven =
+                donor.utilisation() >= input.settings.minPeakUtilisation
+                && donor.utilisation() - emptiest.utilisation() >= input.settings.minUtilisationGap;
+        const bool isOverloaded = isUneven && donor.utilisation() >= 1;
+        const bool mayMove = (isFill && isFullest) || isOverloaded
+                             || (isUneven && input.earlierMoves < input.settings.maxMovesPerPlan);
+        if (!mayMove) {
+            return std::nullopt;
+        }
+        if (const auto move = moveLoad(input, donor, emptiest, commonUtilisation)) {
+            return move;
+        }
+    }
+    return std::nullopt;
 }
 
 } // namespace kumquat
--- a/packages/keyspace/tests/test_range_planner.cpp
+++ b/packages/keyspace/tests/test_range_planner.cpp
@@ -554,4 +554,34 @@
     CHECK(cluster.table.ranges == before.ranges);
 }
 
+// Load: one key gets more requests than any upstream can serve, and 200 neighbouring keys of
+// another session get several times as many as it can serve. Guards against a key that cannot be
+// divided and so stops the balancing of all other keys.
+TEST_CASE("a key that exceeds its upstream does not stop the balancing of others",
+          "[range_planner]")
+{
+    Cluster cluster;
+    cluster.settle();
+    const auto rangeOf = [&](const std::string &node) {
+        const KeySession *session = cluster.table.activeSessionOf(node);
+        return std::find_if(cluster.table.ranges.begin(), cluster.table.ranges.end(),
+                            [&](const KeyRange &range) { return range.owner == session->id; })
+                ->span;
+    };
+    const ShardKey hotKey = rangeOf("a").first + 100;
+    const ShardKey firstBusy = rangeOf("b").first + 1000;
+    cluster.load.add(hotKey, 3000, cluster.now);
+    for (ShardKey key = firstBusy; key < firstBusy + 200; ++key) {
+        cluster.load.add(key, 5, cluster.now);
+    }
+    cluster.settle();
+    std::map<std::uint64_t, int> busyKeys;
+    for (ShardKey key = firstBusy; key < firstBusy + 200; ++key) {
+        ++busyKeys[cluster.table.find(key)->owner];
+    }
+    CHECK(busyKeys[cluster.table.activeSessionOf("b")->id] < 90);
+    CHECK(busyKeys[cluster.table.activeSessionOf("c")->id] > 40);
+    CHECK(busyKeys[cluster.table.activeSessionOf("d")->id] > 40);
+}
+
 } // namespace kumquat
