keyspace: overloaded sessions pass on keys faster

Cause: three moves a second spread a cluster of busy keys over more than five seconds, as long as it lasts; four of 35 sessions refused hundreds of requests a second and others were half idle. Change: sessions beyond what they can serve and 1.5 times the mean are not bound to three moves.

--- a/packages/keyspace/balance_moves.cpp
+++ b/packages/keyspace/balance_moves.cpp
@@ -90,8 +90,11 @@
         const bool isUneven =
                 donor.utilisation() >= input.settings.minPeakUtilisation
                 && donor.utilisation() - emptiest.utilisation() >= input.settings.minUtilisationGap;
-        const bool isOverloaded = isUneven && donor.utilisation() >= 1;
-        const bool mayMove = (isFill && isFullest) || isOverloaded
+        const bool isOverloaded =
+                isUneven && donor.utilisation() >= 1
+                && donor.utilisation() >= commonUtilisation * input.settings.overloadRatio;
+        const bool mayMove = (isFill && isFullest && input.earlierMoves < input.maxFillMoves)
+                             || isOverloaded
                              || (isUneven && input.earlierMoves < input.settings.maxMovesPerPlan);
         if (!mayMove) {
             return std::nullopt;
--- a/packages/keyspace/balance_moves.h
+++ b/packages/keyspace/balance_moves.h
@@ -30,6 +30,7 @@
     std::uint64_t newEnd = 0;        // of the table being planned; its moves stay as they are
     std::vector<Candidate> sessions; // sessions that may get keys
     std::size_t earlierMoves = 0;    // to balance the load, in the table being planned
+    std::size_t maxFillMoves = 0;    // moves per plan to sessions far below the others
     // Says whether no former owner may hold the range any more.
     std::function<bool(const KeyRange &range)> isSettled;
     // Returns the load in requests per second that the session may get in one move.
--- a/packages/keyspace/range_planner.cpp
+++ b/packages/keyspace/range_planner.cpp
@@ -392,7 +392,10 @@
 
 void Planner::balance()
 {
-    const std::size_t maxMoves = this->maxFillMoves(this->candidates().size());
+    const std::size_t sessions = this->candidates().size();
+    const std::size_t maxFill = this->maxFillMoves(sessions);
+    const std::size_t maxMoves =
+            std::max(maxFill, std::min(sessions, this->settings.maxOverloadMoves));
     for (std::size_t move = 0; move < maxMoves; ++move) {
         const std::optional<BalanceMove> chosen = chooseBalanceMove(
                 {.table = this->next,
@@ -401,6 +404,7 @@
                  .newEnd = this->input.newEnd,
                  .sessions = this->candidates(),
                  .earlierMoves = move,
+                 .maxFillMoves = maxFill,
                  .isSettled = [this](const KeyRange &range) { return this->isSettled(range); },
                  .maxRateOf = [this](std::uint64_t session) { return this->maxRateOf(session); }});
         if (!chosen) {
--- a/packages/keyspace/range_planner.h
+++ b/packages/keyspace/range_planner.h
@@ -108,6 +108,11 @@
     double minUtilisationGap = 0.15; // between the most and the least utilised session
     double minPeakUtilisation = 0.3; // of the most utilised session; balancing gains nothing below
     std::size_t maxMovesPerPlan = 3; // to balance the load
+    // Sessions that get more than they can serve, and this many times the mean, pass keys on
+    // faster. A cluster of busy keys moves within seconds, and each move gives one session its
+    // share.
+    double overloadRatio = 1.5;
+    std::size_t maxOverloadMoves = 24; // bounds the time of one plan
     // Sessions far below the others, such as those of new upstreams, get keys faster: each plan
     // makes one move per this many sessions. Four plans, one per second, fill them all.
     std::size_t sessionsPerFillMove = 4;
