--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -10,19 +10,16 @@
 
 using platform::AppendOutcome;
 using platform::AppendResult;
-using platform::StoreTopic;
 
 Coordinator::Coordinator(FiberThread &coordinatorThread, const std::string &ownNode,
                          const std::string &ownService, ClusterView &clusterView,
-                         LinkPool &linkPool, platform::StoreClient &storeClient,
-                         Metrics &stageMetrics, CoordinatorHooks coordinatorHooks,
-                         CoordinatorSettings coordinatorSettings)
+                         LinkPool &linkPool, Metrics &stageMetrics,
+                         CoordinatorHooks coordinatorHooks, CoordinatorSettings coordinatorSettings)
     : thread(coordinatorThread)
     , node(ownNode)
     , service(ownService)
     , view(clusterView)
     , links(linkPool)
-    , store(storeClient)
     , metrics(stageMetrics)
     , hooks(std::move(coordinatorHooks))
     , settings(coordinatorSettings)
@@ -289,8 +286,7 @@
     this->thread.spawn([this, table = std::move(table)] {
         const std::uint64_t expectedEnd = table.end - 1;
         const std::string bytes = table.encode();
-        const AppendResult result = this->store.append(StoreTopic::Tables, this->service, bytes,
-                                                       storeEraOf(table.end), expectedEnd);
+        const AppendResult result = this->hooks.append(bytes, storeEraOf(table.end), expectedEnd);
         this->isWriting = false;
         logInfo(LogPart::Slots, "key table written",
                 {{"service", this->service},
--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -29,6 +29,11 @@
     // Called with how far another process has read, by its answer to a call made at `askedAt`.
     std::function<void(const std::string &node, const wire::Known &known, Time askedAt)>
             knownReceived;
+    // Appends a key table to the store if the key tables there end at `expectedEnd`. Called on a
+    // fiber.
+    std::function<platform::AppendResult(const std::string &bytes, std::uint32_t era,
+                                         std::uint64_t expectedEnd)>
+            append;
     std::function<void()> tablesOutdated; // the store has records that this host has not read
     std::function<void(const wire::StateReply &update)> broadcast; // sends new state to all hosts
 };
@@ -62,8 +67,8 @@
 public:
     Coordinator(FiberThread &coordinatorThread, const std::string &ownNode,
                 const std::string &ownService, ClusterView &clusterView, LinkPool &linkPool,
-                platform::StoreClient &storeClient, Metrics &stageMetrics,
-                CoordinatorHooks coordinatorHooks, CoordinatorSettings coordinatorSettings = {});
+                Metrics &stageMetrics, CoordinatorHooks coordinatorHooks,
+                CoordinatorSettings coordinatorSettings = {});
 
     // Call every 100 ms.
     void advance(Time now);
@@ -112,7 +117,6 @@
     std::string service;
     ClusterView &view;
     LinkPool &links;
-    platform::StoreClient &store;
     Metrics &metrics;
     CoordinatorHooks hooks;
     CoordinatorSettings settings;
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -177,7 +177,7 @@
                .suspectCleared =
                        [this](Fingerprint fingerprint) { this->broadcastCleared(fingerprint); }})
     , coordinator(this->thread, this->settings.node, this->settings.service, this->view,
-                  this->links, this->store, this->metrics,
+                  this->links, this->metrics,
                   {.makeReport = [this] { return this->makeReport(); },
                    .takeKeyCounts = [this] { return this->executor.takeKeyCounts(); },
                    .knownReceived =
@@ -185,6 +185,13 @@
                                this->noteKnown(node, known);
                                this->noteTableAge(known, askedAt);
                            },
+                   .append =
+                           [this](const std::string &bytes, std::uint32_t era,
+                                  std::uint64_t expectedEnd) {
+                               return this->store.append(platform::StoreTopic::Tables,
+                                                         this->settings.service, bytes, era,
+                                                         expectedEnd);
+                           },
                    .tablesOutdated =
                            [this] { this->follower.requestRead(platform::StoreTopic::Tables); },
                    .broadcast =
