keyspace: one type for moves of keys, and one search for a host

The modules of the planner had a type for moves each, and the planner and the choice of voters searched the hosts in three places.

--- a/packages/keyspace/balance_moves.cpp
+++ b/packages/keyspace/balance_moves.cpp
@@ -53,8 +53,8 @@
 
 // Moves load until donor and receiver are equally utilised, but at most until the receiver reaches
 // the common utilisation.
-std::optional<BalanceMove> moveLoad(const BalanceInput &input, const Candidate &donor,
-                                    const Candidate &receiver, double commonUtilisation)
+std::optional<KeyMove> moveLoad(const BalanceInput &input, const Candidate &donor,
+                                const Candidate &receiver, double commonUtilisation)
 {
     const double equal = (donor.utilisation() - receiver.utilisation())
                          / (1 / donor.capacity + 1 / receiver.capacity);
@@ -65,13 +65,13 @@
         return std::nullopt;
     }
     const std::optional<KeySpan> span = pickSpan(input, donor.session, targetRate);
-    return span ? std::optional(BalanceMove{.span = *span, .receiver = receiver.session})
+    return span ? std::optional(KeyMove{.span = *span, .receiver = receiver.session})
                 : std::nullopt;
 }
 
 } // namespace
 
-std::optional<BalanceMove> chooseBalanceMove(const BalanceInput &input)
+std::optional<KeyMove> chooseBalanceMove(const BalanceInput &input)
 {
     if (input.sessions.size() < 2) {
         return std::nullopt;
--- a/packages/keyspace/balance_moves.h
+++ b/packages/keyspace/balance_moves.h
@@ -1,6 +1,6 @@
 // Chooses which keys move next to balance the load of the sessions of one service.
 //
-//   if (const std::optional<BalanceMove> move = chooseBalanceMove(input)) { ... }
+//   if (const std::optional<KeyMove> move = chooseBalanceMove(input)) { ... }
 #pragma once
 
 #include "keyspace/key_table.h"
@@ -16,12 +16,6 @@
 
 namespace kumquat {
 
-struct BalanceMove
-{
-    KeySpan span; // within one range
-    std::uint64_t receiver = 0;
-};
-
 struct BalanceInput
 {
     const KeyTable &table;
@@ -37,6 +31,6 @@
 };
 
 // Returns nothing if the load is balanced, or if no part of a range is suitable to move.
-std::optional<BalanceMove> chooseBalanceMove(const BalanceInput &input);
+std::optional<KeyMove> chooseBalanceMove(const BalanceInput &input);
 
 } // namespace kumquat
--- a/packages/keyspace/evacuation_moves.cpp
+++ b/packages/keyspace/evacuation_moves.cpp
@@ -35,9 +35,9 @@
 
 } // namespace
 
-std::vector<EvacuationMove> chooseEvacuationMoves(EvacuationInput input)
+std::vector<KeyMove> chooseEvacuationMoves(EvacuationInput input)
 {
-    std::vector<EvacuationMove> moves;
+    std::vector<KeyMove> moves;
     if (input.receivers.empty() || input.evacuated.empty()) {
         return moves;
     }
--- a/packages/keyspace/evacuation_moves.h
+++ b/packages/keyspace/evacuation_moves.h
@@ -3,7 +3,7 @@
 // moved, but a move of all keys at once would slow them for longer: each of them needs a handover
 // and meets a cold cache.
 //
-//   for (const EvacuationMove &move : chooseEvacuationMoves(input)) { ... }
+//   for (const KeyMove &move : chooseEvacuationMoves(input)) { ... }
 #pragma once
 
 #include "keyspace/key_table.h"
@@ -18,12 +18,6 @@
 
 namespace kumquat {
 
-struct EvacuationMove
-{
-    KeySpan span; // within one range
-    std::uint64_t receiver = 0;
-};
-
 struct EvacuationInput
 {
     const KeyTable &table;
@@ -36,7 +30,7 @@
 };
 
 // Returns nothing if there are no receivers: the keys stay.
-std::vector<EvacuationMove> chooseEvacuationMoves(EvacuationInput input);
+std::vector<KeyMove> chooseEvacuationMoves(EvacuationInput input);
 
 // Returns how many keys a session whose data centre was evacuated may get in one move, if
 // `sessions` may get keys.
--- a/packages/keyspace/range_planner.cpp
+++ b/packages/keyspace/range_planner.cpp
@@ -64,7 +64,7 @@
     // Ranges.
     void moveFromLeaving();
     void moveFromEvacuated();
-    void moveSpan(const KeySpan &span, std::uint64_t owner);
+    void moveSpan(const KeyMove &move);
     void assignUnownedRanges();
     void distribute(const std::vector<KeySpan> &spans);
     void assign(KeyRange &range, std::uint64_t owner);
@@ -79,7 +79,6 @@
 
     double assumedKeyRate() const;
     double serviceSecondsOf(std::uint64_t session) const;
-    const HostInfo *host(std::string_view node) const;
     const SessionReport *report(std::uint64_t session) const;
 
     const PlanInput &input;
@@ -110,13 +109,6 @@
                                                          : this->settings.assumedServiceSeconds;
 }
 
-const HostInfo *Planner::host(std::string_view node) const
-{
-    const auto found = std::find_if(this->input.hosts.begin(), this->input.hosts.end(),
-                                    [node](const HostInfo &info) { return info.node == node; });
-    return found == this->input.hosts.end() ? nullptr : &*found;
-}
-
 const SessionReport *Planner::report(std::uint64_t session) const
 {
     const auto found = this->input.reports.find(session);
@@ -197,7 +189,7 @@
 void Planner::markLeaving()
 {
     for (KeySession &session : this->next.sessions) {
-        const HostInfo *info = this->host(session.node);
+        const HostInfo *info = findHost(this->input.hosts, session.node);
         const SessionReport *found = this->report(session.id);
         const bool drains = info != nullptr && info->instance == session.instance
                             && info->phase == UpstreamPhase::Draining;
@@ -269,7 +261,7 @@
         if (!session.isActive() || session.leaving || isSuspect) {
             continue;
         }
-        const double slots = usableSlotsOf(this->host(session.node), session);
+        const double slots = usableSlotsOf(findHost(this->input.hosts, session.node), session);
         Candidate candidate{.session = session.id,
                             .capacity = slots / this->serviceSecondsOf(session.id)};
         for (const KeyRange &range : this->next.ranges) {
@@ -337,14 +329,15 @@
              .receivers = receivers,
              .maxMoves = this->maxFillMoves(receivers.size()),
              .isSettled = [this](const KeyRange &range) { return this->isSettled(range); }});
-    for (const EvacuationMove &move : moves) {
-        this->moveSpan(move.span, move.receiver);
+    for (const KeyMove &move : moves) {
+        this->moveSpan(move);
     }
 }
 
 // Gives keys of one range to a new owner.
-void Planner::moveSpan(const KeySpan &span, std::uint64_t owner)
+void Planner::moveSpan(const KeyMove &move)
 {
+    const KeySpan &span = move.span;
     this->next.splitBefore(span.first);
     if (span.last < lastShardKey) {
         this->next.splitBefore(span.last + 1);
@@ -353,7 +346,7 @@
             this->next.ranges.begin(), this->next.ranges.end(),
             [&span](const KeyRange &other) { return other.span.first < span.first; });
     for (; range != this->next.ranges.end() && span.contains(range->span); ++range) {
-        this->assign(*range, owner);
+        this->assign(*range, move.receiver);
     }
 }
 
@@ -377,9 +370,8 @@
 
 void Planner::distribute(const std::vector<KeySpan> &spans)
 {
-    for (const SpanAssignment &assignment :
-         distributeSpans(spans, this->candidates(), this->weights)) {
-        this->moveSpan(assignment.span, assignment.owner);
+    for (const KeyMove &move : distributeSpans(spans, this->candidates(), this->weights)) {
+        this->moveSpan(move);
     }
 }
 
@@ -394,7 +386,7 @@
 {
     const std::size_t maxMoves = this->maxFillMoves(this->candidates().size());
     for (std::size_t move = 0; move < maxMoves; ++move) {
-        const std::optional<BalanceMove> chosen = chooseBalanceMove(
+        const std::optional<KeyMove> chosen = chooseBalanceMove(
                 {.table = this->next,
                  .weights = this->weights,
                  .settings = this->settings,
@@ -406,14 +398,14 @@
         if (!chosen) {
             return;
         }
-        this->moveSpan(chosen->span, chosen->receiver);
+        this->moveSpan(*chosen);
     }
 }
 
 // Returns the load that the session may get in one move.
 double Planner::maxRateOf(std::uint64_t receiver) const
 {
-    const HostInfo *info = this->host(this->next.session(receiver)->node);
+    const HostInfo *info = findHost(this->input.hosts, this->next.session(receiver)->node);
     const std::uint32_t keys = info != nullptr && info->isReturning
                                        ? returningKeys(this->candidates().size())
                                        : lastShardKey + 1;
@@ -422,6 +414,13 @@
 
 } // namespace
 
+const HostInfo *findHost(const std::vector<HostInfo> &hosts, std::string_view node)
+{
+    const auto found = std::find_if(hosts.begin(), hosts.end(),
+                                    [node](const HostInfo &info) { return info.node == node; });
+    return found == hosts.end() ? nullptr : &*found;
+}
+
 std::optional<KeyTable> planKeyTable(const PlanInput &input, const PlannerSettings &settings)
 {
     return Planner(input, settings).plan();
--- a/packages/keyspace/range_planner.h
+++ b/packages/keyspace/range_planner.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace kumquat {
@@ -52,6 +53,9 @@
     std::uint32_t usableSlots = 0;
 };
 
+// Returns the host of this name, or nullptr.
+const HostInfo *findHost(const std::vector<HostInfo> &hosts, std::string_view node);
+
 // Returns the slots of a session that keys may use. `host`: that of the session, or nullptr.
 inline std::uint32_t usableSlotsOf(const HostInfo *host, const KeySession &session)
 {
--- a/packages/keyspace/session_load.h
+++ b/packages/keyspace/session_load.h
@@ -1,6 +1,8 @@
-// Load of the sessions that may get keys.
+// Load of the sessions that may get keys, and the moves of keys to them.
 #pragma once
 
+#include "keyspace/key_table.h"
+
 #include <cstdint>
 #include <vector>
 
@@ -16,6 +18,13 @@
     double utilisation() const { return this->rate / this->capacity; }
 };
 
+// Keys that get a new owner.
+struct KeyMove
+{
+    KeySpan span; // within one range
+    std::uint64_t receiver = 0;
+};
+
 // Returns the utilisation of each session if the load were balanced perfectly.
 inline double commonUtilisationOf(const std::vector<Candidate> &sessions)
 {
--- a/packages/keyspace/span_distribution.cpp
+++ b/packages/keyspace/span_distribution.cpp
@@ -34,13 +34,12 @@
 
 } // namespace
 
-std::vector<SpanAssignment> distributeSpans(const std::vector<KeySpan> &spans,
-                                            std::vector<Candidate> sessions,
-                                            const KeyWeights &weights)
+std::vector<KeyMove> distributeSpans(const std::vector<KeySpan> &spans,
+                                     std::vector<Candidate> sessions, const KeyWeights &weights)
 {
-    std::vector<SpanAssignment> assignments;
+    std::vector<KeyMove> moves;
     if (sessions.empty() || spans.empty()) {
-        return assignments;
+        return moves;
     }
     double total = 0;
     for (const KeySpan &span : spans) {
@@ -71,10 +70,10 @@
                 rest.last = cutKey - 1;
             }
             quota -= weights.rateOf(part);
-            assignments.push_back({.span = part, .owner = sessions[receiver].session});
+            moves.push_back({.span = part, .receiver = sessions[receiver].session});
         }
     }
-    return assignments;
+    return moves;
 }
 
 } // namespace kumquat
--- a/packages/keyspace/voter_choice.cpp
+++ b/packages/keyspace/voter_choice.cpp
@@ -11,13 +11,6 @@
 namespace kumquat {
 namespace {
 
-const HostInfo *findHost(const std::vector<HostInfo> &hosts, const std::string &node)
-{
-    const auto found = std::find_if(hosts.begin(), hosts.end(),
-                                    [&node](const HostInfo &info) { return info.node == node; });
-    return found == hosts.end() ? nullptr : &*found;
-}
-
 bool isUnavailable(const std::vector<HostInfo> &hosts, const std::string &node)
 {
     const HostInfo *info = findHost(hosts, node);
@@ -35,9 +28,7 @@
 std::vector<std::string> pickVoters(const KeySession &session, const std::vector<HostInfo> &hosts,
                                     std::size_t count)
 {
-    const auto ownHost = std::find_if(hosts.begin(), hosts.end(), [&session](const HostInfo &info) {
-        return info.node == session.node;
-    });
+    const HostInfo *ownHost = findHost(hosts, session.node);
     struct Choice
     {
         std::size_t cost;
@@ -49,7 +40,7 @@
         if (info.node == session.node || !info.isReachable || info.isStopping) {
             continue;
         }
-        const bool sameRegion = ownHost != hosts.end() && ownHost->region == info.region;
+        const bool sameRegion = ownHost != nullptr && ownHost->region == info.region;
         choices.push_back({sameRegion ? 0UL : 1UL,
                            hashPair(hashBytes(session.node), hashBytes(info.node)), &info});
     }
