stage: a process that starts in a later era takes over evacuations from other hosts

Cause: after a rollback of the store, a starting process took host records from the first of five hosts that answered, and no evacuations. Evacuations that the store had lost did not bind it, and a leave that only another of these hosts knew was missed.

The simulated store can also lose records of the operator.

--- a/packages/stage/evacuations.cpp
+++ b/packages/stage/evacuations.cpp
@@ -6,6 +6,19 @@
 #include <algorithm>
 
 namespace kumquat {
+namespace {
+
+std::vector<EvacuationRecord> recordsOf(const wire::StateReply &state)
+{
+    std::vector<EvacuationRecord> records;
+    for (const wire::StateItem &item : state.evacuations()) {
+        records.push_back(
+                {.dataCentre = item.key(), .offset = item.offset(), .value = item.value()});
+    }
+    return records;
+}
+
+} // namespace
 
 // Returns whether the record starts or ends the evacuation of its data centre.
 bool Evacuations::keep(const EvacuationRecord &record, const std::string &source)
@@ -102,12 +115,18 @@
 
 void Evacuations::applyState(const wire::StateReply &state, const std::string &source)
 {
-    std::vector<EvacuationRecord> records;
-    for (const wire::StateItem &item : state.evacuations()) {
-        records.push_back(
-                {.dataCentre = item.key(), .offset = item.offset(), .value = item.value()});
+    this->applyAll(recordsOf(state), state.known().operator_end(), source);
+}
+
+void Evacuations::restoreFrom(const wire::StateReply &state, const std::string &source)
+{
+    this->applyState(state, source);
+    bool hasChanged = false;
+    for (const EvacuationRecord &record : recordsOf(state)) {
+        const bool isEarlier = storeEraOf(record.offset) < storeEraOf(this->readEnd);
+        hasChanged = (isEarlier && this->keep(record, source)) || hasChanged;
     }
-    this->applyAll(records, state.known().operator_end(), source);
+    this->notify(hasChanged);
 }
 
 bool Evacuations::isEvacuated(const std::string &dataCentre) const
--- a/packages/stage/evacuations.h
+++ b/packages/stage/evacuations.h
@@ -59,6 +59,10 @@
     // Applies what another process knows. The state must be its answer to a query of this process.
     void applyState(const wire::StateReply &state, const std::string &source);
 
+    // Applies what another process knows, for a process that starts after a rollback of the store:
+    // also records of earlier eras for which it has read none, as the store may have lost them.
+    void restoreFrom(const wire::StateReply &state, const std::string &source);
+
     // Returns the position up to which the operator's records have been read.
     std::uint64_t end() const { return this->readEnd; }
 
--- a/packages/stage/relay_choice.cpp
+++ b/packages/stage/relay_choice.cpp
@@ -33,10 +33,16 @@
     return static_cast<std::size_t>(before) < this->settings.relays;
 }
 
-std::vector<std::string> RelayChoice::preferred(std::vector<std::string> nodes) const
+std::vector<std::string> RelayChoice::ordered(std::vector<std::string> nodes)
 {
     std::sort(nodes.begin(), nodes.end(),
               [](const std::string &a, const std::string &b) { return orderOf(a) < orderOf(b); });
+    return nodes;
+}
+
+std::vector<std::string> RelayChoice::preferred(std::vector<std::string> nodes) const
+{
+    nodes = ordered(std::move(nodes));
     nodes.resize(std::min(nodes.size(), this->settings.relays));
     return nodes;
 }
--- a/packages/stage/relay_choice.h
+++ b/packages/stage/relay_choice.h
@@ -52,6 +52,10 @@
     // host is a relay.
     bool isRelay(const std::string &own, Time now) const;
 
+    // Returns all hosts in the hashed order, in which others tell them of leaves and ask them for
+    // records after a rollback of the store. Relays come first; they write lost records back.
+    static std::vector<std::string> ordered(std::vector<std::string> nodes);
+
     // Returns the hosts that come first in the hashed order, for other hosts to query.
     std::vector<std::string> preferred(std::vector<std::string> nodes) const;
 
--- a/packages/stage/stage_host_record.cpp
+++ b/packages/stage/stage_host_record.cpp
@@ -1,5 +1,6 @@
 // The record of this host in the store: what a process restores from it, and when it is written.
 #include "base/log.h"
+#include "stage/host_survey.h"
 #include "stage/stage.h"
 
 #include <algorithm>
@@ -10,9 +11,6 @@
 constexpr Duration recordRetry = 300ms;
 // Wait for the store before a leave is refused; an upstream waits one second for the answer.
 constexpr Duration leaveRecordLimit = 800ms;
-// Wait for another host's records before the upstream is used after a rollback of the store.
-constexpr Duration restoreLimit = 1500ms;
-constexpr std::size_t maxAskedHosts = 5; // one answer is enough; some hosts may be gone
 
 } // namespace
 
@@ -53,42 +51,46 @@
     });
 }
 
-// Waits until another host has sent all host records that it knows.
+// Takes over the host records and the evacuations that some other hosts know. Waits for their
+// answers, but not for hosts that can't be reached.
 void Stage::askForHosts()
 {
-    struct Answer
+    struct Survey
     {
-        explicit Answer(asio::io_context &io)
-            : event(io)
-        {}
-        FiberEvent event;
-        bool hasArrived = false;
+        HostSurvey choice;
+        std::shared_ptr<FiberEvent> event; // of the present wait
     };
-    const auto first = std::make_shared<Answer>(this->thread.io());
+    std::vector<std::string> others = RelayChoice::ordered(this->knownNodes());
+    std::erase(others, this->settings.node);
+    const auto survey = std::make_shared<Survey>(
+            Survey{.choice = HostSurvey(std::move(others), readBootTime()), .event = nullptr});
     wire::LinkFrame frame;
-    frame.mutable_state_query()->mutable_known()->set_tables_end(this->view.tablesEnd());
+    wire::Known &known = *frame.mutable_state_query()->mutable_known();
+    known.set_tables_end(this->view.tablesEnd());
+    known.set_config_version(this->view.known().config_version());
     std::size_t asked = 0;
-    for (const std::string &node : this->knownNodes()) {
-        if (node == this->settings.node || asked == maxAskedHosts) {
-            continue;
+    for (Time now = readBootTime(); !survey->choice.isOver(now); now = readBootTime()) {
+        survey->event = std::make_shared<FiberEvent>(this->thread.io());
+        for (const std::string &node : survey->choice.takeHosts()) {
+            ++asked;
+            this->links.call(node, frame, {}, HostSurveySettings{}.limit,
+                             [this, node, survey](CallOutcome outcome, const LinkMessage &answer) {
+                                 if (outcome == CallOutcome::Answered) {
+                                     const wire::StateReply &state = answer.head.state_reply();
+                                     this->onState(node, state);
+                                     this->view.evacuations().restoreFrom(state, node);
+                                     survey->choice.noteAnswer(readBootTime());
+                                 } else {
+                                     survey->choice.noteFailure();
+                                 }
+                                 survey->event->notify();
+                             });
         }
-        ++asked;
-        this->links.call(node, frame, {}, restoreLimit,
-                         [this, node, first](CallOutcome outcome, const LinkMessage &answer) {
-                             if (outcome == CallOutcome::Answered) {
-                                 this->onState(node, answer.head.state_reply());
-                                 first->hasArrived = true;
-                                 first->event.notify();
-                             }
-                         });
+        survey->event->waitFor(survey->choice.end() - now);
     }
-    const Time end = readBootTime() + restoreLimit;
-    for (Time now = readBootTime(); asked > 0 && !first->hasArrived && now < end;
-         now = readBootTime()) {
-        first->event.waitFor(end - now);
-    }
-    logInfo(LogPart::Upstream, "host records of other hosts awaited",
-            {{"asked", std::to_string(asked)}, {"answered", first->hasArrived ? "yes" : "no"}});
+    logInfo(LogPart::Upstream, "records of other hosts taken over",
+            {{"asked", std::to_string(asked)},
+             {"answered", std::to_string(survey->choice.answered())}});
 }
 
 // Continues with what the process before this one has recorded.
--- a/packages/stage/tests/test_evacuations.cpp
+++ b/packages/stage/tests/test_evacuations.cpp
@@ -136,6 +136,40 @@
     CHECK_FALSE(process.isClosed());
 }
 
+// Guards against requests in an evacuated data centre after a rollback of the store: a process that
+// starts then finds no record in the store, and has read as far as the hosts that know it.
+TEST_CASE("a process that starts in a new era takes over the evacuations of earlier ones",
+          "[evacuations]")
+{
+    Process other;
+    other.evacuations().apply(evacuate("a", 3), "store");
+    other.evacuations().apply(evacuate("b", 4), "store");
+    other.evacuations().noteEnd(5);
+    Process outdated; // has not seen the rollback
+    outdated.evacuations().applyAll({evacuate("a", 3), evacuate("c", 2)}, 4, "store");
+    other.evacuations().applyAll({}, eraStart + 4, "store");
+
+    Process started;
+    started.evacuations().applyAll({removal("b", eraStart + 3)}, eraStart + 4, "store");
+    CHECK_FALSE(started.isClosed());
+    started.evacuations().restoreFrom(other.view.stateSince({}), "other");
+    CHECK(started.isClosed());
+    CHECK_FALSE(started.evacuations().isEvacuated("b")); // the operator has ended it since
+    started.evacuations().restoreFrom(outdated.view.stateSince({}), "outdated");
+    CHECK(started.evacuations().isEvacuated("c"));
+    CHECK(started.evacuations().end() == eraStart + 4);
+
+    // Records of the present era that are not in the store were removed.
+    other.evacuations().apply(evacuate("d", eraStart + 2), "store");
+    Process ahead;
+    ahead.evacuations().applyAll({}, eraStart + 6, "store");
+    ahead.evacuations().restoreFrom(other.view.stateSince({}), "other");
+    CHECK_FALSE(ahead.evacuations().isEvacuated("d"));
+    CHECK(ahead.evacuations().isEvacuated("a"));
+    ahead.evacuations().apply(removal("a", eraStart + 7), "store");
+    CHECK_FALSE(ahead.isClosed());
+}
+
 // Guards against a host that goes on sending, or serves nothing for long, because it can't reach
 // the store.
 TEST_CASE("a process without the store learns evacuations and their ends from others",
--- a/packages/standins/platform_store.cpp
+++ b/packages/standins/platform_store.cpp
@@ -70,11 +70,11 @@
     }
 }
 
-void PlatformStore::rollBack(std::size_t count)
+void PlatformStore::rollBack(std::size_t count, RollBackScope scope)
 {
     const std::lock_guard lock(this->mutex);
     for (auto &[name, partition] : this->partitions) {
-        if (name.first == operatorTopic) {
+        if (scope == RollBackScope::WithoutOperator && name.first == operatorTopic) {
             continue;
         }
         auto &records = partition.records;
--- a/packages/standins/platform_store.h
+++ b/packages/standins/platform_store.h
@@ -29,6 +29,12 @@
     Unanswered,        // never answers calls that arrive or wait; connections stay open
 };
 
+// The records that a rollback of the store loses.
+enum class RollBackScope : std::uint8_t {
+    WithoutOperator, // not those of operators, as if these had written theirs again at once
+    AllRecords,
+};
+
 class PlatformStore
 {
 public:
@@ -43,9 +49,9 @@
     // remains available. Removed keys disappear.
     void compact();
 
-    // Comes back from an older copy: the last `count` records of each partition that operators
-    // don't write are lost, and the era in the answers increases by one.
-    void rollBack(std::size_t count);
+    // Comes back from an older copy: the last `count` records of each partition in the scope are
+    // lost, and the era in the answers increases by one.
+    void rollBack(std::size_t count, RollBackScope scope = RollBackScope::WithoutOperator);
 
     std::uint32_t currentEra();
 
