stage: a leave is acknowledged once another host knows it

Cause: the record of a leave could be in the store only when the leave was acknowledged. If its process was killed before another host had read the record and the store came back from an older copy, the leave was lost.

Without a confirmation the store alone is sufficient. A leave that a starting process learns of too late still counts.

--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -52,9 +52,11 @@
     RequestBytesEvicted, // connections closed without progress, to make room
     StoreEra,            // how often the store has come back from an older copy
     HostRecordsWrittenBack, // records of other hosts, after the store came back from an older copy
+    LeavesConfirmed,        // leaves of upstreams that another host has confirmed to know
+    LeavesUnconfirmed,      // answers that acknowledged a leave without such a confirmation
 };
 
-inline constexpr NameTable<Metric, 37> metricNames{
+inline constexpr NameTable<Metric, 39> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -91,7 +93,9 @@
           {Metric::RequestBytesRefused, "request_bytes_refused"},
           {Metric::RequestBytesEvicted, "request_bytes_evicted"},
           {Metric::StoreEra, "store_era"},
-          {Metric::HostRecordsWrittenBack, "host_records_written_back"}}}};
+          {Metric::HostRecordsWrittenBack, "host_records_written_back"},
+          {Metric::LeavesConfirmed, "leaves_confirmed"},
+          {Metric::LeavesUnconfirmed, "leaves_unconfirmed"}}}};
 
 // Used on one thread.
 class Metrics
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -476,7 +476,7 @@
         this->onUpstreamChanged(now);
     }
     // An acknowledged leave binds the next process on this host too, so it is acknowledged only if
-    // that process will know of it.
+    // that process will know of it, also after a rollback of the store.
     const bool isLeave = beat->isDeregistration || beat->phase == UpstreamPhase::Draining;
     const bool isUnknown = beat->isDeregistration && !this->monitor.isKnown()
                            && beat->instance.id != this->monitor.instance().id;
@@ -523,6 +523,7 @@
              {"born", std::to_string(this->monitor.instance().startedMs)},
              {"phase", std::string(upstreamPhaseNames.nameOf(this->monitor.phase()))},
              {"slots", std::to_string(this->monitor.slots())}});
+    this->applyRecordedLeave(now);
     this->executor.noteUpstream(now);
     this->admission.noteUpstream(this->monitor.instance());
     this->isRecordDue = true;
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -23,6 +23,7 @@
 #include "stage/ingress.h"
 #include "stage/key_owner.h"
 #include "stage/late_messages.h"
+#include "stage/leave_confirmation.h"
 #include "stage/link.h"
 #include "stage/metrics.h"
 #include "stage/relay_choice.h"
@@ -92,6 +93,11 @@
     void askForHosts();
     void restoreUpstream(Time now);
     bool waitForLeaveRecord();
+    bool isLeaveStored() const;
+    void tellLeave(Time now);
+    void noteLeaveTold(const std::string &node, const UpstreamInstance &instance,
+                       CallOutcome outcome, Time sentAt);
+    bool applyRecordedLeave(Time now);
     void checkOwnRecord(const KnownHost &host);
     const ServiceInfo *ownService() const;
     void onUpstreamChanged(Time now);
@@ -151,7 +157,8 @@
     std::uint64_t recordChange = 0;
     std::uint64_t storedRecordEnd = 0;    // offset after the last stored record of this process
     UpstreamInstance recordedLeave;       // instance whose leave is in the store
-    std::vector<FiberEvent *> leaveWaits; // notified when `recordedLeave` changes
+    LeaveConfirmation leaveConfirmation;  // by other hosts
+    std::vector<FiberEvent *> leaveWaits; // notified when one of the two above changes
     Time lastFetchAt = -1h;
     std::set<std::string> fetchesInProgress; // nodes that have not answered a state query yet
     AwaitedTable awaitedTable;
--- a/packages/stage/stage_host_record.cpp
+++ b/packages/stage/stage_host_record.cpp
@@ -1,4 +1,5 @@
 // The record of this host in the store: what a process restores from it, and when it is written.
+#include "base/durations.h"
 #include "base/log.h"
 #include "stage/host_survey.h"
 #include "stage/stage.h"
@@ -9,8 +10,12 @@
 namespace {
 
 constexpr Duration recordRetry = 300ms;
-// Wait for the store before a leave is refused; an upstream waits one second for the answer.
+// Wait for the store, and then for another host, before a leave is answered; an upstream waits one
+// second for the answer.
 constexpr Duration leaveRecordLimit = 800ms;
+// At least three round trips between regions; a confirmation that arrives after the heartbeat was
+// answered counts for the next one.
+constexpr Duration tellLeaveTimeout = 900ms;
 
 } // namespace
 
@@ -111,25 +116,111 @@
              {"leaving", recorded.isLeaving ? "yes" : "no"}});
 }
 
-// Waits until the store has the leave of the upstream. Returns false if that takes too long.
+bool Stage::isLeaveStored() const
+{
+    return this->recordedLeave == this->monitor.instance();
+}
+
+// Waits until the store has the leave of the upstream and, for a shorter time, until another host
+// knows it. Returns false if the store does not have it in time.
 bool Stage::waitForLeaveRecord()
 {
     this->writeHostRecord();
     const Time end = readBootTime() + leaveRecordLimit;
-    for (Time now = readBootTime();
-         this->monitor.isLeaving() && this->recordedLeave != this->monitor.instance() && now < end;
-         now = readBootTime()) {
-        FiberEvent stored(this->thread.io());
-        this->leaveWaits.push_back(&stored);
-        stored.waitFor(end - now);
-        std::erase(this->leaveWaits, &stored);
+    for (Time now = readBootTime(); this->monitor.isLeaving() && now < end; now = readBootTime()) {
+        const UpstreamInstance instance = this->monitor.instance();
+        Time waitEnd = end;
+        if (this->isLeaveStored()) {
+            this->tellLeave(now);
+            if (this->leaveConfirmation.isOver(instance, now)) {
+                break;
+            }
+            waitEnd = std::min(end, this->leaveConfirmation.end());
+        }
+        FiberEvent changed(this->thread.io());
+        this->leaveWaits.push_back(&changed);
+        changed.waitFor(waitEnd - now);
+        std::erase(this->leaveWaits, &changed);
+    }
+    const bool isStored = !this->monitor.isLeaving() || this->isLeaveStored();
+    if (isStored && this->monitor.isLeaving()
+        && !this->leaveConfirmation.isConfirmed(this->monitor.instance())) {
+        this->metrics.count(Metric::LeavesUnconfirmed);
+    }
+    return isStored;
+}
+
+// Sends the record with the leave of the upstream to other hosts, unless one has confirmed it.
+void Stage::tellLeave(Time now)
+{
+    const UpstreamInstance instance = this->monitor.instance();
+    const KnownHost *own = this->view.host(this->settings.node);
+    const bool hasRecord = own != nullptr && own->isLeaving && own->info.instance == instance;
+    std::vector<std::string> reachable = RelayChoice::ordered(this->knownNodes());
+    std::erase_if(reachable, [&](const std::string &node) {
+        return !hasRecord || node == this->settings.node || this->links.isDown(node, now);
+    });
+    const std::vector<std::string> told =
+            this->leaveConfirmation.begin(instance, std::move(reachable), now);
+    if (told.empty()) {
+        return;
     }
-    return !this->monitor.isLeaving() || this->recordedLeave == this->monitor.instance();
+    logInfo(LogPart::Upstream, "leave sent to other hosts",
+            {{"upstream", instance.id}, {"hosts", std::to_string(told.size())}});
+    wire::LinkFrame frame;
+    wire::StateReply &update = *frame.mutable_state_reply();
+    *update.mutable_known() = this->view.known();
+    wire::StateItem &item = *update.add_hosts();
+    item.set_key(this->settings.node);
+    item.set_offset(own->offset);
+    item.set_value(own->bytes);
+    for (const std::string &node : told) {
+        this->links.call(node, frame, {}, tellLeaveTimeout,
+                         [this, node, instance, now](CallOutcome outcome, const LinkMessage &) {
+                             this->noteLeaveTold(node, instance, outcome, now);
+                         });
+    }
+}
+
+// Notes the end of a message that carried the leave of an instance.
+void Stage::noteLeaveTold(const std::string &node, const UpstreamInstance &instance,
+                          CallOutcome outcome, Time sentAt)
+{
+    const bool wasConfirmed = this->leaveConfirmation.isConfirmed(instance);
+    this->leaveConfirmation.noteResult(instance, outcome == CallOutcome::Answered);
+    if (!wasConfirmed && this->leaveConfirmation.isConfirmed(instance)) {
+        this->metrics.count(Metric::LeavesConfirmed);
+        logInfo(LogPart::Upstream, "leave confirmed by another host",
+                {{"upstream", instance.id},
+                 {"node", node},
+                 {"ms", std::to_string(toMilliseconds(readBootTime() - sentAt))}});
+    }
+    for (FiberEvent *wait : this->leaveWaits) {
+        wait->notify();
+    }
+}
+
+// Applies a leave in the newest known record of this host, which may have arrived from another host
+// after restoreUpstream(). Returns whether it is new.
+bool Stage::applyRecordedLeave(Time now)
+{
+    const KnownHost *own = this->view.host(this->settings.node);
+    if (own == nullptr || !own->isLeaving
+        || !this->monitor.noteRecordedLeave(own->info.instance, now)) {
+        return false;
+    }
+    logInfo(LogPart::Upstream, "leave of the upstream found in the record of this host",
+            {{"upstream", own->info.instance.id}, {"offset", std::to_string(own->offset)}});
+    return true;
 }
 
 // Writes the record of this host again if an older one, whose answer was lost, was appended later.
 void Stage::checkOwnRecord(const KnownHost &host)
 {
+    const Time now = readBootTime();
+    if (host.info.node == this->settings.node && this->applyRecordedLeave(now)) {
+        this->onUpstreamChanged(now);
+    }
     const bool isOlder = host.incarnation != this->incarnation || host.change < this->recordChange
                          || host.isAhead;
     if (host.info.node == this->settings.node && this->storedRecordEnd != 0
@@ -175,6 +266,7 @@
         if (result.outcome == platform::AppendOutcome::Done && isCurrent) {
             this->storedRecordEnd = result.endOffset;
             this->recordedLeave = leave;
+            this->view.applyHost(this->settings.node, result.endOffset - 1, bytes);
             for (FiberEvent *wait : this->leaveWaits) {
                 wait->notify();
             }
--- a/packages/stage/upstream_monitor.cpp
+++ b/packages/stage/upstream_monitor.cpp
@@ -26,6 +26,19 @@
     this->currentAt = now;
 }
 
+bool UpstreamMonitor::noteRecordedLeave(const UpstreamInstance &instance, Time now)
+{
+    if (!this->isRestored() || this->hasLeft || instance != this->lastInstance) {
+        return false;
+    }
+    this->hasLeft = true;
+    if (this->lastPhase != UpstreamPhase::Ended) {
+        this->lastPhase = UpstreamPhase::Draining;
+    }
+    this->drainingSince = now - this->settings.drainPeriod; // acknowledged by an earlier process
+    return true;
+}
+
 bool UpstreamMonitor::isSilentInstanceReplaced(const platform::Heartbeat &beat, Time now)
 {
     if (beat.instance != this->candidate.instance) {
--- a/packages/stage/upstream_monitor.h
+++ b/packages/stage/upstream_monitor.h
@@ -78,6 +78,10 @@
     // heartbeat of an instance that had left or ended by then is not taken for a current one.
     void restore(const RecordedUpstream &recorded, Time now);
 
+    // Applies a record of this host that was found after restore(). A leave is final, so it also
+    // counts if the instance has sent heartbeats meanwhile. Returns whether that is new.
+    bool noteRecordedLeave(const UpstreamInstance &instance, Time now);
+
     bool isRestored() const { return !this->settings.awaitsRecord; }
 
     // Applies a heartbeat. It is ignored if it is older than the last one or of an earlier
--- a/packages/system/tests/test_rollback.cpp
+++ b/packages/system/tests/test_rollback.cpp
@@ -82,6 +82,57 @@
 
 } // namespace
 
+// Guards against an acknowledged leave that is lost: its process is killed before any other host
+// has read the record from the store, and the store comes back from a copy without it.
+TEST_CASE("a leave that only the store had before it went back stays in effect", "[platform]")
+{
+    PlatformCluster cluster({.hasProxies = true, .hasKeys = false});
+    Load load(cluster);
+    REQUIRE(load.waitUntilAllRun());
+    PlatformHost &left = cluster.host(1);
+    for (PlatformHost &host : cluster.hosts()) {
+        if (&host != &left) {
+            host.toStore->set({.fault = LinkFault::Stalled}); // its waiting reads never end
+        }
+    }
+    REQUIRE(left.endpoint->deregister(left.heartbeats));
+    left.process->kill();
+    cluster.store.rollBack(1);
+    for (PlatformHost &host : cluster.hosts()) {
+        host.toStore->set({});
+    }
+    cluster.startProcess(left);
+    std::this_thread::sleep_for(1s);
+    left.endpoint->sendLateHeartbeat(left.heartbeats);
+    const std::size_t before = left.endpoint->runs().size();
+    CHECK(load.run(loadTime) > 0);
+    for (PlatformHost &host : cluster.hosts()) {
+        if (&host != &left) {
+            cluster.endUpstream(host); // no other one is left that could run requests
+        }
+    }
+    load.run(loadTime);
+    CHECK(left.endpoint->runs().size() == before);
+}
+
+// Guards against a leave that is refused, or answered too late for the upstream, because the other
+// hosts are silent.
+TEST_CASE("a leave is acknowledged although the other hosts are silent", "[platform]")
+{
+    constexpr Duration answerLimit = 900ms; // an upstream waits for one second
+    PlatformCluster cluster({.hosts = 3, .hasKeys = false});
+    Load load(cluster);
+    REQUIRE(load.waitUntilAllRun());
+    cluster.host(0).process->signal(SIGSTOP);
+    cluster.host(2).process->signal(SIGSTOP);
+    PlatformHost &left = cluster.host(1);
+    const Time asked = readBootTime();
+    CHECK(left.endpoint->deregister(left.heartbeats));
+    CHECK(readBootTime() - asked < answerLimit);
+    cluster.host(0).process->signal(SIGCONT);
+    cluster.host(2).process->signal(SIGCONT);
+}
+
 // Guards against requests in an evacuated data centre: a process there starts after the store has
 // come back from a copy without the record of the evacuation, and the operator has not written it
 // again yet.
