keyspace: an empty holder proves nothing about grants of the process before

Cause (KR-15): within one hold of the start of a process, KeyOwner::retiredSession took a holder without records for an upstream without keys, although grants of the process before may last: of an instance that lives on, or of a later one that accepted grants which were meant for the instance before it at the same address.

Change: until one hold after the start, a holder without records proves nothing, unless the upstream instance started after this process (by `born`): then the process before it ended before anything could be granted to the instance, and all earlier instances have ended.

--- a/packages/keyspace/range_holder.cpp
+++ b/packages/keyspace/range_holder.cpp
@@ -96,7 +96,9 @@
 // Returns the time at which all grants of an earlier process of this host have expired.
 Time RangeHolder::earlierGrantsEnd() const
 {
-    return this->startedAt + this->withClockDrift(this->settings.maxHold);
+    return this->mayHaveEarlierGrants
+                   ? this->startedAt + this->withClockDrift(this->settings.maxHold)
+                   : Time::min();
 }
 
 void RangeHolder::stopLostRanges(const std::vector<Owned> &before, Time now)
@@ -385,7 +387,7 @@
     const bool ownedHoldNothing =
             std::all_of(this->owned.begin(), this->owned.end(),
                         [now](const Owned &entry) { return now >= entry.mayHoldUntil; });
-    return ownedHoldNothing
+    return now >= this->earlierGrantsEnd() && ownedHoldNothing
            && std::all_of(this->stopping.begin(), this->stopping.end(),
                           [now](const Stopping &entry) { return entry.isStopped(now); });
 }
--- a/packages/keyspace/range_holder.h
+++ b/packages/keyspace/range_holder.h
@@ -129,6 +129,11 @@
     // instance has released them or they have expired.
     void noteUpstreamEnded(Time now);
 
+    // Records that no grant of an earlier process of this host is in force: the current upstream
+    // instance started after this process, so every earlier one has ended, and nothing was granted
+    // to it before.
+    void noteEarlierGrantsEnded() { this->mayHaveEarlierGrants = false; }
+
     // Records the result of a grant order. Returns whether keys became held that were not before.
     bool noteGrant(std::uint64_t number, GrantOutcome outcome, Time now);
 
@@ -172,7 +177,8 @@
     // `fence`. If this RangeHolder has no record of some of these keys, it starts to release them.
     StopAnswer answerStop(const KeySpan &span, std::uint64_t fence, Time now);
 
-    // Returns whether the upstream certainly holds no keys.
+    // Returns whether the upstream certainly holds no keys. Until the grants of an earlier process
+    // have ended, it may hold keys that this RangeHolder has no record of.
     bool holdsNothing(Time now) const;
 
 private:
@@ -240,6 +246,7 @@
 
     HolderSettings settings;
     Time startedAt;
+    bool mayHaveEarlierGrants = true; // of an earlier process, until earlierGrantsEnd()
     Time leaseUntil{};
     std::uint64_t lastOrder = 0;  // number of the newest order
     std::uint64_t lastReport = 0; // number of the newest report
--- a/packages/keyspace/tests/test_range_holder.cpp
+++ b/packages/keyspace/tests/test_range_holder.cpp
@@ -69,6 +69,31 @@
     CHECK(holder.takeOrders(1450ms).empty());
 }
 
+// Guards against two owners of a key: the process is killed while the upstream lives on, and the
+// next process takes a holder without any record for an upstream without any key (KR-15).
+TEST_CASE("an empty holder proves nothing until the grants of an earlier process have ended",
+          "[range_holder]")
+{
+    RangeHolder holder(HolderSettings{}, 10s);
+    const Time end = 10s + HolderSettings{}.maxHold * 102 / 100;
+    CHECK_FALSE(holder.holdsNothing(10s));
+    CHECK_FALSE(holder.holdsNothing(end - 1ms));
+    CHECK(holder.holdsNothing(end));
+}
+
+// Guards against keys that wait for a hold after a power loss, in which the upstream ended as well.
+TEST_CASE("an upstream that started after the process has no grants of an earlier one",
+          "[range_holder]")
+{
+    RangeHolder holder(HolderSettings{}, 10s);
+    holder.noteEarlierGrantsEnded();
+    CHECK(holder.holdsNothing(10s));
+    CHECK(holder.answerStop(lowKeys, 1, 10s).stopped);
+    HoldOrder grant = grantLowKeys(holder, 11s);
+    holder.noteGrant(grant.number, GrantOutcome::Accepted, 11'010ms);
+    CHECK_FALSE(holder.holdsNothing(11'020ms)); // its own grants count as before
+}
+
 // Guards against two owners: when a renewal and a release are in progress together, the upstream
 // may process the release first and hold the keys again while the next owner already does.
 TEST_CASE("a release that was sent during a grant is no proof", "[range_holder]")
--- a/packages/stage/tests/test_leaves.cpp
+++ b/packages/stage/tests/test_leaves.cpp
@@ -4,6 +4,7 @@
 // Load: one leave while other hosts are up, slow, silent or gone, and one start after a rollback.
 #include "stage/cluster_view.h"
 #include "stage/host_survey.h"
+#include "stage/key_owner.h"
 #include "stage/leave_confirmation.h"
 #include "stage/relay_choice.h"
 #include "stage/upstream_monitor.h"
@@ -106,7 +107,7 @@
 // the leave may know it.
 TEST_CASE("a process that starts after a rollback waits for several hosts", "[leaves]")
 {
-    HostSurvey survey(manyHosts, 10s);
+    HostSurvey survey(manyHosts, 10s, {.answers = 5});
     CHECK(survey.takeHosts() == Nodes{"b", "c", "d", "e", "f"});
     CHECK(survey.takeHosts().empty());
     for (int answer = 0; answer < 4; ++answer) {
@@ -122,7 +123,7 @@
 // Guards against a start that waits for hosts that are gone, or asks none of the others.
 TEST_CASE("hosts that can't be reached are replaced by others", "[leaves]")
 {
-    HostSurvey survey(manyHosts, 10s);
+    HostSurvey survey(manyHosts, 10s, {.answers = 5});
     survey.takeHosts();
     survey.noteFailure();
     survey.noteFailure();
@@ -185,6 +186,16 @@
     CHECK(monitor.mayServe(23s));
 }
 
+// Guards against two owners of a key after a crash of the upstream and a kill of the process: the
+// next instance may have accepted grants of that process that were meant for the one before
+// (KR-15).
+TEST_CASE("only an instance that started after the process has no earlier grants", "[key_owner]")
+{
+    CHECK(hasStartedAfter({.id = "i-1", .startedMs = 5001}, 5000));
+    CHECK_FALSE(hasStartedAfter({.id = "i-1", .startedMs = 5000}, 5000));
+    CHECK_FALSE(hasStartedAfter({.startedMs = 5001}, 5000)); // no instance is known
+}
+
 // Guards against an upstream that is used although the record of its leave arrives from another
 // host a moment after the start.
 TEST_CASE("a leave that is found after the start counts at once", "[leaves]")
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -1,5 +1,6 @@
 // Tests the complete request path on the users' platform with real kumquatstage processes, one per
 // upstream, and with stand-ins for the store and the upstreams.
+#include "base/durations.h"
 #include "stage/relay_choice.h"
 #include "standins/platform_caller.h"
 #include "system/platform_cluster.h"
@@ -155,6 +156,43 @@
     caller.checkGuarantees();
 }
 
+// Guards against keys that wait for long after all hosts have lost power: the sessions of before
+// end only when nothing that was granted for them can be in force any more. The upstreams of the
+// hosts start before their processes or after them.
+TEST_CASE("all keys are served again after all hosts have lost power", "[platform]")
+{
+    constexpr Duration bound = 10s;
+    const bool isUpstreamFirst = GENERATE(false, true);
+    PlatformCluster cluster;
+    Caller caller(cluster);
+    const auto all = selectHosts(cluster, {0, 1, 2, 3});
+    REQUIRE(caller.waitUntilServed(all, 20s) < 20s);
+    for (PlatformHost &host : cluster.hosts()) {
+        host.process->kill();
+        cluster.endUpstream(host);
+    }
+    std::this_thread::sleep_for(500ms);
+    for (PlatformHost &host : cluster.hosts()) {
+        if (isUpstreamFirst) {
+            cluster.startUpstream(host);
+        }
+    }
+    std::this_thread::sleep_for(300ms);
+    for (PlatformHost &host : cluster.hosts()) {
+        cluster.startProcess(host);
+    }
+    for (PlatformHost &host : cluster.hosts()) {
+        if (!isUpstreamFirst) {
+            cluster.startUpstream(host);
+        }
+    }
+    const Duration took = caller.waitUntilServed(all, bound);
+    INFO("upstreams first: " << isUpstreamFirst);
+    CAPTURE(toMilliseconds(took));
+    CHECK(took < bound);
+    caller.checkGuarantees();
+}
+
 // Guards against an upstream that is used again after it has left: the process that acknowledged
 // its leave is killed, and the next one takes a late heartbeat for a current one.
 TEST_CASE("an upstream that has left gets no request from the next process on its host",
