--- a/packages/stage/host_survey.h
+++ b/packages/stage/host_survey.h
@@ -20,8 +20,9 @@
 
 struct HostSurveySettings
 {
-    // As many as a leave is sent to (LeaveConfirmationSettings). Hosts ask in the same order.
-    std::size_t answers = 5;
+    // Those that a leave is sent to (LeaveConfirmationSettings), in the same order, and three more,
+    // as that many hosts in front of them may have been down then.
+    std::size_t answers = 8;
     Duration limit = 1500ms; // of the whole wait
     // Wait after the first answer. The other hosts were asked at the same time, and a host that is
     // up answers within a few round trips between regions; a dead one must not delay the start.
