--- a/packages/stage/stage_host_record.cpp
+++ b/packages/stage/stage_host_record.cpp
@@ -1,5 +1,7 @@
 // The record of this host in the store: what a process restores from it, and when it is written.
+#include "base/durations.h"
 #include "base/log.h"
+#include "stage/host_survey.h"
 #include "stage/stage.h"
 
 #include <algorithm>
@@ -8,11 +10,12 @@
 namespace {
 
 constexpr Duration recordRetry = 300ms;
-// Wait for the store before a leave is refused; an upstream waits one second for the answer.
+// Wait for the store, and then for another host, before a leave is answered; an upstream waits one
+// second for the answer.
 constexpr Duration leaveRecordLimit = 800ms;
-// Wait for another host's records before the upstream is used after a rollback of the store.
-constexpr Duration restoreLimit = 1500ms;
-constexpr std::size_t maxAskedHosts = 5; // one answer is enough; some hosts may be gone
+// At least three round trips between regions; a confirmation that arrives after the heartbeat was
+// answered counts for the next one.
+constexpr Duration tellLeaveTimeout = 900ms;
 
 } // namespace
 
@@ -53,42 +56,46 @@
     });
 }
 
-// Waits until another host has sent all host records that it knows.
+// Takes over the host records and the evacuations that some other hosts know. Waits for their
+// answers, but not for hosts that can't be reached.
 void Stage::askForHosts()
 {
-    struct Answer
+    struct Survey
     {
-        explicit Answer(asio::io_context &io)
-            : event(io)
-        {}
-        FiberEvent event;
-        bool hasArrived = false;
+        HostSurvey choice;
+        std::shared_ptr<FiberEvent> event; // of the present wait
     };
-    const auto first = std::make_shared<Answer>(this->thread.io());
+    std::vector<std::string> others = RelayChoice::ordered(this->knownNodes());
+    std::erase(others, this->settings.node);
+    const auto survey = std::make_shared<Survey>(
+            Survey{.choice = HostSurvey(std::move(others), readBootTime()), .event = nullptr});
     wire::LinkFrame frame;
-    frame.mutable_state_query()->mutable_known()->set_tables_end(this->view.tablesEnd());
+    wire::Known &known = *frame.mutable_state_query()->mutable_known();
+    known.set_tables_end(this->view.tablesEnd());
+    known.set_config_version(this->view.known().config_version());
     std::size_t asked = 0;
-    for (const std::string &node : this->knownNodes()) {
-        if (node == this->settings.node || asked == maxAskedHosts) {
-            continue;
+    for (Time now = readBootTime(); !survey->choice.isOver(now); now = readBootTime()) {
+        survey->event = std::make_shared<FiberEvent>(this->thread.io());
+        for (const std::string &node : survey->choice.takeHosts()) {
+            ++asked;
+            this->links.call(node, frame, {}, HostSurveySettings{}.limit,
+                             [this, node, survey](CallOutcome outcome, const LinkMessage &answer) {
+                                 if (outcome == CallOutcome::Answered) {
+                                     const wire::StateReply &state = answer.head.state_reply();
+                                     this->onState(node, state);
+                                     this->view.evacuations().restoreFrom(state, node);
+                                     survey->choice.noteAnswer(readBootTime());
+                                 } else {
+                                     survey->choice.noteFailure();
+                                 }
+                                 survey->event->notify();
+                             });
         }
-        ++asked;
-        this->links.call(node, frame, {}, restoreLimit,
-                         [this, node, first](CallOutcome outcome, const LinkMessage &answer) {
-                             if (outcome == CallOutcome::Answered) {
-                                 this->onState(node, answer.head.state_reply());
-                                 first->hasArrived = true;
-                                 first->event.notify();
-                             }
-                         });
-    }
-    const Time end = readBootTime() + restoreLimit;
-    for (Time now = readBootTime(); asked > 0 && !first->hasArrived && now < end;
-         now = readBootTime()) {
-        first->event.waitFor(end - now);
+        survey->event->waitFor(survey->choice.end() - now);
     }
-    logInfo(LogPart::Upstream, "host records of other hosts awaited",
-            {{"asked", std::to_string(asked)}, {"answered", first->hasArrived ? "yes" : "no"}});
+    logInfo(LogPart::Upstream, "records of other hosts taken over",
+            {{"asked", std::to_string(asked)},
+             {"answered", std::to_string(survey->choice.answered())}});
 }
 
 // Continues with what the process before this one has recorded.
@@ -109,25 +116,111 @@
              {"leaving", recorded.isLeaving ? "yes" : "no"}});
 }
 
-// Waits until the store has the leave of the upstream. Returns false if that takes too long.
+bool Stage::isLeaveStored() const
+{
+    return this->recordedLeave == this->monitor.instance();
+}
+
+// Waits until the store has the leave of the upstream and, for a shorter time, until another host
+// knows it. Returns false if the store does not have it in time.
 bool Stage::waitForLeaveRecord()
 {
     this->writeHostRecord();
     const Time end = readBootTime() + leaveRecordLimit;
-    for (Time now = readBootTime();
-         this->monitor.isLeaving() && this->recordedLeave != this->monitor.instance() && now < end;
-         now = readBootTime()) {
-        FiberEvent stored(this->thread.io());
-        this->leaveWaits.push_back(&stored);
-        stored.waitFor(end - now);
-        std::erase(this->leaveWaits, &stored);
+    for (Time now = readBootTime(); this->monitor.isLeaving() && now < end; now = readBootTime()) {
+        const UpstreamInstance instance = this->monitor.instance();
+        Time waitEnd = end;
+        if (this->isLeaveStored()) {
+            this->tellLeave(now);
+            if (this->leaveConfirmation.isOver(instance, now)) {
+                break;
+            }
+            waitEnd = std::min(end, this->leaveConfirmation.end());
+        }
+        FiberEvent changed(this->thread.io());
+        this->leaveWaits.push_back(&changed);
+        changed.waitFor(waitEnd - now);
+        std::erase(this->leaveWaits, &changed);
     }
-    return !this->monitor.isLeaving() || this->recordedLeave == this->monitor.instance();
+    const bool isStored = !this->monitor.isLeaving() || this->isLeaveStored();
+    if (isStored && this->monitor.isLeaving()
+        && !this->leaveConfirmation.isConfirmed(this->monitor.instance())) {
+        this->metrics.count(Metric::LeavesUnconfirmed);
+    }
+    return isStored;
+}
+
+// Sends the record with the leave of the upstream to other hosts, unless one has confirmed it.
+void Stage::tellLeave(Time now)
+{
+    const UpstreamInstance instance = this->monitor.instance();
+    const KnownHost *own = this->view.host(this->settings.node);
+    const bool hasRecord = own != nullptr && own->isLeaving && own->info.instance == instance;
+    std::vector<std::string> reachable = RelayChoice::ordered(this->knownNodes());
+    std::erase_if(reachable, [&](const std::string &node) {
+        return !hasRecord || node == this->settings.node || this->links.isDown(node, now);
+    });
+    const std::vector<std::string> told =
+            this->leaveConfirmation.begin(instance, std::move(reachable), now);
+    if (told.empty()) {
+        return;
+    }
+    logInfo(LogPart::Upstream, "leave sent to other hosts",
+            {{"upstream", instance.id}, {"hosts", std::to_string(told.size())}});
+    wire::LinkFrame frame;
+    wire::StateReply &update = *frame.mutable_state_reply();
+    *update.mutable_known() = this->view.known();
+    wire::StateItem &item = *update.add_hosts();
+    item.set_key(this->settings.node);
+    item.set_offset(own->offset);
+    item.set_value(own->bytes);
+    for (const std::string &node : told) {
+        this->links.call(node, frame, {}, tellLeaveTimeout,
+                         [this, node, instance, now](CallOutcome outcome, const LinkMessage &) {
+                             this->noteLeaveTold(node, instance, outcome, now);
+                         });
+    }
+}
+
+// Notes the end of a message that carried the leave of an instance.
+void Stage::noteLeaveTold(const std::string &node, const UpstreamInstance &instance,
+                          CallOutcome outcome, Time sentAt)
+{
+    const bool wasConfirmed = this->leaveConfirmation.isConfirmed(instance);
+    this->leaveConfirmation.noteResult(instance, outcome == CallOutcome::Answered);
+    if (!wasConfirmed && this->leaveConfirmation.isConfirmed(instance)) {
+        this->metrics.count(Metric::LeavesConfirmed);
+        logInfo(LogPart::Upstream, "leave confirmed by another host",
+                {{"upstream", instance.id},
+                 {"node", node},
+                 {"ms", std::to_string(toMilliseconds(readBootTime() - sentAt))}});
+    }
+    for (FiberEvent *wait : this->leaveWaits) {
+        wait->notify();
+    }
+}
+
+// Applies a leave in the newest known record of this host, which may have arrived from another host
+// after restoreUpstream(). Returns whether it is new.
+bool Stage::applyRecordedLeave(Time now)
+{
+    const KnownHost *own = this->view.host(this->settings.node);
+    if (own == nullptr || !own->isLeaving
+        || !this->monitor.noteRecordedLeave(own->info.instance, now)) {
+        return false;
+    }
+    logInfo(LogPart::Upstream, "leave of the upstream found in the record of this host",
+            {{"upstream", own->info.instance.id}, {"offset", std::to_string(own->offset)}});
+    return true;
 }
 
 // Writes the record of this host again if an older one, whose answer was lost, was appended later.
 void Stage::checkOwnRecord(const KnownHost &host)
 {
+    const Time now = readBootTime();
+    if (host.info.node == this->settings.node && this->applyRecordedLeave(now)) {
+        this->onUpstreamChanged(now);
+    }
     const bool isOlder = host.incarnation != this->incarnation || host.change < this->recordChange
                          || host.isAhead;
     if (host.info.node == this->settings.node && this->storedRecordEnd != 0
@@ -173,6 +266,7 @@
         if (result.outcome == platform::AppendOutcome::Done && isCurrent) {
             this->storedRecordEnd = result.endOffset;
             this->recordedLeave = leave;
+            this->view.applyHost(this->settings.node, result.endOffset - 1, bytes);
             for (FiberEvent *wait : this->leaveWaits) {
                 wait->notify();
             }
