stage: a connection whose peer sends no responses is closed

LinkPool took any message for a sign of life and for the answer to the call with its number. An echo server at the address of a lost host counted as alive forever, and each call to it as answered, so lost voters would not be replaced.

A peer that sends anything but pings, pongs and responses now loses its connection: its calls end as lost, and lastReceivedFrom does not move.

Before the change the new cases fail: the call ends as answered, lastReceivedFrom is the present time and isDown is false for all four types of calls to the echo peer; messages of nine other types answer a call.

--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -30,6 +30,22 @@
     setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
 }
 
+// Returns whether a message answers a call.
+bool isResponse(const wire::LinkFrame &head)
+{
+    switch (head.content_case()) {
+    case wire::LinkFrame::kExecuteReply:
+    case wire::LinkFrame::kVouchReply:
+    case wire::LinkFrame::kReleaseReply:
+    case wire::LinkFrame::kStopReply:
+    case wire::LinkFrame::kLoadAck:
+    case wire::LinkFrame::kStateReply:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 // ---- Link ----
@@ -350,9 +366,19 @@
 void LinkPool::onMessage(const std::string &name, std::uint64_t attempt, LinkMessage message)
 {
     Peer &peer = this->peers[name];
+    const auto silent = peer.silentLinks.find(attempt);
+    const std::shared_ptr<Link> link =
+            silent != peer.silentLinks.end() ? silent->second.link : peer.link;
     if (message.head.has_ping()) {
-        const auto silent = peer.silentLinks.find(attempt);
-        this->answerPing(silent != peer.silentLinks.end() ? silent->second.link : peer.link);
+        this->answerPing(link);
+        return;
+    }
+    if (!message.head.has_pong() && !isResponse(message.head)) {
+        // Whatever listens there is no host: an echo server, for example, would count as alive, and
+        // each call to it as answered.
+        logWarning(LogPart::Mesh, "connection closed because its peer sent no response",
+                   {{"node", name}, {"type", std::to_string(message.head.content_case())}});
+        link->close();
         return;
     }
     peer.lastReceivedAt = readBootTime();
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -135,7 +135,8 @@
         {{{SilencePolicy::UntilSilent, "until-silent"},
           {SilencePolicy::UntilLimit, "until-limit"}}}};
 
-// Connections to other processes: one per process, opened when first needed. Used on one thread.
+// Connections to other processes: one per process, opened when first needed. A connection whose
+// peer sends anything but pings, pongs and responses is closed. Used on one thread.
 class LinkPool
 {
 public:
--- a/packages/stage/tests/test_link.cpp
+++ b/packages/stage/tests/test_link.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/write.hpp>
+
+#include <array>
 #include <condition_variable>
 #include <future>
 #include <mutex>
@@ -119,6 +122,104 @@
     LinkPool pool;
 };
 
+// Something that is no process of this system: it sends all bytes back.
+class EchoPeer
+{
+public:
+    explicit EchoPeer(const Address &address)
+        : thread("link-echo")
+        , acceptor(this->thread.io(),
+                   Link::Tcp::endpoint(asio::ip::make_address(address.ip), address.port))
+    {
+        this->thread.post([this] { this->acceptNext(); });
+        this->thread.start();
+    }
+
+    ~EchoPeer() { this->thread.stop(); }
+
+    EchoPeer(const EchoPeer &) = delete;
+    EchoPeer &operator=(const EchoPeer &) = delete;
+
+private:
+    struct Connection
+    {
+        Link::Socket socket;
+        std::array<char, 4096> bytes{};
+    };
+
+    void acceptNext()
+    {
+        this->acceptor.async_accept([this](const ErrorCode &error, Link::Socket socket) {
+            if (!error) {
+                sendBack(std::make_shared<Connection>(Connection{.socket = std::move(socket)}));
+            }
+            this->acceptNext();
+        });
+    }
+
+    static void sendBack(const std::shared_ptr<Connection> &connection)
+    {
+        connection->socket.async_read_some(
+                asio::buffer(connection->bytes),
+                [connection](const ErrorCode &readError, std::size_t count) {
+                    ErrorCode error = readError;
+                    if (!error) {
+                        asio::write(connection->socket, asio::buffer(connection->bytes, count),
+                                    error);
+                    }
+                    if (!error) {
+                        sendBack(connection);
+                    }
+                });
+    }
+
+    FiberThread thread;
+    asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
+};
+
+// Runs a function on the thread and returns its result.
+template <typename Function>
+auto runOn(FiberThread &thread, const Function &function)
+{
+    std::promise<decltype(function())> result;
+    thread.post([&] { result.set_value(function()); });
+    return result.get_future().get();
+}
+
+wire::LinkFrame makeFrame(wire::LinkFrame::ContentCase content)
+{
+    wire::LinkFrame frame;
+    const auto *field = wire::LinkFrame::descriptor()->FindFieldByNumber(content);
+    if (field != nullptr) {
+        frame.GetReflection()->MutableMessage(&frame, field);
+    }
+    return frame;
+}
+
+// Makes one call to a host that answers with a message of this type, and returns how it ended.
+std::optional<CallOutcome> callAnsweredWith(wire::LinkFrame::ContentCase content)
+{
+    const Address address{.ip = "127.0.0.1", .port = 28479};
+    FiberThread thread("link-test");
+    LinkServer server(
+            thread, "other",
+            {.received = [content](const LinkPeer &, const LinkMessage &,
+                                   const LinkReply &reply) { reply(makeFrame(content), {}); },
+             .closed = [](const LinkPeer &) {}});
+    REQUIRE(server.listen(address).ok());
+    LinkPool pool(thread, "caller", 1);
+    thread.start();
+    CallResult result;
+    thread.post([&] {
+        pool.setAddress("other", address);
+        pool.call("other", makeQuery(), "x", 2s,
+                  [&](CallOutcome outcome, const LinkMessage &) { result.set(outcome); });
+    });
+    const std::optional<CallOutcome> outcome = result.wait();
+    thread.stop();
+    return outcome;
+}
+
 } // namespace
 
 // Guards against aborting running work when its host is silent for a moment. A request that must
@@ -394,4 +495,49 @@
     serverThread.stop();
 }
 
+// Guards against lost voters that are not replaced. An echo server at the address of a lost host
+// counted as alive, and each call to it as answered by its own request.
+TEST_CASE("a peer that sends all bytes back is down and answers nothing", "[link]")
+{
+    // A state reply is also sent as a call, so its echo has the type of a response.
+    const auto content = GENERATE(wire::LinkFrame::kStateQuery, wire::LinkFrame::kVouch,
+                                  wire::LinkFrame::kExecute, wire::LinkFrame::kStateReply);
+    const Address address{.ip = "127.0.0.1", .port = 28480};
+    EchoPeer peer(address);
+    FiberThread thread("link-test");
+    LinkPool pool(thread, "caller", 1);
+    thread.start();
+    CallResult result;
+    thread.post([&] {
+        pool.setAddress("lost", address);
+        pool.call("lost", makeFrame(content), "x", 2s,
+                  [&](CallOutcome outcome, const LinkMessage &) { result.set(outcome); });
+    });
+    CHECK(result.wait() == CallOutcome::Lost);
+    CHECK(runOn(thread, [&] { return pool.lastReceivedFrom("lost"); }) == Time::zero());
+    CHECK(runOn(thread, [&] { return pool.isDown("lost", readBootTime()); }));
+    thread.stop();
+}
+
+// Guards against any message with the number of a call that counts as its answer.
+TEST_CASE("a connection whose peer sends no response to a call is closed", "[link]")
+{
+    const auto content =
+            GENERATE(wire::LinkFrame::CONTENT_NOT_SET, wire::LinkFrame::kHello,
+                     wire::LinkFrame::kExecute, wire::LinkFrame::kCancel, wire::LinkFrame::kVouch,
+                     wire::LinkFrame::kReleaseQuery, wire::LinkFrame::kStopQuery,
+                     wire::LinkFrame::kLoadReport, wire::LinkFrame::kStateQuery);
+    CAPTURE(content);
+    CHECK(callAnsweredWith(content) == CallOutcome::Lost);
+}
+
+TEST_CASE("each type of response answers a call", "[link]")
+{
+    const auto content = GENERATE(wire::LinkFrame::kExecuteReply, wire::LinkFrame::kVouchReply,
+                                  wire::LinkFrame::kReleaseReply, wire::LinkFrame::kStopReply,
+                                  wire::LinkFrame::kLoadAck, wire::LinkFrame::kStateReply);
+    CAPTURE(content);
+    CHECK(callAnsweredWith(content) == CallOutcome::Answered);
+}
+
 } // namespace kumquat
