--- a/packages/keyspace/session_load.h
+++ b/packages/keyspace/session_load.h
@@ -3,6 +3,8 @@
 
 #include "keyspace/key_table.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -37,4 +39,12 @@
     return rate / capacity;
 }
 
+// Returns the upper median; the values must not be empty.
+inline double medianOf(std::vector<double> values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
 } // namespace kumquat
