--- a/packages/bench/bench_engine.cpp
+++ b/packages/bench/bench_engine.cpp
@@ -1,6 +1,7 @@
 // Micro-benchmark of ClusterState and OwnershipEngine. It prints processor time and memory for
 // several numbers of sessions.
 #include "ownership/engine.h"
+#include "ownership/replay.h"
 #include "ownership/slot_groups.h"
 
 #include <docopt/docopt.h>
@@ -194,12 +195,7 @@
     settings.adminAddress = "10.0.0.1:9000";
     settings.region = "region-0";
     settings.dataCentre = "data-centre-0";
-    EngineHooks hooks;
-    hooks.hasInFlight = [](const SlotKeys &) { return false; };
-    hooks.hasAnyInFlight = [](const std::string &) { return false; };
-    hooks.remembered = [](const SlotKeys &) { return std::vector<wire::RememberedRequest>(); };
-    hooks.importRemembered = [](const std::string &, const auto &) {};
-    auto engine = OwnershipEngine::create(settings, std::move(hooks)).value();
+    auto engine = OwnershipEngine::create(settings, makeIdleHooks()).value();
     Time now = 1s;
     engine->start(now);
     engine->onRecord(0, {}, now);
--- a/packages/bench/engine_trace.cpp
+++ b/packages/bench/engine_trace.cpp
@@ -1,6 +1,8 @@
 // Sections: traces, events, processes, links, log, faults, results.
 #include "bench/engine_trace.h"
 
+#include "ownership/replay.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -110,12 +112,7 @@
     settings.adminAddress = "127.0.0.1:" + std::to_string(9'000 + index);
     settings.region = "r" + std::to_string(node.region);
     settings.dataCentre = "d" + std::to_string(node.dataCentre);
-    EngineHooks hooks;
-    hooks.hasInFlight = [](const SlotKeys &) { return false; };
-    hooks.hasAnyInFlight = [](const std::string &) { return false; };
-    hooks.remembered = [](const SlotKeys &) { return std::vector<wire::RememberedRequest>(); };
-    hooks.importRemembered = [](const std::string &, const auto &) {};
-    node.engine = OwnershipEngine::create(settings, std::move(hooks)).value();
+    node.engine = OwnershipEngine::create(settings, makeIdleHooks()).value();
     node.engine->start(this->now);
     node.engine->setUpstream(UpstreamInfo{node.service, true}, this->now);
     this->processOutput(index);
--- a/packages/ownership/replay.cpp
+++ b/packages/ownership/replay.cpp
@@ -67,6 +67,16 @@
     return events;
 }
 
+EngineHooks makeIdleHooks()
+{
+    EngineHooks hooks;
+    hooks.hasInFlight = [](const SlotKeys &) { return false; };
+    hooks.hasAnyInFlight = [](const std::string &) { return false; };
+    hooks.remembered = [](const SlotKeys &) { return std::vector<wire::RememberedRequest>(); };
+    hooks.importRemembered = [](const std::string &, const auto &) {};
+    return hooks;
+}
+
 absl::StatusOr<std::unique_ptr<OwnershipEngine>>
 makeReplayEngine(const std::vector<wire::TraceEvent> &events, EngineSettings settings)
 {
@@ -75,12 +85,7 @@
     }
     settings.node = events.front().start().node();
     settings.incarnation = events.front().start().incarnation();
-    EngineHooks hooks;
-    hooks.hasInFlight = [](const SlotKeys &) { return false; };
-    hooks.hasAnyInFlight = [](const std::string &) { return false; };
-    hooks.remembered = [](const SlotKeys &) { return std::vector<wire::RememberedRequest>(); };
-    hooks.importRemembered = [](const std::string &, const auto &) {};
-    return OwnershipEngine::create(std::move(settings), std::move(hooks));
+    return OwnershipEngine::create(std::move(settings), makeIdleHooks());
 }
 
 void replayEvent(OwnershipEngine &engine, const wire::TraceEvent &event)
--- a/packages/ownership/replay.h
+++ b/packages/ownership/replay.h
@@ -21,6 +21,9 @@
 // leave, is dropped.
 absl::StatusOr<std::vector<wire::TraceEvent>> readTrace(std::string_view bytes);
 
+// Returns the hooks of a process that has no requests in flight and remembers none.
+EngineHooks makeIdleHooks();
+
 // Creates an engine with the node and incarnation of the trace's start event and the other values
 // of `settings`. The engine has no requests in flight and remembers none. Error: Internal, if the
 // trace does not begin with a start event; also the errors of OwnershipEngine::create().
