--- a/packages/soak/soak_callers.cpp
+++ b/packages/soak/soak_callers.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak_callers.h"
 
+#include "base/http_status.h"
 #include "standins/platform_caller.h"
 
 #include <algorithm>
@@ -7,8 +8,6 @@
 namespace kumquat {
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusUnavailable = 503;
 constexpr std::uint32_t keyCount = 65'536;
 constexpr std::uint32_t hotKeys = 20;
 constexpr std::chrono::milliseconds requestTimeout{1500}; // sent to the process as its deadline
--- a/packages/stage/admission_state.cpp
+++ b/packages/stage/admission_state.cpp
@@ -1,6 +1,7 @@
 #include "stage/admission_state.h"
 
 #include "base/durations.h"
+#include "base/http_status.h"
 #include "base/log.h"
 #include "keyspace/range_planner.h"
 
@@ -16,11 +17,6 @@
 
 constexpr Duration refusalLogInterval = 1s; // between log lines about refusals for one reason
 
-constexpr int statusTooManyRequests = 429;
-constexpr int statusBadGateway = 502;
-constexpr int statusUnavailable = 503;
-constexpr int statusTimeout = 504;
-
 // Returns what the status of an answer to a call says about the room for calls. A lost call (502)
 // says nothing, and an error of the called service shows that it took the call.
 CallResult callResultOf(int status)
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -2,6 +2,7 @@
 
 #include "base/durations.h"
 #include "base/hash.h"
+#include "base/http_status.h"
 #include "base/log.h"
 #include "stage/upstream_limits.h"
 
@@ -26,8 +27,6 @@
 // second, or its keys move to another host.
 constexpr Duration stopRetry = 500ms;
 
-constexpr int firstServerError = 500;
-
 Fingerprint fingerprintOf(const wire::Execute &execute, std::string_view body)
 {
     const std::uint64_t head = hashBytes(execute.method(), hashBytes(execute.target()));
--- a/packages/stage/executor_upstream.cpp
+++ b/packages/stage/executor_upstream.cpp
@@ -3,6 +3,7 @@
 #include "stage/executor.h"
 
 #include "base/durations.h"
+#include "base/http_status.h"
 #include "base/log.h"
 #include "base/text.h"
 #include "platform/upstream.h"
@@ -19,9 +20,6 @@
 // Retry time that refused callers are told while the upstream cannot be reached.
 constexpr Duration pendingRetry = 250ms;
 
-// Answers with this status or a higher one may end early, so their time is not that of the work.
-constexpr int firstServerError = 500;
-
 // Weight of one request in the moving average of the service time.
 constexpr double serviceWeight = 0.05;
 
@@ -90,6 +88,7 @@
             answer.ok() ? platform::upstreamFiguresOf(*answer) : std::nullopt;
     ExecuteResult result = this->classifyAnswer(execute, std::move(answer), run, end);
     result.heldFor = heldFor;
+    // A server error may come early, so its time is not that of the work.
     const bool isWork = result.reply.outcome() == wire::EXECUTE_ANSWERED
                         && result.reply.status() < firstServerError;
     const CallEnd runEnd = end == CallEnd::Answered && !isWork ? CallEnd::Lost : end;
--- a/packages/stage/key_owner.cpp
+++ b/packages/stage/key_owner.cpp
@@ -2,6 +2,7 @@
 
 #include "base/durations.h"
 #include "base/errors.h"
+#include "base/http_status.h"
 #include "base/log.h"
 #include "base/text.h"
 #include "keyspace/store_era.h"
@@ -18,8 +19,6 @@
 constexpr Duration askTimeout = 500ms;
 constexpr HttpClientLimits orderLimits{.maxIdle = 4, .connectLimit = 400ms};
 
-constexpr int statusOk = 200;
-
 std::string spanText(const KeySpan &span)
 {
     return std::to_string(span.first) + "-" + std::to_string(span.last);
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -2,6 +2,7 @@
 #include "stage/stage.h"
 
 #include "base/durations.h"
+#include "base/http_status.h"
 #include "base/log.h"
 #include "base/signals.h"
 #include "base/text.h"
@@ -19,11 +20,6 @@
 namespace kumquat {
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
-
 constexpr Duration advanceInterval = 50ms; // short compared with the lease renewals every 400 ms
 constexpr Duration linkInterval = 100ms;   // for connections between processes
 constexpr Duration gossipInterval = 400ms; // new state reaches every host in about a second
--- a/packages/standins/platform_endpoint.cpp
+++ b/packages/standins/platform_endpoint.cpp
@@ -1,5 +1,7 @@
 #include "standins/platform_endpoint.h"
 
+#include "base/http_status.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -13,7 +15,6 @@
 constexpr auto heartbeatTimeout = std::chrono::seconds(1);
 constexpr auto heartbeatIntervalAfterRelease = std::chrono::milliseconds(100);
 
-constexpr int statusOk = 200;
 constexpr auto instancePath = "/kumquatstage/instances/";
 
 } // namespace
