stage: routes with large responses use a second connection to a process

One TCP connection carried all calls of one direction, and messages are sent whole: a short response waited for all large ones that were sent before it.

LinkPool now keeps up to two connections to a process. Requests with Execute.large_answer use the second one, which is opened when first needed. Silence, pings, cancellations and failed attempts to connect belong to one connection, so a failure of the second one ends only its own calls. isDown and lastReceivedFrom are those of the first one; a request for a large response is not sent while its own connection is down, as was the case with the only connection. The wire format does not change.

The pings with which a host asks about its callers queue behind the large responses, and no short messages renew what it knows on this connection. So the pool pings every 100 ms while calls wait there.

--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -26,6 +26,8 @@
 #include <boost/asio/basic_socket_acceptor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -135,8 +137,20 @@
         {{{SilencePolicy::UntilSilent, "until-silent"},
           {SilencePolicy::UntilLimit, "until-limit"}}}};
 
-// Connections to other processes: one per process, opened when first needed. A connection whose
-// peer sends anything but pings, pongs and responses is closed. Used on one thread.
+// Messages are sent whole, so a short response waits for the large ones that were sent before it on
+// its connection. Requests of routes with large responses therefore have a connection of their own.
+enum class LinkChannel : std::uint8_t {
+    Main,
+    LargeAnswers, // for requests with `large_answer`, and their responses
+};
+
+inline constexpr NameTable<LinkChannel, 2> linkChannelNames{
+        {{{LinkChannel::Main, "main"}, {LinkChannel::LargeAnswers, "large-answers"}}}};
+
+// Connections to other processes: at most two per process, each opened when first needed. A
+// connection whose peer sends anything but pings, pongs and responses is closed. Silence, pings and
+// cancellations belong to one connection: when it fails, only its own calls end. Used on one
+// thread.
 class LinkPool
 {
 public:
@@ -146,11 +160,12 @@
     // Charges the bytes of later connections to a budget, which must outlive the pool.
     void setBudget(ByteBudget *byteBudget) { this->budget = byteBudget; }
 
-    // Sets the address of a node. A changed address closes the connection.
+    // Sets the address of a node. A changed address closes its connections.
     void setAddress(const std::string &node, const Address &address);
 
     // Sends a message and calls `answer` once, at the latest after `limit` (then with Lost).
-    // Returns the number of the call, for cancel.
+    // Returns the number of the call, for cancel. A request with `large_answer` ends as NotSent at
+    // once while its connection is down in the sense of isDown.
     std::uint64_t call(const std::string &node, wire::LinkFrame head, const SharedBody &body,
                        Duration limit, LinkCallback answer,
                        SilencePolicy silencePolicy = SilencePolicy::UntilSilent);
@@ -159,18 +174,23 @@
     void cancel(const std::string &node, std::uint64_t call);
 
     // Returns whether a message to the node would probably not be answered: its address is unknown,
-    // the last attempt to connect failed, or calls have waited for an answer for `downAfter`.
+    // the last attempt to connect failed, or calls have waited for an answer for `downAfter`. Only
+    // the main connection counts.
     bool isDown(const std::string &node, Time now) const;
 
-    // Tries to connect to a node again, at most once per `retryAfter`.
+    // Tries to open the main connection to a node again, at most once per `retryAfter`.
     void reconnect(const std::string &node);
 
     // Closes dead connections and ends overdue calls. Call every 100 ms.
     void advance(Time now);
 
-    // Returns when anything but a ping was last received from a node, zero if never.
+    // Returns when anything but a ping was last received from a node on the main connection, zero
+    // if never.
     Time lastReceivedFrom(const std::string &node) const;
 
+    // Returns the number of open connections for large responses.
+    std::size_t largeAnswerLinkCount() const;
+
 private:
     struct Call
     {
@@ -196,9 +216,9 @@
         Call call;
     };
 
-    struct Peer
+    // One of the connections to a peer, and the calls that use it.
+    struct Connection
     {
-        Address address;
         std::shared_ptr<Link> link;
         bool isConnecting = false;
         // Number of the latest attempt to connect; results of older attempts are ignored.
@@ -216,22 +236,51 @@
         std::vector<std::pair<wire::LinkFrame, SharedBody>> waiting;
     };
 
-    void connect(const std::string &node, Peer &peer);
-    void onConnected(const std::string &node, std::uint64_t attempt, const ErrorCode &error,
+    struct Peer
+    {
+        Connection &on(LinkChannel channel)
+        {
+            return this->connections[static_cast<std::size_t>(channel)];
+        }
+        const Connection &on(LinkChannel channel) const
+        {
+            return this->connections[static_cast<std::size_t>(channel)];
+        }
+
+        Address address;
+        std::array<Connection, linkChannelNames.entries.size()> connections; // by channel
+    };
+
+    // An attempt to connect, and the connection that it leads to.
+    struct Attempt
+    {
+        std::string node;
+        LinkChannel channel = LinkChannel::Main;
+        std::uint64_t number = 0;
+    };
+
+    Connection &connectionOf(const Attempt &attempt);
+    void connect(const std::string &node, LinkChannel channel);
+    void reconnect(const std::string &node, LinkChannel channel, Time now);
+    void onConnected(const Attempt &attempt, const ErrorCode &error,
                      const std::shared_ptr<Link::Socket> &socket);
-    void onClosed(const std::string &node, std::uint64_t attempt);
-    void answerPing(const std::shared_ptr<Link> &link);
-    void onMessage(const std::string &node, std::uint64_t attempt, LinkMessage message);
-    bool isInRetryDelay(const Peer &peer, Time now) const;
-    void endAllCalls(Peer &peer);
-    static void endSilentCalls(Peer &peer, std::uint64_t attempt);
-    static void closeSilentLinks(Peer &peer, bool onlyUnused);
-    static std::optional<CallOnLink> extractCall(Peer &peer, std::uint64_t number);
+    void onClosed(const Attempt &attempt);
+    void sendInTurn(const std::shared_ptr<Link> &link, wire::LinkFrame frame);
+    void onMessage(const Attempt &attempt, LinkMessage message);
+    bool isConnectionDown(const Connection &connection, Time now) const;
+    bool mayCall(const Connection &connection, const wire::LinkFrame &head, std::size_t bodyBytes,
+                 Time now) const;
+    bool isInRetryDelay(const Connection &connection, Time now) const;
+    static void endAllCalls(Connection &connection);
+    static void endSilentCalls(Connection &connection, std::uint64_t attempt);
+    static void closeSilentLinks(Connection &connection, bool onlyUnused);
+    static std::optional<CallOnLink> extractCall(Connection &connection, std::uint64_t number);
     static void sendCancel(const std::shared_ptr<Link> &link, std::uint64_t number,
                            const Call &call);
     static void endOverdueCalls(Calls &calls, const std::shared_ptr<Link> &link, Time now);
-    void retireSilentLink(const std::string &name, Peer &peer, Time now);
-    void checkSilence(const std::string &name, Peer &peer, Time now);
+    void advanceConnection(const std::string &name, LinkChannel channel, bool wasPaused, Time now);
+    void retireSilentLink(const std::string &name, LinkChannel channel, Time now);
+    void checkSilence(const std::string &name, LinkChannel channel, Time now);
 
     FiberThread &thread;
     std::string node;
@@ -251,7 +300,7 @@
 // One connection that was opened by another process.
 struct LinkPeer
 {
-    std::uint64_t number = 0; // number of the connection, never reused
+    std::uint64_t number = 0; // number of the connection, never reused; a process may have two
     std::string node;         // empty until the hello of the peer
     // Whether the peer answers pings of this process; earlier versions do not.
     bool answersPings = false;
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -43,6 +43,7 @@
     LinkRefusals,     // requests that were refused because the link is full
     LinkOwedBytes,    // of answers that the link has not sent yet, as estimated
     LinkWait,         // milliseconds that a large answer would wait for the link now
+    LargeAnswerLinks, // open connections to other processes for large answers
     CallRefusals,     // requests that were refused because their calls would be
     UsableSlots,      // concurrency beyond which the upstream's throughput stops growing
     UsableSlotsChanges,
@@ -54,7 +55,7 @@
     HostRecordsWrittenBack, // records of other hosts, after the store came back from an older copy
 };
 
-inline constexpr NameTable<Metric, 37> metricNames{
+inline constexpr NameTable<Metric, 38> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -83,6 +84,7 @@
           {Metric::LinkRefusals, "refused_link_full"},
           {Metric::LinkOwedBytes, "link_owed_bytes"},
           {Metric::LinkWait, "link_wait_ms"},
+          {Metric::LargeAnswerLinks, "large_answer_links"},
           {Metric::CallRefusals, "refused_calls"},
           {Metric::UsableSlots, "usable_slots"},
           {Metric::UsableSlotsChanges, "usable_slots_changes"},
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -286,6 +286,7 @@
         this->metrics.set(Metric::OldestFiberAge, toMilliseconds(backlog.oldest));
         this->metrics.set(Metric::UpstreamRequests, this->executor.count());
         this->metrics.set(Metric::RequestsWaiting, this->executor.waitingCount());
+        this->metrics.set(Metric::LargeAnswerLinks, this->links.largeAnswerLinkCount());
         this->admission.addMetrics(this->metrics, now);
         return HttpResponse{.body = this->metrics.toText(now)};
     });
--- a/packages/stage/tests/test_caller_freshness.cpp
+++ b/packages/stage/tests/test_caller_freshness.cpp
@@ -53,7 +53,8 @@
     }
 
     // Receives a request from another process.
-    std::future<ExecuteResult> receive(Duration excessDelay, bool isIdempotent = true)
+    std::future<ExecuteResult> receive(Duration excessDelay, bool isIdempotent = true,
+                                       std::uint64_t connection = 1)
     {
         wire::Execute execute;
         execute.set_id("x");
@@ -63,7 +64,7 @@
         execute.set_idempotent(isIdempotent);
         execute.set_remaining_ms(2000);
         const auto promise = std::make_shared<std::promise<ExecuteResult>>();
-        const ExecuteCaller caller{.connection = 1, .call = ++this->calls};
+        const ExecuteCaller caller{.connection = connection, .call = ++this->calls};
         this->thread.spawn([this, execute, promise, caller, excessDelay] {
             this->executor.announce(caller, readBootTime(), excessDelay);
             promise->set_value(this->executor.run(execute, "", caller));
@@ -221,4 +222,20 @@
     }
 }
 
+// Load: one process has requests on two connections, as for short and large responses, and the
+// second one is cut. Guards against the end of requests whose connection is open.
+TEST_CASE("the end of one connection cancels only its own requests", "[caller_freshness]")
+{
+    Fixture fixture(400ms);
+    KeylessHost &host = fixture.host;
+    std::future<ExecuteResult> kept = host.receive({}, true, 1);
+    std::future<ExecuteResult> cut = host.receive({}, true, 2);
+    while (fixture.upstream.requests < 2) {
+        std::this_thread::sleep_for(1ms);
+    }
+    fixture.thread.post([&host] { host.executor.cancelAll(2); });
+    CHECK(host.finish(std::move(cut)).reply.outcome() != wire::EXECUTE_ANSWERED);
+    CHECK(host.finish(std::move(kept)).reply.outcome() == wire::EXECUTE_ANSWERED);
+}
+
 } // namespace kumquat
--- a/packages/stage/tests/test_link.cpp
+++ b/packages/stage/tests/test_link.cpp
@@ -1,14 +1,13 @@
 // Connections between processes, over loopback.
 #include "stage/link.h"
+#include "stage/tests/link_testing.h"
 
 #include <catch2/catch.hpp>
 
 #include <boost/asio/write.hpp>
 
 #include <array>
-#include <condition_variable>
 #include <future>
-#include <mutex>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -26,30 +25,6 @@
     return frame;
 }
 
-// Passes the outcome of one call to the thread of the test.
-class CallResult
-{
-public:
-    void set(CallOutcome value)
-    {
-        const std::lock_guard lock(this->mutex);
-        this->outcome = value;
-        this->changed.notify_all();
-    }
-
-    std::optional<CallOutcome> wait()
-    {
-        std::unique_lock lock(this->mutex);
-        this->changed.wait_for(lock, 5s, [this] { return this->outcome.has_value(); });
-        return this->outcome;
-    }
-
-private:
-    std::mutex mutex;
-    std::condition_variable changed;
-    std::optional<CallOutcome> outcome;
-};
-
 // A server whose thread blocks for a while at the first message, as in a paused process, and
 // replies afterwards.
 struct PausedServer
@@ -177,15 +152,6 @@
     asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
 };
 
-// Runs a function on the thread and returns its result.
-template <typename Function>
-auto runOn(FiberThread &thread, const Function &function)
-{
-    std::promise<decltype(function())> result;
-    thread.post([&] { result.set_value(function()); });
-    return result.get_future().get();
-}
-
 wire::LinkFrame makeFrame(wire::LinkFrame::ContentCase content)
 {
     wire::LinkFrame frame;
