--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -43,6 +43,7 @@
     LinkRefusals,     // requests that were refused because the link is full
     LinkOwedBytes,    // of answers that the link has not sent yet, as estimated
     LinkWait,         // milliseconds that a large answer would wait for the link now
+    LargeAnswerLinks, // open connections to other processes for large answers
     CallRefusals,     // requests that were refused because their calls would be
     UsableSlots,      // concurrency beyond which the upstream's throughput stops growing
     UsableSlotsChanges,
@@ -56,7 +57,7 @@
     LeavesUnconfirmed,      // answers that acknowledged a leave without such a confirmation
 };
 
-inline constexpr NameTable<Metric, 39> metricNames{
+inline constexpr NameTable<Metric, 40> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -85,6 +86,7 @@
           {Metric::LinkRefusals, "refused_link_full"},
           {Metric::LinkOwedBytes, "link_owed_bytes"},
           {Metric::LinkWait, "link_wait_ms"},
+          {Metric::LargeAnswerLinks, "large_answer_links"},
           {Metric::CallRefusals, "refused_calls"},
           {Metric::UsableSlots, "usable_slots"},
           {Metric::UsableSlotsChanges, "usable_slots_changes"},
