system: a test with callers that request large answers and do not read them

48 callers use three hosts of 160 MB through the first one and read nothing; most of them stay open. The test checks that the processes live, that their peak memory stays 10 MB below that of the host, that the descriptors stay bounded and that an ordinary request is answered afterwards.

It fails on the code before this commit.

RawCaller and the functions that read the memory and the descriptors of a process move from test_hostile_callers.cpp to files of their own, unchanged but for the size of the receive buffer.

--- a/packages/standins/platform_endpoint.cpp
+++ b/packages/standins/platform_endpoint.cpp
@@ -276,6 +276,12 @@
     this->endless[target] = std::move(bytes);
 }
 
+void PlatformEndpoint::setAnswerBytes(const std::string &target, std::size_t bytes)
+{
+    const std::lock_guard lock(this->mutex);
+    this->answerBytes[target] = bytes;
+}
+
 HttpAnswer PlatformEndpoint::answer(const HttpRequest &request)
 {
     {
@@ -320,8 +326,13 @@
     if (!isExpectedInstance || !isHeld) {
         return {421, {{"X-Not-Executed", "1"}, {"X-Attempt-Id", requestId}}, ""};
     }
+    std::string body = requestId + " ran at " + this->id;
     {
         const std::lock_guard lock(this->mutex);
+        const auto padded = this->answerBytes.find(request.target);
+        if (padded != this->answerBytes.end()) {
+            body.resize(std::max(body.size(), padded->second), 'x');
+        }
         this->startedRequests.push_back(requestId);
         this->lastRunAt = HoldLedger::Clock::now();
     }
@@ -330,9 +341,7 @@
         return HttpAnswer::lost();
     }
     std::this_thread::sleep_for(this->options.workTime);
-    return {200,
-            {{"X-Attempt-Id", requestId}, {"X-Server-Seal", "seal"}},
-            requestId + " ran at " + this->id};
+    return {200, {{"X-Attempt-Id", requestId}, {"X-Server-Seal", "seal"}}, std::move(body)};
 }
 
 } // namespace kumquat
--- a/packages/standins/platform_endpoint.h
+++ b/packages/standins/platform_endpoint.h
@@ -110,6 +110,9 @@
     // Answers all later requests for a target with endless bytes.
     void setEndlessAnswer(const std::string &target, std::shared_ptr<EndlessBytes> bytes);
 
+    // Answers to later requests for a target that run here are padded to this size.
+    void setAnswerBytes(const std::string &target, std::size_t bytes);
+
     // Requests for targets that begin so break their connections without an answer, as in a crash.
     // The caller ends the upstream when takeCrash() says so.
     static constexpr auto crashPrefix = "/r/crash/";
@@ -140,6 +143,7 @@
     std::mutex mutex;
     std::vector<std::string> startedRequests;
     std::map<std::string, std::shared_ptr<EndlessBytes>> endless; // keyed by request target
+    std::map<std::string, std::size_t> answerBytes;               // keyed by request target
     std::vector<HoldLedger::GrantedRange> released; // released since the last answered heartbeat
     HoldLedger::Clock::time_point lastRunAt;
     std::optional<HoldLedger::Clock::time_point> drainAcknowledgedAt;
--- a/packages/system/tests/test_hostile_callers.cpp
+++ b/packages/system/tests/test_hostile_callers.cpp
@@ -1,21 +1,14 @@
 // Tests that a process survives callers that make it hold as many bytes as they can. The checks
 // don't depend on the speed of the machine.
+#include "raw_caller.h"
 #include "standins/platform_caller.h"
 #include "system/platform_cluster.h"
 
 #include <catch2/catch.hpp>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <sys/time.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <cstdlib>
-#include <filesystem>
 #include <functional>
 #include <sstream>
 #include <string>
@@ -36,83 +29,9 @@
 constexpr int maxDescriptors = crowdSize + 100; // of one process, at any time
 constexpr int maxRounds = 400;                  // of the ordinary request
 constexpr Duration roundPause = 50ms;
-constexpr Duration sendTimeout = 200ms; // of one call, then the caller checks for the end
-constexpr Duration crowdTimeout = 20s;  // until each caller has sent what it wants to send
+constexpr Duration crowdTimeout = 20s; // until each caller has sent what it wants to send
 constexpr Duration requestTimeout = 1500ms;
 
-int kilobytesOf(int megabytes)
-{
-    constexpr int bytesPerMegabyte = 1'000'000;
-    return megabytes * (bytesPerMegabyte / 1024);
-}
-
-// Returns the peak resident memory of a process in kilobytes, -1 if it cannot be read.
-int peakKilobytes(const Child &process)
-{
-    std::istringstream status(readFile("/proc/" + std::to_string(process.id()) + "/status"));
-    const std::string name = "VmHWM:";
-    for (std::string line; std::getline(status, line);) {
-        if (line.starts_with(name)) {
-            return std::atoi(line.c_str() + name.size());
-        }
-    }
-    return -1;
-}
-
-int countDescriptors(const Child &process)
-{
-    std::error_code error;
-    const std::filesystem::directory_iterator entries(
-            "/proc/" + std::to_string(process.id()) + "/fd", error);
-    return error ? 0 : static_cast<int>(std::distance(begin(entries), end(entries)));
-}
-
-// Connection of a caller that sends raw bytes.
-class RawCaller
-{
-public:
-    RawCaller(const Address &address, const std::atomic<bool> &isOver)
-        : over(isOver)
-        , handle(socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in target{};
-        target.sin_family = AF_INET;
-        target.sin_port = htons(address.port);
-        inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr);
-        constexpr int microseconds = 200'000;
-        const timeval limit{.tv_sec = 0, .tv_usec = microseconds};
-        static_assert(sendTimeout == std::chrono::microseconds(microseconds));
-        setsockopt(this->handle, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
-        this->isOpen =
-                connect(this->handle, reinterpret_cast<const sockaddr *>(&target), sizeof(target))
-                == 0;
-    }
-    ~RawCaller() { close(this->handle); }
-
-    RawCaller(const RawCaller &) = delete;
-    RawCaller &operator=(const RawCaller &) = delete;
-
-    // Sends the text. Stops at the end of the load and when the process closes the connection.
-    void send(std::string_view text)
-    {
-        while (this->isOpen && !this->over && !text.empty()) {
-            const ssize_t sent = ::send(this->handle, text.data(), text.size(), MSG_NOSIGNAL);
-            if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-                continue;
-            }
-            this->isOpen = sent > 0;
-            text.remove_prefix(sent > 0 ? static_cast<std::size_t>(sent) : 0);
-        }
-    }
-
-    bool canSend() const { return this->isOpen && !this->over; }
-
-private:
-    const std::atomic<bool> &over;
-    int handle;
-    bool isOpen = false;
-};
-
 // What one caller of the crowd sends after its head.
 struct Abuse
 {
