net: handlers don't keep ready fibers waiting

Cause: the scheduler ran handlers until none was ready.

Change: handlers run for at most 1 ms before fibers get their turn.

--- a/packages/net/fibers.cpp
+++ b/packages/net/fibers.cpp
@@ -187,7 +187,7 @@
         if (++this->picksSincePoll >= picksPerPoll) {
             this->picksSincePoll = 0;
             this->ready->beginRound(true);
-            this->context->poll();
+            this->pollHandlers();
         }
         return this->ready->pop();
     }
@@ -205,7 +205,7 @@
         }
         this->ready->beginRound(false);
         this->context->run_one();
-        this->context->poll();
+        this->pollHandlers();
         if (this->context->stopped()) {
             this->park();
         }
@@ -219,6 +219,19 @@
 private:
     static constexpr int picksPerPoll = 16;
 
+    // Longest time for which handlers run before ready fibers get their turn. A connection whose
+    // peer sends without a pause has another handler ready after each one, so that fibers would
+    // wait and the messages for them would pile up.
+    static constexpr auto maxPollTime = std::chrono::milliseconds(1);
+
+    // Runs the handlers that are ready.
+    void pollHandlers()
+    {
+        const auto end = std::chrono::steady_clock::now() + maxPollTime;
+        while (this->context->poll_one() > 0 && std::chrono::steady_clock::now() < end) {
+        }
+    }
+
     [[noreturn]] void park()
     {
         this->parked->store(true);
