net, stage: answers of the upstream are charged to the budget

Cause: answers that are being read had only their own limits, and a crowd that reads nothing gets its answers from the upstream faster than its connections count as stalled. The requests that were accepted before the budget was full took the first host to 134 to 281 MB (host of 160 MB).

Change: the HTTP client charges answers as they arrive, also beyond the capacity, and the charge stays with the answer. A large answer without room waits for it once, at its start. Requests are refused before they are sent to the upstream while the budget is full (memory-full). Bytes that must be kept and exceed the capacity by more than 15 percent of the memory evict the holders without progress for longest. The limits of one answer and of all stay.

--- a/packages/net/byte_budget.cpp
+++ b/packages/net/byte_budget.cpp
@@ -6,12 +6,14 @@
 {
     constexpr std::uint64_t assumedMemory = 1'000'000'000;
     constexpr std::uint64_t capacityPercent = 55;
+    constexpr std::uint64_t overflowPercent = 15;
     constexpr std::uint64_t wholePercent = 100;
     constexpr std::uint64_t reserveDivisor = 8;
     const std::uint64_t memory = memoryBytes > 0 ? memoryBytes : assumedMemory;
     ByteBudgetSettings settings;
     settings.capacity = memory / wholePercent * capacityPercent;
     settings.reserve = settings.capacity / reserveDivisor;
+    settings.overflow = memory / wholePercent * overflowPercent;
     return settings;
 }
 
@@ -43,6 +45,24 @@
     return true;
 }
 
+// Evicts holders, the one without progress for longest first, until the bytes exceed the capacity
+// by no more than the overflow or no other holder is left.
+void ByteBudget::limitOverflow(const ByteCharge &forCharge, std::uint64_t newBytes)
+{
+    const std::uint64_t limit = this->settings.capacity + this->settings.overflow;
+    auto next = this->evictable.begin();
+    while (this->heldBytes - forCharge.charged + newBytes > limit
+           && next != this->evictable.end()) {
+        ByteCharge *victim = next->second;
+        if (victim == &forCharge) {
+            ++next;
+            continue;
+        }
+        victim->evict();
+        next = this->evictable.begin(); // the hook may have changed the set
+    }
+}
+
 // ---- ByteCharge ----
 
 ByteCharge::~ByteCharge()
@@ -85,7 +105,9 @@
 
 void ByteCharge::resize(std::uint64_t newBytes, Time now)
 {
-    this->canHold(newBytes, now); // evicts stalled holders if that makes room
+    if (!this->canHold(newBytes, now) && this->budget != nullptr) {
+        this->budget->limitOverflow(*this, newBytes);
+    }
     this->setBytes(newBytes);
 }
 
--- a/packages/net/byte_budget.h
+++ b/packages/net/byte_budget.h
@@ -32,11 +32,15 @@
     // 32 kB/s would need longer than any caller waits.
     Duration stallLimit = 500ms;
     std::uint64_t progressBytes = 16ULL * 1024;
+    // Bytes that must be kept may exceed the capacity by this much. Beyond it the process would
+    // exceed the memory of its host and lose all requests, so holders are evicted before the
+    // `stallLimit`.
+    std::uint64_t overflow = 150'000'000;
 };
 
-// Splits the memory of a host. Bytes of requests get 55 percent; the rest is for the program, its
-// fibers, the allocator and the answers that are being read from the upstream. The smallest host
-// (160 MB) has room for one body of 67,108,864 bytes outside of the reserve.
+// Splits the memory of a host. Bytes of requests and answers get 55 percent, answers of completed
+// runs another 15 percent; the rest is for the program, its fibers and the allocator. The smallest
+// host (160 MB) has room for one body of 67,108,864 bytes outside of the reserve.
 // `memoryBytes`: 0 if unknown, then 1,000 MB.
 ByteBudgetSettings byteBudgetSettings(std::uint64_t memoryBytes);
 
@@ -68,6 +72,7 @@
 
     bool hasRoom(std::uint64_t oldBytes, std::uint64_t newBytes) const;
     bool makeRoom(const ByteCharge &forCharge, std::uint64_t newBytes, Time now);
+    void limitOverflow(const ByteCharge &forCharge, std::uint64_t newBytes);
 
     ByteBudgetSettings settings;
     std::uint64_t heldBytes = 0;
@@ -95,7 +100,11 @@
     // nothing, if there is no room.
     bool tryResize(std::uint64_t newBytes, Time now);
 
-    // Like tryResize, for bytes that must be kept: charges them even if there is no room.
+    // Returns whether tryResize would succeed now. May evict stalled holders.
+    bool canHold(std::uint64_t newBytes, Time now);
+
+    // Like tryResize, for bytes that must be kept: charges them even if there is no room. Beyond
+    // the `overflow` of the budget others are evicted, those without progress for longest first.
     void resize(std::uint64_t newBytes, Time now);
 
     // Lets others evict this holder while it makes no progress. The hook must release the bytes
@@ -111,7 +120,6 @@
 private:
     friend class ByteBudget;
 
-    bool canHold(std::uint64_t newBytes, Time now);
     void setBytes(std::uint64_t newBytes);
     void evict();
 
--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -48,6 +48,7 @@
     int status = 200;
     std::vector<HttpField> fields; // without Content-Length and Connection
     std::string body;
+    std::shared_ptr<ByteCharge> charge; // for `body`, set by a client with a budget
 
     std::string_view field(std::string_view name) const;
 };
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -26,6 +26,11 @@
 constexpr int firstStatus = 100;
 constexpr int lastStatus = 599;
 
+// An answer beyond this size waits for room. Smaller ones need less room than their request did.
+constexpr std::uint64_t largeAnswerBytes = 64ULL * 1024;
+
+constexpr Duration roomCheckInterval = 10ms; // between two checks for room
+
 // Number of late and interim answers that are skipped before the connection counts as broken.
 constexpr int maxSkippedAnswers = 3;
 
@@ -86,11 +91,13 @@
     }
 }
 
-HttpClient::HttpClient(asio::io_context &context, Address address, HttpClientLimits clientLimits)
+HttpClient::HttpClient(asio::io_context &context, Address address, HttpClientLimits clientLimits,
+                       ByteBudget *byteBudget)
     : io(context)
     , server(std::move(address))
     , host(this->server.toString())
     , limits(clientLimits)
+    , budget(byteBudget)
     , bodyBudget(std::make_unique<BodyBudget>(clientLimits.maxBufferedBytes))
 {}
 
@@ -221,6 +228,8 @@
                                                   bool &mayReuse)
 {
     HttpStream &stream = *connection.stream;
+    const Time deadline = readBootTime() + limit;
+    bool mayWait = this->budget != nullptr; // once for all answers
     stream.expireAfter(limit);
     stream.output.clear();
     const std::string_view body = appendRequest(stream.output, request, extra, this->host);
@@ -230,11 +239,22 @@
         return failureAfterSend(writeError);
     }
     for (int skipped = 0; skipped <= maxSkippedAnswers; ++skipped) {
-        HttpResponseParser parser(this->bodyBudget.get());
+        HttpResponseParser parser(
+                this->bodyBudget.get(),
+                this->budget != nullptr ? std::make_shared<ByteCharge>(this->budget) : nullptr);
+        parser.mustKeep = true; // the request has run
+        parser.maxBodyBytes = this->limits.maxBodyBytes;
         parser.header_limit(this->limits.maxHeadBytes);
         parser.body_limit(this->limits.maxBodyBytes);
         parser.skip(request.method == "HEAD");
-        if (const ErrorCode error = stream.read(parser)) {
+        const auto beforeWait = [&] {
+            if (mayWait && parser.knownBodyBytes() > largeAnswerBytes) {
+                mayWait = false;
+                this->waitForRoom(stream, *parser.charge, parser.knownBodyBytes(),
+                                  std::min(this->limits.roomWait, (deadline - readBootTime()) / 2));
+            }
+        };
+        if (const ErrorCode error = stream.read(parser, std::ref(beforeWait))) {
             return failureAfterSend(error);
         }
         const int status = parser.message.status;
@@ -260,9 +280,26 @@
                    && (!options.keepsConnection || options.keepsConnection(parser.message));
         std::erase_if(parser.message.fields,
                       [](const HttpField &field) { return isConnectionField(field.name); });
+        if (parser.charge) {
+            parser.charge->resize(parser.message.body.size(), readBootTime());
+        }
+        parser.message.charge = std::move(parser.charge);
         return std::move(parser.message);
     }
     return makeError(ErrorKind::UpstreamLost, "only answers to other requests came");
 }
 
+// Waits until the budget has room for an answer of which few bytes have been read. Stalled holders
+// give way meanwhile. The rest of the answer stays with the server, so that many answers that
+// arrive faster than callers read them don't exceed the budget.
+void HttpClient::waitForRoom(const HttpStream &stream, ByteCharge &charge, std::uint64_t bytes,
+                             Duration limit)
+{
+    const Time end = readBootTime() + limit;
+    const std::uint64_t needed = std::max(bytes, charge.bytes() + 1); // the charge may not fit
+    while (!charge.canHold(needed, readBootTime()) && readBootTime() < end && stream.isOpen()) {
+        sleepFor(this->io, roomCheckInterval);
+    }
+}
+
 } // namespace kumquat
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -21,6 +21,8 @@
 
 namespace kumquat {
 
+class HttpStream;
+
 struct HttpClientLimits
 {
     int maxIdle = 16;                                // connections kept open between calls
@@ -29,6 +31,9 @@
     // Of all answers that are being read, since a server may send endless data on each connection.
     std::uint64_t maxBufferedBytes = 64ULL * 1024 * 1024;
     Duration connectLimit = 500ms;
+    // With a budget: a large answer waits this long, but at most half of the time that its call has
+    // left, until there is room for it. Longer than a stalled holder keeps its room.
+    Duration roomWait = 600ms;
 };
 
 // Lets the owner of a running call cancel it and query its state.
@@ -47,7 +52,7 @@
 private:
     friend class HttpClient;
 
-    std::weak_ptr<class HttpStream> stream;
+    std::weak_ptr<HttpStream> stream;
     bool cancelled = false;
     bool refused = false;
 };
@@ -75,7 +80,10 @@
 class HttpClient
 {
 public:
-    HttpClient(asio::io_context &io, Address address, HttpClientLimits limits);
+    // `budget`: charged for the answers, also if there is no room for them. An answer keeps its
+    // charge. nullptr: answers have only the limits. It must outlive the client and the answers.
+    HttpClient(asio::io_context &io, Address address, HttpClientLimits limits,
+               ByteBudget *budget = nullptr);
     ~HttpClient();
 
     // Sends a request and waits for the whole answer, in the calling fiber. Errors:
@@ -119,11 +127,14 @@
                                           const std::vector<HttpField> &extra,
                                           const HttpCallOptions &options, Duration limit,
                                           bool &mayReuse);
+    void waitForRoom(const HttpStream &stream, ByteCharge &charge, std::uint64_t bytes,
+                     Duration limit);
 
     asio::io_context &io;
     Address server;
     std::string host; // the server's address as text
     HttpClientLimits limits;
+    ByteBudget *budget;
     std::unique_ptr<class BodyBudget> bodyBudget;
     std::deque<ConnectionPtr> idle;
     std::unordered_set<Connection *> busy;
--- a/packages/net/http_stream.cpp
+++ b/packages/net/http_stream.cpp
@@ -228,7 +228,8 @@
 }
 
 template <bool IsRequest>
-ErrorCode HttpStream::read(http::basic_parser<IsRequest> &parser)
+ErrorCode HttpStream::read(http::basic_parser<IsRequest> &parser,
+                           const std::function<void()> &beforeWait)
 {
     while (true) {
         ErrorCode error;
@@ -246,6 +247,9 @@
         if (!error && used > 0 && this->buffer.size() > 0) {
             continue;
         }
+        if (beforeWait) {
+            beforeWait();
+        }
         error = this->readMore();
         if (error == asio::error::eof && parser.got_some()) {
             // Reports a truncated message as partial_message. A message without a length is
@@ -259,8 +263,10 @@
     }
 }
 
-template ErrorCode HttpStream::read(http::basic_parser<true> &parser);
-template ErrorCode HttpStream::read(http::basic_parser<false> &parser);
+template ErrorCode HttpStream::read(http::basic_parser<true> &parser,
+                                    const std::function<void()> &beforeWait);
+template ErrorCode HttpStream::read(http::basic_parser<false> &parser,
+                                    const std::function<void()> &beforeWait);
 
 ErrorCode HttpStream::write(std::string_view data, std::string_view body)
 {
--- a/packages/net/http_stream.h
+++ b/packages/net/http_stream.h
@@ -23,6 +23,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -84,6 +85,13 @@
     std::shared_ptr<ByteCharge> charge;
     std::uint64_t maxBodyBytes = 0; // also set as body_limit; needed only with a charge
     bool lacksRoom = false;         // the charge had no room for the message
+    bool mustKeep = false;          // the message is charged even if there is no room
+
+    // Returns the number of bytes of the body that are known of, received or announced.
+    std::uint64_t knownBodyBytes() const
+    {
+        return std::max<std::uint64_t>(this->announcedBytes, this->message.body.size());
+    }
 
 private:
     using Text = boost::beast::string_view;
@@ -101,16 +109,25 @@
             bytes += sizeof(field) + field.name.size() + field.value.size();
         }
         this->headBytes = bytes;
+        this->announcedBytes = this->content_length().value_or(0);
+        if (this->mustKeep) {
+            // The length of an answer may be beyond the body limit. The body is charged as it
+            // arrives: a server that announces long bodies and sends nothing would otherwise use up
+            // the budget.
+            this->announcedBytes = std::min(this->announcedBytes, this->maxBodyBytes);
+            this->chargeBody(0, error);
+            return;
+        }
         // The whole length at once, so that a body without room is refused before it is sent. The
         // parser has checked the length against the body limit.
-        this->chargeBody(this->content_length().value_or(0), error);
+        this->chargeBody(this->announcedBytes, error);
     }
 
     void on_body_init_impl(const boost::optional<std::uint64_t> &length,
                            ErrorCode & /*error*/) override
     {
         if (this->charge != nullptr && length) {
-            this->message.body.reserve(*length); // uses no memory before the bytes arrive
+            this->message.body.reserve(this->announcedBytes); // uses no memory before they arrive
             return;
         }
         // The length has been checked against the body limit, but the sender may not send that
@@ -152,6 +169,10 @@
     // Charges a body of this size. Returns false, with an error, if there is no room.
     bool chargeBody(std::uint64_t bytes, ErrorCode &error)
     {
+        if (this->charge != nullptr && this->mustKeep) {
+            this->charge->resize(this->headBytes + bytes, readBootTime());
+            return true;
+        }
         const bool fits = this->charge == nullptr
                           || this->charge->tryResize(this->headBytes + bytes, readBootTime());
         if (!fits) {
@@ -177,9 +198,12 @@
         }
         constexpr std::size_t copiedBytes = 256UL * 1024; // bodies up to this size grow by copies
         constexpr std::size_t stepBytes = 64UL * 1024;
-        const bool isLong = needed > copiedBytes;
-        const std::size_t bytes = isLong ? (needed / stepBytes + 1) * stepBytes
-                                         : std::max(needed, 2 * body.capacity());
+        const bool isAnnounced = this->announcedBytes > 0; // the body has its final capacity
+        const bool isLong = needed > copiedBytes || isAnnounced;
+        const std::size_t steps = (needed / stepBytes + 1) * stepBytes;
+        const std::size_t bytes = isAnnounced ? std::min<std::size_t>(steps, this->announcedBytes)
+                                  : isLong    ? steps
+                                              : std::max(needed, 2 * body.capacity());
         if (!this->chargeBody(bytes, error)) {
             return false;
         }
@@ -190,6 +214,7 @@
     }
 
     std::uint64_t headBytes = 0;
+    std::uint64_t announcedBytes = 0; // 0: none
     BodyBudget *bodyBudget;
     std::uint64_t reserved = 0; // bytes reserved from the budget
 };
@@ -270,9 +295,11 @@
 
     ErrorCode connect(const Tcp::endpoint &endpoint);
 
-    // Reads the rest of one message.
+    // Reads the rest of one message. `beforeWait`: called before each wait for more bytes; it may
+    // block the fiber.
     template <bool IsRequest>
-    ErrorCode read(boost::beast::http::basic_parser<IsRequest> &parser);
+    ErrorCode read(boost::beast::http::basic_parser<IsRequest> &parser,
+                   const std::function<void()> &beforeWait = {});
 
     // Reads the available data into the buffer, or waits until some arrives.
     ErrorCode readMore(WakeOrder order = WakeOrder::InTurn);
@@ -296,6 +323,7 @@
     std::size_t dropBuffered();
 
     Socket &socket() { return this->connection; }
+    bool isOpen() const { return this->connection.is_open(); }
 
     std::string output; // the message being written; its memory is reused for later messages
 
--- a/packages/net/tests/test_byte_budget.cpp
+++ b/packages/net/tests/test_byte_budget.cpp
@@ -103,6 +103,38 @@
     CHECK(small.tryResize(1, start));
 }
 
+// Load: answers of completed runs that come faster than holders stall. Guards against answers that
+// exceed the memory of the host before any holder may give way, and against holders that give way
+// before it is needed.
+TEST_CASE("holders give way before they stall only beyond the overflow", "[budget]")
+{
+    ByteBudgetSettings settings = makeSettings();
+    settings.overflow = 300'000;
+    ByteBudget budget(settings);
+    std::vector<int> evicted;
+    Charges answers;
+    const auto add = [&](std::uint64_t bytes) {
+        const int number = static_cast<int>(answers.size());
+        answers.push_back(std::make_unique<ByteCharge>(&budget));
+        answers.back()->resize(bytes, start + 1ms * number);
+        answers.back()->allowEviction([&evicted, number] { evicted.push_back(number); },
+                                      start + 1ms * number);
+    };
+    for (int i = 0; i < 6; ++i) {
+        add(200'000);
+    }
+    add(100'000);
+    CHECK(budget.held() == capacity + settings.overflow);
+    CHECK(evicted.empty());
+    answers[0]->noteProgress(progressBytes, start + 20ms); // its caller reads
+    add(300'000);
+    CHECK(evicted == std::vector<int>{1, 2});
+    CHECK(budget.held() == 1'200'000);
+    ByteCharge refused(&budget);
+    CHECK_FALSE(refused.tryResize(1, start + 30ms)); // a request evicts only stalled holders
+    CHECK(evicted.size() == 2);
+}
+
 // Load: any. Guards against room that is lost when holders end, shrink or are evicted.
 TEST_CASE("charges return all their bytes", "[budget]")
 {
--- a/packages/stage/admission_state.cpp
+++ b/packages/stage/admission_state.cpp
@@ -3,6 +3,7 @@
 #include "base/durations.h"
 #include "base/log.h"
 #include "keyspace/range_planner.h"
+#include "stage/request_memory_report.h"
 
 #include <algorithm>
 #include <cmath>
@@ -48,12 +49,24 @@
     // Load reports tell the wait of a large answer.
     figures.linkWait = this->linkMeter.wait(
             execute != nullptr ? answerKindOf(*execute) : AnswerKind{.isLarge = true}, now);
+    if (execute != nullptr && this->isMemoryFull(execute->large_answer(), now)) {
+        figures.memoryWait = memoryRetry;
+    }
     if (execute != nullptr && !execute->is_call() && this->speed.reportsLoad()) {
         figures.callsWait = this->callRoom.wait(execute, execute->route_hash(), now);
     }
     return figures;
 }
 
+// Returns whether there is no room for an answer, also not after stalled holders gave way. Large
+// answers may not use the reserve of the budget.
+bool AdmissionState::isMemoryFull(bool isLarge, Time now) const
+{
+    constexpr std::uint64_t largeAnswerBytes = 90'000; // of a route with large answers
+    return this->memory != nullptr
+           && !ByteCharge(this->memory).canHold(isLarge ? largeAnswerBytes : 1, now);
+}
+
 void AdmissionState::noteSending(const wire::Execute &execute, Time now)
 {
     this->coldGate.noteSent(now);
@@ -158,6 +171,7 @@
     };
     metrics.set(Metric::LinkRefusals, countOf(AdmissionReason::LinkFull));
     metrics.set(Metric::CallRefusals, countOf(AdmissionReason::CallsRefused));
+    metrics.set(Metric::MemoryRefusals, countOf(AdmissionReason::MemoryFull));
     metrics.set(Metric::LinkOwedBytes, static_cast<std::uint64_t>(this->linkMeter.owedBytes(now)));
     metrics.set(Metric::LinkWait, static_cast<std::uint64_t>(toMilliseconds(
                                           this->linkMeter.wait({.isLarge = true}, now))));
--- a/packages/stage/admission_state.h
+++ b/packages/stage/admission_state.h
@@ -12,6 +12,7 @@
 #include "admission/decision.h"
 #include "admission/link_meter.h"
 #include "admission/retry_spread.h"
+#include "net/byte_budget.h"
 #include "stage/cluster_view.h"
 #include "stage/metrics.h"
 #include "stage/settings.h"
@@ -35,6 +36,9 @@
     // `execute` must be the same object until noteEnded, which is needed for each request.
     AdmissionFigures figures(const wire::Execute *execute, Time now);
 
+    // Requests are refused while the budget is full. nullptr: none is for this reason.
+    void setMemory(ByteBudget *budget) { this->memory = budget; }
+
     // Records that a request is sent to the upstream now, and that it has ended, whether it was
     // sent or not. `answerBytes`: 0 without an answer. `execute` must be the same object.
     void noteSending(const wire::Execute &execute, Time now);
@@ -84,12 +88,14 @@
         RetrySpread spread;
     };
 
+    bool isMemoryFull(bool isLarge, Time now) const;
     void logRefusal(const wire::Execute &execute, const Verdict &verdict, Duration retryAfter,
                     Time now);
     std::uint32_t slotsForKeys(const wire::UpstreamLoad &load, Time now) const;
 
     const StageSettings &settings;
     const ClusterView &view;
+    ByteBudget *memory = nullptr;
     ColdGate coldGate;
     bool wasClosed = true; // the data centre was evacuated, or that was unknown
     LinkMeter linkMeter;
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -66,7 +66,7 @@
     , metrics(stageMetrics)
     , settings(std::move(executorSettings))
     , hooks(std::move(executorHooks))
-    , client(executorThread.io(), this->settings.upstream, upstreamLimits)
+    , client(executorThread.io(), this->settings.upstream, upstreamLimits, this->settings.memory)
     , limiter(1, 1, false, readBootTime(), this->settings.limiter)
     , guard(this->settings.crashes)
 {}
--- a/packages/stage/executor.h
+++ b/packages/stage/executor.h
@@ -36,7 +36,7 @@
 {
     wire::ExecuteReply reply;
     std::string body;
-    std::shared_ptr<ByteCharge> charge; // for `body`, if another host sent it
+    std::shared_ptr<ByteCharge> charge; // for `body`, if it is charged
     std::string_view reason;            // why the request was not sent, for the log
     std::optional<Duration> heldFor; // time left on the grant of the key when the request was sent
 };
@@ -118,6 +118,8 @@
                                .minCrashSpacing = 300ms,
                                .crashLifetime = 10min,
                                .maxFingerprints = 4096};
+    // Charged for the answers of the upstream. nullptr: they have only the limits of the executor.
+    ByteBudget *memory = nullptr;
     Duration crashProbeLimit = 400ms; // for the connection that shows whether the upstream listens
 };
 
--- a/packages/stage/executor_upstream.cpp
+++ b/packages/stage/executor_upstream.cpp
@@ -175,6 +175,7 @@
         kept.set_value(std::move(field.value));
     }
     result.body = std::move(answer->body);
+    result.charge = std::move(answer->charge);
     return result;
 }
 
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -41,6 +41,7 @@
     UpstreamRequests, // current requests of all callers for the upstream beside this process
     RequestsWaiting,  // number of these requests that wait for their key or for a slot
     LinkRefusals,     // requests that were refused because the link is full
+    MemoryRefusals,   // requests that were not sent to the upstream because the memory is full
     LinkOwedBytes,    // of answers that the link has not sent yet, as estimated
     LinkWait,         // milliseconds that a large answer would wait for the link now
     CallRefusals,     // requests that were refused because their calls would be
@@ -54,7 +55,7 @@
     HostRecordsWrittenBack, // records of other hosts, after the store came back from an older copy
 };
 
-inline constexpr NameTable<Metric, 37> metricNames{
+inline constexpr NameTable<Metric, 38> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -81,6 +82,7 @@
           {Metric::UpstreamRequests, "requests_here"},
           {Metric::RequestsWaiting, "requests_waiting"},
           {Metric::LinkRefusals, "refused_link_full"},
+          {Metric::MemoryRefusals, "refused_memory_full"},
           {Metric::LinkOwedBytes, "link_owed_bytes"},
           {Metric::LinkWait, "link_wait_ms"},
           {Metric::CallRefusals, "refused_calls"},
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -144,7 +144,8 @@
               this->thread, this->monitor, this->metrics,
               {.service = this->settings.service,
                .upstream = this->settings.upstream,
-               .limiter = upstreamLimiter},
+               .limiter = upstreamLimiter,
+               .memory = &this->memory},
               {.access = [this](ShardKey key, Time now) { return this->keys.access(key, now); },
                .heldFor = [this](ShardKey key, Time now) { return this->keys.heldFor(key, now); },
                .hasKeys =
@@ -226,6 +227,7 @@
                            }
                        }})
 {
+    this->admission.setMemory(&this->memory);
     this->links.setBudget(&this->memory);
     this->linkServer.setBudget(&this->memory);
 }
--- a/packages/stage/stage_messages.cpp
+++ b/packages/stage/stage_messages.cpp
@@ -111,9 +111,7 @@
         ExecuteResult result = this->executor.run(execute, std::move(body), caller);
         wire::LinkFrame frame;
         *frame.mutable_execute_reply() = std::move(result.reply);
-        const auto charge = std::make_shared<ByteCharge>(&this->memory);
-        charge->resize(result.body.size(), readBootTime());
-        reply(frame, SharedBody(std::move(result.body), charge));
+        reply(frame, SharedBody(std::move(result.body), std::move(result.charge)));
     };
     this->thread.spawn(std::move(work), WakeOrder::Last);
 }
--- a/packages/stage/tests/test_admission_state.cpp
+++ b/packages/stage/tests/test_admission_state.cpp
@@ -93,6 +93,34 @@
     CHECK(host.linkWait(next, 10s) == Duration::zero());
 }
 
+// Load: answers of completed runs that exceed the capacity. Guards against requests that are sent
+// to the upstream while there is no room for their answers, and against a refusal that lasts
+// although stalled holders can give way.
+TEST_CASE("requests are refused while the answers fill the memory", "[admission]")
+{
+    constexpr std::uint64_t capacity = 1'000'000;
+    ByteBudget budget({.capacity = capacity, .reserve = 200'000});
+    Host host(true);
+    host.admission.setMemory(&budget);
+    const auto isFull = [&host](std::uint64_t route, Time now) {
+        const wire::Execute execute = makeRequest(route);
+        return host.admission.figures(&execute, now).memoryWait > Duration::zero();
+    };
+    ByteCharge answers(&budget);
+    answers.resize(capacity / 2, 10s);
+    CHECK_FALSE(isFull(images, 10s));
+    answers.resize(capacity - 100'000, 10s);
+    CHECK(isFull(images, 10s));
+    CHECK_FALSE(isFull(orders, 10s)); // small answers may use the reserve
+    answers.resize(2 * capacity, 10s);
+    CHECK(isFull(orders, 10s));
+    CHECK(host.admission.figures(nullptr, 10s).memoryWait == Duration::zero());
+    answers.allowEviction([] {}, 10s);
+    CHECK(isFull(orders, 10s + 100ms));
+    CHECK_FALSE(isFull(orders, 11s));
+    CHECK(budget.evictedCount() == 1);
+}
+
 // Load: callers that are refused in the same moment. Guards against retry times that bring all of
 // them back together.
 TEST_CASE("callers that are refused together are told different times", "[admission]")
