--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -41,6 +41,7 @@
     UpstreamRequests, // current requests of all callers for the upstream beside this process
     RequestsWaiting,  // number of these requests that wait for their key or for a slot
     LinkRefusals,     // requests that were refused because the link is full
+    MemoryRefusals,   // requests that were not sent to the upstream because the memory is full
     LinkOwedBytes,    // of answers that the link has not sent yet, as estimated
     LinkWait,         // milliseconds that a large answer would wait for the link now
     LargeAnswerLinks, // open connections to other processes for large answers
@@ -57,7 +58,7 @@
     LeavesUnconfirmed,      // answers that acknowledged a leave without such a confirmation
 };
 
-inline constexpr NameTable<Metric, 40> metricNames{
+inline constexpr NameTable<Metric, 41> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -84,6 +85,7 @@
           {Metric::UpstreamRequests, "requests_here"},
           {Metric::RequestsWaiting, "requests_waiting"},
           {Metric::LinkRefusals, "refused_link_full"},
+          {Metric::MemoryRefusals, "refused_memory_full"},
           {Metric::LinkOwedBytes, "link_owed_bytes"},
           {Metric::LinkWait, "link_wait_ms"},
           {Metric::LargeAnswerLinks, "large_answer_links"},
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -140,7 +140,8 @@
               this->thread, this->monitor, this->metrics,
               {.service = this->settings.service,
                .upstream = this->settings.upstream,
-               .limiter = upstreamLimiter},
+               .limiter = upstreamLimiter,
+               .memory = &this->memory},
               {.access = [this](ShardKey key, Time now) { return this->keys.access(key, now); },
                .heldFor = [this](ShardKey key, Time now) { return this->keys.heldFor(key, now); },
                .hasKeys =
@@ -229,6 +230,7 @@
                            }
                        }})
 {
+    this->admission.setMemory(&this->memory);
     this->links.setBudget(&this->memory);
     this->linkServer.setBudget(&this->memory);
 }
