stage: a lost host stays lost until it gives a sign of life

For the table writer a host counted as reachable whenever LinkPool::isDown was false. That has two faults, and both last as long as the host is lost: it gets a new session with keys after each one that was ended, and it stays a voter, so that with three hosts the leases that need its vote have none and every request for their keys waits for maxPendingWait.

- A frozen process: its machine accepts connections, and isDown is false for 600 ms after each one.
- A closed connection: if a call is made after Link::close() and before its hook has run, LinkPool::onClosed keeps the closed connection, and isDown is false for as long as nothing listens on the address.
(The fault itself is in link.cpp and is not changed here.)

Change: HostReach. A lost host counts as reachable again after an answer, or after a report over a working connection. A host of the service that has sent neither for 2 s is lost, also if its connection does not count as down. A writer that was paused for over 1 s waits 2 s for reports first.

That the failure that was seen had this cause is not shown; no log of it exists.

--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -5,6 +5,7 @@
 #include "keyspace/store_era.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace kumquat {
 
@@ -27,10 +28,13 @@
     , hooks(std::move(coordinatorHooks))
     , settings(coordinatorSettings)
     , load(coordinatorSettings.loadDecayTime)
+    , reach(coordinatorSettings.unreachableAfter)
 {}
 
 void Coordinator::advance(Time now)
 {
+    const bool wasPaused = now - std::exchange(this->advancedAt, now) > this->settings.maxPause;
+    this->listeningSince = wasPaused ? now : this->listeningSince;
     const ConfigurationPtr configuration = this->view.configuration();
     const ServiceInfo *info = configuration ? configuration->service(this->service) : nullptr;
     if (info == nullptr || !info->hasKeys || !this->view.evacuations().isKnown()) {
@@ -40,6 +44,7 @@
     const bool isWriter = writer == this->node;
     if (writer != this->currentWriter) {
         this->writerSince = now;
+        this->listeningSince = now;
         logInfo(LogPart::Slots, "another host writes the key table from now on",
                 {{"service", this->service}, {"node", writer}, {"before", this->currentWriter}});
         this->currentWriter = writer;
@@ -96,6 +101,7 @@
         this->load.add(count.key(), count.count(), now);
     }
     this->writerChoice.noteHeard(reporter);
+    this->reach.noteReport(reporter, now);
     this->noteHostStatus(reporter, report, now);
     if (report.retired() != 0) {
         Report &retired = this->reports[report.retired()];
@@ -133,7 +139,16 @@
                                     .at = now};
 }
 
-PlanInput Coordinator::makeInput(const KeyTable &table, Time now) const
+bool Coordinator::isReachable(const HostInfo &info, Time now)
+{
+    const HostContact contact{.isDown = this->links.isDown(info.node, now),
+                              .answeredAt = this->links.lastReceivedFrom(info.node),
+                              .sendsReports = info.service == this->service};
+    return info.node == this->node
+           || this->reach.isReachable(info.node, contact, this->listeningSince, now);
+}
+
+PlanInput Coordinator::makeInput(const KeyTable &table, Time now)
 {
     PlanInput input{.table = &table,
                     .newEnd = this->view.tablesEnd() + 1,
@@ -145,11 +160,8 @@
                     .now = now};
     for (const auto &[name, host] : this->view.hosts()) {
         input.hosts.push_back(host.info);
-        const Duration silence = now - this->links.lastReceivedFrom(name);
-        const bool isDown =
-                this->links.isDown(name, now) && silence > this->settings.unreachableAfter;
         HostInfo &info = input.hosts.back();
-        info.isReachable = name == this->node || !isDown;
+        info.isReachable = this->isReachable(info, now);
         info.isEvacuated = this->view.evacuations().isEvacuated(info.dataCentre);
         info.isReturning = this->view.evacuations().hasEndedAfter(
                 info.dataCentre, now - this->settings.returnPeriod);
--- a/packages/stage/coordinator.h
+++ b/packages/stage/coordinator.h
@@ -9,6 +9,7 @@
 #include "keyspace/range_planner.h"
 #include "platform/store.h"
 #include "stage/cluster_view.h"
+#include "stage/host_reach.h"
 #include "stage/link.h"
 #include "stage/metrics.h"
 #include "stage/relay_choice.h"
@@ -39,7 +40,9 @@
     Duration planInterval = 200ms;
     Duration balanceInterval = 1s;
     Duration reportTimeout = 900ms; // then the next host in the order becomes the writer
-    Duration unreachableAfter = 2s; // silence of a host whose connection is down
+    Duration unreachableAfter = 2s; // silence of a host that is down or owes a report
+    // Delay of advance() after which this process was paused: reports may wait to be read.
+    Duration maxPause = 1s;
     // Time without a change of hosts before the first table is written. The writer may be a
     // temporary relay, which pauses between reads; without this time it would assign all keys to
     // the few hosts that it knows.
@@ -103,7 +106,8 @@
     std::optional<KeyTable> planNext(const KeyTable &base, Time now);
     void logEndedSessions(const PlanInput &input, const KeyTable &next) const;
     void logLostVoters(const KeyTable &before, const KeyTable &next) const;
-    PlanInput makeInput(const KeyTable &table, Time now) const;
+    bool isReachable(const HostInfo &info, Time now);
+    PlanInput makeInput(const KeyTable &table, Time now);
     void write(KeyTable table);
     void broadcastTable(const std::string &bytes, std::uint64_t end);
 
@@ -120,11 +124,14 @@
     std::map<std::uint64_t, Report> reports;        // by session
     std::map<std::string, HostStatus> hostStatuses; // by node
     WriterChoice writerChoice;
+    HostReach reach;
     Time reportedAt = -1h;
     Time plannedAt = -1h;
     Time balancedAt = -1h;
     Time hostsChangedAt{};
     Time writerSince{};
+    Time advancedAt = -1h;
+    Time listeningSince{};     // start of the time in which reports of other hosts are expected
     std::string currentWriter; // node that this host considers to be the table writer
     bool isWriting = false;
     std::uint32_t awaitedEra = 0; // for whose first table the log says that this host waits
--- a/packages/system/tests/test_platform.cpp
+++ b/packages/system/tests/test_platform.cpp
@@ -155,6 +155,29 @@
     caller.checkGuarantees();
 }
 
+// Guards against keys and votes that a frozen host gets again and again: its machine still accepts
+// connections, so it counted as reachable after each new connection although it answered nothing.
+TEST_CASE("a frozen host gets no keys and no votes are needed from it", "[platform]")
+{
+    PlatformCluster cluster({.hosts = 3});
+    Caller caller(cluster);
+    REQUIRE(caller.waitUntilServed(selectHosts(cluster, {0, 1, 2}), 20s) < 20s);
+    cluster.host(2).process->signal(SIGSTOP);
+    const auto others = selectHosts(cluster, {0, 1});
+    std::this_thread::sleep_for(4s); // the leases of before end
+    CHECK(caller.waitUntilServed(others, 15s) < 15s);
+    std::this_thread::sleep_for(4s); // the voters of the remaining sessions have been replaced
+    int refused = 0;
+    const Time settled = readBootTime();
+    for (std::uint32_t key = 0; readBootTime() - settled < 10s; key = (key + keyStep) % 65'536) {
+        refused += caller.send(*others[key % others.size()], key) == 200 ? 0 : 1;
+    }
+    CHECK(refused == 0);
+    cluster.host(2).process->signal(SIGCONT);
+    CHECK(caller.waitUntilServed(selectHosts(cluster, {0, 1, 2}), 15s) < 15s);
+    caller.checkGuarantees();
+}
+
 // Guards against an upstream that is used again after it has left: the process that acknowledged
 // its leave is killed, and the next one takes a late heartbeat for a current one.
 TEST_CASE("an upstream that has left gets no request from the next process on its host",
