--- a/packages/stage/link_pool.cpp
+++ b/packages/stage/link_pool.cpp
@@ -82,7 +82,7 @@
             .due = now + limit,
             .isRequest = head.has_execute(),
             .silencePolicy = silencePolicy};
-    if (connection.link && connection.link->isOpen()) {
+    if (connection.link) {
         call.isSent = true;
         connection.link->send(head, body);
     } else {
@@ -103,6 +103,11 @@
     if (!connection.link) {
         return !this->isInRetryDelay(connection, now);
     }
+    // A connection that was closed in this turn has calls that end when its hook runs. A new attempt
+    // to connect before that would leave it in place, and its peer would never count as down.
+    if (!connection.link->isOpen()) {
+        return false;
+    }
     return !head.has_execute() || connection.link->hasRoomFor(bodyBytes);
 }
 
