stage: details of the confirmation of leaves

- A leave whose messages all fail at once is not sent again within the same heartbeat.
- Only an answer of the expected kind confirms a leave or counts as a host's state.
- A leave that a starting process has from other hosts only is acknowledged once the store has it in the present era.

--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -95,8 +95,8 @@
     bool waitForLeaveRecord();
     bool isLeaveStored() const;
     void tellLeave(Time now);
-    void noteLeaveTold(const std::string &node, const UpstreamInstance &instance,
-                       CallOutcome outcome, Time sentAt);
+    void noteLeaveTold(const std::string &node, const UpstreamInstance &instance, bool isConfirmed,
+                       Time sentAt);
     bool applyRecordedLeave(Time now);
     void checkOwnRecord(const KnownHost &host);
     const ServiceInfo *ownService() const;
--- a/packages/stage/stage_host_record.cpp
+++ b/packages/stage/stage_host_record.cpp
@@ -80,7 +80,8 @@
             ++asked;
             this->links.call(node, frame, {}, HostSurveySettings{}.limit,
                              [this, node, survey](CallOutcome outcome, const LinkMessage &answer) {
-                                 if (outcome == CallOutcome::Answered) {
+                                 if (outcome == CallOutcome::Answered
+                                     && answer.head.has_state_reply()) {
                                      const wire::StateReply &state = answer.head.state_reply();
                                      this->onState(node, state);
                                      this->view.evacuations().restoreFrom(state, node);
@@ -102,13 +103,15 @@
 void Stage::restoreUpstream(Time now)
 {
     RecordedUpstream recorded;
+    bool isStored = false; // in the present era of the store
     if (const KnownHost *host = this->view.host(this->settings.node)) {
         recorded = {.instance = host->info.instance,
                     .phase = host->info.phase,
                     .isLeaving = host->isLeaving};
+        isStored = !host->isAhead && storeEraOf(host->offset) == this->view.storeEra().current();
     }
     this->monitor.restore(recorded, now);
-    this->recordedLeave = recorded.isLeaving ? recorded.instance : UpstreamInstance();
+    this->recordedLeave = recorded.isLeaving && isStored ? recorded.instance : UpstreamInstance();
     logInfo(LogPart::Upstream, "state of the upstream restored",
             {{"upstream", recorded.instance.id},
              {"born", std::to_string(recorded.instance.startedMs)},
@@ -127,11 +130,15 @@
 {
     this->writeHostRecord();
     const Time end = readBootTime() + leaveRecordLimit;
+    UpstreamInstance told;
     for (Time now = readBootTime(); this->monitor.isLeaving() && now < end; now = readBootTime()) {
         const UpstreamInstance instance = this->monitor.instance();
         Time waitEnd = end;
         if (this->isLeaveStored()) {
-            this->tellLeave(now);
+            if (told != instance) {
+                this->tellLeave(now); // once, also if all messages fail at once
+                told = instance;
+            }
             if (this->leaveConfirmation.isOver(instance, now)) {
                 break;
             }
@@ -175,19 +182,22 @@
     item.set_offset(own->offset);
     item.set_value(own->bytes);
     for (const std::string &node : told) {
-        this->links.call(node, frame, {}, tellLeaveTimeout,
-                         [this, node, instance, now](CallOutcome outcome, const LinkMessage &) {
-                             this->noteLeaveTold(node, instance, outcome, now);
-                         });
+        this->links.call(
+                node, frame, {}, tellLeaveTimeout,
+                [this, node, instance, now](CallOutcome outcome, const LinkMessage &answer) {
+                    const bool isConfirmed =
+                            outcome == CallOutcome::Answered && answer.head.has_load_ack();
+                    this->noteLeaveTold(node, instance, isConfirmed, now);
+                });
     }
 }
 
 // Notes the end of a message that carried the leave of an instance.
 void Stage::noteLeaveTold(const std::string &node, const UpstreamInstance &instance,
-                          CallOutcome outcome, Time sentAt)
+                          bool isConfirmed, Time sentAt)
 {
     const bool wasConfirmed = this->leaveConfirmation.isConfirmed(instance);
-    this->leaveConfirmation.noteResult(instance, outcome == CallOutcome::Answered);
+    this->leaveConfirmation.noteResult(instance, isConfirmed);
     if (!wasConfirmed && this->leaveConfirmation.isConfirmed(instance)) {
         this->metrics.count(Metric::LeavesConfirmed);
         logInfo(LogPart::Upstream, "leave confirmed by another host",
