stage: a peer whose connection was closed during a call counts as down

Cause: a call between Link::close() and its hook began another attempt to connect. The hook then belonged to an older attempt, so the closed connection stayed in place and the peer never counted as down: its votes were waited for, and keys of a lost host were not served.

--- a/packages/stage/tests/test_link.cpp
+++ b/packages/stage/tests/test_link.cpp
@@ -506,4 +506,55 @@
     CHECK(callAnsweredWith(content) == CallOutcome::Answered);
 }
 
+// Guards against a lost host that counts as up for ever: a call between the close of its connection
+// and the notice of it began another attempt to connect, and the closed connection was kept.
+TEST_CASE("a peer counts as down after its connection was closed during a call", "[link]")
+{
+    const Address address{.ip = "127.0.0.1", .port = 28483};
+    FiberThread serverThread("link-server");
+    auto server = std::make_unique<LinkServer>(
+            serverThread, "lost",
+            LinkServer::Hooks{
+                    .received =
+                            [](const LinkPeer &, const LinkMessage &, const LinkReply &reply) {
+                                wire::LinkFrame frame;
+                                frame.mutable_state_reply();
+                                reply(frame, {});
+                            },
+                    .closed = [](const LinkPeer &) {}});
+    REQUIRE(server->listen(address).ok());
+    serverThread.start();
+    FiberThread thread("link-test");
+    LinkPool pool(thread, "caller", 1);
+    thread.start();
+    CallResult first;
+    thread.post([&] {
+        pool.setAddress("lost", address);
+        pool.call("lost", makeQuery(), {}, 4s,
+                  [&](CallOutcome outcome, const LinkMessage &) { first.set(outcome); });
+    });
+    REQUIRE(first.wait() == CallOutcome::Answered);
+    serverThread.stop();
+    server.reset();
+    CallResult closing;
+    CallResult next;
+    thread.post([&] {
+        // More than may wait for a peer, so the connection is closed.
+        pool.call("lost", makeQuery(), std::string(97UL << 20U, 'x'), 4s,
+                  [&](CallOutcome outcome, const LinkMessage &) { closing.set(outcome); });
+        pool.call("lost", makeQuery(), {}, 4s,
+                  [&](CallOutcome outcome, const LinkMessage &) { next.set(outcome); });
+    });
+    CHECK(next.wait() == CallOutcome::NotSent);
+    CHECK(closing.wait().has_value());
+    CallResult last;
+    thread.post([&] {
+        pool.call("lost", makeQuery(), {}, 4s,
+                  [&](CallOutcome outcome, const LinkMessage &) { last.set(outcome); });
+    });
+    CHECK(last.wait() == CallOutcome::NotSent);
+    CHECK(runOn(thread, [&] { return pool.isDown("lost", readBootTime()); }));
+    thread.stop();
+}
+
 } // namespace kumquat
