system: a request whose key moved to a faulty upstream is not one to the healthy upstream

Cause of one kind of failure of KR-9 (502): the case takes a key that the healthy upstream holds and sends a request for it. When the key moves in between, the request runs at its new owner, a faulty upstream, and gets an endless answer. Logs of three failures show it: misplaced at the healthy host or sent on by a newer key table, then lost at host 2, 3 or 4.

Change: the stand-in records the requests that it answered endlessly for keys that it held.

--- a/packages/standins/platform_endpoint.cpp
+++ b/packages/standins/platform_endpoint.cpp
@@ -283,12 +283,23 @@
     this->answerBytes[target] = bytes;
 }
 
+bool PlatformEndpoint::hasAnsweredEndlessly(const std::string &requestId)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->endlessRequests.contains(requestId);
+}
+
 HttpAnswer PlatformEndpoint::answer(const HttpRequest &request)
 {
     {
         const std::lock_guard lock(this->mutex);
         const auto found = this->endless.find(request.target);
         if (found != this->endless.end()) {
+            const auto key = findField(request.fields, "X-Shard-Key");
+            if (key && this->ledger.holds(this->id, std::stoul(*key))) {
+                this->endlessRequests.insert(
+                        findField(request.fields, "X-Attempt-Id").value_or(""));
+            }
             HttpAnswer answer;
             answer.endless = found->second;
             return answer;
--- a/packages/standins/platform_endpoint.h
+++ b/packages/standins/platform_endpoint.h
@@ -110,6 +110,9 @@
     // Answers all later requests for a target with endless bytes.
     void setEndlessAnswer(const std::string &target, std::shared_ptr<EndlessBytes> bytes);
 
+    // Returns whether a request got an endless answer here for a key that this upstream held.
+    bool hasAnsweredEndlessly(const std::string &requestId);
+
     // Answers to later requests for a target that run here are padded to this size.
     void setAnswerBytes(const std::string &target, std::size_t bytes);
 
@@ -143,6 +146,7 @@
     std::mutex mutex;
     std::vector<std::string> startedRequests;
     std::map<std::string, std::shared_ptr<EndlessBytes>> endless; // keyed by request target
+    std::set<std::string> endlessRequests;                        // ids of requests for held keys
     std::map<std::string, std::size_t> answerBytes;               // keyed by request target
     std::vector<HoldLedger::GrantedRange> released; // released since the last answered heartbeat
     HoldLedger::Clock::time_point lastRunAt;
