--- a/packages/stage/host_reach.h
+++ b/packages/stage/host_reach.h
@@ -44,6 +44,7 @@
 private:
     struct State
     {
+        Time knownSince{};
         Time reportedAt{};
         std::optional<Time> lostAt;
     };
--- a/packages/stage/tests/test_host_reach.cpp
+++ b/packages/stage/tests/test_host_reach.cpp
@@ -56,8 +56,13 @@
 {
     HostReach reach(limit);
     // A new table writer gets reports only after the other hosts have chosen it.
+    CHECK(reach.isReachable("b", {}, start, start - 1h));
     CHECK(reach.isReachable("b", {}, start, start + limit));
     CHECK_FALSE(reach.isReachable("b", {}, start, start + limit + planInterval));
+    // A host that has just become known has not chosen the table writer yet.
+    CHECK(reach.isReachable("e", {}, start, start + 1h));
+    CHECK(reach.isReachable("e", {}, start, start + 1h + limit));
+    CHECK_FALSE(reach.isReachable("e", {}, start, start + 1h + limit + planInterval));
     // Hosts of other services may be voters, but send their reports elsewhere.
     CHECK(reach.isReachable("c", {.sendsReports = false}, start, start + 1h));
     // Reports show that a host lives, but not that it receives the key table.
