--- a/packages/keyspace/range_planner.cpp
+++ b/packages/keyspace/range_planner.cpp
@@ -126,7 +126,8 @@
         return found->serviceSeconds;
     }
     // The host of a cold upstream has computed its usable slots with the assumed service time.
-    const bool isLimited = usableSlotsOf(findHost(this->input.hosts, session.node), session) < session.slots;
+    const bool isLimited =
+            usableSlotsOf(findHost(this->input.hosts, session.node), session) < session.slots;
     return isLimited ? this->settings.assumedServiceSeconds : this->usualServiceSeconds;
 }
 
--- a/packages/stage/link_pool.cpp
+++ b/packages/stage/link_pool.cpp
@@ -103,8 +103,9 @@
     if (!connection.link) {
         return !this->isInRetryDelay(connection, now);
     }
-    // A connection that was closed in this turn has calls that end when its hook runs. A new attempt
-    // to connect before that would leave it in place, and its peer would never count as down.
+    // A connection that was closed in this turn has calls that end when its hook runs. A new
+    // attempt to connect before that would leave it in place, and its peer would never count as
+    // down.
     if (!connection.link->isOpen()) {
         return false;
     }
