--- a/packages/stage/leave_confirmation.h
+++ b/packages/stage/leave_confirmation.h
@@ -3,9 +3,9 @@
 // the leave as well. A host that can't be reached, and a confirmation that is lost, never refuse
 // the leave.
 //
-//   for (const std::string &node : confirmation.begin(instance, reachable, now)) { ... tell it ...
-//   } confirmation.noteResult(instance, isConfirmed); if (confirmation.isOver(instance, now)) { ...
-//   acknowledge the leave ... }
+//   for (const std::string &node : confirmation.begin(instance, reachable, now)) { ... tell it ... }
+//   confirmation.noteResult(instance, isConfirmed);
+//   const bool mayAcknowledge = confirmation.isOver(instance, now);
 #pragma once
 
 #include "base/time.h"
