admission, keyspace: no estimate of the time for which callers have waited; fewer moves from overloaded sessions

Change: the estimate is removed; overloaded sessions make at most eight moves, from 2.5 times the mean.

--- a/packages/keyspace/range_planner.h
+++ b/packages/keyspace/range_planner.h
@@ -115,8 +115,8 @@
     // Sessions that get more than they can serve, and this many times the mean, pass keys on
     // faster. A cluster of busy keys moves within seconds, and each move gives one session its
     // share.
-    double overloadRatio = 1.5;
-    std::size_t maxOverloadMoves = 24; // bounds the time of one plan
+    double overloadRatio = 2.5;
+    std::size_t maxOverloadMoves = 8; // bounds the time of one plan
     // Sessions far below the others, such as those of new upstreams, get keys faster: each plan
     // makes one move per this many sessions. Four plans, one per second, fill them all.
     std::size_t sessionsPerFillMove = 4;
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -64,9 +64,8 @@
     ConfigurationPtr configuration;
     const Route *route = nullptr;
     Time started{};
-    Duration readTime{};     // from the first to the last byte of the request
-    Duration waitTime{};     // for which the bytes of the request waited for the busy thread
-    Duration callerWaited{}; // before this request, which the caller sends again
+    Duration readTime{}; // from the first to the last byte of the request
+    Duration waitTime{}; // for which the bytes of the request waited for the busy thread
     bool isFromOwnHost = false;
     Time deadline{};              // by which the caller needs the answer
     Verdict verdict;              // why the last choice of a host found none
@@ -220,9 +219,6 @@
     execute.set_is_call(attempt.isFromOwnHost && service != this->settings.service
                         && this->hooks.calls.isCall
                         && this->hooks.calls.isCall(execute, readBootTime()));
-    if (!execute.is_call()) {
-        attempt.callerWaited = this->callerWait.note(execute.route_hash(), callerTimeout);
-    }
     this->budget(service).noteFirstAttempt(attempt.started);
     return this->sendUntilAnswered(attempt, body);
 }
@@ -341,8 +337,7 @@
             static_cast<std::uint32_t>(std::max<std::int64_t>(toMilliseconds(remaining), 0)));
     const bool hasObjective = attempt.route->objective > Duration::zero();
     const Duration objective =
-            hasObjective ? attempt.started + attempt.route->objective - attempt.callerWaited - now
-                         : remaining;
+            hasObjective ? attempt.started + attempt.route->objective - now : remaining;
     execute.set_objective_ms(
             static_cast<std::uint32_t>(std::max<std::int64_t>(toMilliseconds(objective), 0)));
     execute.set_tables_end(this->view.tablesEnd());
@@ -584,7 +579,6 @@
              {"moves", std::to_string(attempt.moves)},
              {"readMs", std::to_string(toMilliseconds(attempt.readTime))},
              {"waitedMs", std::to_string(toMilliseconds(attempt.waitTime))},
-             {"callerWaitedMs", std::to_string(toMilliseconds(attempt.callerWaited))},
              {"goneMs", attempt.isDisconnected
                                 ? std::to_string(toMilliseconds(attempt.disconnectedAfter))
                                 : "none"},
--- a/packages/stage/ingress.h
+++ b/packages/stage/ingress.h
@@ -4,7 +4,6 @@
 // Sections: hooks, settings, Ingress.
 #pragma once
 
-#include "admission/caller_wait.h"
 #include "net/http_server.h"
 #include "routing/configuration.h"
 #include "routing/host_picker.h"
@@ -137,7 +136,6 @@
     IngressSettings settings;
     IngressHooks hooks;
     RouteSplitter splitter;
-    CallerWait callerWait;
     std::map<std::string, RetryBudget, std::less<>> budgets; // by service
     std::uint64_t lastCall = 0;
     std::set<Attempt *> active;
