--- a/review/lib2/deployment.cpp
+++ b/review/lib2/deployment.cpp
@@ -287,6 +287,11 @@
     HttpAnswer answer{200,
                       {{"X-Attempt-Id", id}, {"X-Server-Seal", "seal-" + this->instance}},
                       id + " ran at " + this->instance};
+    const int failure = this->options.failure ? this->options.failure(this->instance) : 0;
+    if (failure != 0) {
+        answer.status = failure;
+        answer.body = "the database is away";
+    }
     if (this->options.extraFields) {
         for (const auto &field : this->options.extraFields(request)) {
             answer.fields.push_back(field);
@@ -336,6 +341,7 @@
                                                        .work = this->options.work,
                                                        .extraFields = this->options.extraFields,
                                                        .handover = this->options.handover,
+                                                       .failure = this->options.failure,
                                                        .granted = this->options.granted,
                                                        .released = this->options.released},
                                        this->record);
@@ -387,7 +393,7 @@
         services.push_back({service.name, "/health", 130, service.isSharded});
     }
     const Json limits{{"max_header_bytes", 16'384},
-                      {"max_body_bytes", 1'048'576},
+                      {"max_body_bytes", this->options.maxBodyBytes},
                       {"header_timeout_ms", 3000},
                       {"idle_timeout_ms", this->options.idleTimeoutMs}};
     const Json document{
@@ -598,6 +604,24 @@
     }
 }
 
+bool Connection::send(std::string_view part, std::chrono::milliseconds limit)
+{
+    const auto deadline = Clock::now() + limit;
+    while (!part.empty() && this->isOpen() && Clock::now() < deadline) {
+        const ssize_t count = ::send(this->handle, part.data(), part.size(), MSG_NOSIGNAL);
+        if (count > 0) {
+            part.remove_prefix(static_cast<std::size_t>(count));
+            continue;
+        }
+        if (count < 0 && errno != EAGAIN) {
+            return false;
+        }
+        pollfd entry{.fd = this->handle, .events = POLLOUT, .revents = 0};
+        poll(&entry, 1, 10);
+    }
+    return part.empty();
+}
+
 Ending Connection::exchange(Record &record, const std::string &id, const std::string &text,
                             std::chrono::milliseconds limit)
 {
--- a/review/lib2/deployment.h
+++ b/review/lib2/deployment.h
@@ -22,6 +22,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <sys/types.h>
 #include <thread>
 #include <vector>
@@ -93,6 +94,8 @@
     // Fields that the endpoint adds to its answer to a request for this target.
     std::function<HttpFields(const HttpRequest &request)> extraFields;
     std::function<std::string()> handover; // token in the answer to a release
+    // Returns the status with which the endpoint answers a request that it has run; 0: 200.
+    std::function<int(const std::string &instance)> failure;
     // Called with each grant that the endpoint takes, and with each release.
     std::function<void(const std::string &instance, const GrantEvent &grant)> granted;
     std::function<void(const std::string &instance, const GrantEvent &released)> released;
@@ -175,8 +178,10 @@
     int maxDescriptors = 4100; // of each process, as in the site files
     int memoryMb = 260;
     int idleTimeoutMs = 15'000;
+    std::int64_t maxBodyBytes = 67'108'864; // as the example of the configuration on the wire
     std::function<HttpFields(const HttpRequest &request)> extraFields;
     std::function<std::string()> handover;
+    std::function<int(const std::string &instance)> failure;
     std::function<void(const std::string &instance, const GrantEvent &grant)> granted;
     std::function<void(const std::string &instance, const GrantEvent &released)> released;
 };
@@ -276,6 +281,9 @@
     Ending exchange(Record &record, const std::string &id, const std::string &text,
                     std::chrono::milliseconds limit);
 
+    // Sends a part of a request. Returns false if that fails or takes longer than the limit.
+    bool send(std::string_view part, std::chrono::milliseconds limit);
+
     void close();
 
 private:
