review: a clock that steps back makes a restarted process deny grants that are in force

Cause: a restarted process takes a later start time of its endpoint, by the time of day, as proof that no process before it has granted keys.

--- a/review/lib2/deployment.cpp
+++ b/review/lib2/deployment.cpp
@@ -106,7 +106,7 @@
     , options(std::move(endpointOptions))
     , record(eventRecord)
     , born(std::chrono::duration_cast<std::chrono::milliseconds>(
-                   std::chrono::system_clock::now().time_since_epoch())
+                   std::chrono::system_clock::now().time_since_epoch() + this->options.clockAhead)
                    .count())
     , server(*kumquat::HttpServer::start(this->options.address, [this](const HttpRequest &request) {
         return this->answer(request);
@@ -330,7 +330,7 @@
     }
 }
 
-void Deployment::startEndpoint(Host &host)
+void Deployment::startEndpoint(Host &host, std::chrono::milliseconds clockAhead)
 {
     const std::string number = ++host.instances > 1 ? "-" + std::to_string(host.instances) : "";
     host.endpoint =
@@ -338,6 +338,7 @@
                                        EndpointOptions{.service = host.service,
                                                        .zone = host.zone,
                                                        .address = host.upstream,
+                                                       .clockAhead = clockAhead,
                                                        .work = this->options.work,
                                                        .extraFields = this->options.extraFields,
                                                        .handover = this->options.handover,
--- a/review/lib2/deployment.h
+++ b/review/lib2/deployment.h
@@ -88,6 +88,8 @@
     std::string service;
     std::string zone;
     Address address;
+    // How far the clock of the machine is ahead while the endpoint starts.
+    std::chrono::milliseconds clockAhead{};
     int slots = 9;
     int queue = 36;
     std::chrono::milliseconds work{100};
@@ -217,8 +219,9 @@
     bool waitUntilServing(Clock::duration limit);
 
     void start(Host &host);
-    void startEndpoint(Host &host); // a new instance
-    void endEndpoint(Host &host);   // as in a crash
+    // Starts a new instance. `clockAhead`: of the clock of its machine meanwhile.
+    void startEndpoint(Host &host, std::chrono::milliseconds clockAhead = {});
+    void endEndpoint(Host &host); // as in a crash
     kumquat::PlatformStore &platformStore() { return this->store; }
     void signal(const Host &host, int number) const;
 
