keyspace, stage: a restarted process always answers for the grants of the one before

Cause: hasStartedAfter compared the start time of the upstream instance with that of the process, two readings of the wall clock, and took a later instance for one without grants of an earlier process. KeyOwner then took back the wait for these grants, so answerStop and holdsNothing proved an end that had not come.

The ownership model finds two owners with the order of start times switched on again.

--- a/packages/keyspace/range_holder.cpp
+++ b/packages/keyspace/range_holder.cpp
@@ -96,9 +96,7 @@
 // Returns the time at which all grants of an earlier process of this host have expired.
 Time RangeHolder::earlierGrantsEnd() const
 {
-    return this->mayHaveEarlierGrants
-                   ? this->startedAt + this->withClockDrift(this->settings.maxHold)
-                   : Time::min();
+    return this->startedAt + this->withClockDrift(this->settings.maxHold);
 }
 
 void RangeHolder::stopLostRanges(const std::vector<Owned> &before, Time now)
--- a/packages/keyspace/range_holder.h
+++ b/packages/keyspace/range_holder.h
@@ -111,7 +111,9 @@
 {
 public:
     // `started`: start of this process. Grants of an earlier process on this host may be valid for
-    // up to `maxHold` after it.
+    // up to `maxHold` after it, whichever instance of the upstream reports: start times of
+    // processes and instances do not order them, because the wall clock may have been set in
+    // between.
     RangeHolder(HolderSettings holderSettings, Time started);
 
     // Applies the newest table. `session`: this host's own session; 0: none, then all keys are
@@ -129,11 +131,6 @@
     // instance has released them or they have expired.
     void noteUpstreamEnded(Time now);
 
-    // Records that no grant of an earlier process of this host is in force: the current upstream
-    // instance started after this process, so every earlier one has ended, and nothing was granted
-    // to it before.
-    void noteEarlierGrantsEnded() { this->mayHaveEarlierGrants = false; }
-
     // Records the result of a grant order. Returns whether keys became held that were not before.
     bool noteGrant(std::uint64_t number, GrantOutcome outcome, Time now);
 
@@ -246,7 +243,6 @@
 
     HolderSettings settings;
     Time startedAt;
-    bool mayHaveEarlierGrants = true; // of an earlier process, until earlierGrantsEnd()
     Time leaseUntil{};
     std::uint64_t lastOrder = 0;  // number of the newest order
     std::uint64_t lastReport = 0; // number of the newest report
--- a/packages/keyspace/tests/ownership_model.cpp
+++ b/packages/keyspace/tests/ownership_model.cpp
@@ -11,6 +11,7 @@
     , guards(modelGuards)
     , grantMode(modelGrantMode)
     , faults(modelFaults)
+    , upstreamsRestart(modelFaults == Faults::ClockSteps)
     , load(3s)
 {
     for (int i = 0; i < hostCount; ++i) {
@@ -21,6 +22,7 @@
         this->cutUntil.push_back(Time::zero());
         this->apartUntil.push_back(Time::zero());
         this->gone.push_back(false);
+        this->clockOffsets.push_back(Duration::zero());
     }
 }
 
@@ -34,6 +36,9 @@
         this->planTable();
         for (int i = 0; i < hostCount; ++i) {
             this->advance(i);
+            if (this->upstreamsRestart) {
+                this->reportInstance(i);
+            }
             if (this->grantMode == GrantMode::Heartbeat) {
                 this->advanceUpstream(i);
             }
@@ -126,6 +131,9 @@
         this->injectLastingFaults();
     }
     const int host = static_cast<int>(this->random() % hostCount);
+    if (this->faults == Faults::ClockSteps) {
+        this->injectClockFaults(host);
+    }
     if (this->faults == Faults::Evacuations && this->chance(0.01)) {
         this->evacuatedUntil[host] = this->now + this->between(500ms, 10s);
     }
@@ -166,9 +174,15 @@
 
 void OwnershipModel::restart(int host)
 {
-    this->hosts[host] = std::make_unique<ModelHost>(this->now);
+    const UpstreamInstance recorded = this->hosts[host]->instance; // in the record of the host
+    const int recordedNumber = this->hosts[host]->instanceNumber;
+    this->hosts[host] = std::make_unique<ModelHost>(this->now, this->wallMs(host));
     const int other = static_cast<int>(this->random() % hostCount);
     ModelHost &started = *this->hosts[host];
+    started.instance = recorded;
+    started.instanceNumber = recordedNumber;
+    started.hasHeardUpstream = !this->upstreamsRestart;
+    this->forgetEarlierGrants(started);
     if (this->reachesStore(host)) {
         started.noteEra(this->storeEra, this->now);
         this->takeTable(started, this->stored);
--- a/packages/keyspace/tests/ownership_model.h
+++ b/packages/keyspace/tests/ownership_model.h
@@ -74,6 +74,15 @@
     void injectLastingFaults();
     void restart(int host);
 
+    // Instances of upstreams, and wall clocks.
+    std::int64_t wallMs(int host) const;
+    void injectClockFaults(int host);
+    void crashUpstream(int index);
+    void reportInstance(int index);
+    void noteInstance(int index, const UpstreamInstance &instance, int number);
+    void forgetEarlierGrants(ModelHost &host) const;
+    bool ownsSession(int index, const KeySession &session) const;
+
     // Check.
     void check();
     std::vector<ModelUpstream::Hold> allHolds(int index) const;
@@ -114,6 +123,7 @@
     Guards guards;
     GrantMode grantMode;
     Faults faults;
+    bool upstreamsRestart; // processes learn from heartbeats which instance of the upstream runs
     Time now = 100s;
     Time plannedAt{};
     Time storeDownUntil{};
@@ -129,8 +139,9 @@
     std::vector<ModelUpstream> upstreams;
     std::vector<Time> frozenUntil;
     std::vector<Time> cutUntil;
-    std::vector<Time> apartUntil; // cut off together with the other hosts for which it is set
-    std::vector<bool> gone;       // lost for good
+    std::vector<Time> apartUntil;       // cut off together with the other hosts for which it is set
+    std::vector<bool> gone;             // lost for good
+    std::vector<Duration> clockOffsets; // of the wall clock of each host
     std::map<int, Time> evacuatedUntil;
     std::map<int, Time> heardAt;
     std::map<int, Time> reachedAt;
--- a/packages/keyspace/tests/ownership_model_hosts.cpp
+++ b/packages/keyspace/tests/ownership_model_hosts.cpp
@@ -11,7 +11,8 @@
         return;
     }
     ModelHost &host = *this->hosts[index];
-    if (host.session == 0 && host.table.activeSessionOf(this->nameOf(index)) != nullptr) {
+    const KeySession *active = host.table.activeSessionOf(this->nameOf(index));
+    if (host.session == 0 && active != nullptr && this->ownsSession(index, *active)) {
         this->deliverTable(index, host.table, host.era.current());
     }
     if (host.session != 0 && this->now - host.renewedAt >= 400ms) {
@@ -21,7 +22,7 @@
     this->readStore(index);
     this->collectProofs(index);
     host.holder.setLease(this->leaseEnd(host));
-    if (this->grantMode == GrantMode::Heartbeat) {
+    if (this->grantMode == GrantMode::Heartbeat || !host.hasHeardUpstream) {
         return;
     }
     for (const HoldOrder &order : host.holder.takeOrders(this->now)) {
@@ -117,7 +118,8 @@
     const int peer = this->indexOf(former.node);
     ModelHost &other = *this->hosts[peer];
     if (!this->isAwake(peer) || !this->isLinked(index, peer)
-        || other.table.end < this->hosts[index]->table.end) {
+        || other.table.end < this->hosts[index]->table.end
+        || (former.instance != other.instance && !other.hasHeardUpstream)) {
         return;
     }
     const StopAnswer answer =
@@ -170,7 +172,10 @@
     const bool isLost = isLate || this->chance(0.03);
     const Duration actDelay = isLate ? this->between(300ms, 4s) : this->between(1ms, 40ms);
     const Time arrived = this->now + 1ms;
-    this->schedule(actDelay, [this, &upstream, order, arrived] {
+    this->schedule(actDelay, [this, &upstream, order, arrived, restarts = upstream.restarts] {
+        if (upstream.restarts != restarts) {
+            return; // the instance that the order reached has ended
+        }
         if (order.kind == HoldOrderKind::Release) {
             upstream.release(order.span, order.fence);
         } else if (arrived + order.hold > this->now) {
@@ -178,11 +183,13 @@
         }
     });
     const ModelHost *sender = this->hosts[index].get();
-    this->schedule(isLost ? 800ms : actDelay + 2ms, [this, index, order, isLost, sender] {
-        if (this->hosts[index].get() == sender) {
-            this->finish(index, order, isLost);
-        }
-    });
+    this->schedule(isLost ? 800ms : actDelay + 2ms,
+                   [this, index, order, isLost, sender, restarts = upstream.restarts] {
+                       if (this->hosts[index].get() == sender) {
+                           const bool hasCrashed = this->upstreams[index].restarts != restarts;
+                           this->finish(index, order, isLost || hasCrashed);
+                       }
+                   });
 }
 
 void OwnershipModel::finish(int index, const HoldOrder &order, bool isLost)
@@ -214,7 +221,9 @@
             this->now + (upstream.stillRunning.empty() ? heartbeatInterval : 100ms);
     upstream.heartbeat = {.sequence = ++upstream.sequence,
                           .sentAt = this->now,
-                          .report = upstream.report(this->now, this->guards.runningWork)};
+                          .report = upstream.report(this->now, this->guards.runningWork),
+                          .instance = upstream.instance,
+                          .restarts = upstream.restarts};
     this->schedule(this->delay(), [this, index, heartbeat = *upstream.heartbeat] {
         this->deliver(index, heartbeat);
     });
@@ -232,7 +241,11 @@
         this->schedule(100ms, [this, index, heartbeat] { this->deliver(index, heartbeat); });
         return;
     }
+    this->noteInstance(index, heartbeat.instance, heartbeat.restarts);
     ModelHost &host = *this->hosts[index];
+    if (host.instanceNumber != heartbeat.restarts) {
+        return; // a late one of an earlier instance
+    }
     const bool isNewest = heartbeat.sequence > host.lastSequence || !this->guards.reportOrder;
     host.lastSequence = std::max(host.lastSequence, heartbeat.sequence);
     this->advance(index);
@@ -253,7 +266,8 @@
                                  const std::optional<HoldAnswer> &answer)
 {
     ModelUpstream &upstream = this->upstreams[index];
-    if (!upstream.heartbeat || upstream.heartbeat->sequence != heartbeat.sequence) {
+    if (!upstream.heartbeat || upstream.heartbeat->sequence != heartbeat.sequence
+        || upstream.restarts != heartbeat.restarts) {
         return; // the upstream no longer waits for this answer
     }
     upstream.heartbeat.reset();
--- a/packages/keyspace/tests/ownership_model_parts.h
+++ b/packages/keyspace/tests/ownership_model_parts.h
@@ -30,6 +30,9 @@
     bool runningWork = true; // keys with requests that are still running count as held
     bool lateOrders = true;  // an order is checked again when it is sent
     bool freshTables = true; // owners stop without a current key table
+    // A process that has started waits until the grants of the one before have ended, also if the
+    // start time of the upstream instance is later than its own by the wall clock of the host.
+    bool earlierGrants = true;
     // After a rollback of the store:
     bool eraFreshness = true; // comparisons in another era do not keep an owner going
     bool eraWait = true;      // the first table of an era waits for the owners of older ones
@@ -42,6 +45,8 @@
     Evacuations, // besides, data centres with one host each are evacuated for a time
     Lasting,     // besides passing faults, hosts are lost for good, and groups of hosts are cut off
                  // from all others
+    ClockSteps, // besides passing faults, upstreams crash and restart, and the wall clocks of hosts
+                // step by seconds in either direction and back
 };
 
 // An upstream, which holds keys until a time by its own clock. The clock may be slow.
@@ -60,6 +65,8 @@
         std::uint64_t sequence = 0;
         Time sentAt{};
         HoldReport report;
+        UpstreamInstance instance; // that sent it
+        int restarts = 0;
     };
 
     std::vector<Hold> holds;
@@ -69,6 +76,9 @@
     std::uint64_t sequence = 0;
     Time nextHeartbeat{};
     double clockFactor = 1;
+    UpstreamInstance instance{.id = "i-1", .startedMs = 1};
+    int restarts = 0;  // number of the instance
+    Time nextReport{}; // of the instance to the process beside it
 
     HoldReport report(Time now, bool withRunning) const
     {
@@ -169,12 +179,14 @@
 // The process on a host.
 struct ModelHost
 {
-    explicit ModelHost(Time started)
+    // `wallMs`: the wall clock of the host at the start of the process.
+    explicit ModelHost(Time started, std::int64_t wallMs = 0)
         : voter(LeaseSettings{}, started)
         , lease(LeaseSettings{})
         , holder({}, started)
         , freshness(started)
         , voterChange(started)
+        , startedMs(wallMs)
     {}
 
     LeaseVoter voter;
@@ -191,6 +203,10 @@
     StoreEraTracker era;
     std::uint64_t readEnd = 0; // position up to which the store's tables have been read
     bool hasRead = false;
+    UpstreamInstance instance{.id = "i-1", .startedMs = 1}; // the newest one that is known
+    int instanceNumber = 0;                                 // of `instance`
+    bool hasHeardUpstream = true;                           // since the start of the process
+    std::int64_t startedMs;                                 // by the wall clock
 
     void noteEra(std::uint32_t seen, Time now)
     {
--- a/packages/keyspace/tests/ownership_model_store.cpp
+++ b/packages/keyspace/tests/ownership_model_store.cpp
@@ -118,13 +118,19 @@
                                .dataCentre = this->nameOf(i),
                                .region = "north",
                                .service = "testlog",
-                               .instance = {.id = "i-" + this->nameOf(i), .startedMs = 1},
+                               .instance = this->hosts[i]->instance,
                                .slots = 9,
                                .phase = isLeaving ? UpstreamPhase::Draining : UpstreamPhase::Ready,
                                .isReachable = this->now - this->reachedAt[i] < 2s,
                                .isEvacuated = this->now < this->evacuatedUntil[i],
                                .isReturning = this->now - this->evacuatedUntil[i] < 15s});
         ModelHost &host = *this->hosts[i];
+        const KeySession *abandoned = known->activeSessionOf(this->nameOf(i));
+        if (abandoned != nullptr && abandoned->id != host.session && this->isAwake(i)
+            && this->isLinked(i, writer) && host.hasHeardUpstream && host.table.end == known->end
+            && host.holder.holdsNothing(this->now)) {
+            input.reports[abandoned->id].isRetired = true;
+        }
         if (host.session != 0) {
             SessionReport &report = input.reports[host.session];
             const bool isHeard = this->isAwake(i) && this->isLinked(i, writer);
@@ -202,8 +208,9 @@
     if (!this->takeTable(host, table) && host.session != 0) {
         return;
     }
-    const KeySession *own =
-            host.table.isFormer ? nullptr : host.table.activeSessionOf(this->nameOf(index));
+    const KeySession *active = host.table.activeSessionOf(this->nameOf(index));
+    const bool isOwn = active != nullptr && this->ownsSession(index, *active);
+    const KeySession *own = isOwn ? active : nullptr;
     const std::uint64_t id = own != nullptr ? own->id : 0;
     if (id != host.session) {
         host.lease.reset();
--- a/packages/keyspace/tests/test_ownership_model.cpp
+++ b/packages/keyspace/tests/test_ownership_model.cpp
@@ -74,6 +74,31 @@
     CHECK(isDetected({.lateGrants = false}));
     CHECK(isDetected({.lateOrders = false}));
     CHECK(isDetected({.freshTables = false}, GrantMode::Call, Faults::Lasting));
+    CHECK(isDetected({.earlierGrants = false}, GrantMode::Call, Faults::ClockSteps));
+}
+
+// Guards against a restarted process that denies the grants of the one before because the wall
+// clock of its host has stepped: it took the upstream instance for one that had started later.
+TEST_CASE("no two upstreams hold a key at once while upstreams restart and clocks step",
+          "[ownership_model]")
+{
+    for (const GrantMode grantMode : {GrantMode::Call, GrantMode::Heartbeat}) {
+        const bool holds = rc::check("in every scenario", [grantMode](unsigned seed) {
+            OwnershipModel model(seed, {}, grantMode, Faults::ClockSteps);
+            const std::string violation = model.run(30s);
+            RC_LOG() << "seed " << seed << ": " << violation;
+            RC_ASSERT(violation.empty());
+        });
+        CHECK(holds);
+    }
+    for (const unsigned seed : {7U, 8U, 9U}) {
+        OwnershipModel model(seed, {}, GrantMode::Call, Faults::ClockSteps);
+        REQUIRE(model.run(30s).empty());
+        model.endFaults();
+        REQUIRE(model.run(15s).empty());
+        INFO("seed " << seed);
+        CHECK(model.heldKeysWithin(2s) == lastShardKey + 1);
+    }
 }
 
 // Guards against a takeover from an owner that is out of touch with its successor but not lost.
--- a/packages/keyspace/tests/test_range_holder.cpp
+++ b/packages/keyspace/tests/test_range_holder.cpp
@@ -81,17 +81,22 @@
     CHECK(holder.holdsNothing(end));
 }
 
-// Guards against keys that wait for a hold after a power loss, in which the upstream ended as well.
-TEST_CASE("an upstream that started after the process has no grants of an earlier one",
+// Guards against two owners of a key: a process that has just started took an upstream instance for
+// one without grants of the process before, because its start time was later by the wall clock. The
+// end of an instance that it has known itself proves nothing about these grants either.
+TEST_CASE("a new instance of the upstream does not end the wait for earlier grants",
           "[range_holder]")
 {
     RangeHolder holder(HolderSettings{}, 10s);
-    holder.noteEarlierGrantsEnded();
-    CHECK(holder.holdsNothing(10s));
-    CHECK(holder.answerStop(lowKeys, 1, 10s).stopped);
-    HoldOrder grant = grantLowKeys(holder, 11s);
-    holder.noteGrant(grant.number, GrantOutcome::Accepted, 11'010ms);
-    CHECK_FALSE(holder.holdsNothing(11'020ms)); // its own grants count as before
+    const Time end = 10s + HolderSettings{}.maxHold * 102 / 100;
+    holder.noteUpstreamEnded(10s);
+    CHECK_FALSE(holder.holdsNothing(10s));
+    CHECK_FALSE(holder.answerStop(lowKeys, 1, 10s).stopped);
+    CHECK_FALSE(holder.answerStop(lowKeys, 1, end - 1ms).stopped);
+    CHECK(holder.answerStop(lowKeys, 1, end).stopped);
+    HoldOrder grant = grantLowKeys(holder, end + 1s);
+    holder.noteGrant(grant.number, GrantOutcome::Accepted, end + 1010ms);
+    CHECK_FALSE(holder.holdsNothing(end + 1020ms)); // its own grants count as before
 }
 
 // Guards against two owners: when a renewal and a release are in progress together, the upstream
--- a/packages/stage/key_owner.cpp
+++ b/packages/stage/key_owner.cpp
@@ -58,11 +58,6 @@
     return {.answer = std::move(answer), .isWithdrawn = isWithdrawn};
 }
 
-bool hasStartedAfter(const UpstreamInstance &instance, std::int64_t processStartedMs)
-{
-    return instance.isKnown() && instance.startedMs > processStartedMs;
-}
-
 KeyOwner::KeyOwner(FiberThread &ownerThread, const std::string &ownNode,
                    const std::string &ownService, const Address &upstream, Duration allowedMaxHold,
                    ClusterView &clusterView, LinkPool &linkPool, UpstreamMonitor &upstreamMonitor,
@@ -83,9 +78,6 @@
               .renewEvery = this->leaseSettings.renewEvery,
               .clockDrift = this->leaseSettings.clockDrift},
              readBootTime())
-    , startedMs(std::chrono::duration_cast<std::chrono::milliseconds>(
-                        std::chrono::system_clock::now().time_since_epoch())
-                        .count())
 {}
 
 void KeyOwner::advance(Time now)
@@ -114,9 +106,6 @@
     if (!isSameInstance) {
         this->holder.noteUpstreamEnded(now);
         this->appliedInstance = this->monitor.instance();
-        if (hasStartedAfter(this->appliedInstance, this->startedMs)) {
-            this->holder.noteEarlierGrantsEnded();
-        }
     }
     this->appliedTableEnd = table->end;
     this->applyLeaseLength(*table);
--- a/packages/stage/key_owner.h
+++ b/packages/stage/key_owner.h
@@ -52,11 +52,6 @@
 // order on the same connection.
 HttpCallOptions orderOptions(HoldOrderKind kind, std::shared_ptr<HttpCallHandle> handle);
 
-// Returns whether an upstream instance started after this process, both in Unix milliseconds by the
-// clock of their host. Then no process before this one can have granted it any keys, also not by a
-// grant that was meant for an earlier instance at the same address.
-bool hasStartedAfter(const UpstreamInstance &instance, std::int64_t processStartedMs);
-
 // ---- KeyOwner ----
 
 // Used on one thread.
@@ -85,8 +80,7 @@
     std::uint64_t session() const { return this->ownSession; }
 
     // Returns the session of this host that is active in the key table, but abandoned and without
-    // held keys, or 0. Within one hold of the start of this process that is known only if the
-    // upstream instance started after it.
+    // held keys, or 0. Within one hold of the start of this process the latter is not known.
     std::uint64_t retiredSession(Time now) const;
 
     // Returns from which key tables the voters come on which the present grants depend.
@@ -135,7 +129,6 @@
     std::uint64_t abandonedSession = 0; // session of an upstream that has ended; never used again
     std::uint64_t appliedTableEnd = 0;  // end of the table that `holder` has
     UpstreamInstance appliedInstance;
-    std::int64_t startedMs; // start of this process, Unix milliseconds
     Time lastRenewalAt = -1h;
     Time lastAskedAt = -1h;
 };
--- a/packages/stage/tests/test_leaves.cpp
+++ b/packages/stage/tests/test_leaves.cpp
@@ -186,16 +186,6 @@
     CHECK(monitor.mayServe(23s));
 }
 
-// Guards against two owners of a key after a crash of the upstream and a kill of the process: the
-// next instance may have accepted grants of that process that were meant for the one before
-// (KR-15).
-TEST_CASE("only an instance that started after the process has no earlier grants", "[key_owner]")
-{
-    CHECK(hasStartedAfter({.id = "i-1", .startedMs = 5001}, 5000));
-    CHECK_FALSE(hasStartedAfter({.id = "i-1", .startedMs = 5000}, 5000));
-    CHECK_FALSE(hasStartedAfter({.startedMs = 5001}, 5000)); // no instance is known
-}
-
 // Guards against an upstream that is used although the record of its leave arrives from another
 // host a moment after the start.
 TEST_CASE("a leave that is found after the start counts at once", "[leaves]")
--- a/packages/standins/platform_endpoint.cpp
+++ b/packages/standins/platform_endpoint.cpp
@@ -118,7 +118,8 @@
     , ledger(holdLedger)
     , options(endpointOptions)
     , startedMs(std::chrono::duration_cast<std::chrono::milliseconds>(
-                        std::chrono::system_clock::now().time_since_epoch())
+                        std::chrono::system_clock::now().time_since_epoch()
+                        + endpointOptions.clockAhead)
                         .count())
     , server(*HttpServer::start({"127.0.0.1", options.port}, [this](const HttpRequest &request) {
         return this->answer(request);
--- a/packages/standins/platform_endpoint.h
+++ b/packages/standins/platform_endpoint.h
@@ -83,6 +83,8 @@
     std::chrono::milliseconds workTime{5};
     bool grantsInAnswers = false; // accepts grants in answers to heartbeats instead of grant calls
     int slots = 9;
+    // How far the wall clock of the host is ahead while the upstream starts.
+    std::chrono::milliseconds clockAhead{};
 };
 
 class PlatformEndpoint
--- a/packages/system/platform_cluster.cpp
+++ b/packages/system/platform_cluster.cpp
@@ -92,7 +92,7 @@
     host.endpoint.reset();
 }
 
-void PlatformCluster::startUpstream(PlatformHost &host)
+void PlatformCluster::startUpstream(PlatformHost &host, std::chrono::milliseconds clockAhead)
 {
     const std::string id = "i-" + host.node + "-" + std::to_string(++host.instances);
     host.endpoint = std::make_unique<PlatformEndpoint>(
@@ -101,7 +101,8 @@
                             .advertisedPort = host.advertisedUpstream.port,
                             .workTime = this->options.workTime,
                             .grantsInAnswers = this->options.grantsInAnswers,
-                            .slots = this->options.slots});
+                            .slots = this->options.slots,
+                            .clockAhead = clockAhead});
     host.endpoint->sendHeartbeatsTo(host.heartbeats);
 }
 
--- a/packages/system/platform_cluster.h
+++ b/packages/system/platform_cluster.h
@@ -91,7 +91,8 @@
     void endUpstream(PlatformHost &host);
 
     // Starts a new instance of an upstream that has ended, with a new id at the same address.
-    void startUpstream(PlatformHost &host);
+    // `clockAhead`: of the wall clock of its host meanwhile.
+    void startUpstream(PlatformHost &host, std::chrono::milliseconds clockAhead = {});
 
     std::vector<PlatformHost> &hosts() { return this->allHosts; }
     PlatformHost &host(std::size_t index) { return this->allHosts.at(index); }
