keyspace, stage: what a host has seen orders the instances of its upstream

An upstream that restarted after its clock was set back got no requests for 2.5 s and three heartbeats; a late heartbeat of a former instance with a later start time took the place of the present one; after a rollback of the store the record with the later start time won, and with it a leave could be lost.

Cause: start times by the wall clock were compared by order.

Change: InstanceHistory lists the instances that later ones have replaced, and the record of a host carries it. UpstreamMonitor and isNewerForm go by it and by what the process has seen itself. An unknown instance under the id of one that leaves is accepted only when the leaving one is certain to have ended.

Tests: "a late heartbeat of an earlier instance is ignored after a restart" restored a record without any history, which no process writes that has seen both; it now has the history, and a second case has the instance that no record names. Two cases of leaves note the end of the instance before the next one reports. The order of two records of different instances needs the history.

--- a/packages/keyspace/store_era.cpp
+++ b/packages/keyspace/store_era.cpp
@@ -84,8 +84,9 @@
 
 bool isNewerForm(const HostForm &form, const HostForm &other)
 {
-    if (form.instanceStartedMs != other.instanceStartedMs) {
-        return form.instanceStartedMs > other.instanceStartedMs;
+    if (form.instance != other.instance) {
+        return form.history.hasReplaced(other.instance)
+               || (form.instance.isKnown() && !other.instance.isKnown());
     }
     if (form.hasEnded != other.hasEnded) {
         return form.hasEnded;
--- a/packages/keyspace/store_era.h
+++ b/packages/keyspace/store_era.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "keyspace/instance_history.h"
 #include "keyspace/key_table.h"
 
 #include <cstdint>
@@ -93,15 +94,17 @@
 // What decides which of two records of one host is newer if their positions don't.
 struct HostForm
 {
-    std::int64_t instanceStartedMs = 0;
+    UpstreamInstance instance;
+    InstanceHistory history; // of the instances that `instance` has replaced
     bool isLeaving = false;
     bool hasEnded = false;
     std::uint64_t incarnation = 0;
     std::uint64_t change = 0;
 };
 
-// Returns whether `form` is known to be newer than `other`. A leave and an end are final for an
-// instance, so records with them are newer.
+// Returns whether `form` is known to be newer than `other`: it names the instance of the other one
+// as replaced, or it has the leave or the end of the same instance, which are final. Of two records
+// of which none is known to be newer, the position in the store decides.
 bool isNewerForm(const HostForm &form, const HostForm &other);
 
 } // namespace kumquat
--- a/packages/keyspace/tests/test_store_rollback.cpp
+++ b/packages/keyspace/tests/test_store_rollback.cpp
@@ -275,16 +275,51 @@
 TEST_CASE("a record with a leave is newer than one of the same instance without",
           "[store_rollback]")
 {
-    const HostForm ready{.instanceStartedMs = 5, .incarnation = 1, .change = 9};
-    const HostForm leaving{
-            .instanceStartedMs = 5, .isLeaving = true, .incarnation = 1, .change = 3};
-    const HostForm next{.instanceStartedMs = 6, .incarnation = 2, .change = 1};
+    const UpstreamInstance instance{.id = "i-1", .startedMs = 5};
+    const HostForm ready{.instance = instance, .incarnation = 1, .change = 9};
+    const HostForm leaving{.instance = instance, .isLeaving = true, .incarnation = 1, .change = 3};
+    const HostForm next{.instance = {.id = "i-2", .startedMs = 6},
+                        .history = InstanceHistory({instance}),
+                        .incarnation = 2,
+                        .change = 1};
     CHECK(isNewerForm(leaving, ready));
     CHECK_FALSE(isNewerForm(ready, leaving));
     CHECK(isNewerForm(next, leaving));
-    CHECK(isNewerForm(ready, HostForm{.instanceStartedMs = 5, .incarnation = 1, .change = 8}));
-    CHECK_FALSE(
-            isNewerForm(ready, HostForm{.instanceStartedMs = 5, .incarnation = 2, .change = 8}));
+    CHECK_FALSE(isNewerForm(leaving, next));
+    CHECK(isNewerForm(ready, HostForm{.instance = instance, .incarnation = 1, .change = 8}));
+    CHECK_FALSE(isNewerForm(ready, HostForm{.instance = instance, .incarnation = 2, .change = 8}));
+}
+
+// Guards against the record of a former instance that wins over that of the present one, because
+// the clock of the host was set back between their starts: a leave of the present one was lost.
+TEST_CASE("start times do not order the records of a host", "[store_rollback]")
+{
+    const UpstreamInstance former{.id = "i-1", .startedMs = 9000};
+    const UpstreamInstance present{.id = "i-2", .startedMs = 7000};
+    const HostForm before{.instance = former};
+    const HostForm leaving{
+            .instance = present, .history = InstanceHistory({former}), .isLeaving = true};
+    CHECK(isNewerForm(leaving, before));
+    CHECK_FALSE(isNewerForm(before, leaving));
+    // Records that do not know of each other have no order.
+    const HostForm other{.instance = present};
+    CHECK_FALSE(isNewerForm(other, before));
+    CHECK_FALSE(isNewerForm(before, other));
+}
+
+TEST_CASE("the history of instances keeps the newest ones", "[store_rollback]")
+{
+    InstanceHistory history;
+    history.noteReplaced({}); // no instance
+    CHECK(history.replaced().empty());
+    for (std::int64_t i = 0; i <= static_cast<std::int64_t>(InstanceHistory::maxInstances); ++i) {
+        history.noteReplaced({.id = "i", .startedMs = i});
+    }
+    CHECK(history.replaced().size() == InstanceHistory::maxInstances);
+    CHECK_FALSE(history.hasReplaced({.id = "i", .startedMs = 0}));
+    CHECK(history.hasReplaced({.id = "i", .startedMs = 1}));
+    history.noteCurrent({.id = "i", .startedMs = 1});
+    CHECK_FALSE(history.hasReplaced({.id = "i", .startedMs = 1}));
 }
 
 } // namespace kumquat
--- a/packages/stage/cluster_view.cpp
+++ b/packages/stage/cluster_view.cpp
@@ -20,6 +20,15 @@
             .phase = decodePhase(record.phase())};
 }
 
+InstanceHistory decodeHistory(const wire::HostRecord &record)
+{
+    InstanceHistory history;
+    for (const wire::InstanceRecord &replaced : record.replaced()) {
+        history.noteReplaced({.id = replaced.upstream_id(), .startedMs = replaced.born_ms()});
+    }
+    return history;
+}
+
 KnownHost makeHost(const wire::HostRecord &record, const Address &address, std::uint64_t offset,
                    const std::string &bytes)
 {
@@ -28,13 +37,15 @@
             .incarnation = record.incarnation(),
             .change = record.change(),
             .isLeaving = record.leaving(),
+            .history = decodeHistory(record),
             .offset = offset,
             .bytes = bytes};
 }
 
 HostForm formOf(const KnownHost &host)
 {
-    return {.instanceStartedMs = host.info.instance.startedMs,
+    return {.instance = host.info.instance,
+            .history = host.history,
             .isLeaving = host.isLeaving,
             .hasEnded = host.info.phase == UpstreamPhase::Ended,
             .incarnation = host.incarnation,
--- a/packages/stage/cluster_view.h
+++ b/packages/stage/cluster_view.h
@@ -36,6 +36,7 @@
     std::uint64_t incarnation = 0; // of the process on the host
     std::uint64_t change = 0;      // grows with each record of this incarnation
     bool isLeaving = false;        // the upstream has announced that it will end
+    InstanceHistory history;       // of the upstream's instances
     std::uint64_t offset = 0;      // position of the host's record in the store
     std::string bytes;             // encoded record, to forward to other processes
     // The store has gone back, and its record of the host is older than this one.
--- a/packages/stage/executor_upstream.cpp
+++ b/packages/stage/executor_upstream.cpp
@@ -144,6 +144,8 @@
         const bool isLate = kind == ErrorKind::UpstreamTimeout;
         if (isLate) {
             this->client.dropIdle(); // idle connections may be silent as well
+        } else {
+            this->monitor.noteConnectionLost();
         }
         end = isLate ? CallEnd::TimedOut : CallEnd::Lost;
         this->metrics.count(isLate ? Metric::UpstreamTimedOut : Metric::UpstreamLost);
--- a/packages/stage/stage_host_record.cpp
+++ b/packages/stage/stage_host_record.cpp
@@ -107,7 +107,8 @@
     if (const KnownHost *host = this->view.host(this->settings.node)) {
         recorded = {.instance = host->info.instance,
                     .phase = host->info.phase,
-                    .isLeaving = host->isLeaving};
+                    .isLeaving = host->isLeaving,
+                    .history = host->history};
         isStored = !host->isAhead && storeEraOf(host->offset) == this->view.storeEra().current();
     }
     this->monitor.restore(recorded, now);
@@ -261,6 +262,11 @@
     record.set_phase(encodePhase(this->monitor.phase()));
     record.set_change(++this->recordChange);
     record.set_leaving(this->monitor.isLeaving());
+    for (const UpstreamInstance &replaced : this->monitor.history().replaced()) {
+        wire::InstanceRecord &added = *record.add_replaced();
+        added.set_upstream_id(replaced.id);
+        added.set_born_ms(replaced.startedMs);
+    }
     const std::uint32_t era = this->view.storeEra().current();
     record.set_store_era(era);
     const UpstreamInstance leave =
--- a/packages/stage/tests/test_leaves.cpp
+++ b/packages/stage/tests/test_leaves.cpp
@@ -182,6 +182,7 @@
             21s);
     monitor.applyHeartbeat(makeHeartbeat(leaving, 3), 22s); // a late one
     CHECK_FALSE(monitor.mayServe(22s));
+    monitor.noteRefused(22'500ms); // the instance has ended
     monitor.applyHeartbeat(makeHeartbeat(next, 1), 23s);
     CHECK(monitor.mayServe(23s));
 }
@@ -202,6 +203,7 @@
     CHECK_FALSE(monitor.mayServe(22s));
     monitor.applyHeartbeat(makeHeartbeat(leaving, 4), 23s);
     CHECK_FALSE(monitor.mayServe(23s));
+    monitor.noteRefused(23'500ms); // the instance has ended
     monitor.applyHeartbeat(makeHeartbeat(next, 1), 24s);
     CHECK(monitor.mayServe(24s));
 }
--- a/packages/stage/tests/test_stage.cpp
+++ b/packages/stage/tests/test_stage.cpp
@@ -236,13 +236,31 @@
           "[upstream_monitor]")
 {
     UpstreamMonitor monitor({.awaitsRecord = true});
-    monitor.restore({.instance = {.id = "i-2", .startedMs = 2}, .phase = UpstreamPhase::Ready},
+    monitor.restore({.instance = {.id = "i-2", .startedMs = 2},
+                     .phase = UpstreamPhase::Ready,
+                     .history = InstanceHistory({{.id = "i-1", .startedMs = 1}})},
                     10s);
     CHECK(monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Ready, 3), 11s)
           == HeartbeatEffect::Ignored);
     CHECK_FALSE(monitor.isKnown());
 }
 
+// Guards against the same for an instance of the same id that no record names, while the present
+// one leaves: its requests would run.
+TEST_CASE("an unknown instance does not take the place of a leaving one of its id",
+          "[upstream_monitor]")
+{
+    UpstreamMonitor monitor({.awaitsRecord = true});
+    monitor.restore({.instance = {.id = "i-1", .startedMs = 2},
+                     .phase = UpstreamPhase::Draining,
+                     .isLeaving = true},
+                    10s);
+    CHECK(monitor.applyHeartbeat(makeHeartbeat(UpstreamPhase::Ready, 3), 11s)
+          == HeartbeatEffect::Ignored);
+    CHECK(monitor.isLeaving());
+    CHECK_FALSE(monitor.mayServe(11s));
+}
+
 TEST_CASE("an upstream is not used before the record of its host is read", "[upstream_monitor]")
 {
     UpstreamMonitor monitor({.awaitsRecord = true});
@@ -399,6 +417,73 @@
     CHECK(monitor.mayServe(acceptedAt));
 }
 
+// Guards against a wall clock that was ahead and is set back: a late heartbeat of the former
+// instance, which seems to have started later, took the place of the present one for seconds.
+TEST_CASE("a late heartbeat of a replaced instance changes nothing", "[upstream_monitor]")
+{
+    const auto beatOf = [](const std::string &id, std::int64_t startedMs, std::uint64_t sequence) {
+        return platform::Heartbeat{.instance = {.id = id, .startedMs = startedMs},
+                                   .sequence = sequence};
+    };
+    const bool hasRestarted = GENERATE(false, true);
+    UpstreamMonitor monitor({.drainPeriod = 2500ms, .awaitsRecord = true});
+    if (hasRestarted) {
+        // The process before this one has seen both.
+        monitor.restore({.instance = {.id = "new", .startedMs = 7000},
+                         .phase = UpstreamPhase::Ready,
+                         .history = InstanceHistory({{.id = "old", .startedMs = 9000}})},
+                        10s);
+    } else {
+        monitor.restore({}, 10s);
+        monitor.applyHeartbeat(beatOf("old", 9000, 1), 10s);
+        monitor.noteRefused(10'100ms);
+        monitor.applyHeartbeat(beatOf("new", 7000, 1), 10'200ms);
+        CHECK(monitor.instance().id == "new");
+    }
+    CHECK(monitor.applyHeartbeat(beatOf("old", 9000, 2), 11s) == HeartbeatEffect::Ignored);
+    CHECK(monitor.applyHeartbeat(beatOf("new", 7000, 2), 11'070ms) != HeartbeatEffect::Ignored);
+    CHECK(monitor.instance().id == "new");
+    CHECK(monitor.mayServe(11'070ms));
+}
+
+// Guards against a wait of seconds for an upstream that has restarted after its clock was set back.
+TEST_CASE("an instance replaces one that has ended at once", "[upstream_monitor]")
+{
+    const auto beatOf = [](const std::string &id, std::int64_t startedMs) {
+        return platform::Heartbeat{.instance = {.id = id, .startedMs = startedMs}, .sequence = 1};
+    };
+    UpstreamMonitor monitor({.drainPeriod = 2500ms});
+    monitor.applyHeartbeat(beatOf("before", 9000), 10s);
+    SECTION("nothing listens on its address")
+    {
+        monitor.noteRefused(10'400ms);
+    }
+    SECTION("a connection to it broke")
+    {
+        monitor.noteConnectionLost();
+    }
+    SECTION("a call to it was not answered")
+    {
+        monitor.noteUnanswered();
+    }
+    CHECK(monitor.applyHeartbeat(beatOf("next", 7000), 10'500ms) == HeartbeatEffect::Changed);
+    CHECK(monitor.mayServe(10'500ms));
+}
+
+// Guards against an upstream that is used although it leaves, as above.
+TEST_CASE("a broken connection does not end an instance that leaves", "[upstream_monitor]")
+{
+    UpstreamMonitor monitor({.drainPeriod = 2500ms});
+    monitor.applyHeartbeat({.instance = {.id = "i", .startedMs = 7000},
+                            .phase = UpstreamPhase::Draining,
+                            .sequence = 4},
+                           10s);
+    monitor.noteConnectionLost();
+    const platform::Heartbeat late{.instance = {.id = "i", .startedMs = 9000}, .sequence = 9};
+    CHECK(monitor.applyHeartbeat(late, 10'500ms) == HeartbeatEffect::Ignored);
+    CHECK(monitor.isLeaving());
+}
+
 TEST_CASE("an upstream that starts to drain gets requests for a while", "[upstream_monitor]")
 {
     UpstreamMonitor monitor({.drainPeriod = 2500ms});
--- a/packages/stage/upstream_monitor.cpp
+++ b/packages/stage/upstream_monitor.cpp
@@ -21,6 +21,7 @@
     this->lastInstance = recorded.instance;
     this->lastPhase = recorded.phase;
     this->hasLeft = recorded.isLeaving;
+    this->instanceHistory = recorded.history;
     // The earlier process may have acknowledged the drain at any time.
     this->drainingSince = now - this->settings.drainPeriod;
     this->currentAt = now;
@@ -39,7 +40,29 @@
     return true;
 }
 
-bool UpstreamMonitor::isSilentInstanceReplaced(const platform::Heartbeat &beat, Time now)
+// Returns whether nothing that this process has seen itself speaks against the end of the current
+// instance. An instance that leaves must not be taken for an earlier one with the same id: requests
+// that expect that one would run. So its end must be certain.
+bool UpstreamMonitor::hasCurrentEnded(const UpstreamInstance &other) const
+{
+    if (this->refusedAt || this->lastPhase == UpstreamPhase::Ended) {
+        return true;
+    }
+    const bool mustBeCertain = this->hasLeft && other.id == this->lastInstance.id;
+    return !mustBeCertain && (!this->current || this->mayHaveEnded);
+}
+
+// Returns whether a heartbeat of another instance than the last one is of a later one.
+bool UpstreamMonitor::isLaterInstance(const platform::Heartbeat &beat, Time now)
+{
+    if (this->instanceHistory.hasReplaced(beat.instance)) {
+        return this->returnsAfterSilence(beat, now);
+    }
+    return this->hasCurrentEnded(beat.instance)
+           || now - this->currentAt >= this->settings.replacedAfter;
+}
+
+bool UpstreamMonitor::returnsAfterSilence(const platform::Heartbeat &beat, Time now)
 {
     if (beat.instance != this->candidate.instance) {
         this->candidate = {.instance = beat.instance};
@@ -63,10 +86,7 @@
             || (beat.isDeregistration && beat.instance.id == this->lastInstance.id
                 && (beat.instance.startedMs == 0
                     || beat.instance.startedMs == this->lastInstance.startedMs));
-    const bool isEarlierInstance = beat.instance.startedMs < this->lastInstance.startedMs;
-    if (!isSameInstance
-        && (beat.isDeregistration
-            || (isEarlierInstance && !this->isSilentInstanceReplaced(beat, now)))) {
+    if (!isSameInstance && (beat.isDeregistration || !this->isLaterInstance(beat, now))) {
         return HeartbeatEffect::Ignored;
     }
     if (beat.isDeregistration) {
@@ -97,10 +117,13 @@
                          || this->current->slots != beat.slots;
     if (!isSameInstance) {
         this->failures = 0;
+        this->instanceHistory.noteReplaced(this->lastInstance);
+        this->instanceHistory.noteCurrent(beat.instance);
     }
     this->current = beat;
     this->currentAt = now;
     this->candidate = {};
+    this->mayHaveEnded = false;
     this->lastInstance = beat.instance;
     this->lastPhase = phase;
     this->hasLeft = wasLeaving || startsToDrain;
--- a/packages/stage/upstream_monitor.h
+++ b/packages/stage/upstream_monitor.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/names.h"
+#include "keyspace/instance_history.h"
 #include "keyspace/lease.h"
 #include "platform/upstream.h"
 
@@ -33,6 +34,7 @@
     UpstreamInstance instance; // not known: nothing is recorded
     UpstreamPhase phase = UpstreamPhase::Absent;
     bool isLeaving = false; // the instance has announced that it will end
+    InstanceHistory history;
 };
 
 struct MonitorSettings
@@ -44,11 +46,12 @@
     Address upstream;
     Duration drainPeriod{}; // the platform allows no requests later than this after a drain began
     Duration endedAfter = LeaseSettings{}.length + endedSlack; // time without a listener
-    // The wall clock may have been set back before an upstream restarted, so that its new instance
-    // seems to be an earlier one. Such an instance is accepted after this silence of the current
-    // instance and after `replacingHeartbeats` heartbeats. Late heartbeats of a former instance, in
-    // contrast, arrive while the current instance still sends its own.
+    // A heartbeat of an instance that this process does not know may be the first one of a later
+    // instance or a late one of an earlier instance. If nothing shows that the current instance has
+    // ended, it is accepted only after this silence of the current one.
     Duration replacedAfter = 2500ms;
+    // An instance that counts as replaced is accepted again after the same silence and after this
+    // many heartbeats. Late heartbeats, in contrast, arrive while the current one sends its own.
     std::uint32_t replacingHeartbeats = 3;
     double drainShare = 0.8; // of `drainPeriod`, after which no more requests are sent
     // An earlier process may have run on this host: the upstream is not used before restore().
@@ -84,7 +87,7 @@
 
     bool isRestored() const { return !this->settings.awaitsRecord; }
 
-    // Applies a heartbeat. It is ignored if it is older than the last one or of an earlier
+    // Applies a heartbeat. It is ignored if it is older than the last one or may be of an earlier
     // instance, and before restore().
     HeartbeatEffect applyHeartbeat(const platform::Heartbeat &beat, Time now);
 
@@ -99,7 +102,14 @@
 
     // Notes a call with an answer of any kind, or a call without an answer.
     void noteAnswer() { this->failures = 0; }
-    void noteUnanswered() { ++this->failures; }
+    void noteUnanswered()
+    {
+        ++this->failures;
+        this->mayHaveEnded = true;
+    }
+
+    // Notes that a connection to the upstream broke during a call.
+    void noteConnectionLost() { this->mayHaveEnded = true; }
 
     // Says whether requests may be sent to the upstream.
     bool mayServe(Time now) const;
@@ -110,10 +120,11 @@
     bool isLeaving() const { return this->hasLeft; }
     UpstreamPhase phase() const;
     const UpstreamInstance &instance() const { return this->lastInstance; }
+    const InstanceHistory &history() const { return this->instanceHistory; }
     std::uint32_t slots() const { return this->current ? this->current->slots : 1; }
 
 private:
-    // An instance that started before the current one by its own clock, but still sends heartbeats.
+    // An instance that counts as replaced, but still sends heartbeats.
     struct Candidate
     {
         UpstreamInstance instance;
@@ -121,18 +132,22 @@
         std::uint32_t heartbeats = 0; // since the last one of the current instance
     };
 
-    bool isSilentInstanceReplaced(const platform::Heartbeat &beat, Time now);
+    bool isLaterInstance(const platform::Heartbeat &beat, Time now);
+    bool returnsAfterSilence(const platform::Heartbeat &beat, Time now);
+    bool hasCurrentEnded(const UpstreamInstance &other) const;
 
     MonitorSettings settings;
     std::optional<platform::Heartbeat> current;
     Time currentAt{};
     Candidate candidate;
     UpstreamInstance lastInstance;
+    InstanceHistory instanceHistory;
     UpstreamPhase lastPhase = UpstreamPhase::Absent;
     bool hasLeft = false; // the last instance has announced that it will end, which is final
     Time drainingSince{};
     std::optional<Time> refusedAt; // time since which nothing listens
     std::uint32_t failures = 0;    // consecutive unanswered calls
+    bool mayHaveEnded = false;     // a call has failed since the last heartbeat
 };
 
 } // namespace kumquat
