base, net, stage: an exception costs the work that caused it, not the process

The byte is one of many ways: any exception in a fiber, a handler or a timer ended the process.

Change: runContained (base/containment.h) is the boundary, one for each kind of work, with what it costs: a request is answered as one with an unknown outcome, a connection or a link between processes is closed, an order to the upstream counts as not answered, a read or write of the store as failed or unknown, a round of timers ends. What the work leaves behind is put right: slots, suspects under watch, busy connections, pending orders, flags of writes in progress. FiberThread is the last boundary. Each exception is logged and counted (exceptions_contained). Log lines escape bytes that are not UTF-8.

--- a/packages/base/log.cpp
+++ b/packages/base/log.cpp
@@ -24,9 +24,25 @@
     return level >= minLevel.load(std::memory_order_relaxed);
 }
 
-std::string quoteIfNeeded(const std::string &value)
+// Replaces bytes that are not UTF-8 by their hexadecimal form, so that each line is text.
+std::string escapeBytes(const std::string &value)
 {
-    if (!value.empty() && value.find_first_of(" \t\n\"=") == std::string::npos) {
+    std::string text;
+    for (const char c : value) {
+        const auto byte = static_cast<unsigned char>(c);
+        const bool isAscii = byte < 0x80;
+        text += isAscii ? std::string(1, c) : absl::StrCat("\\x", absl::Hex(byte));
+    }
+    return text;
+}
+
+std::string quoteIfNeeded(const std::string &bytes)
+{
+    const std::string value = isUtf8(bytes) ? bytes : escapeBytes(bytes);
+    const bool hasSpecial = std::any_of(value.begin(), value.end(), [](char c) {
+        return static_cast<unsigned char>(c) <= ' ' || c == '"' || c == '=';
+    });
+    if (!value.empty() && !hasSpecial) {
         return value;
     }
     std::string quoted = "\"";
--- a/packages/base/text.h
+++ b/packages/base/text.h
@@ -1,5 +1,5 @@
-// Conversions between std::string_view and absl::string_view, which are different types in Debian's
-// build of Abseil.
+// Text: conversions between std::string_view and absl::string_view, which are different types in
+// Debian's build of Abseil, and a check of its encoding.
 #pragma once
 
 #include <absl/strings/string_view.h>
@@ -19,4 +19,7 @@
     return {text.data(), text.size()};
 }
 
+// Returns whether the bytes are well-formed UTF-8 (RFC 3629). JSON can carry only such text.
+bool isUtf8(std::string_view bytes);
+
 } // namespace kumquat
--- a/packages/net/fibers.cpp
+++ b/packages/net/fibers.cpp
@@ -1,5 +1,7 @@
 #include "net/fibers.h"
 
+#include "base/containment.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/fiber/all.hpp>
@@ -204,7 +206,7 @@
             this->timer.async_wait([](const ErrorCode &) {});
         }
         this->ready->beginRound(false);
-        this->context->run_one();
+        runContained(ContainedWork::Task, [this] { this->context->run_one(); });
         this->pollHandlers();
         if (this->context->stopped()) {
             this->park();
@@ -228,7 +230,9 @@
     void pollHandlers()
     {
         const auto end = std::chrono::steady_clock::now() + maxPollTime;
-        while (this->context->poll_one() > 0 && std::chrono::steady_clock::now() < end) {
+        bool isMoreReady = true;
+        while (isMoreReady && std::chrono::steady_clock::now() < end) {
+            runContained(ContainedWork::Task, [&] { isMoreReady = this->context->poll_one() > 0; });
         }
     }
 
@@ -312,7 +316,9 @@
 {
     asio::post(*this->context, [function = std::move(function), order]() mutable {
         const ScopedWakeOrder ordered(order);
-        boost::fibers::fiber(boost::fibers::launch::post, std::move(function)).detach();
+        boost::fibers::fiber(boost::fibers::launch::post, [function = std::move(function)] {
+            runContained(ContainedWork::Task, function);
+        }).detach();
     });
 }
 
--- a/packages/net/fibers.h
+++ b/packages/net/fibers.h
@@ -213,7 +213,8 @@
     // ended, and a fiber that waits for a socket may never end.
     void stop();
 
-    // Runs a function in a new fiber on this thread; callable from any thread.
+    // Runs a function in a new fiber on this thread; callable from any thread. An exception ends
+    // only the fiber (base/containment.h), like that of a handler.
     void spawn(std::function<void()> function, WakeOrder order = WakeOrder::InTurn);
 
     // Runs a function on this thread outside any fiber; it must not block.
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/beast/core/error.hpp>
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -154,11 +155,11 @@
     }
     handle->stream = connection->stream;
     this->busy.insert(connection.get());
+    const absl::Cleanup noLongerBusy = [&] { this->busy.erase(connection.get()); };
     bool mayReuse = false;
     auto answer = this->exchange(*connection, *request, extra, options, remaining, mayReuse);
-    this->busy.erase(connection.get());
     if (mayReuse) {
-        this->returnToPool(std::move(connection));
+        this->returnToPool(connection);
     }
     return answer;
 }
--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -1,6 +1,8 @@
 // Sections: exchange, reading, handling, writing.
 #include "net/http_connection.h"
 
+#include "base/containment.h"
+
 #include <boost/beast/http/error.hpp>
 
 #include <poll.h>
@@ -149,6 +151,16 @@
 // ---- Reading ----
 
 void HttpConnection::serveAs(std::uint64_t readerNumber)
+{
+    const bool isServed =
+            runContained(ContainedWork::Connection, [&] { this->serveExchanges(readerNumber); });
+    if (!isServed && !this->isFinished) {
+        this->isDisconnected = true;
+        this->finish();
+    }
+}
+
+void HttpConnection::serveExchanges(std::uint64_t readerNumber)
 {
     while (const ExchangePtr exchange = this->readNext(readerNumber)) {
         const bool isLast = !exchange->keepAlive;
@@ -461,8 +473,12 @@
 
 HttpResponse HttpConnection::handle(Exchange &exchange)
 {
-    return this->hooks.handleWatched ? this->hooks.handleWatched(exchange.request, exchange)
-                                     : this->hooks.handle(exchange.request);
+    HttpResponse response;
+    const bool isHandled = runContained(ContainedWork::Request, [&] {
+        response = this->hooks.handleWatched ? this->hooks.handleWatched(exchange.request, exchange)
+                                             : this->hooks.handle(exchange.request);
+    });
+    return isHandled ? std::move(response) : this->hooks.refuse(ErrorKind::Internal);
 }
 
 void HttpConnection::wakeWaiting()
--- a/packages/net/http_connection.h
+++ b/packages/net/http_connection.h
@@ -64,6 +64,7 @@
 
     // Reading.
     void serveAs(std::uint64_t readerNumber);
+    void serveExchanges(std::uint64_t readerNumber);
     ExchangePtr readNext(std::uint64_t readerNumber);
     ExchangePtr readExchange();
     ErrorCode readMessage(HttpRequestParser &parser, Arrival &arrival);
--- a/packages/stage/coordinator.cpp
+++ b/packages/stage/coordinator.cpp
@@ -1,5 +1,6 @@
 #include "stage/coordinator.h"
 
+#include "base/containment.h"
 #include "base/durations.h"
 #include "base/log.h"
 #include "keyspace/store_era.h"
@@ -297,8 +298,12 @@
     this->isWriting = true;
     this->thread.spawn([this, table = std::move(table)] {
         const std::uint64_t expectedEnd = table.end - 1;
-        const std::string bytes = table.encode();
-        const AppendResult result = this->hooks.append(bytes, storeEraOf(table.end), expectedEnd);
+        std::string bytes;
+        AppendResult result{.outcome = AppendOutcome::Unknown};
+        runContained(ContainedWork::StoreWrite, [&] {
+            bytes = table.encode();
+            result = this->hooks.append(bytes, storeEraOf(table.end), expectedEnd);
+        });
         this->isWriting = false;
         logInfo(LogPart::Slots, "key table written",
                 {{"service", this->service},
--- a/packages/stage/executor.cpp
+++ b/packages/stage/executor.cpp
@@ -1,11 +1,14 @@
 #include "stage/executor.h"
 
+#include "base/containment.h"
 #include "base/durations.h"
 #include "base/hash.h"
 #include "base/http_status.h"
 #include "base/log.h"
 #include "stage/upstream_limits.h"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <algorithm>
 
 namespace kumquat {
@@ -89,7 +92,14 @@
     const Time deadline = arrivedAt + std::chrono::milliseconds(execute.remaining_ms());
     const std::uint64_t number = ++this->lastNumber;
     this->running[number] = run;
-    ExecuteResult result = this->runNow(execute, std::move(body), run, number, deadline);
+    ExecuteResult result;
+    const bool hasEnded = runContained(ContainedWork::Request, [&] {
+        result = this->runNow(execute, std::move(body), run, number, deadline);
+    });
+    if (!hasEnded) {
+        result = this->makeResult(run->isSent ? wire::EXECUTE_LOST : wire::EXECUTE_NOT_SENT,
+                                  pendingRetry, "internal-error");
+    }
     this->running.erase(number);
     this->dispatchNext();
     const Time now = readBootTime();
@@ -139,16 +149,18 @@
     Duration retryAfter{};
     ExecuteResult result;
     CallEnd end = CallEnd::Cancelled;
+    absl::Cleanup endRun = [&] { this->guard.endRun(permit, run->fingerprint, false); };
     if (!this->waitForSlot(execute, run, number, deadline, retryAfter)) {
         result = this->makeResult(wire::EXECUTE_REFUSED, retryAfter, run->refusal);
     } else if (!this->waitForFreshCaller(*run, deadline)) {
         result = this->refuseStaleCaller();
         this->limiter.finish(number, end, readBootTime());
     } else {
+        const absl::Cleanup freeSlot = [&] { this->limiter.finish(number, end, readBootTime()); };
         const auto withdrawn = this->checkBeforeSend(execute, *run, deadline, readBootTime());
         result = withdrawn ? *withdrawn : this->send(execute, std::move(body), *run, deadline, end);
-        this->limiter.finish(number, end, readBootTime());
     }
+    std::move(endRun).Cancel();
     const bool isCleared = this->guard.endRun(permit, run->fingerprint, end == CallEnd::Answered);
     if (isCleared && this->hooks.suspectCleared) {
         this->hooks.suspectCleared(run->fingerprint);
--- a/packages/stage/executor_upstream.cpp
+++ b/packages/stage/executor_upstream.cpp
@@ -2,7 +2,9 @@
 // watches for crashes. Sections: requests, crashes.
 #include "stage/executor.h"
 
+#include "base/containment.h"
 #include "base/durations.h"
+#include "base/errors.h"
 #include "base/http_status.h"
 #include "base/log.h"
 #include "base/text.h"
@@ -76,7 +78,9 @@
         return platform::encodeUpstreamRequest(execute, std::move(body), deadline - started,
                                                instance);
     };
-    auto answer = this->client.callWith(make, options);
+    absl::StatusOr<HttpResponse> answer =
+            makeError(ErrorKind::UpstreamLost, "the request failed while it was sent");
+    runContained(ContainedWork::Request, [&] { answer = this->client.callWith(make, options); });
     if (!run.isSent && run.isCancelled) {
         withdrawn = this->makeResult(wire::EXECUTE_REFUSED, {}, "caller-gone");
     }
--- a/packages/stage/host_write_back.cpp
+++ b/packages/stage/host_write_back.cpp
@@ -1,5 +1,6 @@
 #include "stage/host_write_back.h"
 
+#include "base/containment.h"
 #include "base/log.h"
 
 namespace kumquat {
@@ -63,8 +64,10 @@
     this->isWriting = true;
     this->thread.spawn([this, node = host.info.node, bytes = record.SerializeAsString(),
                         written = this->era, end = this->view.hostsEnd()] {
-        const platform::AppendResult result =
-                this->store.append(platform::StoreTopic::Hosts, node, bytes, written, end);
+        platform::AppendResult result{.outcome = platform::AppendOutcome::Unknown};
+        runContained(ContainedWork::StoreWrite, [&] {
+            result = this->store.append(platform::StoreTopic::Hosts, node, bytes, written, end);
+        });
         const bool isDone = result.outcome == platform::AppendOutcome::Done;
         logInfo(LogPart::Log, "record of another host written back",
                 {{"node", node},
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -1,11 +1,14 @@
 #include "stage/ingress.h"
 
+#include "base/containment.h"
 #include "base/durations.h"
 #include "base/hash.h"
 #include "base/log.h"
 #include "base/text.h"
 #include "platform/upstream.h"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <algorithm>
 
 namespace kumquat {
@@ -111,6 +114,7 @@
     this->metrics.count(Metric::RequestsAccepted);
     Attempt attempt(this->thread.io());
     this->active.insert(&attempt);
+    const absl::Cleanup noLongerActive = [&] { this->active.erase(&attempt); };
     // The time of a request counts from its first bytes, because its caller has been waiting since
     // then.
     attempt.started = request.receivedAt > Time::zero() ? request.receivedAt : readBootTime();
@@ -140,7 +144,11 @@
         if (attempt.route != nullptr && attempt.route->isIdempotent) {
             watch.allowOverlap();
         }
-        response = this->serve(attempt, body);
+        const bool isServed = runContained(ContainedWork::Request,
+                                           [&] { response = this->serve(attempt, body); });
+        if (!isServed) {
+            response = this->fail(attempt, statusBadGateway, "internal-error");
+        }
     }
     const Time now = readBootTime();
     if (attempt.execute.is_call() && this->hooks.calls.ended) {
@@ -150,7 +158,6 @@
     }
     this->metrics.addLatency(now - attempt.started, now);
     this->log(attempt, response.status);
-    this->active.erase(&attempt);
     return response;
 }
 
@@ -411,22 +418,30 @@
         this->hooks.relays.sending(attempt.execute, readBootTime());
     }
     const Duration limit = attempt.deadline - readBootTime() + this->settings.answerSlack;
-    const std::uint64_t call = this->links.call(
-            node, std::move(frame), body, limit,
-            [waiting, event](CallOutcome outcome, LinkMessage answer) {
-                wire::ExecuteReply &reply = waiting->result.reply;
-                if (outcome == CallOutcome::Answered && answer.head.has_execute_reply()) {
-                    reply = std::move(*answer.head.mutable_execute_reply());
-                    waiting->result.body = std::move(answer.body);
-                    waiting->result.charge = std::move(answer.charge);
-                } else {
-                    reply.set_outcome(outcome == CallOutcome::NotSent ? wire::EXECUTE_NOT_SENT
-                                                                      : wire::EXECUTE_LOST);
-                }
-                waiting->isDone = true;
-                event->notify();
-            },
-            attempt.execute.idempotent() ? SilencePolicy::UntilSilent : SilencePolicy::UntilLimit);
+    std::uint64_t call = 0;
+    const bool isCalled = runContained(ContainedWork::Request, [&] {
+        call = this->links.call(
+                node, std::move(frame), body, limit,
+                [waiting, event](CallOutcome outcome, LinkMessage answer) {
+                    wire::ExecuteReply &reply = waiting->result.reply;
+                    if (outcome == CallOutcome::Answered && answer.head.has_execute_reply()) {
+                        reply = std::move(*answer.head.mutable_execute_reply());
+                        waiting->result.body = std::move(answer.body);
+                        waiting->result.charge = std::move(answer.charge);
+                    } else {
+                        reply.set_outcome(outcome == CallOutcome::NotSent ? wire::EXECUTE_NOT_SENT
+                                                                          : wire::EXECUTE_LOST);
+                    }
+                    waiting->isDone = true;
+                    event->notify();
+                },
+                attempt.execute.idempotent() ? SilencePolicy::UntilSilent
+                                             : SilencePolicy::UntilLimit);
+    });
+    if (!isCalled) {
+        waiting->result.reply.set_outcome(wire::EXECUTE_LOST);
+        waiting->isDone = true;
+    }
     attempt.cancelCall = [this, node, call, event] {
         this->links.cancel(node, call);
         event->notify(WakeOrder::First);
--- a/packages/stage/key_owner.cpp
+++ b/packages/stage/key_owner.cpp
@@ -1,5 +1,6 @@
 #include "stage/key_owner.h"
 
+#include "base/containment.h"
 #include "base/durations.h"
 #include "base/errors.h"
 #include "base/http_status.h"
@@ -386,7 +387,10 @@
     const bool isGrant = order.kind == HoldOrderKind::Grant;
     const UpstreamInstance instance = this->monitor.instance();
     const auto handle = std::make_shared<HttpCallHandle>();
-    const OrderResult result = sendOrderTo(this->upstreamOrders, order, handle);
+    OrderResult result{
+            .answer = makeError(ErrorKind::UpstreamLost, "the order failed while it was sent")};
+    runContained(ContainedWork::Order,
+                 [&] { result = sendOrderTo(this->upstreamOrders, order, handle); });
     const auto &answer = result.answer;
     const Time now = readBootTime();
     const int status = answer.ok() ? answer->status : 0;
--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -1,6 +1,7 @@
 // One connection between processes.
 #include "stage/link.h"
 
+#include "base/containment.h"
 #include "base/log.h"
 
 #include <boost/asio/post.hpp>
@@ -63,8 +64,13 @@
         const LinkInput::Hooks inputHooks{
                 .received = [&self](LinkMessage message) { self->deliver(std::move(message)); },
                 .isOpen = [&self] { return self->open; }};
-        if (!self->input.take(count, self->receivedAt, inputHooks)) {
-            logWarning(LogPart::Mesh, "connection sent something that is no message");
+        bool isReadable = false;
+        const bool isTaken = runContained(ContainedWork::Message, [&] {
+            isReadable = self->input.take(count, self->receivedAt, inputHooks);
+        });
+        if (!isTaken || !isReadable) {
+            logWarning(LogPart::Mesh, isTaken ? "connection sent something that is no message"
+                                              : "connection closed because a message failed");
             self->close();
             return;
         }
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -56,9 +56,10 @@
     HostRecordsWrittenBack, // records of other hosts, after the store came back from an older copy
     LeavesConfirmed,        // leaves of upstreams that another host has confirmed to know
     LeavesUnconfirmed,      // answers that acknowledged a leave without such a confirmation
+    ExceptionsContained,    // exceptions that ended only the work that caused them
 };
 
-inline constexpr NameTable<Metric, 41> metricNames{
+inline constexpr NameTable<Metric, 42> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -99,7 +100,8 @@
           {Metric::StoreEra, "store_era"},
           {Metric::HostRecordsWrittenBack, "host_records_written_back"},
           {Metric::LeavesConfirmed, "leaves_confirmed"},
-          {Metric::LeavesUnconfirmed, "leaves_unconfirmed"}}}};
+          {Metric::LeavesUnconfirmed, "leaves_unconfirmed"},
+          {Metric::ExceptionsContained, "exceptions_contained"}}}};
 
 // Used on one thread.
 class Metrics
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -1,6 +1,7 @@
 // Sections: start, timers and shutdown, the upstream beside this process, readiness.
 #include "stage/stage.h"
 
+#include "base/containment.h"
 #include "base/durations.h"
 #include "base/http_status.h"
 #include "base/log.h"
@@ -286,6 +287,7 @@
         this->metrics.set(Metric::ConfigurationVersion, configuration ? configuration->version : 0);
         this->metrics.set(Metric::ConfigurationAge, toMilliseconds(age));
         this->metrics.set(Metric::EvacuatedDataCentres, this->view.evacuations().count());
+        this->metrics.set(Metric::ExceptionsContained, containedCount());
         const FiberBacklog backlog = this->thread.backlog();
         this->metrics.set(Metric::FibersReady, backlog.ready);
         this->metrics.set(Metric::OldestFiberAge, toMilliseconds(backlog.oldest));
--- a/packages/stage/stage_host_record.cpp
+++ b/packages/stage/stage_host_record.cpp
@@ -1,4 +1,5 @@
 // The record of this host in the store: what a process restores from it, and when it is written.
+#include "base/containment.h"
 #include "base/durations.h"
 #include "base/log.h"
 #include "stage/host_survey.h"
@@ -47,7 +48,11 @@
         return;
     }
     this->thread.spawn([this] {
-        this->askForHosts();
+        const bool isAnswered = runContained(ContainedWork::Task, [this] { this->askForHosts(); });
+        if (!isAnswered) {
+            this->isRestoring = false; // asks again after the next read of the records
+            return;
+        }
         this->restoreUpstream(readBootTime());
         const KnownHost *own = this->view.host(this->settings.node);
         const bool isOld =
@@ -272,8 +277,11 @@
     const UpstreamInstance leave =
             this->monitor.isLeaving() ? this->monitor.instance() : UpstreamInstance();
     this->thread.spawn([this, leave, era, bytes = record.SerializeAsString()] {
-        const platform::AppendResult result = this->store.append(
-                platform::StoreTopic::Hosts, this->settings.node, bytes, era, std::nullopt);
+        platform::AppendResult result{.outcome = platform::AppendOutcome::Unknown};
+        runContained(ContainedWork::StoreWrite, [&] {
+            result = this->store.append(platform::StoreTopic::Hosts, this->settings.node, bytes,
+                                        era, std::nullopt);
+        });
         logInfo(LogPart::Log, "record of this host written",
                 {{"outcome", std::string(platform::appendOutcomeNames.nameOf(result.outcome))},
                  {"phase", std::string(upstreamPhaseNames.nameOf(this->monitor.phase()))},
--- a/packages/stage/store_follower.cpp
+++ b/packages/stage/store_follower.cpp
@@ -1,6 +1,8 @@
 #include "stage/store_follower.h"
 
+#include "base/containment.h"
 #include "base/durations.h"
+#include "base/errors.h"
 #include "base/log.h"
 #include "base/text.h"
 #include "platform/configuration.h"
@@ -87,7 +89,8 @@
         const Duration wait = this->waitTime(topic);
         this->cursor(topic).isReadRequested = false;
         this->cursor(topic).readAt = started;
-        const absl::Status status = this->readMore(topic, wait);
+        absl::Status status = makeError(ErrorKind::LogUnavailable, "the read failed");
+        runContained(ContainedWork::StoreRead, [&] { status = this->readMore(topic, wait); });
         if (absl::IsCancelled(status)) {
             continue; // cancelled by requestRead()
         }
@@ -110,16 +113,23 @@
     Duration retry = this->settings.retryDelay;
     while (true) {
         const Time askedAt = readBootTime();
-        const auto batch = this->store.readNewest(topic);
-        this->noteResult(topic, batch.status());
-        if (batch.ok()) {
-            if (topic == StoreTopic::Configuration) {
-                this->applyNewestEvacuations(*batch);
+        absl::Status status = makeError(ErrorKind::LogUnavailable, "the read failed");
+        runContained(ContainedWork::StoreRead, [&] {
+            const auto batch = this->store.readNewest(topic);
+            if (batch.ok()) {
+                this->noteResult(topic, batch.status());
+                if (topic == StoreTopic::Configuration) {
+                    this->applyNewestEvacuations(*batch);
+                }
+                this->apply(topic, *batch);
+                this->hooks.caughtUp(topic, askedAt, batch->era);
             }
-            this->apply(topic, *batch);
-            this->hooks.caughtUp(topic, askedAt, batch->era);
+            status = batch.status();
+        });
+        if (status.ok()) {
             return;
         }
+        this->noteResult(topic, status);
         sleepFor(this->thread.io(), retry);
         retry = std::min(2 * retry, this->settings.maxRetryDelay);
     }
--- a/packages/stage/tests/test_executor.cpp
+++ b/packages/stage/tests/test_executor.cpp
@@ -8,7 +8,9 @@
 
 #include <atomic>
 #include <future>
+#include <stdexcept>
 #include <thread>
+#include <utility>
 
 namespace kumquat {
 namespace {
@@ -322,4 +324,25 @@
     CHECK(requests == 1);
 }
 
+// Guards against an exception that ends the process, or that leaves the slot of its request taken:
+// with one slot, no later request would run.
+TEST_CASE("an exception costs its request and frees its slot", "[executor]")
+{
+    FaultyServer upstream([](FaultyServer::Socket &socket, int) {
+        return writeAll(socket, "HTTP/1.1 200 OK\r\nX-Attempt-Id: y\r\nX-Server-Seal: s\r\n"
+                                "Content-Length: 0\r\n\r\n");
+    });
+    bool mustThrow = true;
+    const SpeedHooks speed{.started = [&](const wire::Execute &, Time) {
+        if (std::exchange(mustThrow, false)) {
+            throw std::runtime_error("not accepted");
+        }
+    }};
+    TestHost host(upstream.address(), nullptr, 1, speed);
+    const ExecuteResult failed = host.run("x");
+    CHECK((failed.reply.outcome() == wire::EXECUTE_LOST
+           || failed.reply.outcome() == wire::EXECUTE_NOT_SENT));
+    CHECK(host.run("y").reply.outcome() == wire::EXECUTE_ANSWERED);
+}
+
 } // namespace kumquat
--- a/packages/stage/ticker.cpp
+++ b/packages/stage/ticker.cpp
@@ -1,5 +1,7 @@
 #include "stage/ticker.h"
 
+#include "base/containment.h"
+
 #include <algorithm>
 
 namespace kumquat {
@@ -35,8 +37,8 @@
             return; // cancelled: the timer was armed again for an earlier time
         }
         this->armedFor = Time::max();
-        this->timers.advance(readBootTime());
-        this->arm();
+        runContained(ContainedWork::Timer, [this] { this->timers.advance(readBootTime()); });
+        this->arm(); // what this round has left is due at once
     });
 }
 
