--- a/packages/standins/platform_endpoint.cpp
+++ b/packages/standins/platform_endpoint.cpp
@@ -322,7 +322,7 @@
     const auto last = body.at("target").get<std::uint32_t>();
     if (!isGrant) {
         this->ledger.release(this->id, first, last);
-        return {200, {{"X-Duty-Handover", "handover"}}, ""};
+        return {200, {{"X-Duty-Handover", this->options.handover}}, ""};
     }
     const auto hold = std::chrono::milliseconds(body.at("hold_ms").get<std::int64_t>());
     const bool isAccepted =
@@ -354,7 +354,10 @@
         return HttpAnswer::lost();
     }
     std::this_thread::sleep_for(this->options.workTime);
-    return {200, {{"X-Attempt-Id", requestId}, {"X-Server-Seal", "seal"}}, std::move(body)};
+    HttpFields fields{{"X-Attempt-Id", requestId}, {"X-Server-Seal", "seal"}};
+    fields.insert(fields.end(), this->options.answerFields.begin(),
+                  this->options.answerFields.end());
+    return {200, std::move(fields), std::move(body)};
 }
 
 } // namespace kumquat
--- a/packages/standins/platform_endpoint.h
+++ b/packages/standins/platform_endpoint.h
@@ -85,6 +85,8 @@
     int slots = 9;
     // How far the wall clock of the host is ahead while the upstream starts.
     std::chrono::milliseconds clockAhead{};
+    std::string handover = "handover"; // in the answers to releases
+    HttpFields answerFields;           // added to the answers to requests that ran
 };
 
 class PlatformEndpoint
--- a/packages/system/platform_cluster.cpp
+++ b/packages/system/platform_cluster.cpp
@@ -102,7 +102,9 @@
                             .workTime = this->options.workTime,
                             .grantsInAnswers = this->options.grantsInAnswers,
                             .slots = this->options.slots,
-                            .clockAhead = clockAhead});
+                            .clockAhead = clockAhead,
+                            .handover = this->options.handover,
+                            .answerFields = this->options.answerFields});
     host.endpoint->sendHeartbeatsTo(host.heartbeats);
 }
 
--- a/packages/system/platform_cluster.h
+++ b/packages/system/platform_cluster.h
@@ -39,6 +39,8 @@
     int memoryMb = 0;                      // memory of each host; 0: not stated
     std::uint64_t maxBodyBytes = 0;        // of a request; 0: the default of the configuration
     int timeoutMs = 1500;                  // of all routes
+    std::string handover = "handover";     // in the answers of upstreams to releases
+    HttpFields answerFields;               // in the answers of upstreams to requests that ran
     // Regions of the route for idempotent requests under limitedPrefix; empty: no such route.
     std::vector<std::string> limitedRegions;
 };
