--- a/packages/system/tests/test_foreign_bytes.cpp
+++ b/packages/system/tests/test_foreign_bytes.cpp
@@ -80,3 +80,47 @@
         FAIL_CHECK(line);
     }
 }
+
+// Guards against a header value, path or answer that is not UTF-8 and closes the connection between
+// two processes: its own request and those of other callers were answered with 502.
+TEST_CASE("bytes that are not text pass through two processes", "[platform]")
+{
+    const std::string note = "S\xe9n\xe9gal";
+    PlatformCluster cluster({.hosts = 2, .workTime = 300ms, .answerFields = {{"X-Note", note}}});
+    REQUIRE(waitUntil(
+            [&] {
+                return countHeldKeys(cluster, cluster.host(0)) > 0
+                       && countHeldKeys(cluster, cluster.host(1)) > 0;
+            },
+            20s));
+    std::uint32_t key = 0; // held at the other host
+    while (key < lastKey && !cluster.ledger.holds(cluster.host(1).endpoint->instance(), key)) {
+        key += keyStep;
+    }
+    const auto send = [&](const std::string &id, const std::string &value,
+                          const std::string &path) {
+        HttpClient client(cluster.host(0).callers);
+        HttpRequest request = makeCallerRequest({.id = id, .key = key, .isIdempotent = true});
+        request.target += path;
+        request.fields.push_back({"X-Note", value});
+        return client.send(request, 3s);
+    };
+    REQUIRE(waitUntil([&] { return send("warm-up", "text", "").answer.status == 200; }, 10s));
+    std::vector<std::thread> threads;
+    std::vector<HttpExchange> plain(4);
+    for (std::size_t i = 0; i < plain.size(); ++i) { // at work while the odd ones pass
+        threads.emplace_back([&, i] { plain[i] = send("p" + std::to_string(i), "text", ""); });
+    }
+    std::this_thread::sleep_for(100ms);
+    const HttpExchange inField = send("odd-1", note, "");
+    const HttpExchange inPath = send("odd-2", "text", note);
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    CHECK(inField.answer.status == 200);
+    CHECK(inPath.answer.status == 200);
+    CHECK(findField(inField.answer.fields, "X-Note") == note);
+    for (const HttpExchange &exchange : plain) {
+        CHECK(exchange.answer.status == 200);
+    }
+}
