--- a/packages/base/log.cpp
+++ b/packages/base/log.cpp
@@ -38,7 +38,7 @@
 
 std::string quoteIfNeeded(const std::string &bytes)
 {
-    const std::string value = isUtf8(bytes) ? bytes : escapeBytes(bytes);
+    std::string value = isUtf8(bytes) ? bytes : escapeBytes(bytes);
     const bool hasSpecial = std::any_of(value.begin(), value.end(), [](char c) {
         return static_cast<unsigned char>(c) <= ' ' || c == '"' || c == '=';
     });
--- a/packages/soak/soak_callers.cpp
+++ b/packages/soak/soak_callers.cpp
@@ -68,12 +68,14 @@
 SoakRequest SoakCallers::send(HttpClient &client, SoakRequest request)
 {
     request.sent = readBootTime();
-    const HttpExchange exchange =
-            client.send(makeCallerRequest({.id = request.id,
-                                           .key = request.key,
-                                           .isIdempotent = request.isIdempotent,
-                                           .timeout = requestTimeout}),
-                        connectionTimeout);
+    HttpRequest message = makeCallerRequest({.id = request.id,
+                                             .key = request.key,
+                                             .isIdempotent = request.isIdempotent,
+                                             .timeout = requestTimeout});
+    // Callers may send any byte from 0x80 on, in whatever encoding.
+    const auto byte = static_cast<char>(0x80 + request.key % 0x80);
+    message.fields.push_back({"X-Note", "n" + std::string(1, byte)});
+    const HttpExchange exchange = client.send(message, connectionTimeout);
     request.ended = readBootTime();
     request.outcome = classify(exchange, request.id);
     request.status = exchange.result == ExchangeResult::Answered ? exchange.answer.status : 0;
--- a/packages/soak/soak_run.cpp
+++ b/packages/soak/soak_run.cpp
@@ -5,6 +5,7 @@
 #include "standins/platform_caller.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <functional>
@@ -21,6 +22,8 @@
 // closed.
 constexpr Duration closeRaceTime = 200ms;
 
+constexpr auto spoiledHandover = "hand\xe9over"; // not UTF-8, of every other seed
+
 std::string inMilliseconds(Duration duration)
 {
     return std::to_string(toMilliseconds(duration)) + " ms";
@@ -36,7 +39,8 @@
                    .directory = runSettings.directory,
                    .hasProxies = true,
                    .workTime = std::chrono::milliseconds(15),
-                   .grantsInAnswers = runSettings.grantMode == GrantMode::Heartbeat})
+                   .grantsInAnswers = runSettings.grantMode == GrantMode::Heartbeat,
+                   .handover = runSettings.seed % 2 == 0 ? "handover" : spoiledHandover})
         , callers(this->cluster, {.threads = runSettings.callers, .seed = runSettings.seed})
     {}
 
@@ -192,7 +196,7 @@
             }
             break;
         case SoakFault::CrashUpstream:
-            this->cluster.startUpstream(host);
+            this->cluster.startUpstream(host, clockAheadAt(event));
             break;
         case SoakFault::DrainUpstream:
             this->checkDrained(host);
@@ -221,6 +225,14 @@
         }
     }
 
+    // Returns how far the wall clock of the host is ahead while its upstream starts. Drawn from the
+    // time of the event, so that the plans of earlier seeds stay the same.
+    static std::chrono::milliseconds clockAheadAt(const SoakEvent &event)
+    {
+        constexpr std::array steps{-2s, 0s, 2s};
+        return steps.at(static_cast<std::size_t>(toMilliseconds(event.at)) % steps.size());
+    }
+
     bool waitUntilServed(Duration timeout)
     {
         const Time deadline = readBootTime() + timeout;
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -28,11 +28,6 @@
 // another host, serves the retry.
 constexpr Duration stopRetry = 300ms;
 
-Duration minDuration(Duration first, Duration second)
-{
-    return std::min(first, second);
-}
-
 WorkKind kindOf(const wire::Execute &execute)
 {
     return execute.has_key() && !execute.is_call() ? WorkKind::Request : WorkKind::Call;
@@ -193,7 +188,7 @@
     const Route &route = *attempt.route;
     wire::Execute &execute = attempt.execute;
     const Duration callerTimeout = std::chrono::milliseconds(execute.remaining_ms());
-    attempt.deadline = attempt.started + minDuration(callerTimeout, route.timeout);
+    attempt.deadline = attempt.started + std::min(callerTimeout, route.timeout);
     if (attempt.isDisconnected) {
         return this->fail(attempt, statusBadGateway, "caller-gone");
     }
--- a/packages/stage/upstream_monitor.cpp
+++ b/packages/stage/upstream_monitor.cpp
@@ -40,9 +40,9 @@
     return true;
 }
 
-// Returns whether nothing that this process has seen itself speaks against the end of the current
-// instance. An instance that leaves must not be taken for an earlier one with the same id: requests
-// that expect that one would run. So its end must be certain.
+// Returns whether the current instance may have ended, by what this process has seen itself. If it
+// leaves, `other` may be an earlier instance with the same id, and the requests for that one would
+// run at the leaving one. Its end must be certain then.
 bool UpstreamMonitor::hasCurrentEnded(const UpstreamInstance &other) const
 {
     if (this->refusedAt || this->lastPhase == UpstreamPhase::Ended) {
--- a/packages/standins/platform_endpoint.cpp
+++ b/packages/standins/platform_endpoint.cpp
@@ -116,10 +116,10 @@
     : id(std::move(ownId))
     , service(std::move(ownService))
     , ledger(holdLedger)
-    , options(endpointOptions)
+    , options(std::move(endpointOptions))
     , startedMs(std::chrono::duration_cast<std::chrono::milliseconds>(
                         std::chrono::system_clock::now().time_since_epoch()
-                        + endpointOptions.clockAhead)
+                        + this->options.clockAhead)
                         .count())
     , server(*HttpServer::start({"127.0.0.1", options.port}, [this](const HttpRequest &request) {
         return this->answer(request);
