--- a/review/common-3/harness.h
+++ b/review/common-3/harness.h
@@ -34,11 +34,13 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -123,7 +125,7 @@
 // Returns a port that is free now, below the range of outgoing connections.
 inline std::uint16_t findFreePort()
 {
-    static std::uint32_t next = 12'000 + static_cast<std::uint32_t>(getpid()) % 12'000;
+    static std::uint32_t next = 12'000 + std::random_device{}() % 19'000;
     for (int i = 0; i < 20'000; ++i) {
         next = next >= 31'000 ? 12'000 : next + 1;
         const Address address{.port = static_cast<std::uint16_t>(next)};
@@ -582,6 +584,16 @@
 
 // ---- Endpoint ----
 
+// A grant that an endpoint has accepted.
+struct Grant
+{
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    std::uint64_t fence = 0;
+    Clock::time_point until;
+    double atMs = 0; // by the record
+};
+
 struct Run
 {
     std::string requestId;
@@ -606,6 +618,7 @@
         int heartbeatMs = 870;
         int workMs = 20;
         std::int64_t bornMs = 0; // 0: now
+        bool isSharded = false;  // runs a request only while it holds the key of the request
         // Answers a request that the endpoint runs in place of a 200. Returns false to end the
         // connection.
         std::function<bool(Socket &socket, const Message &request)> answerRun = nullptr;
@@ -689,7 +702,86 @@
         return this->started;
     }
 
+    // Returns all grants that were accepted, also those that have ended.
+    std::vector<Grant> grants()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->accepted;
+    }
+
 private:
+    // Accepts a grant unless a higher fence was seen on one of its keys.
+    int takeGrant(const Json &body)
+    {
+        const std::lock_guard lock(this->mutex);
+        const Grant grant{.first = body.at("from").get<std::uint32_t>(),
+                          .last = body.at("target").get<std::uint32_t>(),
+                          .fence = body.at("fence").get<std::uint64_t>(),
+                          .until = Clock::now()
+                                   + Milliseconds(body.at("hold_ms").get<std::int64_t>()),
+                          .atMs = this->record.now()};
+        for (const Grant &seen : this->accepted) {
+            if (seen.first <= grant.last && grant.first <= seen.last && seen.fence > grant.fence) {
+                return 409;
+            }
+        }
+        const bool isRenewal =
+                std::any_of(this->held.begin(), this->held.end(), [&](const Grant &other) {
+                    return other.first == grant.first && other.last == grant.last
+                           && other.fence == grant.fence;
+                });
+        if (!isRenewal) {
+            this->record.line("endpoint " + this->options.id + " is granted keys "
+                              + std::to_string(grant.first) + " to " + std::to_string(grant.last)
+                              + " with fence " + std::to_string(grant.fence));
+        }
+        std::erase_if(this->held, [&](const Grant &other) {
+            return other.first == grant.first && other.last == grant.last
+                   && other.fence == grant.fence;
+        });
+        this->held.push_back(grant);
+        this->accepted.push_back(grant);
+        return 200;
+    }
+
+    void release(const Json &body)
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto first = body.at("from").get<std::uint32_t>();
+        const auto last = body.at("target").get<std::uint32_t>();
+        std::vector<Grant> rest;
+        for (const Grant &grant : this->held) {
+            if (grant.last < first || last < grant.first) {
+                rest.push_back(grant);
+                continue;
+            }
+            Grant part = grant;
+            if (grant.first < first) {
+                part.last = first - 1;
+                rest.push_back(part);
+            }
+            part = grant;
+            if (grant.last > last) {
+                part.first = last + 1;
+                rest.push_back(part);
+            }
+        }
+        this->held = std::move(rest);
+        this->record.line("endpoint " + this->options.id + " releases keys " + std::to_string(first)
+                          + " to " + std::to_string(last));
+    }
+
+    bool holds(const std::string &key)
+    {
+        const std::lock_guard lock(this->mutex);
+        const std::uint32_t number = key.empty() ? 0 : static_cast<std::uint32_t>(std::stoul(key));
+        return !key.empty()
+               && std::any_of(this->held.begin(), this->held.end(), [&](const Grant &grant) {
+                      return grant.first <= number && number <= grant.last
+                             && Clock::now() < grant.until;
+                  });
+    }
+
     int call(const std::string &method, const Json &body)
     {
         Socket socket = Socket::connect(this->options.heartbeats);
@@ -709,12 +801,20 @@
         if (request.path() == "/health") {
             return socket.write(encodeAnswer(200, {{"X-Instance-Id", this->options.id}}));
         }
+        if (request.path() == "/kumquatstage/grant") {
+            return socket.write(encodeAnswer(this->takeGrant(Json::parse(request.body))));
+        }
+        if (request.path() == "/kumquatstage/release") {
+            this->release(Json::parse(request.body));
+            return socket.write(encodeAnswer(200, {{"X-Duty-Handover", "5c0e7a21d94b36f8"}}));
+        }
         const std::string requestId = request.field("X-Attempt-Id");
         const std::string expected = request.field("X-Expected-Instance");
         if (requestId.empty()) {
             return socket.write(encodeAnswer(400, {{"X-Not-Executed", "1"}}));
         }
-        if (!expected.empty() && expected != this->options.id) {
+        const bool isHeld = !this->options.isSharded || this->holds(request.field("X-Shard-Key"));
+        if ((!expected.empty() && expected != this->options.id) || !isHeld) {
             this->record.line("endpoint " + this->options.id + " answers 421 to " + requestId);
             return socket.write(encodeAnswer(421, {{"X-Not-Executed", "1"},
                                                    {"X-Attempt-Id", requestId},
@@ -749,6 +849,8 @@
     std::thread heartbeatThread;
     std::mutex mutex;
     std::vector<Run> started;
+    std::vector<Grant> held;
+    std::vector<Grant> accepted;
     Server server;
 };
 
@@ -837,9 +939,10 @@
 
 constexpr auto routeHost = "desk.example";
 
-// Returns a configuration as the operator writes it; no service is divided by key.
+// Returns a configuration as the operator writes it. `shardedServices`: those divided by key.
 inline std::string makeConfiguration(int version, const std::vector<RouteRow> &routes,
-                                     const std::vector<std::string> &services)
+                                     const std::vector<std::string> &services,
+                                     const std::set<std::string> &shardedServices = {})
 {
     Json rows = Json::array();
     for (const RouteRow &route : routes) {
@@ -848,7 +951,11 @@
     }
     Json serviceRows = Json::array();
     for (const std::string &service : services) {
-        serviceRows.push_back({service, "/health", 130, "h1", false, nullptr, nullptr, nullptr});
+        const bool isSharded = shardedServices.contains(service);
+        serviceRows.push_back({service, "/health", 130, "h1", false,
+                               isSharded ? Json(true) : Json(nullptr),
+                               isSharded ? Json(5.0) : Json(nullptr),
+                               isSharded ? Json("call") : Json(nullptr)});
     }
     return Json{{"version", "r" + std::to_string(version)},
                 {"routes",
