stage, net: show waits between a host and its callers

The logs could not tell apart three causes of requests that are answered late: bytes that lie unread in the socket, answers that do not reach the caller, and a link that the host fills itself. readMs begins at the first read, and what is written counts as delivered.

New: unreadMs in the line of a request (TCP_INFO), the line 'answers have not reached their callers' (SIOCOUTQ), the line 'the link of this host is busy' with bytes by purpose, and two metrics. No decision uses them.

--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -31,6 +31,7 @@
     Time receivedAt{};                  // when the server read the first bytes
     Duration readTime{};                // from receivedAt until the whole request was read
     Duration waitTime{};        // from receivedAt until the reading fiber got processor time
+    Duration unreadTime{};      // for which its first bytes had waited in the socket to be read
     std::string callerIp;       // address of the other end of the connection; empty: unknown
     bool isFromOwnHost = false; // that address is also the one of this end
 
--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -2,6 +2,7 @@
 #include "net/http_connection.h"
 
 #include "base/containment.h"
+#include "net/socket_state.h"
 
 #include <boost/beast/http/error.hpp>
 
@@ -227,6 +228,7 @@
         exchange->request.charge = messageCharge;
         exchange->request.receivedAt = arrival.at;
         exchange->request.waitTime = arrival.waited;
+        exchange->request.unreadTime = arrival.unread;
         exchange->request.readTime = readBootTime() - arrival.at;
         exchange->request.callerIp = this->callerIp;
         exchange->request.isFromOwnHost = this->isFromOwnHost;
@@ -257,6 +259,7 @@
             return error;
         }
     }
+    arrival.unread = timeSinceLastArrival(this->stream->socket().native_handle());
     arrival.at = hasArrivedBefore ? this->acceptedAt : this->stream->lastReadAt();
     arrival.waited = readBootTime() - arrival.at;
     this->setReadDeadline(Clock::now() + this->limits.messageLimit);
@@ -534,6 +537,9 @@
     const bool isWritten = !this->stream->write(output, body);
     this->charge.forbidEviction();
     this->stream->expireAt(this->readDeadline);
+    if (isWritten && this->hooks.answerWritten) {
+        this->hooks.answerWritten(this->stream, output.size() + body.size());
+    }
     return isWritten;
 }
 
--- a/packages/net/http_connection.h
+++ b/packages/net/http_connection.h
@@ -60,6 +60,7 @@
     {
         Time at{};
         Duration waited{}; // from `at` until the reading fiber ran
+        Duration unread{}; // for which the bytes had waited in the socket
     };
 
     // Reading.
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -18,6 +18,8 @@
 
 namespace kumquat {
 
+class HttpStream;
+
 struct HttpServerLimits
 {
     std::uint32_t maxHeaderBytes = 16 * 1024;
@@ -61,6 +63,8 @@
     // Returns whether a pipelined request may run concurrently with earlier ones. Not set: none
     // may.
     std::function<bool(const HttpRequest &)> mayOverlap;
+    // Called after an answer of this many bytes was written.
+    std::function<void(const std::shared_ptr<HttpStream> &, std::size_t)> answerWritten;
 };
 
 class HttpServer : public std::enable_shared_from_this<HttpServer>
--- a/packages/net/http_stream.cpp
+++ b/packages/net/http_stream.cpp
@@ -286,6 +286,7 @@
             return this->resultOf(error);
         }
         this->noteMoved(sent);
+        this->written += sent;
         const std::size_t sentData = std::min(sent, data.size());
         data.remove_prefix(sentData);
         body.remove_prefix(sent - sentData);
--- a/packages/net/http_stream.h
+++ b/packages/net/http_stream.h
@@ -310,9 +310,12 @@
 
     std::size_t buffered() const { return this->buffer.size(); }
 
-    // Returns the time at which the last bytes arrived.
+    // Returns the time at which the last bytes were read.
     Time lastReadAt() const { return this->readAt; }
 
+    // Returns the number of bytes that were written since the connection was made.
+    std::uint64_t writtenBytes() const { return this->written; }
+
     // Frees memory beyond what a usual message needs. Call between messages.
     void releaseMemory();
 
@@ -349,6 +352,7 @@
     bool expired = false;
     bool isPending = false; // an operation is in progress
     Time readAt{};
+    std::uint64_t written = 0;
     boost::beast::flat_buffer buffer;
     ByteCharge *charge = nullptr;
     std::size_t chargedBuffer = 0; // bytes of the buffer beyond its first size
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -21,6 +21,9 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
 
+// A request that has waited for longer in the socket counts as read late.
+constexpr Duration minUnreadTime = 50ms;
+
 // Retry time that callers are told while this process has no configuration.
 constexpr Duration startRetry = 500ms;
 
@@ -62,8 +65,9 @@
     ConfigurationPtr configuration;
     const Route *route = nullptr;
     Time started{};
-    Duration readTime{}; // from the first to the last byte of the request
-    Duration waitTime{}; // for which the bytes of the request waited for the busy thread
+    Duration readTime{};   // from the first to the last byte of the request
+    Duration waitTime{};   // for which the bytes of the request waited for the busy thread
+    Duration unreadTime{}; // for which they had waited in the socket before
     bool isFromOwnHost = false;
     Time deadline{};              // by which the caller needs the answer
     Verdict verdict;              // why the last choice of a host found none
@@ -115,6 +119,10 @@
     attempt.started = request.receivedAt > Time::zero() ? request.receivedAt : readBootTime();
     attempt.readTime = request.readTime;
     attempt.waitTime = request.waitTime;
+    attempt.unreadTime = request.unreadTime;
+    if (attempt.unreadTime >= minUnreadTime) {
+        this->metrics.count(Metric::UnreadDelays, toMilliseconds(attempt.unreadTime));
+    }
     attempt.isFromOwnHost = request.isFromOwnHost || request.callerIp == this->settings.upstreamIp;
     watch.onDisconnected([&attempt, this] {
         attempt.isDisconnected = true;
@@ -590,6 +598,7 @@
              {"moves", std::to_string(attempt.moves)},
              {"readMs", std::to_string(toMilliseconds(attempt.readTime))},
              {"waitedMs", std::to_string(toMilliseconds(attempt.waitTime))},
+             {"unreadMs", std::to_string(toMilliseconds(attempt.unreadTime))},
              {"goneMs", attempt.isDisconnected
                                 ? std::to_string(toMilliseconds(attempt.disconnectedAfter))
                                 : "none"},
--- a/packages/stage/link.cpp
+++ b/packages/stage/link.cpp
@@ -29,6 +29,30 @@
 
 } // namespace
 
+TrafficKind trafficKindOf(const wire::LinkFrame &head)
+{
+    switch (head.content_case()) {
+    case wire::LinkFrame::kExecute:
+        return TrafficKind::Requests;
+    case wire::LinkFrame::kExecuteReply:
+        return TrafficKind::PeerAnswers;
+    case wire::LinkFrame::kStateReply:
+        return TrafficKind::State;
+    default:
+        return TrafficKind::Control;
+    }
+}
+
+std::function<void(const wire::LinkFrame &, std::size_t)> countTraffic(LinkTraffic *traffic)
+{
+    if (traffic == nullptr) {
+        return {};
+    }
+    return [traffic](const wire::LinkFrame &head, std::size_t bytes) {
+        traffic->note(trafficKindOf(head), bytes);
+    };
+}
+
 std::shared_ptr<Link> Link::create(Socket socket, Hooks hooks, ByteBudget *budget)
 {
     return std::shared_ptr<Link>(new Link(std::move(socket), std::move(hooks), budget));
@@ -106,7 +130,11 @@
         this->close();
         return;
     }
+    const std::uint64_t before = this->output.bytes();
     this->output.add(head, body, readBootTime());
+    if (this->hooks.queued) {
+        this->hooks.queued(head, this->output.bytes() - before);
+    }
     if (!this->isWriting && !this->isFlushPosted) {
         this->isFlushPosted = true;
         asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
--- a/packages/stage/link.h
+++ b/packages/stage/link.h
@@ -19,6 +19,7 @@
 #include "net/fibers.h"
 #include "stage/delay_meter.h"
 #include "stage/link_buffers.h"
+#include "stage/link_traffic.h"
 #include "wire/stage.pb.h"
 
 #include <absl/status/status.h>
@@ -52,6 +53,9 @@
                                                               {CallOutcome::NotSent, "not-sent"},
                                                               {CallOutcome::Lost, "lost"}}}};
 
+// Returns what the bytes of a message are counted as.
+TrafficKind trafficKindOf(const wire::LinkFrame &head);
+
 using LinkCallback = std::function<void(CallOutcome outcome, LinkMessage answer)>;
 
 // ---- Link ----
@@ -67,6 +71,8 @@
     {
         std::function<void(LinkMessage message)> received;
         std::function<void()> closed; // called once, also after close()
+        // Called for each message that is queued, with its size. Not set: not called.
+        std::function<void(const wire::LinkFrame &head, std::size_t bytes)> queued = {};
     };
 
     // `budget`: for the bytes that the connection holds; nullptr: they are not charged.
@@ -114,6 +120,9 @@
     Time nonPingReceivedAt{};
 };
 
+// Returns a hook for `queued` that counts the messages there. nullptr: an empty hook.
+std::function<void(const wire::LinkFrame &, std::size_t)> countTraffic(LinkTraffic *traffic);
+
 // ---- LinkPool ----
 
 struct LinkSettings
@@ -160,6 +169,9 @@
     // Charges the bytes of later connections to a budget, which must outlive the pool.
     void setBudget(ByteBudget *byteBudget) { this->budget = byteBudget; }
 
+    // Counts the bytes of later connections. It must outlive the pool.
+    void setTraffic(LinkTraffic *linkTraffic) { this->traffic = linkTraffic; }
+
     // Sets the address of a node. A changed address closes its connections.
     void setAddress(const std::string &node, const Address &address);
 
@@ -287,6 +299,7 @@
     std::uint64_t incarnation;
     LinkSettings settings;
     ByteBudget *budget = nullptr;
+    LinkTraffic *traffic = nullptr;
     std::uint64_t lastCall = 0;
     Time advancedAt{};
     std::map<std::string, Peer, std::less<>> peers;
@@ -320,8 +333,9 @@
 
     LinkServer(FiberThread &serverThread, std::string ownNode, Hooks serverHooks);
 
-    // As LinkPool::setBudget.
+    // As LinkPool::setBudget and LinkPool::setTraffic.
     void setBudget(ByteBudget *byteBudget) { this->budget = byteBudget; }
+    void setTraffic(LinkTraffic *linkTraffic) { this->traffic = linkTraffic; }
 
     // Error: SettingsInvalid if the address cannot be bound.
     absl::Status listen(const Address &address);
@@ -341,6 +355,7 @@
     std::string node;
     Hooks hooks;
     ByteBudget *budget = nullptr;
+    LinkTraffic *traffic = nullptr;
     asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type> acceptor;
     std::uint64_t lastNumber = 0;
     std::map<std::uint64_t, std::shared_ptr<Link>> links;
--- a/packages/stage/link_pool.cpp
+++ b/packages/stage/link_pool.cpp
@@ -241,7 +241,8 @@
                                   [this, attempt](LinkMessage message) {
                                       this->onMessage(attempt, std::move(message));
                                   },
-                          .closed = [this, attempt] { this->onClosed(attempt); }},
+                          .closed = [this, attempt] { this->onClosed(attempt); },
+                          .queued = countTraffic(this->traffic)},
                          this->budget);
     connection.link = link;
     link->start();
--- a/packages/stage/link_server.cpp
+++ b/packages/stage/link_server.cpp
@@ -117,8 +117,10 @@
         this->links.erase(number);
         this->hooks.closed(*peer);
     };
-    const std::shared_ptr<Link> link =
-            Link::create(std::move(socket), {.received = received, .closed = closed}, this->budget);
+    const std::shared_ptr<Link> link = Link::create(
+            std::move(socket),
+            {.received = received, .closed = closed, .queued = countTraffic(this->traffic)},
+            this->budget);
     this->links[number] = link;
     link->start();
 }
--- a/packages/stage/metrics.h
+++ b/packages/stage/metrics.h
@@ -36,6 +36,8 @@
     TimerDelays,          // total milliseconds by which the timers of this process were late
     FiberDelays,          // total milliseconds that ready fibers waited for the thread
     MessageDelays,  // total milliseconds by which messages of other processes were late in transit
+    UnreadDelays,   // total milliseconds that requests waited in sockets before they were read
+    AnswerDelays,   // answers that had not reached their caller 250 ms after they were written
     FibersReady,    // number of fibers that are ready now
     OldestFiberAge, // milliseconds since the oldest ready fiber became ready
     UpstreamRequests, // current requests of all callers for the upstream beside this process
@@ -59,7 +61,7 @@
     ExceptionsContained,    // exceptions that ended only the work that caused them
 };
 
-inline constexpr NameTable<Metric, 42> metricNames{
+inline constexpr NameTable<Metric, 44> metricNames{
         {{{Metric::RequestsAccepted, "requests_taken"},
           {Metric::RequestsAnswered, "requests_answered"},
           {Metric::RequestsRefused, "requests_refused"},
@@ -81,6 +83,8 @@
           {Metric::TimerDelays, "timer_delays_ms"},
           {Metric::FiberDelays, "fiber_delays_ms"},
           {Metric::MessageDelays, "message_delays_ms"},
+          {Metric::UnreadDelays, "unread_delays_ms"},
+          {Metric::AnswerDelays, "answers_delivered_late"},
           {Metric::FibersReady, "fibers_ready"},
           {Metric::OldestFiberAge, "fiber_age_ms"},
           {Metric::UpstreamRequests, "requests_here"},
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -234,6 +234,8 @@
     this->admission.setMemory(&this->memory);
     this->links.setBudget(&this->memory);
     this->linkServer.setBudget(&this->memory);
+    this->links.setTraffic(&this->traffic);
+    this->linkServer.setTraffic(&this->traffic);
 }
 
 absl::StatusOr<std::unique_ptr<Stage>> Stage::create(StageSettings settings, std::string path)
@@ -260,20 +262,25 @@
         return HttpServer::create(this->thread, {},
                                   {.handle = std::move(handle), .refuse = refuse});
     };
-    this->callerServer =
-            HttpServer::create(this->thread, {.newRequestOrder = WakeOrder::Last},
-                               {.handleWatched =
-                                        [this](HttpRequest &request, CallerWatch &watch) {
-                                            return this->ingress.handle(request, watch);
-                                        },
-                                .refuse = refuse,
-                                .refuseForMemory = refuseForMemory,
-                                .isClosing = [this] { return this->shutdownSchedule.has_value(); },
-                                .mayOverlap =
-                                        [this](const HttpRequest &request) {
-                                            return this->ingress.mayOverlap(request);
-                                        }},
-                               &this->memory);
+    this->callerServer = HttpServer::create(
+            this->thread, {.newRequestOrder = WakeOrder::Last},
+            {.handleWatched =
+                     [this](HttpRequest &request, CallerWatch &watch) {
+                         return this->ingress.handle(request, watch);
+                     },
+             .refuse = refuse,
+             .refuseForMemory = refuseForMemory,
+             .isClosing = [this] { return this->shutdownSchedule.has_value(); },
+             .mayOverlap =
+                     [this](const HttpRequest &request) {
+                         return this->ingress.mayOverlap(request);
+                     },
+             .answerWritten =
+                     [this](const std::shared_ptr<HttpStream> &stream, std::size_t bytes) {
+                         this->traffic.note(TrafficKind::CallerAnswers, bytes);
+                         this->deliveries.note(stream, readBootTime());
+                     }},
+            &this->memory);
     this->readinessServer =
             createServer([this](const HttpRequest &request) { return this->onReadiness(request); });
     this->heartbeatServer =
@@ -359,6 +366,8 @@
     this->noteTimerDelay(now);
     this->noteFiberWait(now);
     this->noteLateMessages(now);
+    this->noteLateAnswers(now);
+    this->noteLinkTraffic(now);
     if (this->monitor.advance(now)) {
         this->onUpstreamChanged(now);
     }
--- a/packages/stage/stage.h
+++ b/packages/stage/stage.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "keyspace/lease.h"
+#include "net/answer_delivery.h"
 #include "net/http_server.h"
 #include "platform/store.h"
 #include "routing/host_picker.h"
@@ -110,6 +111,8 @@
     void noteTimerDelay(Time now);
     void noteFiberWait(Time now);
     void noteLateMessages(Time now);
+    void noteLateAnswers(Time now);
+    void noteLinkTraffic(Time now);
     void applyCallerLimits();
     void checkSettingsFile();
     void reload();
@@ -124,6 +127,8 @@
     std::uint64_t incarnation;
     Time startedAt;
     ByteBudget memory; // for the bytes that callers make this process hold
+    LinkTraffic traffic;
+    AnswerDelivery deliveries; // of answers to callers
     FiberThread thread;
     Ticker ticker;
     Metrics metrics;
@@ -168,6 +173,8 @@
     Duration maxFiberWait{};
     Time waitLoggedAt = -1h;
     LateMessages lateMessages;
+    LateAnswers lateAnswers; // since the last log line
+    Time deliveriesLoggedAt = -1h;
     std::size_t gossipRound = 0;
 };
 
