net: the time of a request counts while its bytes lie unread

What callers saw: a request that came while its process was held up got the whole timeout of its route from the moment at which it was read. Its caller waited for both.

Cause: the server dated a request by its first read, and the first request of a late connection by the accept. Both happen on the thread that is late.

On a thread that is held up for 1 s, a request on an open connection and one on a new connection were dated 1,000 ms late.

The kernel knows when the last bytes of a connection arrived (TCP_INFO), and the bytes that were read arrived no later. The earlier of this time and the time of the read is now the start of a request.

--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -28,10 +28,10 @@
     std::string body;
     SharedBody sharedBody;              // sent in place of `body` if it is not empty
     std::shared_ptr<ByteCharge> charge; // for `body`, set by a server with a budget
-    Time receivedAt{};                  // when the server read the first bytes
+    Time receivedAt{};                  // when the first bytes arrived
     Duration readTime{};                // from receivedAt until the whole request was read
-    Duration waitTime{};        // from receivedAt until the reading fiber got processor time
-    Duration unreadTime{};      // for which its first bytes had waited in the socket to be read
+    Duration unreadTime{};              // from receivedAt until its first bytes were read
+    Duration waitTime{};                // from that read until the reading fiber got processor time
     std::string callerIp;       // address of the other end of the connection; empty: unknown
     bool isFromOwnHost = false; // that address is also the one of this end
 
--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -259,9 +259,7 @@
             return error;
         }
     }
-    arrival.unread = timeSinceLastArrival(this->stream->socket().native_handle());
-    arrival.at = hasArrivedBefore ? this->acceptedAt : this->stream->lastReadAt();
-    arrival.waited = readBootTime() - arrival.at;
+    arrival = this->dateArrival(hasArrivedBefore);
     this->setReadDeadline(Clock::now() + this->limits.messageLimit);
     if (parser.charge) {
         this->allowEviction(*parser.charge);
@@ -277,6 +275,17 @@
     return error;
 }
 
+// The bytes in the buffer arrived before the last read, and no later than the last bytes that the
+// kernel received: a thread that is held up reads late.
+HttpConnection::Arrival HttpConnection::dateArrival(bool hasArrivedBeforeReader) const
+{
+    const Time readAt = hasArrivedBeforeReader ? this->acceptedAt : this->stream->lastReadAt();
+    const Time now = readBootTime();
+    const Time receivedAt = now - timeSinceLastArrival(this->stream->socket().native_handle());
+    const Time arrivedAt = std::min(readAt, receivedAt);
+    return {.at = arrivedAt, .unread = readAt - arrivedAt, .waited = now - readAt};
+}
+
 ErrorCode HttpConnection::awaitBytes()
 {
     this->isAwaiting = true;
--- a/packages/net/http_connection.h
+++ b/packages/net/http_connection.h
@@ -59,8 +59,8 @@
     struct Arrival
     {
         Time at{};
-        Duration waited{}; // from `at` until the reading fiber ran
-        Duration unread{}; // for which the bytes had waited in the socket
+        Duration unread{}; // from `at` until the bytes were read
+        Duration waited{}; // from the read until the reading fiber ran
     };
 
     // Reading.
@@ -72,6 +72,7 @@
     HttpResponse refuse(HttpRequestParser &parser, const ErrorCode &error) const;
     void allowEviction(ByteCharge &allowed);
     void chargePending();
+    Arrival dateArrival(bool hasArrivedBeforeReader) const;
     ErrorCode awaitBytes();
     void setReadDeadline(Clock::time_point due);
     void waitForCapacity();
--- a/packages/net/tests/test_busy_thread.cpp
+++ b/packages/net/tests/test_busy_thread.cpp
@@ -20,6 +20,8 @@
 // Half of the delay that is allowed for an answer.
 constexpr Duration allowedDelay = 250ms;
 
+constexpr Duration heldUpTime = 1s; // for which a thread runs neither handlers nor fibers
+
 // Records the arrival time of the last request, and counts requests of connected callers.
 struct RecordingServer
 {
@@ -191,4 +193,49 @@
     thread.stop();
 }
 
+// Guards against requests that lie unread while the thread is held up and then get their whole
+// timeout: their callers waited for the sum of both.
+TEST_CASE("the time of a request counts while it lies unread on an open connection",
+          "[busy_thread]")
+{
+    FiberThread thread("unread");
+    thread.start();
+    RecordingServer server(thread, BusyThread::nextPort());
+    PlainCaller caller(server.address);
+    caller.send();
+    caller.readAnswer();
+    server.receivedAt = Time{};
+    std::promise<void> isHeldUp;
+    thread.post([&] {
+        isHeldUp.set_value();
+        std::this_thread::sleep_for(heldUpTime);
+    });
+    isHeldUp.get_future().wait();
+    const Time sentAt = readBootTime();
+    caller.send();
+    waitUntil([&] { return server.receivedAt.load() != Time{}; });
+    CHECK(server.receivedAt.load() - sentAt < allowedDelay);
+    thread.stop();
+}
+
+// Guards against the same for the first request of a connection that is accepted late.
+TEST_CASE("the time of a request counts while its connection is not accepted", "[busy_thread]")
+{
+    FiberThread thread("unread");
+    thread.start();
+    RecordingServer server(thread, BusyThread::nextPort());
+    std::promise<void> isHeldUp;
+    thread.post([&] {
+        isHeldUp.set_value();
+        std::this_thread::sleep_for(heldUpTime);
+    });
+    isHeldUp.get_future().wait();
+    const Time sentAt = readBootTime();
+    PlainCaller caller(server.address);
+    caller.send();
+    waitUntil([&] { return server.receivedAt.load() != Time{}; });
+    CHECK(server.receivedAt.load() - sentAt < allowedDelay);
+    thread.stop();
+}
+
 } // namespace kumquat
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -66,8 +66,8 @@
     const Route *route = nullptr;
     Time started{};
     Duration readTime{};   // from the first to the last byte of the request
-    Duration waitTime{};   // for which the bytes of the request waited for the busy thread
-    Duration unreadTime{}; // for which they had waited in the socket before
+    Duration unreadTime{}; // for which the bytes of the request waited in the socket
+    Duration waitTime{};   // for which they waited for the busy thread after that
     bool isFromOwnHost = false;
     Time deadline{};              // by which the caller needs the answer
     Verdict verdict;              // why the last choice of a host found none
