net: the receive buffer of a caller's connection is small and charged

Cause: the budget is charged for what the process has read. What it has not read was bounded by the default of the kernel, times the number of connections.

It grows to 128 KiB for a body whose length is charged, and for a chunked one while most of the budget is free, so that honest uploads keep the rate of the link.

--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -24,6 +24,8 @@
 // of its fiber.
 constexpr std::uint64_t connectionBytes = 24UL * 1024;
 
+constexpr std::uint64_t largeReceiveBufferBytes = 128UL * 1024; // while a body is received
+
 // If the reading fiber starts within this time after the accept, the time of the first request
 // counts from its read. If the fiber starts later and data has already arrived, the time counts
 // from the accept.
@@ -32,6 +34,13 @@
 // Interval between checks for a disconnected caller while data of this caller is unread.
 constexpr Duration unreadCheckInterval = 100ms;
 
+// Returns how many bytes can lie unread in a connection with this receive buffer. The kernel
+// accepts up to half as much again.
+constexpr std::uint64_t maxUnreadBytes(std::uint64_t receiveBufferBytes)
+{
+    return receiveBufferBytes + receiveBufferBytes / 2;
+}
+
 ErrorKind kindOfReadError(const ErrorCode &error)
 {
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
@@ -127,7 +136,8 @@
 
 bool HttpConnection::chargeConnection()
 {
-    return this->charge.tryResize(connectionBytes, readBootTime());
+    return this->charge.tryResize(connectionBytes + maxUnreadBytes(this->limits.receiveBufferBytes),
+                                  readBootTime());
 }
 
 // Lets others evict the connection while it makes no progress with what `allowed` was charged for.
@@ -264,7 +274,10 @@
     if (parser.charge) {
         this->allowEviction(*parser.charge);
     }
-    const ErrorCode error = this->stream->read(parser);
+    const ErrorCode error = this->stream->read(parser, [&] {
+        this->growReceiveBuffer(parser.knownBodyBytes(), parser.isAnnounced());
+    });
+    this->resetReceiveBuffer();
     if (parser.charge) {
         parser.charge->forbidEviction();
     }
@@ -275,6 +288,39 @@
     return error;
 }
 
+// Gives a body a receive buffer with which a fast link can be used. A body with an announced length
+// is charged as a whole, including what still lies in the kernel. For others the buffer is charged,
+// and only while most of the budget is free.
+void HttpConnection::growReceiveBuffer(std::uint64_t bodyBytes, bool isAnnounced)
+{
+    if (this->limits.receiveBufferBytes == 0 || this->hasLargeReceiveBuffer
+        || bodyBytes <= this->limits.receiveBufferBytes) {
+        return;
+    }
+    if (!isAnnounced && this->budget != nullptr) {
+        const std::uint64_t more = maxUnreadBytes(largeReceiveBufferBytes);
+        if (this->budget->held() + more > this->budget->capacity() / 2
+            || !this->charge.tryResize(this->charge.bytes() + more, readBootTime())) {
+            return;
+        }
+        this->chargedReceiveBuffer = more;
+    }
+    this->hasLargeReceiveBuffer = true;
+    growReceiveWindow(this->stream->socket().native_handle(), largeReceiveBufferBytes);
+}
+
+void HttpConnection::resetReceiveBuffer()
+{
+    if (!std::exchange(this->hasLargeReceiveBuffer, false)) {
+        return;
+    }
+    setReceiveBuffer(this->stream->socket().native_handle(), this->limits.receiveBufferBytes);
+    // Less than was charged is left after an eviction.
+    const std::uint64_t all = this->charge.bytes();
+    const std::uint64_t grown = std::exchange(this->chargedReceiveBuffer, 0);
+    this->charge.resize(all - std::min(all, grown), readBootTime());
+}
+
 // The bytes in the buffer arrived before the last read, and no later than the last bytes that the
 // kernel received: a thread that is held up reads late.
 HttpConnection::Arrival HttpConnection::dateArrival(bool hasArrivedBeforeReader) const
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/text.h"
 #include "net/http_connection.h"
+#include "net/socket_state.h"
 
 #include <boost/asio/basic_socket_acceptor.hpp>
 
@@ -13,6 +14,14 @@
 #include <utility>
 
 namespace kumquat {
+namespace {
+
+// Connections that are not accepted yet. The budget is not charged for what they send, so this
+// times the receive buffer has to fit beside it.
+constexpr int maxAcceptQueue = 1024;
+
+} // namespace
+
 // ---- Plain messages ----
 
 bool isSameFieldName(std::string_view first, std::string_view second)
@@ -100,9 +109,12 @@
         const int on = 1;
         setsockopt(opened->acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
     }
+    if (this->limits.receiveBufferBytes > 0) { // accepted connections inherit it
+        setReceiveBuffer(opened->acceptor.native_handle(), this->limits.receiveBufferBytes);
+    }
     opened->acceptor.bind(endpoint, error);
     if (!error) {
-        opened->acceptor.listen(asio::ip::tcp::acceptor::max_listen_connections, error);
+        opened->acceptor.listen(maxAcceptQueue, error);
     }
     if (error) {
         return makeError(
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -25,8 +25,12 @@
     std::uint32_t maxHeaderBytes = 16 * 1024;
     std::uint64_t maxBodyBytes = 1024ULL * 1024;
     int maxConnections = 10'000; // further ones are closed at once
-    Duration idleLimit = 75s;    // between two requests
-    int maxPipelined = 8;        // unanswered requests of a connection; further ones are not read
+    // Receive buffer of a connection in the kernel, which a budget is charged for: what callers
+    // send fills it while the server does not read. It grows while a longer body is received, and
+    // applies from the next listen() on. 0: the default of the system, not charged.
+    std::uint32_t receiveBufferBytes = 0;
+    Duration idleLimit = 75s; // between two requests
+    int maxPipelined = 8;     // unanswered requests of a connection; further ones are not read
     std::uint64_t maxPipelinedBytes = 1024ULL * 1024; // of requests and answers, per connection
     Duration messageLimit = 10s; // to receive a whole request, or to send a whole answer
     WakeOrder newRequestOrder = WakeOrder::InTurn; // of fibers for new connections and requests
--- a/packages/net/http_stream.h
+++ b/packages/net/http_stream.h
@@ -93,6 +93,9 @@
         return std::max<std::uint64_t>(this->announcedBytes, this->message.body.size());
     }
 
+    // Returns whether the head announced the length of the body.
+    bool isAnnounced() const { return this->announcedBytes > 0; }
+
 private:
     using Text = boost::beast::string_view;
 
@@ -198,12 +201,12 @@
         }
         constexpr std::size_t copiedBytes = 256UL * 1024; // bodies up to this size grow by copies
         constexpr std::size_t stepBytes = 64UL * 1024;
-        const bool isAnnounced = this->announcedBytes > 0; // the body has its final capacity
-        const bool isLong = needed > copiedBytes || isAnnounced;
+        const bool hasLength = this->isAnnounced(); // the body has its final capacity
+        const bool isLong = needed > copiedBytes || hasLength;
         const std::size_t steps = (needed / stepBytes + 1) * stepBytes;
-        const std::size_t bytes = isAnnounced ? std::min<std::size_t>(steps, this->announcedBytes)
-                                  : isLong    ? steps
-                                              : std::max(needed, 2 * body.capacity());
+        const std::size_t bytes = hasLength ? std::min<std::size_t>(steps, this->announcedBytes)
+                                  : isLong  ? steps
+                                            : std::max(needed, 2 * body.capacity());
         if (!this->chargeBody(bytes, error)) {
             return false;
         }
--- a/packages/net/socket_state.cpp
+++ b/packages/net/socket_state.cpp
@@ -26,4 +26,18 @@
     return ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
+void setReceiveBuffer(int socket, std::size_t bytes)
+{
+    const int size = static_cast<int>(bytes);
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+}
+
+void growReceiveWindow(int socket, std::size_t bytes)
+{
+    // A connection that was made with a small buffer keeps its window otherwise.
+    const int size = static_cast<int>(bytes);
+    setsockopt(socket, IPPROTO_TCP, TCP_WINDOW_CLAMP, &size, sizeof(size));
+    setReceiveBuffer(socket, bytes);
+}
+
 } // namespace kumquat
--- a/packages/net/socket_state.h
+++ b/packages/net/socket_state.h
@@ -1,4 +1,4 @@
-// What the kernel tells of a TCP connection beyond its bytes.
+// What the kernel tells of a TCP connection beyond its bytes, and how many it keeps.
 #pragma once
 
 #include "base/time.h"
@@ -15,4 +15,10 @@
 // the system does not tell.
 std::size_t unacknowledgedBytes(int socket);
 
+// Limits the received bytes that the kernel keeps until they are read.
+void setReceiveBuffer(int socket, std::size_t bytes);
+
+// The same for an open connection. The peer may use the larger buffer at once.
+void growReceiveWindow(int socket, std::size_t bytes);
+
 } // namespace kumquat
--- a/packages/stage/stage.cpp
+++ b/packages/stage/stage.cpp
@@ -29,6 +29,7 @@
 constexpr Duration logFlushInterval = 200ms;
 constexpr Duration minLoggedDelay = 250ms;     // of timers; half of the allowed delay of an answer
 constexpr Duration settingsCheckInterval = 1s; // the settings file may change without a SIGHUP
+constexpr std::uint32_t callerReceiveBuffer = 8 * 1024; // the head and a short body of a request
 
 std::uint64_t makeIncarnation()
 {
@@ -263,7 +264,8 @@
                                   {.handle = std::move(handle), .refuse = refuse});
     };
     this->callerServer = HttpServer::create(
-            this->thread, {.newRequestOrder = WakeOrder::Last},
+            this->thread,
+            {.receiveBufferBytes = callerReceiveBuffer, .newRequestOrder = WakeOrder::Last},
             {.handleWatched =
                      [this](HttpRequest &request, CallerWatch &watch) {
                          return this->ingress.handle(request, watch);
@@ -414,6 +416,7 @@
     const CallerLimits &limits = this->view.configuration()->limits;
     this->callerServer->setLimits({.maxHeaderBytes = limits.maxHeaderBytes,
                                    .maxBodyBytes = limits.maxBodyBytes,
+                                   .receiveBufferBytes = callerReceiveBuffer,
                                    .idleLimit = limits.idleTimeout,
                                    .newRequestOrder = WakeOrder::Last});
 }
