net: a body that is mostly framing is refused, and trailers are dropped

What callers could do: make a process read without end with chunk extensions or zeros in front of a chunk size, while the body stays short and so no limit and no charge applies. Fields of a trailer were added to those of the head, without a charge, and passed as such.

Cause: limits and charges cover the head and the body, and framing is neither.

Bytes behind the head are counted as they are consumed: 16 KiB, 16 bytes for each chunk and twice the body at most. Beyond it the request gets 400 and its connection is closed without reading on. The same limit holds for answers of upstreams.

--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -186,7 +186,7 @@
             break;
         }
     }
-    if (readerNumber == this->reader && this->isFinished) {
+    if (readerNumber == this->reader && this->isFinished && this->drainsInput) {
         this->drainInput();
     }
 }
@@ -232,6 +232,8 @@
     if (error) {
         exchange->response = this->refuse(parser, error);
         exchange->isDone = true;
+        // What such a caller sends is not worth reading to deliver the answer for certain.
+        this->drainsInput = error != http::error::bad_chunk_extension;
     } else {
         exchange->keepAlive = parser.keep_alive();
         exchange->request = std::move(parser.message);
--- a/packages/net/http_connection.h
+++ b/packages/net/http_connection.h
@@ -127,8 +127,9 @@
     Clock::time_point readDeadline = Clock::time_point::max(); // of the current read
     bool isWatching = false;                                   // a call of onReadable is pending
     bool isWriting = false;
-    bool isDisconnected = false;               // the caller has closed the connection
-    bool isFinished = false;                   // no further answers are written
+    bool isDisconnected = false; // the caller has closed the connection
+    bool isFinished = false;     // no further answers are written
+    bool drainsInput = true; // what follows the last request is read before the connection closes
     std::shared_ptr<FiberEvent> capacityEvent; // signalled after each answer
     asio::steady_timer unreadTimer; // for periodic checks of the connection while data is unread
 };
--- a/packages/net/http_stream.cpp
+++ b/packages/net/http_stream.cpp
@@ -227,16 +227,20 @@
     return this->resultOf(result.error);
 }
 
-template <bool IsRequest>
-ErrorCode HttpStream::read(http::basic_parser<IsRequest> &parser,
+template <bool IsRequest, typename Message>
+ErrorCode HttpStream::read(HttpParser<IsRequest, Message> &parser,
                            const std::function<void()> &beforeWait)
 {
     while (true) {
         ErrorCode error;
         std::size_t used = 0;
         if (this->buffer.size() > 0) {
+            const bool isBehindHead = parser.is_header_done();
             used = parser.put(this->buffer.data(), error);
             this->buffer.consume(used);
+            if (isBehindHead && !parser.noteBodyInput(used)) {
+                return http::error::bad_chunk_extension;
+            }
         }
         if (parser.is_done()) {
             return {};
@@ -263,9 +267,9 @@
     }
 }
 
-template ErrorCode HttpStream::read(http::basic_parser<true> &parser,
+template ErrorCode HttpStream::read(HttpParser<true, HttpRequest> &parser,
                                     const std::function<void()> &beforeWait);
-template ErrorCode HttpStream::read(http::basic_parser<false> &parser,
+template ErrorCode HttpStream::read(HttpParser<false, HttpResponse> &parser,
                                     const std::function<void()> &beforeWait);
 
 ErrorCode HttpStream::write(std::string_view data, std::string_view body)
--- a/packages/net/http_stream.h
+++ b/packages/net/http_stream.h
@@ -93,6 +93,15 @@
         return std::max<std::uint64_t>(this->announcedBytes, this->message.body.size());
     }
 
+    // Counts bytes behind the head that the parser has consumed. Returns false if too few of them
+    // belong to the body.
+    bool noteBodyInput(std::size_t bytes)
+    {
+        this->bodyInput += bytes;
+        const std::uint64_t body = this->message.body.size();
+        return this->bodyInput <= maxFramingBytes + this->chunks * framingBytesPerChunk + 2 * body;
+    }
+
     // Returns whether the head announced the length of the body.
     bool isAnnounced() const { return this->announcedBytes > 0; }
 
@@ -102,6 +111,9 @@
     void on_field_impl(boost::beast::http::field /*name*/, Text name, Text value,
                        ErrorCode & /*error*/) override
     {
+        if (this->is_header_done()) {
+            return; // a field of a trailer
+        }
         this->message.fields.push_back({std::string(name), std::string(value)});
     }
 
@@ -146,7 +158,9 @@
 
     void on_chunk_header_impl(std::uint64_t /*size*/, Text /*extensions*/,
                               ErrorCode & /*error*/) override
-    {}
+    {
+        ++this->chunks;
+    }
 
     std::size_t on_chunk_body_impl(std::uint64_t /*left*/, Text part, ErrorCode &error) override
     {
@@ -216,6 +230,13 @@
         return true;
     }
 
+    // Chunk sizes, extensions and trailers may have as many bytes as the body and these. No known
+    // client sends extensions or long trailers.
+    static constexpr std::uint64_t maxFramingBytes = 16UL * 1024;
+    static constexpr std::uint64_t framingBytesPerChunk = 16;
+
+    std::uint64_t bodyInput = 0; // bytes behind the head, with framing
+    std::uint64_t chunks = 0;
     std::uint64_t headBytes = 0;
     std::uint64_t announcedBytes = 0; // 0: none
     BodyBudget *bodyBudget;
@@ -298,10 +319,11 @@
 
     ErrorCode connect(const Tcp::endpoint &endpoint);
 
-    // Reads the rest of one message. `beforeWait`: called before each wait for more bytes; it may
+    // Reads the rest of one message. Fails with bad_chunk_extension if its body is mostly framing.
+    // `beforeWait`: called before each wait for more bytes; it may
     // block the fiber.
-    template <bool IsRequest>
-    ErrorCode read(boost::beast::http::basic_parser<IsRequest> &parser,
+    template <bool IsRequest, typename Message>
+    ErrorCode read(HttpParser<IsRequest, Message> &parser,
                    const std::function<void()> &beforeWait = {});
 
     // Reads the available data into the buffer, or waits until some arrives.
