net: header fields are charged as they arrive

What was seen: 1,000 callers that send most of a head with short fields and stop make a process of 80 MB hold 166 MB.

Cause: fields are kept as they arrive, 64 bytes of objects for a field of 4 bytes and twice that while the vector grows; the budget was charged when the head was complete.

The parser charges the fields in steps of 4 KiB, with the objects counted twice.

--- a/packages/net/http_stream.h
+++ b/packages/net/http_stream.h
@@ -109,21 +109,21 @@
     using Text = boost::beast::string_view;
 
     void on_field_impl(boost::beast::http::field /*name*/, Text name, Text value,
-                       ErrorCode & /*error*/) override
+                       ErrorCode &error) override
     {
         if (this->is_header_done()) {
             return; // a field of a trailer
         }
+        this->headBytes += fieldBytes + name.size() + value.size();
+        const bool isCharged = this->charge == nullptr || this->headBytes <= this->charge->bytes();
+        if (!isCharged && !this->chargeBody(headStepBytes, error)) {
+            return;
+        }
         this->message.fields.push_back({std::string(name), std::string(value)});
     }
 
     void on_header_impl(ErrorCode &error) override
     {
-        std::uint64_t bytes = 0;
-        for (const HttpField &field : this->message.fields) {
-            bytes += sizeof(field) + field.name.size() + field.value.size();
-        }
-        this->headBytes = bytes;
         this->announcedBytes = this->content_length().value_or(0);
         if (this->mustKeep) {
             // The length of an answer may be beyond the body limit. The body is charged as it
@@ -235,9 +235,13 @@
     static constexpr std::uint64_t maxFramingBytes = 16UL * 1024;
     static constexpr std::uint64_t framingBytesPerChunk = 16;
 
+    // Objects of one field, twice because the vector grows by doubling.
+    static constexpr std::uint64_t fieldBytes = 2 * sizeof(HttpField);
+    static constexpr std::uint64_t headStepBytes = 4096; // fields are charged in steps
+
     std::uint64_t bodyInput = 0; // bytes behind the head, with framing
     std::uint64_t chunks = 0;
-    std::uint64_t headBytes = 0;
+    std::uint64_t headBytes = 0;      // of the fields
     std::uint64_t announcedBytes = 0; // 0: none
     BodyBudget *bodyBudget;
     std::uint64_t reserved = 0; // bytes reserved from the budget
