--- a/packages/net/http_connection.cpp
+++ b/packages/net/http_connection.cpp
@@ -24,23 +24,13 @@
 // of its fiber.
 constexpr std::uint64_t connectionBytes = 24UL * 1024;
 
-constexpr std::uint64_t largeReceiveBufferBytes = 128UL * 1024; // while a body is received
-
-// If the reading fiber starts within this time after the accept, the time of the first request
-// counts from its read. If the fiber starts later and data has already arrived, the time counts
-// from the accept.
+// If the reading fiber starts later than this after the accept and data has already arrived, the
+// first request counts as read at the accept.
 constexpr Duration readerStartLimit = 50ms;
 
 // Interval between checks for a disconnected caller while data of this caller is unread.
 constexpr Duration unreadCheckInterval = 100ms;
 
-// Returns how many bytes can lie unread in a connection with this receive buffer. The kernel
-// accepts up to half as much again.
-constexpr std::uint64_t maxUnreadBytes(std::uint64_t receiveBufferBytes)
-{
-    return receiveBufferBytes + receiveBufferBytes / 2;
-}
-
 ErrorKind kindOfReadError(const ErrorCode &error)
 {
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
@@ -110,6 +100,7 @@
     , counts(serverCounts)
     , budget(byteBudget)
     , charge(byteBudget)
+    , receiveBuffer(*this->stream, this->charge, byteBudget, serverLimits.receiveBufferBytes)
     , unreadTimer(connectionThread.io())
 {
     ++this->counts.connections;
@@ -232,7 +223,6 @@
     if (error) {
         exchange->response = this->refuse(parser, error);
         exchange->isDone = true;
-        // What such a caller sends is not worth reading to deliver the answer for certain.
         this->drainsInput = error != http::error::bad_chunk_extension;
     } else {
         exchange->keepAlive = parser.keep_alive();
@@ -277,9 +267,9 @@
         this->allowEviction(*parser.charge);
     }
     const ErrorCode error = this->stream->read(parser, [&] {
-        this->growReceiveBuffer(parser.knownBodyBytes(), parser.isAnnounced());
+        this->receiveBuffer.grow(parser.knownBodyBytes(), parser.isAnnounced());
     });
-    this->resetReceiveBuffer();
+    this->receiveBuffer.reset();
     if (parser.charge) {
         parser.charge->forbidEviction();
     }
@@ -290,47 +280,14 @@
     return error;
 }
 
-// Gives a body a receive buffer with which a fast link can be used. A body with an announced length
-// is charged as a whole, including what still lies in the kernel. For others the buffer is charged,
-// and only while most of the budget is free.
-void HttpConnection::growReceiveBuffer(std::uint64_t bodyBytes, bool isAnnounced)
-{
-    if (this->limits.receiveBufferBytes == 0 || this->hasLargeReceiveBuffer
-        || bodyBytes <= this->limits.receiveBufferBytes) {
-        return;
-    }
-    if (!isAnnounced && this->budget != nullptr) {
-        const std::uint64_t more = maxUnreadBytes(largeReceiveBufferBytes);
-        if (this->budget->held() + more > this->budget->capacity() / 2
-            || !this->charge.tryResize(this->charge.bytes() + more, readBootTime())) {
-            return;
-        }
-        this->chargedReceiveBuffer = more;
-    }
-    this->hasLargeReceiveBuffer = true;
-    growReceiveWindow(this->stream->socket().native_handle(), largeReceiveBufferBytes);
-}
-
-void HttpConnection::resetReceiveBuffer()
-{
-    if (!std::exchange(this->hasLargeReceiveBuffer, false)) {
-        return;
-    }
-    setReceiveBuffer(this->stream->socket().native_handle(), this->limits.receiveBufferBytes);
-    // Less than was charged is left after an eviction.
-    const std::uint64_t all = this->charge.bytes();
-    const std::uint64_t grown = std::exchange(this->chargedReceiveBuffer, 0);
-    this->charge.resize(all - std::min(all, grown), readBootTime());
-}
-
 // The bytes in the buffer arrived before the last read, and no later than the last bytes that the
 // kernel received: a thread that is held up reads late.
 HttpConnection::Arrival HttpConnection::dateArrival(bool hasArrivedBeforeReader) const
 {
     const Time readAt = hasArrivedBeforeReader ? this->acceptedAt : this->stream->lastReadAt();
     const Time now = readBootTime();
-    const Time receivedAt = now - timeSinceLastArrival(this->stream->socket().native_handle());
-    const Time arrivedAt = std::min(readAt, receivedAt);
+    const Duration age = timeSinceLastArrival(this->stream->socket().native_handle());
+    const Time arrivedAt = std::min(readAt, now - age);
     return {.at = arrivedAt, .unread = readAt - arrivedAt, .waited = now - readAt};
 }
 
--- a/packages/net/http_connection.h
+++ b/packages/net/http_connection.h
@@ -11,6 +11,7 @@
 
 #include "net/http_server.h"
 #include "net/http_stream.h"
+#include "net/receive_buffer.h"
 
 #include <atomic>
 #include <chrono>
@@ -73,8 +74,6 @@
     void allowEviction(ByteCharge &allowed);
     void chargePending();
     Arrival dateArrival(bool hasArrivedBeforeReader) const;
-    void growReceiveBuffer(std::uint64_t bodyBytes, bool isAnnounced);
-    void resetReceiveBuffer();
     ErrorCode awaitBytes();
     void setReadDeadline(Clock::time_point due);
     void waitForCapacity();
@@ -113,10 +112,9 @@
     ByteCharge charge; // for the connection, its read-ahead buffer and the answers to be written
     std::uint64_t chargedAnswers = 0; // part of `charge`
     std::uint64_t answerBytes = 0;    // of answers that are not completely written
-    bool hasLargeReceiveBuffer = false;
-    std::uint64_t chargedReceiveBuffer = 0; // part of `charge`, while the buffer is large
-    std::deque<ExchangePtr> pending;        // oldest first
-    std::uint64_t pendingBytes = 0;         // of requests and of answers that cannot be written yet
+    ReceiveBuffer receiveBuffer;
+    std::deque<ExchangePtr> pending; // oldest first
+    std::uint64_t pendingBytes = 0;  // of requests and of answers that cannot be written yet
     Time acceptedAt = readBootTime();
     std::string callerIp;       // empty: unknown
     bool isFromOwnHost = false; // both ends have the same address
--- a/packages/net/http_stream.h
+++ b/packages/net/http_stream.h
@@ -323,9 +323,8 @@
 
     ErrorCode connect(const Tcp::endpoint &endpoint);
 
-    // Reads the rest of one message. Fails with bad_chunk_extension if its body is mostly framing.
-    // `beforeWait`: called before each wait for more bytes; it may
-    // block the fiber.
+    // Reads the rest of one message. `beforeWait`: called before each wait for more bytes; it may
+    // block the fiber. Error: bad_chunk_extension also if the body is mostly framing.
     template <bool IsRequest, typename Message>
     ErrorCode read(HttpParser<IsRequest, Message> &parser,
                    const std::function<void()> &beforeWait = {});
--- a/packages/stage/ingress.cpp
+++ b/packages/stage/ingress.cpp
@@ -21,9 +21,6 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
 
-// A request that has waited for longer in the socket counts as read late.
-constexpr Duration minUnreadTime = 50ms;
-
 // Retry time that callers are told while this process has no configuration.
 constexpr Duration startRetry = 500ms;
 
@@ -120,9 +117,7 @@
     attempt.readTime = request.readTime;
     attempt.waitTime = request.waitTime;
     attempt.unreadTime = request.unreadTime;
-    if (attempt.unreadTime >= minUnreadTime) {
-        this->metrics.count(Metric::UnreadDelays, toMilliseconds(attempt.unreadTime));
-    }
+    this->metrics.count(Metric::UnreadDelays, toMilliseconds(attempt.unreadTime));
     attempt.isFromOwnHost = request.isFromOwnHost || request.callerIp == this->settings.upstreamIp;
     watch.onDisconnected([&attempt, this] {
         attempt.isDisconnected = true;
@@ -579,16 +574,13 @@
     if (!hasRoomForRequestLine()) {
         return;
     }
-    const auto elapsed =
-            std::chrono::duration_cast<std::chrono::milliseconds>(readBootTime() - attempt.started);
-    const std::string version =
-            attempt.configuration ? std::to_string(attempt.configuration->version) : "none";
+    const bool hasVersion = attempt.configuration != nullptr;
     logInfo(LogPart::Request, "request ended",
             {{"request", attempt.execute.id()},
              {"outcome", std::string(attempt.outcome)},
              {"status", std::to_string(status)},
              {"route", attempt.route != nullptr ? attempt.route->name : "none"},
-             {"version", version},
+             {"version", hasVersion ? std::to_string(attempt.configuration->version) : "none"},
              {"service", attempt.execute.service()},
              {"key", attempt.execute.has_key() ? std::to_string(attempt.execute.key()) : "none"},
              {"host", attempt.node},
@@ -602,7 +594,7 @@
              {"goneMs", attempt.isDisconnected
                                 ? std::to_string(toMilliseconds(attempt.disconnectedAfter))
                                 : "none"},
-             {"ms", std::to_string(elapsed.count())}});
+             {"ms", std::to_string(toMilliseconds(readBootTime() - attempt.started))}});
 }
 
 } // namespace kumquat
--- a/packages/system/tests/test_caller_framing.cpp
+++ b/packages/system/tests/test_caller_framing.cpp
@@ -76,8 +76,8 @@
     }
     const bool isServed = servesEventually(host);
     const int resident = peakKilobytes(*host.process);
-    UNSCOPED_INFO("resident " << resident << " kB, unread " << mostUnread << " kB, " << crowd.openCount()
-                     << " connections open");
+    UNSCOPED_INFO("resident " << resident << " kB, unread " << mostUnread << " kB, "
+                              << crowd.openCount() << " connections open");
     CHECK(host.process->isRunning());
     CHECK(resident > 0);
     CHECK(resident + mostUnread < kilobytesOf(crowdMemoryMb));
